--- /dev/null
+++ b/Guavashift/Agent/AgentRole.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <Guavashift/Agent/AgentLoop.h>
+#include <Guavashift/Agent/HttpPlatform.h>
+#include <Guavashift/Settings/Settings.h>
+#include <Guavashift/Telemetry/Telemetry.h>
+
+namespace guavashift {
+
+/// The role `agent`: the gate in front of the backend servers of one worker, and the hand of the
+/// scheduler on it.
+class AgentRole final : public Role
+{
+public:
+    explicit AgentRole(const RoleContext &context);
+
+    Result<void> start() override;
+    void drain() override;
+    void stop() override;
+
+private:
+    void addAdminEndpoints();
+    HttpResponse serve(const HttpRequest &request);
+
+    const DaemonSettings &m_settings;
+    Telemetry &m_telemetry;
+    RoleHealth &m_health;
+    HttpRouter &m_admin;
+    LeasedConfiguration m_configuration;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<ControlClient> m_control;
+    std::unique_ptr<HttpPlatform> m_platform;
+    std::unique_ptr<GateKeeper> m_gate;
+    std::unique_ptr<AgentLoop> m_loop;
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<RpcServer> m_rpcServer;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Agent/Gate.cpp
@@ -0,0 +1,296 @@
+#include <Guavashift/Agent/Gate.h>
+
+#include <algorithm>
+
+namespace guavashift {
+
+Gate::Gate(const GateSettings &settings, Incarnation incarnation, Instant now)
+    : m_settings(settings)
+    , m_incarnation(std::move(incarnation))
+    , m_start(now)
+{
+}
+
+void Gate::advance(Instant now)
+{
+    const auto window = static_cast<std::uint64_t>((now - m_start) / m_settings.windowLength) + 1;
+    if (window <= m_window)
+        return;
+    m_window = window;
+    if (m_window > m_settings.unkeyedWindows)
+        m_forgottenUnkeyed = std::max(m_forgottenUnkeyed, m_window - m_settings.unkeyedWindows);
+    if (m_window > m_settings.keyedWindows)
+        m_forgottenKeyed = std::max(m_forgottenKeyed, m_window - m_settings.keyedWindows);
+    forgetOld();
+}
+
+std::uint64_t Gate::oldestWindow(bool keyed) const
+{
+    return (keyed ? m_forgottenKeyed : m_forgottenUnkeyed) + 1;
+}
+
+void Gate::updateBackends(std::span<const BackendServer> backends)
+{
+    for (auto &[id, backend] : m_backends)
+        backend.announced = false;
+    for (const BackendServer &server : backends) {
+        Backend &backend = m_backends[server.task];
+        backend.server = server;
+        backend.announced = true;
+    }
+    // One that is gone is forgotten when its last request has ended.
+    std::erase_if(m_backends, [](const auto &item) {
+        return !item.second.announced && item.second.running == 0;
+    });
+}
+
+Gate::Backend *Gate::freeBackend(const ServiceId &service)
+{
+    Backend *best = nullptr;
+    for (auto &[id, backend] : m_backends) {
+        const bool usable = backend.announced && !backend.server.leaving
+            && backend.server.service == service && backend.running < backend.server.slots;
+        if (usable && (best == nullptr || backend.running < best->running))
+            best = &backend;
+    }
+    return best;
+}
+
+std::optional<RefusalReason> Gate::refuseNew(const Dispatch &dispatch) const
+{
+    if (m_leaving)
+        return RefusalReason::Leaving;
+    if (!m_leaseHeld)
+        return RefusalReason::LeaseExpired;
+    bool known = false;
+    for (const auto &[id, backend] : m_backends) {
+        if (!backend.announced || backend.server.service != dispatch.service)
+            continue;
+        known = true;
+        if (!backend.server.leaving)
+            return std::nullopt;
+    }
+    return known ? RefusalReason::Leaving : RefusalReason::NoBackend;
+}
+
+GateDecision Gate::decideKnown(const Remembered &known) const
+{
+    switch (known.phase) {
+    case Phase::Waiting:
+    case Phase::Running:
+        return JoinRunning{};
+    case Phase::NotRun:
+        return RefuseDispatch{RefusalReason::Revoked, true};
+    case Phase::Done:
+        break;
+    }
+    if (known.answer)
+        return RepeatAnswer{known.answer};
+    return RefuseDispatch{RefusalReason::AlreadyRan, false};
+}
+
+GateDecision Gate::arrive(const Dispatch &dispatch)
+{
+    // What was meant for an earlier incarnation may have run there.
+    if (m_settings.checkIncarnation && dispatch.incarnation != m_incarnation)
+        return RefuseDispatch{RefusalReason::WrongIncarnation, false};
+    if (m_settings.rememberRequests) {
+        const auto known = m_requests.find(dispatch.id);
+        if (known != m_requests.end())
+            return decideKnown(known->second);
+    }
+    // An unknown id from a window that is no longer remembered may have run or been revoked. A
+    // request without a window is never run, so of one without a key this is certain.
+    if (m_settings.checkWindow && dispatch.window < oldestWindow(dispatch.keyed)) {
+        if (dispatch.window == 0)
+            return RefuseDispatch{RefusalReason::StaleWindow, !dispatch.keyed};
+        return RefuseDispatch{RefusalReason::Forgotten, false};
+    }
+    Remembered &request = m_requests[dispatch.id];
+    request.keyed = dispatch.keyed;
+    request.service = dispatch.service;
+    touch(dispatch.id, request);
+
+    std::optional<RefusalReason> refusal = refuseNew(dispatch);
+    Backend *backend = refusal ? nullptr : freeBackend(dispatch.service);
+    if (!refusal && backend == nullptr && m_waiting.size() >= m_settings.maxWaiting)
+        refusal = RefusalReason::Full;
+    if (refusal) {
+        // Remembered, so that a copy of it that comes later does not run after this answer.
+        request.phase = Phase::NotRun;
+        return RefuseDispatch{*refusal, true};
+    }
+    if (backend == nullptr) {
+        request.phase = Phase::Waiting;
+        m_waiting.push_back(dispatch.id);
+        return WaitForSlot{};
+    }
+    run(request, *backend);
+    return RunNow{request.backend};
+}
+
+void Gate::touch(const RequestId &id, Remembered &request)
+{
+    if (request.window == m_window)
+        return;
+    request.window = m_window;
+    m_byWindow[m_window].push_back(id);
+}
+
+void Gate::run(Remembered &request, Backend &backend)
+{
+    request.phase = Phase::Running;
+    request.backend = backend.server.task;
+    ++backend.running;
+    ++m_running;
+    GUAVASHIFT_CHECK(backend.running <= backend.server.slots);
+}
+
+std::vector<SlotGranted> Gate::finish(const RequestId &id, const RunEnd &end)
+{
+    const auto found = m_requests.find(id);
+    GUAVASHIFT_CHECK(found != m_requests.end() && found->second.phase == Phase::Running);
+    Remembered &request = found->second;
+    const auto backend = m_backends.find(request.backend);
+    if (backend != m_backends.end()) {
+        --backend->second.running;
+        if (!backend->second.announced && backend->second.running == 0)
+            m_backends.erase(backend);
+    }
+    --m_running;
+    request.phase = end.notRun ? Phase::NotRun : Phase::Done;
+    // The memory of a request counts from its end.
+    touch(id, request);
+    if (request.keyed && end.answer)
+        keepAnswer(id, request, end.answer);
+    return grantSlots();
+}
+
+std::vector<SlotGranted> Gate::grantSlots()
+{
+    std::vector<SlotGranted> granted;
+    for (auto at = m_waiting.begin(); at != m_waiting.end();) {
+        Remembered &request = m_requests.at(*at);
+        Backend *backend = freeBackend(request.service);
+        if (backend == nullptr) {
+            ++at;
+            continue;
+        }
+        run(request, *backend);
+        granted.push_back({*at, request.backend});
+        at = m_waiting.erase(at);
+    }
+    return granted;
+}
+
+std::optional<TaskId> Gate::grantedBackend(const RequestId &id) const
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second.phase != Phase::Running)
+        return std::nullopt;
+    return found->second.backend;
+}
+
+bool Gate::withdraw(const RequestId &id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second.phase != Phase::Waiting)
+        return false;
+    found->second.phase = Phase::NotRun;
+    touch(id, found->second);
+    std::erase(m_waiting, id);
+    return true;
+}
+
+RevokeOutcome Gate::revoke(const RevokeRequest &revocation)
+{
+    if (revocation.incarnation != m_incarnation)
+        return RevokeOutcome::Unknown;
+    const auto found = m_requests.find(revocation.request);
+    if (found == m_requests.end()) {
+        if (revocation.window < oldestWindow(revocation.keyed))
+            return RevokeOutcome::Unknown;
+        Remembered &request = m_requests[revocation.request];
+        request.phase = Phase::NotRun;
+        request.keyed = revocation.keyed;
+        touch(revocation.request, request);
+        return RevokeOutcome::Revoked;
+    }
+    switch (found->second.phase) {
+    case Phase::Waiting:
+        withdraw(revocation.request);
+        return RevokeOutcome::Revoked;
+    case Phase::NotRun:
+        return RevokeOutcome::Revoked;
+    case Phase::Running:
+        return RevokeOutcome::Running;
+    case Phase::Done:
+        break;
+    }
+    return RevokeOutcome::Done;
+}
+
+std::shared_ptr<const HttpResponse> Gate::answerOf(const RequestId &id) const
+{
+    const auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : found->second.answer;
+}
+
+bool Gate::isRunningOrWaiting(const RequestId &id) const
+{
+    const auto found = m_requests.find(id);
+    return found != m_requests.end()
+        && (found->second.phase == Phase::Running || found->second.phase == Phase::Waiting);
+}
+
+void Gate::keepAnswer(const RequestId &id, Remembered &request,
+                      std::shared_ptr<const HttpResponse> answer)
+{
+    m_answerBytes += answer->body.size();
+    m_answers.push_back(id);
+    request.answer = std::move(answer);
+    // The oldest answers go first; that those requests ran is still remembered.
+    while (m_answerBytes > m_settings.maxAnswerBytes && !m_answers.empty()) {
+        const auto oldest = m_requests.find(m_answers.front());
+        m_answers.pop_front();
+        if (oldest == m_requests.end() || !oldest->second.answer)
+            continue;
+        m_answerBytes -= oldest->second.answer->body.size();
+        oldest->second.answer.reset();
+    }
+}
+
+void Gate::forgetOld()
+{
+    // Too many ids: give up the oldest windows before their time.
+    std::size_t count = m_requests.size();
+    for (const auto &[window, ids] : m_byWindow) {
+        if (count <= m_settings.maxRemembered || window >= m_window - 1)
+            break;
+        count -= std::min(count, ids.size());
+        m_forgottenKeyed = std::max(m_forgottenKeyed, window);
+        m_forgottenUnkeyed = std::max(m_forgottenUnkeyed, window);
+    }
+    for (auto at = m_byWindow.begin(); at != m_byWindow.end() && at->first <= m_forgottenUnkeyed;) {
+        std::vector<RequestId> kept;
+        for (RequestId &id : at->second) {
+            const auto found = m_requests.find(id);
+            if (found == m_requests.end() || found->second.window != at->first)
+                continue;
+            const bool active =
+                found->second.phase == Phase::Running || found->second.phase == Phase::Waiting;
+            const bool remembered = found->second.keyed && at->first > m_forgottenKeyed;
+            if (active || remembered) {
+                kept.push_back(std::move(id));
+                continue;
+            }
+            if (found->second.answer)
+                m_answerBytes -= found->second.answer->body.size();
+            m_requests.erase(found);
+        }
+        at->second = std::move(kept);
+        at = at->second.empty() ? m_byWindow.erase(at) : std::next(at);
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/File.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <filesystem>
+#include <string>
+#include <string_view>
+
+namespace guavashift {
+
+/// An open file. Closes itself.
+class File final
+{
+public:
+    File() = default;
+    File(File &&other) noexcept;
+    File &operator=(File &&other) noexcept;
+    ~File();
+
+    /// Opens for appending; creates the file if needed and then syncs its folder.
+    static Result<File> openForAppend(const std::filesystem::path &path);
+
+    Result<void> write(std::string_view bytes);
+    /// Returns when the written bytes are on the disk (fdatasync).
+    Result<void> sync();
+
+private:
+    explicit File(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    int m_descriptor = -1;
+};
+
+/// Whole content of a file; NotFound if there is none.
+Result<std::string> readFile(const std::filesystem::path &path);
+
+/// Writes the file so that after a crash either the old or the new content is found.
+Result<void> replaceFile(const std::filesystem::path &path, std::string_view content);
+
+/// Makes names created or removed in `folder` durable.
+Result<void> syncFolder(const std::filesystem::path &folder);
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/LogStore.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <Guavashift/Consensus/LogTypes.h>
+
+#include <span>
+
+namespace guavashift {
+
+/// Durable storage of one replica. Writes may be buffered until sync(). After the first error the
+/// store refuses everything: a failed sync is never tried again, because the kernel may have
+/// dropped the pages that could not be written.
+class LogStore
+{
+public:
+    LogStore() = default;
+    LogStore(const LogStore &) = delete;
+    LogStore &operator=(const LogStore &) = delete;
+    virtual ~LogStore() = default;
+
+    virtual Result<void> saveHardState(const HardState &hardState) = 0;
+    virtual Result<void> truncateFrom(LogIndex index) = 0;
+    virtual Result<void> append(std::span<const LogEntry> entries) = 0;
+
+    /// Returns when everything written so far is on the disk.
+    virtual Result<void> sync() = 0;
+
+    /// Stores the snapshot durably, then drops the log except for `hardState` and `tail`, the
+    /// entries after the snapshot. A crash in between leaves the old or the new state.
+    virtual Result<void> replaceBySnapshot(const Snapshot &snapshot, const HardState &hardState,
+                                           std::span<const LogEntry> tail) = 0;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/Membership.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <string>
+#include <vector>
+
+namespace guavashift {
+
+/// One control process that takes part in the replicated log.
+struct Member
+{
+    ReplicaId id;
+    std::string vm;      ///< Name of the VM, the same across disk incarnations.
+    std::string address; ///< "IP:port" of its control endpoint.
+    FailureDomain failureDomain;
+    bool voter = false; ///< A learner receives the log but has no vote.
+
+    bool operator==(const Member &) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Member, id, vm, address, failureDomain, voter)
+
+/// The set of replicas. Two consecutive memberships differ in at most one voter.
+struct Membership
+{
+    std::vector<Member> members;
+
+    bool operator==(const Membership &) const = default;
+
+    [[nodiscard]] const Member *find(const ReplicaId &id) const;
+    [[nodiscard]] const Member *findVm(std::string_view vm) const;
+    [[nodiscard]] bool isVoter(const ReplicaId &id) const;
+    [[nodiscard]] std::size_t voterCount() const;
+    /// Least number of voters that form a majority.
+    [[nodiscard]] std::size_t quorum() const { return voterCount() / 2 + 1; }
+    /// Whether going from this membership to `next` adds or removes at most one voter.
+    [[nodiscard]] bool isSingleChangeTo(const Membership &next) const;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Membership, members)
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/Messages.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <Guavashift/Consensus/LogTypes.h>
+
+#include <variant>
+
+namespace guavashift {
+
+/// Asks for a vote, or with `preVote` whether a vote would be given.
+struct VoteRequest
+{
+    static constexpr std::string_view kind = "vote-request";
+    Term term = 0;
+    LogIndex lastIndex = 0;
+    Term lastTerm = 0;
+    bool preVote = false;
+    /// Set when the leader itself handed over, so that voters need not wait for its lease.
+    bool transfer = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VoteRequest, term, lastIndex, lastTerm, preVote, transfer)
+
+struct VoteReply
+{
+    static constexpr std::string_view kind = "vote-reply";
+    Term term = 0;
+    bool preVote = false;
+    bool granted = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VoteReply, term, preVote, granted)
+
+/// The state machine's digest after one index, compared between replicas.
+struct StateDigest
+{
+    LogIndex index = 0;
+    std::uint64_t digest = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StateDigest, index, digest)
+
+/// Entries after (prevIndex, prevTerm); without entries it is a heartbeat.
+struct AppendRequest
+{
+    static constexpr std::string_view kind = "append-request";
+    Term term = 0;
+    LogIndex prevIndex = 0;
+    Term prevTerm = 0;
+    std::vector<LogEntry> entries;
+    LogIndex commitIndex = 0;
+    /// Sequence number of the leader's sends; echoed, it proves contact at that send time.
+    std::uint64_t round = 0;
+    StateDigest digest;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AppendRequest, term, prevIndex, prevTerm, entries, commitIndex,
+                                   round, digest)
+
+struct AppendReply
+{
+    static constexpr std::string_view kind = "append-reply";
+    Term term = 0;
+    bool success = false;
+    /// On success the last index known to match and synced; otherwise where to try next.
+    LogIndex index = 0;
+    std::uint64_t round = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AppendReply, term, success, index, round)
+
+/// One piece of the leader's snapshot.
+struct SnapshotChunk
+{
+    static constexpr std::string_view kind = "snapshot-chunk";
+    Term term = 0;
+    LogIndex lastIndex = 0;
+    Term lastTerm = 0;
+    Membership membership;
+    std::uint64_t offset = 0;
+    std::uint64_t totalBytes = 0;
+    std::string data;
+    std::uint64_t round = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotChunk, term, lastIndex, lastTerm, membership, offset,
+                                   totalBytes, data, round)
+
+struct SnapshotReply
+{
+    static constexpr std::string_view kind = "snapshot-reply";
+    Term term = 0;
+    LogIndex lastIndex = 0;
+    /// Bytes received so far of that snapshot; `totalBytes` once it is installed and synced.
+    std::uint64_t nextOffset = 0;
+    bool installed = false;
+    std::uint64_t round = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotReply, term, lastIndex, nextOffset, installed, round)
+
+/// The leader asks a caught-up voter to start an election at once.
+struct TimeoutNow
+{
+    static constexpr std::string_view kind = "timeout-now";
+    Term term = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TimeoutNow, term)
+
+using MessageBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk,
+                                 SnapshotReply, TimeoutNow>;
+
+/// One message between two replicas.
+struct Envelope
+{
+    ReplicaId from;
+    ReplicaId to;
+    MessageBody body;
+};
+
+inline void to_json(Json &json, const Envelope &envelope) // NOLINT
+{
+    json = {{"from", envelope.from}, {"to", envelope.to}, {"body", variantToJson(envelope.body)}};
+}
+
+inline void from_json(const Json &json, Envelope &envelope) // NOLINT
+{
+    json.at("from").get_to(envelope.from);
+    json.at("to").get_to(envelope.to);
+    envelope.body = variantFromJson<MessageBody>(json.at("body"));
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/Replica.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <Guavashift/Consensus/Effects.h>
+#include <Guavashift/Consensus/EntryLog.h>
+#include <Guavashift/Consensus/PeerProgress.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace guavashift {
+
+/// Times and sizes of the replicated log.
+struct ReplicaSettings
+{
+    Duration heartbeatInterval = std::chrono::milliseconds(100);
+    /// Least time without a leader before an election; also how long a voter that has heard from a
+    /// leader refuses to vote for another.
+    Duration electionTimeoutMin = std::chrono::milliseconds(500);
+    Duration electionTimeoutMax = std::chrono::milliseconds(1000);
+    /// How long contact with a quorum lets the leader answer reads, counted from the send time.
+    /// Must be less than electionTimeoutMin.
+    Duration leaderLease = std::chrono::milliseconds(450);
+    /// Time after which an unanswered append is sent again.
+    Duration resendInterval = std::chrono::milliseconds(300);
+    /// Time allowed for a leadership transfer; after it the old leader steps down.
+    Duration transferTimeout = std::chrono::milliseconds(1000);
+    std::size_t maxEntriesPerAppend = 1024;
+    std::size_t maxBytesPerAppend = 1 << 20;
+    std::size_t snapshotChunkBytes = 256 << 10;
+
+    /// Safety mechanisms. Only tests construct a replica without one, to see its proof fail.
+    bool preVote = true;
+    bool leaderStickiness = true;
+    bool quorumCheck = true;
+    bool syncBeforeReply = true;
+    bool refuseVoteWithEmptyLog = true;
+};
+
+/// One replica of the log, as a pure state machine: time and messages come in as values, effects go
+/// out through takeEffects(). The caller carries out effects in order. Not thread-safe.
+class Replica final
+{
+public:
+    Replica(const ReplicaSettings &settings, ReplicaId self, PersistentState state,
+            std::uint64_t seed, Instant now);
+
+    /// Lets timers run. Call at least every few tens of milliseconds.
+    void tick(Instant now);
+
+    void receive(Instant now, const Envelope &envelope);
+
+    /// Appends a command. Fails if this replica does not lead or is handing over.
+    Result<LogIndex> propose(Instant now, std::string payload);
+
+    /// Appends a membership that differs in at most one voter from the current one. Fails while an
+    /// earlier change is not committed, before the first commit of this term, or when a new voter
+    /// has not synced everything committed.
+    Result<LogIndex> proposeMembership(Instant now, const Membership &membership);
+
+    /// Hands leadership to the most advanced other voter. The leader's lease ends first.
+    Result<void> transferLeadership(Instant now);
+
+    /// The storage effects taken so far are synced.
+    void synced(Instant now);
+
+    /// A snapshot of the state machine after `snapshot->lastIndex` is stored.
+    void compact(SnapshotPointer snapshot);
+
+    /// The state machine's digest, to be sent along with heartbeats.
+    void updateDigest(const StateDigest &digest) { m_digest = digest; }
+
+    [[nodiscard]] std::vector<Effect> takeEffects();
+
+    [[nodiscard]] ReplicaRole role() const { return m_role; }
+    [[nodiscard]] bool isLeader() const { return m_role == ReplicaRole::Leader; }
+    [[nodiscard]] Term term() const { return m_hardState.term; }
+    [[nodiscard]] const HardState &hardState() const { return m_hardState; }
+    [[nodiscard]] const ReplicaId &id() const { return m_self; }
+    [[nodiscard]] const ReplicaId &leader() const { return m_leader; }
+    [[nodiscard]] LogIndex commitIndex() const { return m_commitIndex; }
+    [[nodiscard]] LogIndex appliedIndex() const { return m_appliedIndex; }
+    [[nodiscard]] const EntryLog &log() const { return m_log; }
+    [[nodiscard]] const Membership &membership() const { return m_log.membership(); }
+
+    /// Whether this leader may answer reads at `now` without asking a quorum again: it has a lease
+    /// and has committed an entry of its own term.
+    [[nodiscard]] bool hasLease(Instant now) const;
+
+    /// How far `peer` has synced the log, as this leader knows it; 0 if unknown.
+    [[nodiscard]] LogIndex matchIndex(const ReplicaId &peer) const;
+    /// When `peer` last answered this leader.
+    [[nodiscard]] Instant lastContact(const ReplicaId &peer) const;
+
+private:
+    // Elections.
+    void becomeFollower(Instant now, Term term, const ReplicaId &leader);
+    void startPreVote(Instant now);
+    void startElection(Instant now, bool transfer);
+    void becomeLeader(Instant now);
+    void resetElectionTimer(Instant now);
+    void requestVotes(Term term, bool preVote, bool transfer);
+    void countVotes(Instant now);
+    [[nodiscard]] bool hearsLeader(Instant now) const;
+    [[nodiscard]] bool isUpToDate(const VoteRequest &request) const;
+    void handle(Instant now, const ReplicaId &from, const VoteRequest &request);
+    void handle(Instant now, const ReplicaId &from, const VoteReply &reply);
+    void handle(Instant now, const ReplicaId &from, const TimeoutNow &request);
+
+    // Replication.
+    void appendOwn(Instant now, EntryKind kind, std::string payload);
+    void replicate(Instant now, bool heartbeat);
+    void sendTo(Instant now, PeerProgress &peer);
+    void sendSnapshotChunk(Instant now, PeerProgress &peer);
+    void updateProgressSet(Instant now);
+    void advanceCommit(Instant now);
+    void emitCommitted();
+    void acceptEntries(const AppendRequest &request);
+    void rememberRound(Instant now, PeerProgress &peer);
+    void contact(Instant now, PeerProgress &peer, std::uint64_t round);
+    [[nodiscard]] Instant quorumContact(Instant now) const;
+    void checkQuorum(Instant now);
+    void finishSnapshot(Instant now, const ReplicaId &from, const SnapshotChunk &chunk);
+    void handle(Instant now, const ReplicaId &from, const AppendRequest &request);
+    void handle(Instant now, const ReplicaId &from, const AppendReply &reply);
+    void handle(Instant now, const ReplicaId &from, const SnapshotChunk &chunk);
+    void handle(Instant now, const ReplicaId &from, const SnapshotReply &reply);
+
+    void saveHardState();
+    void send(const ReplicaId &to, MessageBody body, bool afterSync);
+    void announceRole();
+
+    ReplicaSettings m_settings;
+    ReplicaId m_self;
+    std::mt19937_64 m_random;
+    HardState m_hardState;
+    EntryLog m_log;
+    ReplicaRole m_role = ReplicaRole::Follower;
+    ReplicaId m_leader;
+    LogIndex m_commitIndex = 0;
+    LogIndex m_appliedIndex = 0;
+    LogIndex m_syncedIndex = 0;
+    Instant m_electionDeadline;
+    Instant m_lastLeaderContact;
+    std::set<ReplicaId> m_votes;
+    Term m_preVoteTerm = 0;
+
+    // Only meaningful while leading.
+    std::map<ReplicaId, PeerProgress> m_peers;
+    LogIndex m_termStartIndex = 0;
+    std::uint64_t m_round = 0;
+    Instant m_leaderSince;
+    Instant m_nextHeartbeat;
+    std::optional<Instant> m_transferDeadline;
+    StateDigest m_digest;
+
+    // Snapshot being received.
+    std::string m_incoming;
+    LogIndex m_incomingIndex = 0;
+    Term m_incomingTerm = 0;
+
+    std::vector<Effect> m_effects;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/ReplicaElection.cpp
@@ -0,0 +1,171 @@
+#include <Guavashift/Consensus/Replica.h>
+
+#include <algorithm>
+#include <tuple>
+
+// The part of Replica that elects leaders.
+
+namespace guavashift {
+
+void Replica::becomeFollower(Instant now, Term term, const ReplicaId &leader)
+{
+    const bool changed =
+        m_role != ReplicaRole::Follower || m_leader != leader || m_hardState.term != term;
+    const bool wasLeader = isLeader();
+    if (term > m_hardState.term) {
+        m_hardState = {term, {}};
+        saveHardState();
+    }
+    m_role = ReplicaRole::Follower;
+    m_leader = leader;
+    m_votes.clear();
+    if (wasLeader) {
+        m_peers.clear();
+        m_transferDeadline.reset();
+        resetElectionTimer(now);
+    }
+    if (changed)
+        announceRole();
+}
+
+void Replica::resetElectionTimer(Instant now)
+{
+    std::uniform_int_distribution<std::int64_t> spread(m_settings.electionTimeoutMin.count(),
+                                                       m_settings.electionTimeoutMax.count());
+    m_electionDeadline = now + Duration(spread(m_random));
+}
+
+void Replica::startPreVote(Instant now)
+{
+    if (!m_settings.preVote) {
+        startElection(now, false);
+        return;
+    }
+    m_role = ReplicaRole::PreCandidate;
+    m_leader = {};
+    m_preVoteTerm = m_hardState.term + 1;
+    m_votes = {m_self};
+    resetElectionTimer(now);
+    requestVotes(m_preVoteTerm, true, false);
+    announceRole();
+    countVotes(now);
+}
+
+void Replica::startElection(Instant now, bool transfer)
+{
+    m_role = ReplicaRole::Candidate;
+    m_leader = {};
+    m_hardState = {m_hardState.term + 1, m_self};
+    m_votes = {m_self};
+    saveHardState();
+    resetElectionTimer(now);
+    requestVotes(m_hardState.term, false, transfer);
+    announceRole();
+    countVotes(now);
+}
+
+void Replica::requestVotes(Term term, bool preVote, bool transfer)
+{
+    const VoteRequest request{term, m_log.lastIndex(), m_log.lastTerm(), preVote, transfer};
+    for (const Member &member : membership().members) {
+        if (member.voter && member.id != m_self)
+            send(member.id, request, true);
+    }
+}
+
+void Replica::countVotes(Instant now)
+{
+    std::size_t votes = 0;
+    for (const ReplicaId &voter : m_votes)
+        votes += membership().isVoter(voter) ? 1 : 0;
+    if (votes < membership().quorum())
+        return;
+    if (m_role == ReplicaRole::PreCandidate)
+        startElection(now, false);
+    else if (m_role == ReplicaRole::Candidate)
+        becomeLeader(now);
+}
+
+void Replica::becomeLeader(Instant now)
+{
+    m_role = ReplicaRole::Leader;
+    m_leader = m_self;
+    m_leaderSince = now;
+    m_nextHeartbeat = now;
+    m_termStartIndex = m_log.lastIndex() + 1;
+    m_transferDeadline.reset();
+    m_peers.clear();
+    updateProgressSet(now);
+    announceRole();
+    // Entries of earlier terms are committed together with one of the own term.
+    appendOwn(now, EntryKind::NoOp, {});
+}
+
+bool Replica::hearsLeader(Instant now) const
+{
+    if (!m_settings.leaderStickiness)
+        return false;
+    if (isLeader())
+        return !m_transferDeadline
+            && now - std::max(quorumContact(now), m_leaderSince) < m_settings.electionTimeoutMin;
+    return now - m_lastLeaderContact < m_settings.electionTimeoutMin;
+}
+
+bool Replica::isUpToDate(const VoteRequest &request) const
+{
+    return std::tuple(request.lastTerm, request.lastIndex)
+        >= std::tuple(m_log.lastTerm(), m_log.lastIndex());
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const VoteRequest &request)
+{
+    // An empty data folder may once have held a log: without a log there is no vote.
+    if (m_log.isEmpty() && m_settings.refuseVoteWithEmptyLog)
+        return;
+    // A voter that hears a leader keeps to it; that is what makes the leader's lease sound.
+    if (!request.transfer && hearsLeader(now)) {
+        send(from, VoteReply{m_hardState.term, request.preVote, false}, true);
+        return;
+    }
+    if (request.preVote) {
+        const bool granted = request.term > m_hardState.term && isUpToDate(request);
+        send(from, VoteReply{granted ? request.term : m_hardState.term, true, granted}, true);
+        return;
+    }
+    if (request.term > m_hardState.term)
+        becomeFollower(now, request.term, {});
+    const bool free = m_hardState.votedFor.isEmpty() || m_hardState.votedFor == from;
+    const bool granted = request.term == m_hardState.term && m_role == ReplicaRole::Follower && free
+        && isUpToDate(request);
+    if (granted) {
+        if (m_hardState.votedFor.isEmpty()) {
+            m_hardState.votedFor = from;
+            saveHardState();
+        }
+        resetElectionTimer(now);
+    }
+    send(from, VoteReply{m_hardState.term, false, granted}, true);
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const VoteReply &reply)
+{
+    if (reply.term > m_hardState.term && !(reply.preVote && reply.granted)) {
+        becomeFollower(now, reply.term, {});
+        return;
+    }
+    const bool current = reply.preVote
+        ? m_role == ReplicaRole::PreCandidate && reply.term == m_preVoteTerm
+        : m_role == ReplicaRole::Candidate && reply.term == m_hardState.term;
+    if (!current || !reply.granted)
+        return;
+    m_votes.insert(from);
+    countVotes(now);
+}
+
+void Replica::handle(Instant now, const ReplicaId &, const TimeoutNow &request)
+{
+    if (request.term == m_hardState.term && !isLeader() && membership().isVoter(m_self))
+        startElection(now, true);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -0,0 +1,337 @@
+#include <Guavashift/Consensus/Replica.h>
+
+#include <algorithm>
+
+// The part of Replica that copies the log from the leader to the others.
+
+namespace guavashift {
+
+void Replica::appendOwn(Instant now, EntryKind kind, std::string payload)
+{
+    LogEntry entry{m_hardState.term, m_log.lastIndex() + 1, kind, std::move(payload)};
+    m_effects.emplace_back(AppendToLog{{entry}});
+    m_log.append(std::move(entry));
+    replicate(now, false);
+}
+
+void Replica::updateProgressSet(Instant now)
+{
+    for (const Member &member : membership().members) {
+        if (member.id == m_self || m_peers.contains(member.id))
+            continue;
+        PeerProgress progress;
+        progress.id = member.id;
+        progress.nextIndex = m_log.lastIndex() + 1;
+        // A new peer counts as heard of now, so that it is not taken for lost at once.
+        progress.contactAt = now;
+        m_peers.emplace(member.id, std::move(progress));
+    }
+    std::erase_if(m_peers, [&](const auto &item) { return !membership().find(item.first); });
+}
+
+void Replica::replicate(Instant now, bool heartbeat)
+{
+    if (heartbeat)
+        m_nextHeartbeat = now + m_settings.heartbeatInterval;
+    for (auto &[id, peer] : m_peers) {
+        // An answer that does not come is made up for by sending again.
+        if (peer.inFlight && now - peer.sentAt >= m_settings.resendInterval)
+            peer.inFlight = false;
+        const bool behind = peer.nextIndex <= m_log.lastIndex();
+        if (heartbeat || (behind && !peer.inFlight))
+            sendTo(now, peer);
+    }
+}
+
+void Replica::sendTo(Instant now, PeerProgress &peer)
+{
+    if (peer.nextIndex < m_log.firstIndex() && !peer.inFlight) {
+        sendSnapshotChunk(now, peer);
+        return;
+    }
+    AppendRequest request;
+    request.term = m_hardState.term;
+    // While entries are on their way a heartbeat only repeats what is known to match.
+    request.prevIndex = peer.inFlight ? peer.matchIndex : peer.nextIndex - 1;
+    if (const std::optional<Term> term = m_log.termAt(request.prevIndex)) {
+        request.prevTerm = *term;
+    } else {
+        request.prevIndex = m_log.firstIndex() - 1;
+        request.prevTerm = *m_log.termAt(request.prevIndex);
+    }
+    if (!peer.inFlight) {
+        peer.snapshotIndex = 0;
+        request.entries = m_log.slice(peer.nextIndex, m_settings.maxEntriesPerAppend,
+                                      m_settings.maxBytesPerAppend);
+    }
+    request.commitIndex = m_commitIndex;
+    request.round = ++m_round;
+    request.digest = m_digest;
+    rememberRound(now, peer);
+    if (!request.entries.empty()) {
+        peer.inFlight = true;
+        peer.sentAt = now;
+    }
+    send(peer.id, std::move(request), false);
+}
+
+void Replica::sendSnapshotChunk(Instant now, PeerProgress &peer)
+{
+    const SnapshotPointer &snapshot = m_log.snapshot();
+    if (peer.snapshotIndex != snapshot->lastIndex) {
+        peer.snapshotIndex = snapshot->lastIndex;
+        peer.snapshotOffset = 0;
+    }
+    SnapshotChunk chunk;
+    chunk.term = m_hardState.term;
+    chunk.lastIndex = snapshot->lastIndex;
+    chunk.lastTerm = snapshot->lastTerm;
+    chunk.membership = snapshot->membership;
+    chunk.offset = std::min<std::uint64_t>(peer.snapshotOffset, snapshot->data.size());
+    chunk.totalBytes = snapshot->data.size();
+    chunk.data = snapshot->data.substr(chunk.offset, m_settings.snapshotChunkBytes);
+    chunk.round = ++m_round;
+    rememberRound(now, peer);
+    peer.inFlight = true;
+    peer.sentAt = now;
+    send(peer.id, std::move(chunk), false);
+}
+
+void Replica::rememberRound(Instant now, PeerProgress &peer)
+{
+    constexpr std::size_t maxUnansweredRounds = 256;
+    peer.rounds.push_back({m_round, now});
+    if (peer.rounds.size() > maxUnansweredRounds)
+        peer.rounds.pop_front();
+}
+
+void Replica::contact(Instant now, PeerProgress &peer, std::uint64_t round)
+{
+    peer.contactAt = now;
+    while (!peer.rounds.empty() && peer.rounds.front().round <= round) {
+        if (peer.rounds.front().round == round)
+            peer.contactSentAt = std::max(peer.contactSentAt, peer.rounds.front().sentAt);
+        peer.rounds.pop_front();
+    }
+}
+
+Instant Replica::quorumContact(Instant now) const
+{
+    // The own contact is now; the quorum's is the one that a majority reaches or exceeds.
+    std::vector<Instant> contacts;
+    for (const Member &member : membership().members) {
+        if (!member.voter)
+            continue;
+        const auto peer = m_peers.find(member.id);
+        contacts.push_back(peer == m_peers.end() ? now : peer->second.contactSentAt);
+    }
+    if (contacts.empty())
+        return now;
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    return contacts[membership().quorum() - 1];
+}
+
+void Replica::checkQuorum(Instant now)
+{
+    const Instant reference = std::max(quorumContact(now), m_leaderSince);
+    if (m_settings.quorumCheck && now - reference > m_settings.electionTimeoutMax)
+        becomeFollower(now, m_hardState.term, {});
+}
+
+void Replica::advanceCommit(Instant now)
+{
+    std::vector<LogIndex> matches;
+    for (const Member &member : membership().members) {
+        if (member.voter)
+            matches.push_back(matchIndex(member.id));
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex candidate = matches[membership().quorum() - 1];
+    // Only entries of the own term are committed by counting.
+    if (candidate <= m_commitIndex || m_log.termAt(candidate) != m_hardState.term)
+        return;
+    m_commitIndex = candidate;
+    emitCommitted();
+    // A leader that is no longer a voter has finished its work.
+    if (!membership().isVoter(m_self) && m_log.membershipIndex() <= m_commitIndex) {
+        becomeFollower(now, m_hardState.term, {});
+        return;
+    }
+    replicate(now, false);
+}
+
+void Replica::emitCommitted()
+{
+    if (m_appliedIndex >= m_commitIndex)
+        return;
+    ApplyEntries apply;
+    for (LogIndex index = m_appliedIndex + 1; index <= m_commitIndex; ++index)
+        apply.entries.push_back(m_log.at(index));
+    m_appliedIndex = m_commitIndex;
+    m_effects.emplace_back(std::move(apply));
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const AppendRequest &request)
+{
+    if (request.term < m_hardState.term) {
+        send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), request.round}, true);
+        return;
+    }
+    becomeFollower(now, request.term, from);
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
+
+    // Entries at or before the commit index match by definition.
+    const std::optional<Term> prevTerm = m_log.termAt(request.prevIndex);
+    const bool covered = request.prevIndex < m_log.firstIndex() - 1;
+    if (!covered && prevTerm != request.prevTerm) {
+        const LogIndex retryFrom = std::min(request.prevIndex - 1, m_log.lastIndex());
+        send(from, AppendReply{m_hardState.term, false, retryFrom, request.round}, true);
+        return;
+    }
+    acceptEntries(request);
+    const LogIndex matched =
+        std::max(request.prevIndex + request.entries.size(), covered ? m_log.firstIndex() - 1 : 0);
+    if (request.commitIndex > m_commitIndex) {
+        m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, matched));
+        emitCommitted();
+    }
+    if (request.digest.index != 0)
+        m_effects.emplace_back(CompareDigest{request.digest});
+    send(from, AppendReply{m_hardState.term, true, matched, request.round}, true);
+}
+
+void Replica::acceptEntries(const AppendRequest &request)
+{
+    AppendToLog append;
+    for (const LogEntry &entry : request.entries) {
+        const std::optional<Term> known = m_log.termAt(entry.index);
+        if (entry.index < m_log.firstIndex() || known == entry.term)
+            continue;
+        // A conflicting tail was never committed and gives way to the leader's entries.
+        if (known) {
+            GUAVASHIFT_CHECK(entry.index > m_commitIndex);
+            m_log.truncateFrom(entry.index);
+            m_syncedIndex = std::min(m_syncedIndex, entry.index - 1);
+            m_effects.emplace_back(TruncateLog{entry.index});
+        }
+        m_log.append(entry);
+        append.entries.push_back(entry);
+    }
+    if (!append.entries.empty())
+        m_effects.emplace_back(std::move(append));
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const AppendReply &reply)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(now, reply.term, {});
+        return;
+    }
+    const auto found = m_peers.find(from);
+    if (!isLeader() || reply.term != m_hardState.term || found == m_peers.end())
+        return;
+    PeerProgress &peer = found->second;
+    contact(now, peer, reply.round);
+    if (!reply.success) {
+        // A snapshot on its way makes up for what is missing.
+        if (peer.snapshotIndex != 0)
+            return;
+        // Never step back behind what is known to be synced there.
+        peer.nextIndex = std::max(peer.matchIndex + 1, std::min(peer.nextIndex, reply.index + 1));
+        peer.inFlight = false;
+        replicate(now, false);
+        return;
+    }
+    if (reply.index > peer.matchIndex) {
+        peer.matchIndex = reply.index;
+        advanceCommit(now);
+        if (!isLeader())
+            return;
+    }
+    if (reply.index + 1 >= peer.nextIndex || peer.matchIndex + 1 > peer.nextIndex) {
+        peer.nextIndex = std::max(peer.nextIndex, peer.matchIndex + 1);
+        peer.inFlight = false;
+    }
+    if (m_transferDeadline && peer.matchIndex == m_log.lastIndex() && membership().isVoter(from))
+        send(from, TimeoutNow{m_hardState.term}, false);
+    replicate(now, false);
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const SnapshotChunk &chunk)
+{
+    if (chunk.term < m_hardState.term) {
+        send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), chunk.round}, true);
+        return;
+    }
+    becomeFollower(now, chunk.term, from);
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
+    // A snapshot of what is committed here already is answered as installed.
+    if (chunk.lastIndex <= m_commitIndex) {
+        send(from,
+             SnapshotReply{m_hardState.term, chunk.lastIndex, chunk.totalBytes, true, chunk.round},
+             true);
+        return;
+    }
+    // A partly received snapshot is continued if it is the same one.
+    if (m_incomingIndex != chunk.lastIndex || m_incomingTerm != chunk.lastTerm) {
+        m_incoming.clear();
+        m_incomingIndex = chunk.lastIndex;
+        m_incomingTerm = chunk.lastTerm;
+    }
+    if (chunk.offset == m_incoming.size())
+        m_incoming += chunk.data;
+    if (m_incoming.size() == chunk.totalBytes) {
+        finishSnapshot(now, from, chunk);
+        return;
+    }
+    send(from,
+         SnapshotReply{m_hardState.term, chunk.lastIndex, m_incoming.size(), false, chunk.round},
+         true);
+}
+
+void Replica::finishSnapshot(Instant, const ReplicaId &from, const SnapshotChunk &chunk)
+{
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->lastIndex = chunk.lastIndex;
+    snapshot->lastTerm = chunk.lastTerm;
+    snapshot->membership = chunk.membership;
+    snapshot->data = std::move(m_incoming);
+    m_incoming.clear();
+    m_incomingIndex = 0;
+    m_log.compact(snapshot);
+    m_commitIndex = chunk.lastIndex;
+    m_appliedIndex = chunk.lastIndex;
+    m_syncedIndex = std::max(m_syncedIndex, chunk.lastIndex);
+    m_effects.emplace_back(InstallSnapshot{std::move(snapshot)});
+    send(from,
+         SnapshotReply{m_hardState.term, chunk.lastIndex, chunk.totalBytes, true, chunk.round},
+         true);
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const SnapshotReply &reply)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(now, reply.term, {});
+        return;
+    }
+    const auto found = m_peers.find(from);
+    if (!isLeader() || reply.term != m_hardState.term || found == m_peers.end())
+        return;
+    PeerProgress &peer = found->second;
+    contact(now, peer, reply.round);
+    peer.inFlight = false;
+    if (reply.installed) {
+        peer.matchIndex = std::max(peer.matchIndex, reply.lastIndex);
+        peer.nextIndex = std::max(peer.nextIndex, peer.matchIndex + 1);
+        peer.snapshotIndex = 0;
+    } else if (reply.lastIndex == peer.snapshotIndex) {
+        peer.snapshotOffset = reply.nextOffset;
+    }
+    replicate(now, false);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/ControlNode.cpp
@@ -0,0 +1,458 @@
+#include <Guavashift/Control/ControlNode.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+constexpr Duration dutiesInterval = std::chrono::milliseconds(50);
+constexpr Duration answerTimeout = std::chrono::seconds(2);
+/// Commands that one log entry carries at most.
+constexpr std::size_t maxCommandsPerEntry = 512;
+
+Json outcomesToJson(std::span<const Outcome> outcomes)
+{
+    Json list = Json::array();
+    for (const Outcome &outcome : outcomes)
+        list.push_back(variantToJson(outcome));
+    return list;
+}
+
+} // namespace
+
+ControlNode::ControlNode(const ControlNodeSettings &settings, DataFolder folder, Member self,
+                         std::vector<std::string> controlAddresses, Telemetry &telemetry,
+                         std::uint64_t seed)
+    : m_settings(settings)
+    , m_folder(std::move(folder))
+    , m_self(std::move(self))
+    , m_telemetry(telemetry)
+    , m_random(seed)
+    , m_joinLoop(settings.rpc, m_self, std::move(controlAddresses))
+    , m_planner(settings.membership)
+    , m_duties(settings.leases, settings.scheduler, seed)
+{
+}
+
+ControlNode::~ControlNode()
+{
+    stop();
+}
+
+Result<void> ControlNode::start()
+{
+    PersistentState state;
+    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(m_folder.path(), state);
+    if (!store)
+        return tl::unexpected(store.error());
+    m_store = std::move(*store);
+    if (state.snapshot) {
+        installSnapshot({state.snapshot});
+        if (m_stopped)
+            return fail(ErrorCode::Io, m_stopReason);
+    }
+    makeReplica(std::move(state));
+    logEvent(LogLevel::Info, "replica-opened",
+             {{"replica", m_self.id},
+              {"term", m_replica->term()},
+              {"last_index", m_replica->log().lastIndex()},
+              {"snapshot_index", m_snapshotIndex}});
+    m_thread = std::thread([this] { run(); });
+    return {};
+}
+
+void ControlNode::makeReplica(PersistentState state)
+{
+    m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(state),
+                                          m_random(), BootClock::now());
+}
+
+void ControlNode::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping)
+            return;
+        m_stopping = true;
+    }
+    m_wakeUp.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void ControlNode::post(Work work)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_posted.push_back(std::move(work));
+    }
+    m_wakeUp.notify_one();
+}
+
+Result<Json> ControlNode::postAndWait(std::function<Result<Json>()> work)
+{
+    auto promise = std::make_shared<OutcomePromise>();
+    std::future<Result<Json>> future = promise->get_future();
+    post([this, promise, work = std::move(work)] {
+        promise->set_value(m_stopped ? Result<Json>(fail(ErrorCode::Unavailable, m_stopReason))
+                                     : work());
+    });
+    if (future.wait_for(answerTimeout) != std::future_status::ready)
+        return fail(ErrorCode::Timeout, "the control process did not answer in time");
+    return future.get();
+}
+
+void ControlNode::run()
+{
+    for (;;) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_wakeUp.wait_for(lock, tickInterval,
+                              [this] { return m_stopping || !m_posted.empty(); });
+            if (m_stopping)
+                break;
+        }
+        runPosted();
+        if (m_stopped)
+            continue;
+        const Instant now = BootClock::now();
+        m_replica->tick(now);
+        proposePending();
+        processEffects();
+        if (!m_stopped && m_replica->isLeader() && now >= m_nextDuties) {
+            m_nextDuties = now + dutiesInterval;
+            doLeaderDuties(now);
+        }
+        updateJoinWish();
+        if (!m_stopped
+            && m_replica->appliedIndex() >= m_snapshotIndex + m_settings.snapshotInterval)
+            takeSnapshot();
+    }
+    // Whoever still waits learns that nothing is known.
+    for (auto &[index, waiter] : m_waiters)
+        waiter.promise->set_value(fail(ErrorCode::Timeout, "the control process stops"));
+    m_waiters.clear();
+    runPosted();
+}
+
+void ControlNode::runPosted()
+{
+    std::deque<Work> posted;
+    {
+        const std::lock_guard lock(m_mutex);
+        posted.swap(m_posted);
+    }
+    for (const Work &work : posted)
+        work();
+}
+
+void ControlNode::proposePending()
+{
+    std::vector<Proposal> proposals = std::exchange(m_proposals, {});
+    std::size_t next = 0;
+    while (next < proposals.size()) {
+        // One entry carries what has gathered meanwhile.
+        CommandBatch batch;
+        batch.time = wallNow();
+        std::vector<Waiter> waiters;
+        while (next < proposals.size()
+               && (batch.commands.empty()
+                   || batch.commands.size() + proposals[next].commands.size()
+                       <= maxCommandsPerEntry)) {
+            Proposal &proposal = proposals[next++];
+            waiters.push_back({m_replica->term(), batch.commands.size(), proposal.commands.size(),
+                               proposal.promise});
+            std::move(proposal.commands.begin(), proposal.commands.end(),
+                      std::back_inserter(batch.commands));
+        }
+        const Result<LogIndex> index = m_replica->propose(BootClock::now(), batch.encode());
+        for (Waiter &waiter : waiters) {
+            if (!waiter.promise)
+                continue;
+            if (index)
+                m_waiters.emplace(*index, std::move(waiter));
+            else
+                waiter.promise->set_value(
+                    fail(index.error().code, notLeaderMessage(leaderAddress())));
+        }
+    }
+}
+
+void ControlNode::processEffects()
+{
+    for (;;) {
+        const std::vector<Effect> effects = m_replica->takeEffects();
+        if (effects.empty() || m_stopped)
+            return;
+        // The leader's entries travel while its own disk writes them.
+        sendMessages(effects, false);
+        const bool installs = std::any_of(effects.begin(), effects.end(), [](const Effect &effect) {
+            return std::holds_alternative<InstallSnapshot>(effect);
+        });
+        if (installs) {
+            // The stored state is replaced by the current one, which covers every other effect.
+            const EntryLog &log = m_replica->log();
+            const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
+            if (Result<void> stored =
+                    m_store->replaceBySnapshot(*log.snapshot(), m_replica->hardState(), tail);
+                !stored)
+                storageFailed(stored.error());
+            m_needsSync = true;
+        } else {
+            for (const Effect &effect : effects)
+                store(effect);
+        }
+        if (m_needsSync && !m_stopped) {
+            if (Result<void> synced = m_store->sync(); !synced)
+                storageFailed(synced.error());
+            m_needsSync = false;
+        }
+        if (m_stopped)
+            return;
+        m_replica->synced(BootClock::now());
+        sendMessages(effects, true);
+        for (const Effect &effect : effects) {
+            std::visit(
+                Overloaded{[this](const ApplyEntries &apply) { applyEntries(apply); },
+                           [this](const InstallSnapshot &install) { installSnapshot(install); },
+                           [this](const CompareDigest &compare) { compareDigest(compare); },
+                           [this](const RoleChanged &change) { roleChanged(change); },
+                           [](const auto &) {}},
+                effect);
+        }
+    }
+}
+
+void ControlNode::store(const Effect &effect)
+{
+    const auto check = [this](const Result<void> &stored) {
+        m_needsSync = true;
+        if (!stored)
+            storageFailed(stored.error());
+    };
+    std::visit(
+        Overloaded{
+            [&](const SaveHardState &save) { check(m_store->saveHardState(save.hardState)); },
+            [&](const TruncateLog &truncate) { check(m_store->truncateFrom(truncate.from)); },
+            [&](const AppendToLog &append) { check(m_store->append(append.entries)); },
+            [](const auto &) {}},
+        effect);
+}
+
+void ControlNode::storageFailed(const Error &error)
+{
+    m_stopped = true;
+    m_hasFailed = true;
+    m_hasLeader = false;
+    m_stopReason = "this replica takes part no more: " + error.message;
+    logEvent(LogLevel::Error, "replica-stopped", {{"reason", error.message}});
+    for (auto &[index, waiter] : m_waiters)
+        waiter.promise->set_value(fail(ErrorCode::Timeout, m_stopReason));
+    m_waiters.clear();
+}
+
+PeerLink *ControlNode::linkTo(const ReplicaId &id)
+{
+    // A replica's own word on its address is newer than the membership's.
+    std::string text;
+    if (const auto told = m_addresses.find(id); told != m_addresses.end())
+        text = told->second;
+    else if (const Member *member = m_replica->membership().find(id))
+        text = member->address;
+    const Result<Address> address = Address::parse(text);
+    if (!address)
+        return nullptr;
+    std::unique_ptr<PeerLink> &link = m_peers[id];
+    if (!link || link->address() != *address) {
+        // Ending a link waits for its last call, which must not hold up this thread.
+        if (link)
+            std::thread([old = std::move(link)] {}).detach();
+        link = std::make_unique<PeerLink>(m_settings.rpc, *address, m_self.address);
+    }
+    return link.get();
+}
+
+void ControlNode::sendMessages(const std::vector<Effect> &effects, bool afterSync)
+{
+    for (const Effect &effect : effects) {
+        const auto *message = std::get_if<SendMessage>(&effect);
+        if (message == nullptr || message->afterSync != afterSync)
+            continue;
+        if (PeerLink *link = linkTo(message->envelope.to))
+            link->send(message->envelope);
+    }
+}
+
+void ControlNode::applyEntries(const ApplyEntries &apply)
+{
+    for (const LogEntry &entry : apply.entries)
+        applyEntry(entry);
+}
+
+void ControlNode::applyEntry(const LogEntry &entry)
+{
+    std::vector<Outcome> outcomes;
+    if (entry.kind == EntryKind::Command) {
+        try {
+            outcomes = m_state.apply(CommandBatch::decode(entry.payload));
+        } catch (const Json::exception &error) {
+            // The same on every replica, so all of them pass over it.
+            logEvent(LogLevel::Error, "entry-unreadable",
+                     {{"index", entry.index}, {"reason", error.what()}});
+        }
+    }
+    const Json result = outcomesToJson(outcomes);
+    m_digest = hashBytes(hexOf(m_digest) + hexOf(entry.index) + result.dump());
+    if (entry.index % m_settings.digestInterval == 0) {
+        constexpr std::size_t digestsKept = 64;
+        m_digests[entry.index] = m_digest;
+        if (m_digests.size() > digestsKept)
+            m_digests.erase(m_digests.begin());
+        m_replica->updateDigest({entry.index, m_digest});
+    }
+    const auto [first, last] = m_waiters.equal_range(entry.index);
+    for (auto at = first; at != last; ++at) {
+        Waiter &waiter = at->second;
+        // Another leader's entry took the place: what was proposed here was not committed here.
+        if (waiter.term != entry.term) {
+            waiter.promise->set_value(fail(ErrorCode::Timeout, "leadership was lost"));
+            continue;
+        }
+        Json own = Json::array();
+        for (std::size_t i = waiter.first; i < waiter.first + waiter.count; ++i)
+            own.push_back(i < result.size() ? result[i] : Json());
+        waiter.promise->set_value(std::move(own));
+    }
+    m_waiters.erase(first, last);
+}
+
+void ControlNode::installSnapshot(const InstallSnapshot &install)
+{
+    const std::string_view data = install.snapshot->data;
+    constexpr std::size_t digestLength = 16;
+    if (data.size() < digestLength) {
+        storageFailed({ErrorCode::Io, "the snapshot is cut off"});
+        return;
+    }
+    if (Result<void> decoded = SnapshotCodec::decode(data.substr(digestLength), m_state);
+        !decoded) {
+        storageFailed(decoded.error());
+        return;
+    }
+    m_digest = std::stoull(std::string(data.substr(0, digestLength)), nullptr, 16);
+    m_digests.clear();
+    m_snapshotIndex = install.snapshot->lastIndex;
+    logEvent(LogLevel::Info, "snapshot-installed",
+             {{"index", m_snapshotIndex}, {"bytes", data.size()}});
+}
+
+void ControlNode::takeSnapshot()
+{
+    const Instant started = BootClock::now();
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->lastIndex = m_replica->appliedIndex();
+    snapshot->lastTerm = *m_replica->log().termAt(snapshot->lastIndex);
+    // Membership changes after the applied index are not part of the image.
+    if (m_replica->log().membershipIndex() > snapshot->lastIndex)
+        return;
+    snapshot->membership = m_replica->membership();
+    snapshot->data = hexOf(m_digest) + SnapshotCodec::encode(m_state);
+    m_snapshotIndex = snapshot->lastIndex;
+    m_replica->compact(snapshot);
+    const EntryLog &log = m_replica->log();
+    const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
+    if (Result<void> stored = m_store->replaceBySnapshot(*snapshot, m_replica->hardState(), tail);
+        !stored) {
+        storageFailed(stored.error());
+        return;
+    }
+    logEvent(LogLevel::Info, "snapshot-taken",
+             {{"index", m_snapshotIndex},
+              {"bytes", snapshot->data.size()},
+              {"took_ms", toMs(BootClock::now() - started)}});
+}
+
+void ControlNode::compareDigest(const CompareDigest &compare)
+{
+    const auto found = m_digests.find(compare.digest.index);
+    if (found != m_digests.end() && found->second != compare.digest.digest)
+        storageFailed(
+            {ErrorCode::Conflict,
+             fmt::format("the state differs from the leader's at index {}", compare.digest.index)});
+}
+
+void ControlNode::roleChanged(const RoleChanged &change)
+{
+    m_hasLeader = !change.leader.isEmpty();
+    logEvent(LogLevel::Info, "role-changed",
+             {{"replica", m_self.id},
+              {"role", static_cast<int>(change.role)},
+              {"term", change.term},
+              {"leader", change.leader}});
+    m_telemetry.metrics()
+        .gauge("guavashift_control_is_leader", "1 while this replica leads")
+        .Set(change.role == ReplicaRole::Leader ? 1 : 0);
+    if (change.role == ReplicaRole::Leader)
+        m_duties.start(BootClock::now(), change.term);
+}
+
+void ControlNode::updateJoinWish()
+{
+    const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
+    m_joinLoop.setWished(!m_stopped && (!isMember || m_replica->leader().isEmpty()));
+}
+
+std::string ControlNode::leaderAddress() const
+{
+    if (const auto told = m_addresses.find(m_replica->leader()); told != m_addresses.end())
+        return told->second;
+    const Member *member = m_replica->membership().find(m_replica->leader());
+    return member == nullptr ? std::string() : member->address;
+}
+
+Result<void> ControlNode::requireLease() const
+{
+    if (!m_replica->isLeader())
+        return fail(ErrorCode::NotLeader, notLeaderMessage(leaderAddress()));
+    if (!m_replica->hasLease(BootClock::now()))
+        return fail(ErrorCode::Unavailable, "the leader has no contact with a quorum");
+    return {};
+}
+
+void ControlNode::doLeaderDuties(Instant now)
+{
+    if (!m_replica->hasLease(now))
+        return;
+    // Decisions are made on what is applied, so nothing new is decided while commands are pending.
+    if (m_replica->appliedIndex() == m_replica->log().lastIndex()) {
+        std::vector<CommandBody> commands = m_duties.decide(m_state, now, wallNow());
+        if (!commands.empty())
+            m_proposals.push_back({std::move(commands), nullptr});
+    }
+    const std::optional<Membership> next = m_planner.plan(
+        m_replica->membership(), m_self.id, m_replica->commitIndex(), now,
+        [this](const ReplicaId &id) {
+            return ReplicaHealth{m_replica->matchIndex(id), m_replica->lastContact(id)};
+        });
+    if (next && m_replica->proposeMembership(now, *next))
+        logEvent(LogLevel::Info, "membership-proposed",
+                 {{"members", next->members.size()}, {"voters", next->voterCount()}});
+}
+
+void ControlNode::handOver(Duration timeout)
+{
+    const Instant deadline = BootClock::now() + timeout;
+    for (bool asked = false; BootClock::now() < deadline;) {
+        const Result<Json> leads = postAndWait([this, asked]() -> Result<Json> {
+            if (m_replica->isLeader() && !asked)
+                (void)m_replica->transferLeadership(BootClock::now());
+            return Json(m_replica->isLeader());
+        });
+        if (!leads || !leads->get<bool>())
+            return;
+        asked = true;
+        std::this_thread::sleep_for(tickInterval);
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/ControlNode.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <Guavashift/Control/DataFolder.h>
+#include <Guavashift/Control/JoinLoop.h>
+#include <Guavashift/Control/LeaderDuties.h>
+#include <Guavashift/Control/MembershipPlanner.h>
+#include <Guavashift/Control/PeerLink.h>
+#include <Guavashift/Control/Protocol.h>
+#include <Guavashift/Telemetry/Telemetry.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace guavashift {
+
+struct ControlNodeSettings
+{
+    ReplicaSettings replica;
+    LeaseSettings leases;
+    MembershipPlannerSettings membership;
+    SchedulerSettings scheduler;
+    RpcSettings rpc;
+    /// Entries after which the log is replaced by a snapshot.
+    LogIndex snapshotInterval = 20'000;
+    /// Digests are compared at multiples of this index.
+    LogIndex digestInterval = 64;
+};
+
+/// One control process: drives a Replica with its disk and peers, applies commands to the state
+/// machine, and does the leader's duties. All of it happens on one thread; other threads hand in
+/// work through post().
+class ControlNode final
+{
+public:
+    ControlNode(const ControlNodeSettings &settings, DataFolder folder, Member self,
+                std::vector<std::string> controlAddresses, Telemetry &telemetry,
+                std::uint64_t seed);
+    ~ControlNode();
+    ControlNode(const ControlNode &) = delete;
+    ControlNode &operator=(const ControlNode &) = delete;
+
+    Result<void> start();
+    void stop();
+
+    // Called from any thread; each waits for its answer.
+    Result<Json> receive(const Json &parameters);
+    Result<Json> join(const Json &parameters);
+    Result<Json> bootstrap();
+    Result<Json> execute(const Json &parameters);
+    Result<Json> heartbeat(const Json &parameters);
+    Result<Json> query(const Json &parameters);
+    Result<Json> changeMember(const Json &parameters);
+
+    /// Hands leadership over if this replica leads; returns when another leads or time is up.
+    void handOver(Duration timeout);
+
+    /// Whether a leader is known, for readiness.
+    [[nodiscard]] bool hasLeader() const { return m_hasLeader; }
+    [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
+
+private:
+    using Work = std::function<void()>;
+    using OutcomePromise = std::promise<Result<Json>>;
+
+    struct Proposal
+    {
+        std::vector<CommandBody> commands;
+        std::shared_ptr<OutcomePromise> promise;
+    };
+
+    struct Waiter
+    {
+        Term term = 0;
+        std::size_t first = 0;
+        std::size_t count = 0;
+        std::shared_ptr<OutcomePromise> promise;
+    };
+
+    void post(Work work);
+    Result<Json> postAndWait(std::function<Result<Json>()> work);
+    void run();
+    void runPosted();
+
+    // Consensus.
+    void makeReplica(PersistentState state);
+    void processEffects();
+    void store(const Effect &effect);
+    void sendMessages(const std::vector<Effect> &effects, bool afterSync);
+    void applyEntries(const ApplyEntries &apply);
+    void applyEntry(const LogEntry &entry);
+    void installSnapshot(const InstallSnapshot &install);
+    void compareDigest(const CompareDigest &compare);
+    void roleChanged(const RoleChanged &change);
+    void takeSnapshot();
+    void proposePending();
+    void storageFailed(const Error &error);
+    PeerLink *linkTo(const ReplicaId &id);
+    void updateJoinWish();
+
+    // Leader.
+    void doLeaderDuties(Instant now);
+    [[nodiscard]] Result<void> requireLease() const;
+    [[nodiscard]] std::string leaderAddress() const;
+    Result<Json> answerHeartbeat(const HeartbeatRequest &request);
+    Result<Json> answerQuery(const Query &query);
+    [[nodiscard]] Json describeStatus() const;
+
+    ControlNodeSettings m_settings;
+    DataFolder m_folder;
+    Member m_self;
+    Telemetry &m_telemetry;
+    std::mt19937_64 m_random;
+
+    std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<Replica> m_replica;
+    StateMachine m_state;
+    std::uint64_t m_digest = 0;
+    std::map<LogIndex, std::uint64_t> m_digests;
+    LogIndex m_snapshotIndex = 0;
+    bool m_needsSync = false;
+    bool m_stopped = false; ///< A disk fault or different state: takes part no more.
+    std::string m_stopReason;
+
+    std::map<ReplicaId, std::unique_ptr<PeerLink>> m_peers;
+    std::map<ReplicaId, std::string> m_addresses; ///< As told by the replicas themselves.
+    JoinLoop m_joinLoop;
+    std::vector<Proposal> m_proposals;
+    std::multimap<LogIndex, Waiter> m_waiters;
+    MembershipPlanner m_planner;
+    LeaderDuties m_duties;
+    Instant m_nextDuties;
+
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::deque<Work> m_posted;
+    bool m_stopping = false;
+    std::thread m_thread;
+    std::atomic<bool> m_hasLeader = false;
+    std::atomic<bool> m_hasFailed = false;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/DataFolder.cpp
@@ -0,0 +1,57 @@
+#include <Guavashift/Control/DataFolder.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::string_view identityName = "identity";
+
+/// What the file `identity` holds.
+struct Identity
+{
+    std::string cluster;
+    std::string vm;
+    std::string incarnation;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Identity, cluster, vm, incarnation)
+
+} // namespace
+
+DataFolder::DataFolder(std::filesystem::path path, ReplicaId replica)
+    : m_path(std::move(path))
+    , m_replica(std::move(replica))
+{
+}
+
+Result<DataFolder> DataFolder::open(const std::filesystem::path &path, std::string_view clusterId,
+                                    std::string_view vm, std::uint64_t randomNumber)
+{
+    std::error_code error;
+    if (std::filesystem::create_directories(path, error); error)
+        return fail(ErrorCode::Io, fmt::format("{}: {}", path.string(), error.message()));
+    const Result<std::string> content = readFile(path / identityName);
+    if (!content && content.error().code != ErrorCode::NotFound)
+        return tl::unexpected(content.error());
+
+    if (!content) {
+        // State without an identity is somebody else's, or damaged.
+        if (std::filesystem::exists(path / "log") || std::filesystem::exists(path / "snapshot"))
+            return fail(ErrorCode::Io, path.string() + ": holds state but no identity");
+        const Identity identity{std::string(clusterId), std::string(vm), hexOf(randomNumber)};
+        if (Result<void> stored = replaceFile(path / identityName, Json(identity).dump()); !stored)
+            return tl::unexpected(stored.error());
+        return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
+    }
+
+    const Json json = Json::parse(*content, nullptr, false);
+    if (!json.is_object() || !json.contains("incarnation"))
+        return fail(ErrorCode::Io, path.string() + ": the identity is damaged");
+    const auto identity = json.get<Identity>();
+    if (identity.cluster != clusterId || identity.vm != vm)
+        return fail(ErrorCode::InvalidArgument,
+                    fmt::format("{}: belongs to VM '{}' of cluster '{}'", path.string(),
+                                identity.vm, identity.cluster));
+    return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/JoinLoop.cpp
@@ -0,0 +1,56 @@
+#include <Guavashift/Control/JoinLoop.h>
+#include <Guavashift/Control/Protocol.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr Duration askInterval = std::chrono::milliseconds(500);
+constexpr Duration askTimeout = std::chrono::milliseconds(300);
+
+} // namespace
+
+JoinLoop::JoinLoop(const RpcSettings &settings, Member self, std::vector<std::string> addresses)
+    : m_settings(settings)
+    , m_self(std::move(self))
+    , m_addresses(std::move(addresses))
+    , m_thread([this] { run(); })
+{
+}
+
+JoinLoop::~JoinLoop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wakeUp.notify_all();
+    m_thread.join();
+}
+
+void JoinLoop::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_wakeUp.wait_for(lock, askInterval, [this] { return m_stopping; });
+        if (m_stopping || !m_isWished)
+            continue;
+        lock.unlock();
+        askAll();
+        lock.lock();
+    }
+}
+
+void JoinLoop::askAll()
+{
+    for (const std::string &text : m_addresses) {
+        const Result<Address> address = Address::parse(text);
+        if (!address || text == m_self.address)
+            continue;
+        // Whoever does not lead ignores the question.
+        RpcClient client(m_settings, *address);
+        (void)client.call(method::join, {{"member", m_self}}, askTimeout);
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/LeaseTable.cpp
@@ -0,0 +1,32 @@
+#include <Guavashift/Control/LeaseTable.h>
+
+#include <algorithm>
+
+namespace guavashift {
+
+LeaseTable::LeaseTable(const LeaseSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void LeaseTable::start(Instant now)
+{
+    m_since = now;
+    m_granted.clear();
+}
+
+void LeaseTable::granted(const WorkerId &worker, Instant now)
+{
+    m_granted[worker] = now;
+}
+
+bool LeaseTable::isExpired(const WorkerId &worker, Instant now) const
+{
+    // The old leader may have granted until its own lease ran out.
+    Instant lastGrant = m_since + m_settings.leaderLease;
+    if (const auto found = m_granted.find(worker); found != m_granted.end())
+        lastGrant = std::max(lastGrant, found->second);
+    return now >= lastGrant + m_settings.workerLease + m_settings.margin;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Control/MembershipPlanner.cpp
@@ -0,0 +1,144 @@
+#include <Guavashift/Control/MembershipPlanner.h>
+
+#include <algorithm>
+#include <set>
+
+namespace guavashift {
+
+namespace {
+
+Membership withVoter(Membership membership, const ReplicaId &id, bool voter)
+{
+    for (Member &member : membership.members) {
+        if (member.id == id)
+            member.voter = voter;
+    }
+    return membership;
+}
+
+Membership without(Membership membership, const ReplicaId &id)
+{
+    std::erase_if(membership.members, [&](const Member &member) { return member.id == id; });
+    return membership;
+}
+
+} // namespace
+
+MembershipPlanner::MembershipPlanner(const MembershipPlannerSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void MembershipPlanner::joinRequested(const Member &member, Instant now)
+{
+    m_requests[member.vm] = {member, now};
+}
+
+bool MembershipPlanner::isReplaced(const Member &member, Instant now) const
+{
+    // The same VM came back with another disk: the old incarnation cannot return.
+    const auto request = m_requests.find(member.vm);
+    return request != m_requests.end() && request->second.member.id != member.id
+        && now - request->second.at < m_settings.freshness;
+}
+
+bool MembershipPlanner::isLost(const Member &member, const ReplicaId &leader, Instant now,
+                               const HealthMap &health) const
+{
+    if (member.id == leader)
+        return false;
+    return isReplaced(member, now)
+        || now - health.at(member.id).lastContact > m_settings.voterLostAfter;
+}
+
+std::optional<Membership> MembershipPlanner::addLearner(const Membership &membership,
+                                                        Instant now) const
+{
+    for (const auto &[vm, request] : m_requests) {
+        const bool fresh = now - request.at < m_settings.freshness;
+        if (!fresh || membership.find(request.member.id) != nullptr)
+            continue;
+        Membership next = membership;
+        next.members.push_back(request.member);
+        next.members.back().voter = false;
+        return next;
+    }
+    return std::nullopt;
+}
+
+std::optional<Membership> MembershipPlanner::updateAddress(const Membership &membership,
+                                                           Instant now) const
+{
+    for (const auto &[vm, request] : m_requests) {
+        const Member *member = membership.find(request.member.id);
+        const bool fresh = now - request.at < m_settings.freshness;
+        if (!fresh || member == nullptr || member->address == request.member.address)
+            continue;
+        Membership next = membership;
+        for (Member &changed : next.members) {
+            if (changed.id == request.member.id)
+                changed.address = request.member.address;
+        }
+        return next;
+    }
+    return std::nullopt;
+}
+
+std::optional<Membership> MembershipPlanner::planWith(const Membership &membership,
+                                                      const ReplicaId &leader, LogIndex commitIndex,
+                                                      Instant now, const HealthMap &health) const
+{
+    // Whoever asks becomes a learner first; a learner changes no quorum.
+    if (std::optional<Membership> next = updateAddress(membership, now))
+        return next;
+    if (std::optional<Membership> next = addLearner(membership, now))
+        return next;
+
+    std::set<FailureDomain> domainsOfVoters;
+    std::size_t healthyVoters = 0;
+    const Member *lostVoter = nullptr;
+    for (const Member &member : membership.members) {
+        if (!member.voter)
+            continue;
+        if (isLost(member, leader, now, health)) {
+            lostVoter = &member;
+        } else {
+            ++healthyVoters;
+            domainsOfVoters.insert(member.failureDomain);
+        }
+    }
+
+    // A voter that is lost leaves as soon as enough others hold everything.
+    if (lostVoter != nullptr && healthyVoters >= m_settings.targetVoters)
+        return without(membership, lostVoter->id);
+
+    // A learner that has synced all that is committed fills a gap, preferably in a failure domain
+    // without a voter.
+    if (healthyVoters < m_settings.targetVoters) {
+        const Member *best = nullptr;
+        for (const Member &member : membership.members) {
+            const ReplicaHealth &state = health.at(member.id);
+            const bool ready = !member.voter && !isReplaced(member, now)
+                && state.matchIndex >= commitIndex && state.matchIndex > 0
+                && now - state.lastContact < m_settings.freshness;
+            if (!ready)
+                continue;
+            const bool newDomain = !domainsOfVoters.contains(member.failureDomain);
+            if (best == nullptr || (newDomain && domainsOfVoters.contains(best->failureDomain)))
+                best = &member;
+        }
+        if (best != nullptr)
+            return withVoter(membership, best->id, true);
+    }
+
+    // Learners that are gone are forgotten.
+    for (const Member &member : membership.members) {
+        const bool gone = isReplaced(member, now)
+            || now - health.at(member.id).lastContact > m_settings.learnerLostAfter;
+        if (!member.voter && member.id != leader && gone)
+            return without(membership, member.id);
+    }
+    return std::nullopt;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Core/Check.cpp
@@ -0,0 +1,15 @@
+#include <Guavashift/Core/Check.h>
+#include <Guavashift/Core/Log.h>
+
+#include <cstdlib>
+
+namespace guavashift {
+
+void invariantBroken(const char *condition, const char *file, int line)
+{
+    logEvent(LogLevel::Error, "invariant-broken",
+             {{"condition", condition}, {"file", file}, {"line", line}});
+    std::abort();
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Core/Hash.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace guavashift {
+
+/// XXH3 64-bit hash of `bytes`. The same on every VM.
+std::uint64_t hashBytes(std::string_view bytes);
+
+/// The hash as 16 hexadecimal digits.
+std::string hexOf(std::uint64_t value);
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Core/Log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <fmt/format.h>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace guavashift {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// One key=value pair of a log line.
+struct LogField
+{
+    template <typename Value>
+    LogField(std::string_view key, const Value &value) // NOLINT(google-explicit-constructor)
+        : key(key)
+        , value(fmt::format("{}", value))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+/// Least level that is written. Set once at start.
+void setLogLevel(LogLevel level);
+
+/// Writes one line "time=... level=... event=... key=value ..." to standard error. Values with
+/// spaces or quotes are quoted.
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Core/Time.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <ctime>
+
+namespace guavashift {
+
+/// Length of time in nanoseconds.
+using Duration = std::chrono::nanoseconds;
+
+/// Clock that counts on while the VM is suspended (CLOCK_BOOTTIME) and never steps. Leases and
+/// timers are measured with it.
+struct BootClock
+{
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+
+    static time_point now()
+    {
+        timespec spec{};
+        clock_gettime(CLOCK_BOOTTIME, &spec);
+        return time_point(std::chrono::seconds(spec.tv_sec)
+                          + std::chrono::nanoseconds(spec.tv_nsec));
+    }
+};
+
+/// Moment on the BootClock of one VM. Never compared between VMs.
+using Instant = BootClock::time_point;
+
+/// Wall-clock time in milliseconds since the Unix epoch. Used where VMs must share a time: release
+/// and due times, expiry of idempotency keys.
+using WallMs = std::int64_t;
+
+/// The current wall-clock time.
+inline WallMs wallNow()
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+/// Whole milliseconds in `duration`, rounded down.
+constexpr std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/AdminApi.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Guavashift/Control/Control.h>
+#include <Guavashift/Http/Http.h>
+
+namespace guavashift {
+
+/// The administration API under /admin/v1, passed on to the control leader.
+class AdminApi final
+{
+public:
+    AdminApi(ControlClient &control, const TokenGuard &guard);
+
+    /// Adds all endpoints.
+    void addTo(HttpRouter &router);
+
+private:
+    HttpResponse query(const std::string &what, const std::string &argument);
+    HttpResponse patch(const HttpRequest &request);
+    HttpResponse checkPatch(const HttpRequest &request);
+    HttpResponse submitJob(const HttpRequest &request);
+    HttpResponse cancelJobs(const HttpRequest &request);
+    HttpResponse drainWorker(const HttpRequest &request);
+    HttpResponse changeMember(const HttpRequest &request, bool remove);
+    HttpResponse execute(const CommandBody &command);
+
+    ControlClient &m_control;
+    TokenGuard m_guard;
+};
+
+/// The HTTP status and body that tell of an error.
+HttpResponse errorResponse(const Error &error);
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -0,0 +1,430 @@
+#include <Guavashift/Entry/RequestFlow.h>
+
+#include <charconv>
+#include <condition_variable>
+
+namespace guavashift {
+
+namespace {
+
+constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnprocessable = 422;
+constexpr std::size_t maxKeyBytes = 256;
+
+Duration timeoutOf(const HttpRequest &request, const RouteConfig &route)
+{
+    std::int64_t timeoutMs = route.timeoutMs;
+    if (const std::optional<std::string_view> text = request.headers.find(header::timeoutMs)) {
+        std::int64_t wished = 0;
+        const auto [end, error] =
+            std::from_chars(text->data(), text->data() + text->size(), wished);
+        if (error == std::errc() && end == text->data() + text->size() && wished > 0)
+            timeoutMs = std::min(timeoutMs, wished);
+    }
+    return std::chrono::milliseconds(timeoutMs);
+}
+
+/// Tells two requests apart that use the same key.
+std::uint64_t hashOf(const HttpRequest &request)
+{
+    return hashBytes(request.method + "\n" + request.target() + "\n" + request.body);
+}
+
+bool isRefusal(const HttpResponse &response)
+{
+    return response.headers.find(header::run).has_value();
+}
+
+} // namespace
+
+/// Outlives the request's thread, because the slower dispatch ends later.
+struct RequestFlow::Race
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::optional<DispatchEnd> winner;
+    std::optional<DispatchEnd> lastLoser;
+    unsigned running = 0;
+    bool anyUncertain = false;
+};
+
+RequestFlow::RequestFlow(RequestForwarder &forwarder, std::shared_ptr<const HttpRequest> request,
+                         const RouteConfig &route, const LimitsConfig &limits,
+                         const TraceContext &trace)
+    : m_forwarder(forwarder)
+    , m_request(std::move(request))
+    , m_route(route)
+    , m_limits(limits)
+    , m_trace(trace)
+    , m_deadline(BootClock::now() + timeoutOf(*m_request, route))
+{
+    m_key = std::string(m_request->headers.find(header::idempotencyKey).value_or(""));
+    m_traits.idempotent =
+        route.idempotent && !m_request->headers.find(header::nonIdempotent).has_value();
+    m_traits.exclusive = route.exclusive;
+    m_traits.keyed = !m_key.empty();
+}
+
+HttpResponse RequestFlow::run()
+{
+    if (m_key.size() > maxKeyBytes)
+        return finish(refuseNotRun(400, "the idempotency key exceeds 256 bytes"));
+    // A request with a key goes where its claim says.
+    if (std::optional<HttpResponse> refusal = m_traits.keyed ? claim() : chooseTarget())
+        return finish(std::move(*refusal));
+    for (;;) {
+        ++m_tries;
+        DispatchEnd end = dispatch();
+        RequestAction action = decideNext(m_traits, end.event, allowance(end.event));
+        if (action == RequestAction::Revoke) {
+            end.event = revoke();
+            action = decideNext(m_traits, end.event, allowance(end.event));
+        } else if (action == RequestAction::RetryElsewhere
+                   && !std::holds_alternative<CertainlyNotRun>(end.event)) {
+            m_mayHaveRun = true;
+        }
+        std::optional<HttpResponse> refusal;
+        switch (action) {
+        case RequestAction::PassOn:
+            return finish(std::move(end.response));
+        case RequestAction::RetryElsewhere:
+            m_forwarder.m_retries.Increment();
+            m_tried.push_back(m_plan.target.worker);
+            refusal = m_traits.keyed ? claim() : chooseTarget();
+            break;
+        case RequestAction::RetrySameAgent:
+        case RequestAction::Rejoin: {
+            const std::optional<RouteTarget> target =
+                m_forwarder.m_routing.acquireAt(m_plan.target.worker, m_plan.target.incarnation);
+            if (!target)
+                refusal = refuse(statusUnavailable, header::runUnknown, "the agent is gone");
+            else if (!m_traits.keyed)
+                m_plan.window = target->window;
+            break;
+        }
+        case RequestAction::AnswerNotRun:
+            refusal = refuseNotRun(statusUnavailable, "no backend server could take it");
+            break;
+        case RequestAction::AnswerRan:
+            refusal = refuse(statusBadGateway, header::runRan, "it ran, but its answer is lost");
+            break;
+        case RequestAction::Revoke:
+        case RequestAction::AnswerUnknown:
+            refusal = refuse(statusTimeout, header::runUnknown,
+                             "no whole answer came; whether it ran is not known");
+            break;
+        }
+        if (refusal)
+            return finish(std::move(*refusal));
+    }
+}
+
+RequestAllowance RequestFlow::allowance(const DispatchEvent &event)
+{
+    RequestAllowance allowance;
+    allowance.timeLeft = BootClock::now() + m_forwarder.m_settings.leastTimeForRetry < m_deadline;
+    allowance.triesLeft = m_tries < m_forwarder.m_settings.maxTries;
+    // Only what would run an idempotent request again is paid for from the budget.
+    const bool costs =
+        std::holds_alternative<ContactLost>(event) || std::holds_alternative<RunUnknown>(event);
+    if (costs && m_traits.idempotent && !m_traits.exclusive && allowance.timeLeft
+        && allowance.triesLeft)
+        allowance.budgetLeft = m_forwarder.takeFromBudget();
+    return allowance;
+}
+
+std::optional<HttpResponse> RequestFlow::chooseTarget()
+{
+    const auto target =
+        m_forwarder.m_routing.acquire(m_route.service, m_deadline, m_limits.queueLength, m_tried);
+    if (target) {
+        m_plan = {*target, m_forwarder.newRequestId(), target->window};
+        return std::nullopt;
+    }
+    switch (target.error()) {
+    case RoutingTable::Refusal::NoBackend:
+        return refuseNotRun(statusUnavailable, "no backend server is there for the service");
+    case RoutingTable::Refusal::Overloaded:
+        return refuseNotRun(statusUnavailable, "overloaded");
+    case RoutingTable::Refusal::NoTimeLeft:
+        break;
+    }
+    return refuseNotRun(statusTimeout, "no backend server became free in time");
+}
+
+std::uint64_t RequestFlow::windowOf(const RouteTarget &target)
+{
+    if (target.window != 0)
+        return target.window;
+    const Result<WindowReply> reply =
+        m_forwarder.m_agents.window(target.rpcAddress, m_forwarder.m_settings.revokeTimeout);
+    if (!reply || reply->incarnation != target.incarnation)
+        return 0;
+    m_forwarder.m_routing.heardWindow(target.worker, reply->window);
+    return reply->window;
+}
+
+Result<Outcome> RequestFlow::commitClaim(const RouteTarget &target)
+{
+    Claim wished;
+    wished.service = m_route.service;
+    wished.key = m_key;
+    wished.requestHash = hashOf(*m_request);
+    wished.requestId = m_forwarder.newRequestId();
+    wished.worker = target.worker;
+    wished.incarnation = target.incarnation;
+    wished.window = windowOf(target);
+    if (wished.window == 0)
+        return fail(ErrorCode::Unavailable, "the agent does not answer");
+    if (m_claim)
+        return m_forwarder.m_commands.execute(MoveClaim{m_claim->requestId, wished});
+    return m_forwarder.m_commands.execute(ClaimKey{wished});
+}
+
+std::optional<HttpResponse> RequestFlow::claim()
+{
+    // Without any backend server nothing can be claimed, but an earlier claim may exist elsewhere,
+    // so nothing certain can be said of the request.
+    if (chooseTarget())
+        return refuse(statusUnavailable, header::runUnknown,
+                      "no backend server can take it; whether an earlier copy ran is not known");
+    const RouteTarget target = m_plan.target;
+    Result<Outcome> outcome = commitClaim(target);
+    m_forwarder.m_routing.release(m_route.service, target.worker, DispatchResult::Busy, {});
+    if (!outcome)
+        return refuse(statusUnavailable, header::runUnknown,
+                      "the key could not be claimed: " + outcome.error().message);
+    return std::visit(
+        Overloaded{[&](const ClaimGranted &granted) { return followClaim(granted.claim); },
+                   [&](const Rejected &rejected) -> std::optional<HttpResponse> {
+                       return refuseNotRun(statusUnprocessable, rejected.reason);
+                   },
+                   [&](const auto &) -> std::optional<HttpResponse> {
+                       return refuse(statusUnavailable, header::runUnknown,
+                                     "the key could not be claimed");
+                   }},
+        *outcome);
+}
+
+std::optional<HttpResponse> RequestFlow::followClaim(const Claim &claim)
+{
+    m_claim = claim;
+    const std::optional<RouteTarget> target =
+        m_forwarder.m_routing.acquireAt(claim.worker, claim.incarnation);
+    // With the agent's process its memory of what ran is gone.
+    if (!target)
+        return refuse(statusConflict, header::runUnknown,
+                      "the agent that may have run it is gone; it will not be run again");
+    m_plan = {*target, claim.requestId, claim.window};
+    return std::nullopt;
+}
+
+bool RequestFlow::mayHedge() const
+{
+    return m_forwarder.m_settings.hedging && m_traits.idempotent && !m_traits.exclusive
+        && !m_traits.keyed && m_tries == 1;
+}
+
+RequestFlow::DispatchEnd RequestFlow::dispatch()
+{
+    if (mayHedge()) {
+        const std::optional<Duration> delay =
+            m_forwarder.m_routing.hedgeDelay(m_route.service, m_limits.hedgePercentile);
+        if (delay)
+            return dispatchHedged(std::max(*delay, m_forwarder.m_settings.leastHedgeDelay));
+    }
+    return dispatchTo(m_forwarder, *m_request, m_route, m_traits, m_trace, m_plan, m_deadline);
+}
+
+RequestFlow::DispatchEnd RequestFlow::dispatchHedged(Duration delay)
+{
+    const auto race = std::make_shared<Race>();
+    const auto start = [&](const Plan &plan) {
+        {
+            const std::lock_guard lock(race->mutex);
+            ++race->running;
+        }
+        m_forwarder.m_pool.post([&forwarder = m_forwarder, request = m_request, route = m_route,
+                                 traits = m_traits, trace = m_trace, plan, deadline = m_deadline,
+                                 race] {
+            DispatchEnd end = dispatchTo(forwarder, *request, route, traits, trace, plan, deadline);
+            const std::lock_guard lock(race->mutex);
+            --race->running;
+            const bool answered = std::holds_alternative<Answered>(end.event);
+            if (!answered && !std::holds_alternative<CertainlyNotRun>(end.event))
+                race->anyUncertain = true;
+            if (answered && !race->winner)
+                race->winner = std::move(end);
+            else if (!answered)
+                race->lastLoser = std::move(end);
+            race->changed.notify_all();
+        });
+    };
+    const auto decided = [&] { return race->winner.has_value() || race->running == 0; };
+
+    start(m_plan);
+    std::unique_lock lock(race->mutex);
+    if (!race->changed.wait_for(lock, delay, decided)) {
+        // Slower than usual: a second copy goes elsewhere if there is room right now.
+        lock.unlock();
+        const WorkerId first = m_plan.target.worker;
+        const auto second = m_forwarder.m_routing.acquire(
+            m_route.service, BootClock::now() + Duration(1), 0, std::span(&first, 1));
+        if (second && second->worker != first && m_forwarder.takeFromBudget()) {
+            m_forwarder.m_hedges.Increment();
+            start({*second, m_forwarder.newRequestId(), second->window});
+        } else if (second) {
+            m_forwarder.m_routing.release(m_route.service, second->worker, DispatchResult::Busy,
+                                          {});
+        }
+        lock.lock();
+        race->changed.wait_until(
+            lock, std::chrono::steady_clock::now() + (m_deadline - BootClock::now()), decided);
+    }
+    if (race->winner)
+        return std::move(*race->winner);
+    m_mayHaveRun = m_mayHaveRun || race->anyUncertain || race->running > 0;
+    if (race->lastLoser && race->running == 0)
+        return std::move(*race->lastLoser);
+    return {ContactLost{}, {}};
+}
+
+RequestFlow::DispatchEnd
+RequestFlow::dispatchTo(RequestForwarder &forwarder, const HttpRequest &request,
+                        const RouteConfig &route, const RequestTraits &traits,
+                        const TraceContext &trace, const Plan &plan, Instant deadline)
+{
+    const Instant started = BootClock::now();
+    const Duration timeLeft = std::max<Duration>(deadline - started, std::chrono::milliseconds(1));
+    HttpCall call;
+    call.address = plan.target.httpAddress;
+    call.method = request.method;
+    call.target = request.target();
+    call.headers = request.headers;
+    call.headers.remove("Host");
+    call.headers.remove("Content-Length");
+    call.headers.remove("Transfer-Encoding");
+    call.headers.remove("Connection");
+    call.headers.remove("Expect");
+    call.headers.set(header::requestId, plan.id.value);
+    call.headers.set(header::service, route.service.value);
+    call.headers.set(header::incarnation, plan.target.incarnation.value);
+    call.headers.set(header::window, std::to_string(plan.window));
+    call.headers.set(header::timeoutMs, std::to_string(toMs(timeLeft)));
+    call.headers.set(header::traceparent, trace.header());
+    call.headers.remove(header::keyed);
+    call.headers.remove(header::once);
+    const bool once = !traits.idempotent || traits.exclusive || traits.keyed;
+    if (traits.keyed)
+        call.headers.set(header::keyed, "1");
+    if (once)
+        call.headers.set(header::once, "1");
+    call.body = request.body;
+    call.timeout = timeLeft;
+    call.reuseConnection = !once;
+
+    DispatchEnd end = classify(traits, plan, forwarder.m_client.send(call));
+    if (const auto window = end.response.headers.find(header::window)) {
+        std::uint64_t number = 0;
+        std::from_chars(window->data(), window->data() + window->size(), number);
+        forwarder.m_routing.heardWindow(plan.target.worker, number);
+    }
+    const DispatchResult result =
+        std::visit(Overloaded{[](const Answered &) { return DispatchResult::Good; },
+                              [&](const CertainlyNotRun &) {
+                                  // An agent that refuses is well; one without a connection not.
+                                  return end.response.body.empty() ? DispatchResult::Failed
+                                                                   : DispatchResult::Busy;
+                              },
+                              [](const auto &) { return DispatchResult::Failed; }},
+                   end.event);
+    forwarder.m_routing.release(route.service, plan.target.worker, result,
+                                BootClock::now() - started);
+    return end;
+}
+
+RequestFlow::DispatchEnd RequestFlow::classify(const RequestTraits &traits, const Plan &plan,
+                                               tl::expected<HttpResponse, HttpFailure> answer)
+{
+    if (!answer) {
+        // Another entry may have sent the same claim, so only the agent itself can say "not run".
+        const bool certain =
+            answer.error().stage == HttpFailureStage::NotConnected && !traits.keyed;
+        if (certain)
+            return {CertainlyNotRun{}, {}};
+        return {ContactLost{}, {}};
+    }
+    // An answer to another request is none.
+    if (answer->headers.find(header::requestId) != plan.id.value)
+        return {ContactLost{}, {}};
+    if (!isRefusal(*answer))
+        return {Answered{}, std::move(*answer)};
+
+    const std::string_view run = *answer->headers.find(header::run);
+    const std::string_view reason = answer->headers.find(header::refusal).value_or("");
+    if (run == header::runNotRun)
+        return {CertainlyNotRun{reason == "stale-window"}, std::move(*answer)};
+    // The id of a request without a key was sent once, over a new connection, to this agent.
+    const bool once = !traits.idempotent || traits.exclusive;
+    if (reason == "wrong-incarnation" && !traits.keyed && once)
+        return {CertainlyNotRun{}, std::move(*answer)};
+    if (run == header::runRan)
+        return {traits.idempotent ? DispatchEvent(RunUnknown{}) : DispatchEvent(RanToEnd{}),
+                std::move(*answer)};
+    return {RunUnknown{}, std::move(*answer)};
+}
+
+DispatchEvent RequestFlow::revoke()
+{
+    const RevokeRequest request{m_plan.id, m_plan.target.incarnation, m_plan.window,
+                                m_traits.keyed};
+    const Result<RevokeReply> reply = m_forwarder.m_agents.revoke(
+        m_plan.target.rpcAddress, request, m_forwarder.m_settings.revokeTimeout);
+    if (!reply)
+        return RevokeUnanswered{};
+    m_forwarder.m_routing.heardWindow(m_plan.target.worker, reply->window);
+    switch (reply->outcome) {
+    case RevokeOutcome::Revoked:
+        return RevokedAtAgent{};
+    case RevokeOutcome::Running:
+        return StillRunning{};
+    case RevokeOutcome::Done:
+        return RanToEnd{};
+    case RevokeOutcome::Unknown:
+        break;
+    }
+    return RevokeUnanswered{};
+}
+
+HttpResponse RequestFlow::refuse(int status, std::string_view run, const std::string &message) const
+{
+    m_forwarder.m_refusals.Increment();
+    HttpResponse response = HttpResponse::json(status, {{"error", message}, {"run", run}});
+    response.headers.set(header::run, std::string(run));
+    return response;
+}
+
+HttpResponse RequestFlow::refuseNotRun(int status, const std::string &message) const
+{
+    // An earlier dispatch whose answer was lost makes it uncertain.
+    return refuse(status, m_mayHaveRun ? header::runUnknown : header::runNotRun, message);
+}
+
+HttpResponse RequestFlow::finish(HttpResponse response) const
+{
+    response.headers.remove(header::window);
+    response.headers.remove(header::incarnation);
+    response.headers.remove(header::refusal);
+    response.headers.remove("Content-Length");
+    response.headers.remove("Connection");
+    response.headers.set(header::requestId, m_plan.id.value);
+    response.headers.set(header::traceparent, m_trace.header());
+    if (m_claim)
+        response.headers.set(header::keyExpires, std::to_string(m_claim->expiresAt));
+    return response;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/RequestFlow.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <Guavashift/Entry/RequestForwarder.h>
+
+namespace guavashift {
+
+/// One caller's request on its way through an entry.
+class RequestFlow final
+{
+public:
+    RequestFlow(RequestForwarder &forwarder, std::shared_ptr<const HttpRequest> request,
+                const RouteConfig &route, const LimitsConfig &limits, const TraceContext &trace);
+
+    HttpResponse run();
+
+private:
+    /// What came of one dispatch.
+    struct DispatchEnd
+    {
+        DispatchEvent event;
+        HttpResponse response;
+    };
+
+    /// A dispatch with the id that it carries.
+    struct Plan
+    {
+        RouteTarget target;
+        RequestId id;
+        std::uint64_t window = 0;
+    };
+
+    /// State shared between the dispatches of a hedged request.
+    struct Race;
+
+    std::optional<HttpResponse> chooseTarget();
+    std::optional<HttpResponse> claim();
+    std::optional<HttpResponse> followClaim(const Claim &claim);
+    Result<Outcome> commitClaim(const RouteTarget &target);
+    std::uint64_t windowOf(const RouteTarget &target);
+
+    DispatchEnd dispatch();
+    DispatchEnd dispatchHedged(Duration delay);
+    static DispatchEnd dispatchTo(RequestForwarder &forwarder, const HttpRequest &request,
+                                  const RouteConfig &route, const RequestTraits &traits,
+                                  const TraceContext &trace, const Plan &plan, Instant deadline);
+    static DispatchEnd classify(const RequestTraits &traits, const Plan &plan,
+                                tl::expected<HttpResponse, HttpFailure> answer);
+    DispatchEvent revoke();
+
+    [[nodiscard]] RequestAllowance allowance(const DispatchEvent &event);
+    [[nodiscard]] bool mayHedge() const;
+    [[nodiscard]] HttpResponse refuse(int status, std::string_view run,
+                                      const std::string &message) const;
+    [[nodiscard]] HttpResponse refuseNotRun(int status, const std::string &message) const;
+    [[nodiscard]] HttpResponse finish(HttpResponse response) const;
+
+    RequestForwarder &m_forwarder;
+    std::shared_ptr<const HttpRequest> m_request;
+    RouteConfig m_route;
+    LimitsConfig m_limits;
+    TraceContext m_trace;
+    RequestTraits m_traits;
+    std::string m_key;
+    Instant m_deadline;
+    unsigned m_tries = 0;
+    /// An idempotent dispatch may have run although its answer was lost.
+    bool m_mayHaveRun = false;
+    std::vector<WorkerId> m_tried;
+    Plan m_plan;
+    std::optional<Claim> m_claim;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/RoutingTable.cpp
@@ -0,0 +1,107 @@
+#include <Guavashift/Entry/RoutingTable.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr Duration assumedLatency = std::chrono::milliseconds(1);
+
+} // namespace
+
+RoutingTable::RoutingTable(const RouterSettings &settings, std::uint64_t seed)
+    : m_router(settings, seed)
+{
+}
+
+void RoutingTable::update(const RoutingUpdate &update)
+{
+    const std::lock_guard lock(m_mutex);
+    m_router.update(update);
+    for (auto &[id, state] : m_services)
+        state.freed.notify_all();
+}
+
+std::uint64_t RoutingTable::version() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_router.version();
+}
+
+tl::expected<RouteTarget, RoutingTable::Refusal>
+RoutingTable::acquire(const ServiceId &service, Instant deadline, std::uint32_t maxWaiting,
+                      std::span<const WorkerId> excluded)
+{
+    std::unique_lock lock(m_mutex);
+    ServiceState &state = m_services[service];
+    bool waits = false;
+    for (;;) {
+        const Instant now = BootClock::now();
+        const RouteChoice choice = m_router.choose(service, now, excluded);
+        const bool noTime = now >= deadline;
+        if (waits && (!std::holds_alternative<AllBusy>(choice) || noTime))
+            state.line.left();
+        if (noTime)
+            return tl::unexpected(Refusal::NoTimeLeft);
+        if (std::holds_alternative<NoBackend>(choice))
+            return tl::unexpected(Refusal::NoBackend);
+        if (const auto *target = std::get_if<RouteTarget>(&choice)) {
+            m_router.started(target->worker);
+            return *target;
+        }
+        // All are busy. A request that would not get its turn in time is refused at once.
+        if (!waits) {
+            const Duration typical = state.latency.mean().value_or(assumedLatency);
+            if (!state.line.admit(deadline - now, typical, m_router.capacityOf(service),
+                                  maxWaiting))
+                return tl::unexpected(Refusal::Overloaded);
+            state.line.joined();
+            waits = true;
+        }
+        state.freed.wait_for(lock, deadline - now);
+    }
+}
+
+std::optional<RouteTarget> RoutingTable::acquireAt(const WorkerId &worker,
+                                                   const Incarnation &incarnation)
+{
+    const std::lock_guard lock(m_mutex);
+    std::optional<RouteTarget> target = m_router.find(worker, incarnation);
+    if (target)
+        m_router.started(worker);
+    return target;
+}
+
+void RoutingTable::release(const ServiceId &service, const WorkerId &worker, DispatchResult result,
+                           Duration latency)
+{
+    const std::lock_guard lock(m_mutex);
+    m_router.finished(worker, result, latency, BootClock::now());
+    if (result == DispatchResult::Good)
+        m_services[service].latency.add(latency);
+    wakeWaiting();
+}
+
+void RoutingTable::wakeWaiting()
+{
+    // The worker may serve several services, so one request of each gets the chance.
+    for (auto &[id, state] : m_services) {
+        if (state.line.length() > 0)
+            state.freed.notify_one();
+    }
+}
+
+void RoutingTable::heardWindow(const WorkerId &worker, std::uint64_t window)
+{
+    const std::lock_guard lock(m_mutex);
+    m_router.heardWindow(worker, window);
+}
+
+std::optional<Duration> RoutingTable::hedgeDelay(const ServiceId &service,
+                                                 unsigned percentile) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::nullopt : found->second.latency.quantile(percentile);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/RoutingTable.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <Guavashift/Routing/Routing.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace guavashift {
+
+/// Thread-safe Router in which requests wait for a free backend server.
+class RoutingTable final
+{
+public:
+    RoutingTable(const RouterSettings &settings, std::uint64_t seed);
+
+    void update(const RoutingUpdate &update);
+    [[nodiscard]] std::uint64_t version() const;
+
+    enum class Refusal { NoBackend, Overloaded, NoTimeLeft };
+
+    /// A worker with room for one request, which is counted there until release(). Waits in a
+    /// bounded line until `deadline`.
+    tl::expected<RouteTarget, Refusal> acquire(const ServiceId &service, Instant deadline,
+                                               std::uint32_t maxWaiting,
+                                               std::span<const WorkerId> excluded);
+
+    /// The given worker, if it still has that incarnation; counted until release().
+    std::optional<RouteTarget> acquireAt(const WorkerId &worker, const Incarnation &incarnation);
+
+    void release(const ServiceId &service, const WorkerId &worker, DispatchResult result,
+                 Duration latency);
+    void heardWindow(const WorkerId &worker, std::uint64_t window);
+
+    /// When a request should be hedged, counted from its dispatch; nothing while too little is
+    /// known.
+    [[nodiscard]] std::optional<Duration> hedgeDelay(const ServiceId &service,
+                                                     unsigned percentile) const;
+
+private:
+    struct ServiceState
+    {
+        WaitingLine line;
+        LatencyWindow latency;
+        std::condition_variable freed;
+    };
+
+    void wakeWaiting();
+
+    mutable std::mutex m_mutex;
+    Router m_router;
+    std::map<ServiceId, ServiceState> m_services;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Entry/TaskPool.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace guavashift {
+
+/// Runs work on threads that are started as needed and kept.
+class TaskPool final
+{
+public:
+    explicit TaskPool(std::size_t maxThreads);
+    ~TaskPool();
+    TaskPool(const TaskPool &) = delete;
+    TaskPool &operator=(const TaskPool &) = delete;
+
+    void post(std::function<void()> work);
+
+private:
+    void run();
+
+    std::size_t m_maxThreads;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::deque<std::function<void()>> m_queue;
+    std::size_t m_idle = 0;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Http/HttpServer.cpp
@@ -0,0 +1,243 @@
+#include <Guavashift/Http/HttpServer.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <microhttpd.h>
+#include <mutex>
+#include <netinet/in.h>
+#include <unistd.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::size_t threadStackBytes = 256 << 10;
+constexpr unsigned listenBacklog = 1024;
+/// Longest wait for answers on their way when the server stops.
+constexpr Duration answerTimeout = std::chrono::seconds(5);
+
+/// One request while its body arrives.
+struct Transfer
+{
+    HttpRequest request;
+    bool tooLarge = false;
+};
+
+MHD_Result addHeader(void *cls, MHD_ValueKind, const char *key, const char *value)
+{
+    static_cast<HttpHeaders *>(cls)->add(key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+MHD_Result addQuery(void *cls, MHD_ValueKind, const char *key, const char *value)
+{
+    auto &query = *static_cast<std::string *>(cls);
+    if (!query.empty())
+        query += '&';
+    query += key;
+    if (value != nullptr) {
+        query += '=';
+        query += value;
+    }
+    return MHD_YES;
+}
+
+/// Leaves escapes as they are: paths and queries are passed on unchanged.
+std::size_t keepEscapes(void *, MHD_Connection *, char *text)
+{
+    return std::char_traits<char>::length(text);
+}
+
+} // namespace
+
+class HttpServer::Implementation final
+{
+public:
+    Implementation(const HttpServerSettings &settings, Handler handler)
+        : m_settings(settings)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    ~Implementation() { stop(); }
+
+    Result<void> start()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(m_settings.port);
+        if (inet_pton(AF_INET, m_settings.ip.c_str(), &address.sin_addr) != 1)
+            return fail(ErrorCode::InvalidArgument, m_settings.ip + " is not an IP number");
+        const unsigned timeoutSeconds = static_cast<unsigned>(toMs(m_settings.idleTimeout) / 1000);
+        m_daemon = MHD_start_daemon(
+            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL
+                | MHD_USE_ITC | MHD_USE_TURBO,
+            m_settings.port, nullptr, nullptr, &Implementation::onAccess, this,
+            MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections,
+            MHD_OPTION_CONNECTION_TIMEOUT, timeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            m_settings.maxHeaderBytes, MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes,
+            MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+            MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
+            &Implementation::onCompleted, this, MHD_OPTION_END);
+        if (m_daemon == nullptr)
+            return fail(ErrorCode::Io,
+                        fmt::format("cannot listen on {}:{}", m_settings.ip, m_settings.port));
+        return {};
+    }
+
+    void stop()
+    {
+        if (m_daemon == nullptr)
+            return;
+        m_closing = true;
+        // New connections are refused from here on, which callers can tell from a broken answer.
+        const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
+        if (listening != MHD_INVALID_SOCKET)
+            ::close(listening);
+        // Answers on their way are sent to their end.
+        {
+            std::unique_lock lock(m_mutex);
+            m_idle.wait_for(lock, answerTimeout, [this] { return m_active == 0; });
+        }
+        MHD_stop_daemon(m_daemon);
+        m_daemon = nullptr;
+    }
+
+    void startClosing() { m_closing = true; }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        const MHD_DaemonInfo *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT);
+        return info == nullptr ? m_settings.port : info->port;
+    }
+
+private:
+    static MHD_Result onAccess(void *cls, MHD_Connection *connection, const char *url,
+                               const char *method, const char *, const char *uploadData,
+                               std::size_t *uploadSize, void **context)
+    {
+        return static_cast<Implementation *>(cls)->access(connection, url, method, uploadData,
+                                                          uploadSize, context);
+    }
+
+    static void onCompleted(void *cls, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    {
+        if (*context == nullptr)
+            return;
+        delete static_cast<Transfer *>(*context);
+        *context = nullptr;
+        static_cast<Implementation *>(cls)->completed();
+    }
+
+    void completed()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_active;
+        m_idle.notify_all();
+    }
+
+    MHD_Result access(MHD_Connection *connection, const char *url, const char *method,
+                      const char *uploadData, std::size_t *uploadSize, void **context)
+    {
+        // The first call brings the headers only.
+        if (*context == nullptr) {
+            auto transfer = std::make_unique<Transfer>();
+            transfer->request.method = method;
+            transfer->request.path = url;
+            MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &addQuery,
+                                      &transfer->request.query);
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
+                                      &transfer->request.headers);
+            const bool tooLarge = announcesTooMuch(transfer->request);
+            *context = transfer.release();
+            {
+                const std::lock_guard lock(m_mutex);
+                ++m_active;
+            }
+            return tooLarge ? respond(connection, refuseTooLarge()) : MHD_YES;
+        }
+        auto &transfer = *static_cast<Transfer *>(*context);
+        // Further calls bring the body in pieces.
+        if (*uploadSize > 0) {
+            if (transfer.request.body.size() + *uploadSize > m_settings.maxBodyBytes)
+                transfer.tooLarge = true;
+            else
+                transfer.request.body.append(uploadData, *uploadSize);
+            *uploadSize = 0;
+            return MHD_YES;
+        }
+        // The last call asks for the answer.
+        return respond(connection,
+                       transfer.tooLarge ? refuseTooLarge() : m_handler(transfer.request));
+    }
+
+    [[nodiscard]] bool announcesTooMuch(const HttpRequest &request) const
+    {
+        const std::optional<std::string_view> length = request.headers.find("Content-Length");
+        std::uint64_t bytes = 0;
+        if (length)
+            std::from_chars(length->data(), length->data() + length->size(), bytes);
+        return bytes > m_settings.maxBodyBytes;
+    }
+
+    [[nodiscard]] HttpResponse refuseTooLarge() const
+    {
+        HttpResponse response = HttpResponse::json(
+            413, {{"error", fmt::format("the body exceeds {} bytes", m_settings.maxBodyBytes)}});
+        response.headers.add("Guavashift-Run", "not-run");
+        return response;
+    }
+
+    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response)
+    {
+        MHD_Response *native = MHD_create_response_from_buffer(
+            response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+        for (const HttpHeader &header : response.headers.all())
+            MHD_add_response_header(native, header.name.c_str(), header.value.c_str());
+        if (m_closing)
+            MHD_add_response_header(native, "Connection", "close");
+        const MHD_Result result =
+            MHD_queue_response(connection, static_cast<unsigned>(response.status), native);
+        MHD_destroy_response(native);
+        return result;
+    }
+
+    HttpServerSettings m_settings;
+    Handler m_handler;
+    MHD_Daemon *m_daemon = nullptr;
+    std::atomic<bool> m_closing = false;
+    std::mutex m_mutex;
+    std::condition_variable m_idle;
+    std::size_t m_active = 0; ///< Requests whose answer is not sent to its end.
+};
+
+HttpServer::HttpServer(const HttpServerSettings &settings, Handler handler)
+    : m_implementation(std::make_unique<Implementation>(settings, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::start()
+{
+    return m_implementation->start();
+}
+
+void HttpServer::stop()
+{
+    m_implementation->stop();
+}
+
+void HttpServer::startClosing()
+{
+    m_implementation->startClosing();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_implementation->port();
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Placement/Placement.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Public header of the Placement library: the scheduling decision.
+
+#include <Guavashift/Placement/Scheduler.h>
+#include <Guavashift/Placement/UsageReport.h>
--- /dev/null
+++ b/Guavashift/Routing/LatencyWindow.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <array>
+
+namespace guavashift {
+
+/// The newest latencies, for quantiles and the mean.
+class LatencyWindow final
+{
+public:
+    void add(Duration latency);
+
+    /// The latency that `percent` of the newest samples do not exceed; nothing before enough
+    /// samples are there.
+    [[nodiscard]] std::optional<Duration> quantile(unsigned percent) const;
+    [[nodiscard]] std::optional<Duration> mean() const;
+
+private:
+    static constexpr std::size_t capacity = 256;
+    static constexpr std::size_t leastSamples = 20;
+    /// A sorted copy is used for this many further samples.
+    static constexpr std::size_t refreshInterval = 32;
+
+    std::array<Duration, capacity> m_samples{};
+    std::size_t m_count = 0;
+    std::size_t m_next = 0;
+    Duration m_sum{};
+    mutable std::vector<Duration> m_sorted;
+    mutable std::size_t m_sinceSorted = 0;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Routing/Router.cpp
@@ -0,0 +1,168 @@
+#include <Guavashift/Routing/Router.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavashift {
+
+namespace {
+
+constexpr double latencyWeight = 0.1;
+
+/// Slots that a worker offers for the service through backend servers that do not leave.
+std::uint32_t slotsFor(const RoutingEntry &entry, const ServiceId &service)
+{
+    std::uint32_t slots = 0;
+    for (const BackendServer &backend : entry.backends) {
+        if (backend.service == service && !backend.leaving)
+            slots += backend.slots;
+    }
+    return slots;
+}
+
+} // namespace
+
+Router::Router(const RouterSettings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
+{
+}
+
+void Router::update(const RoutingUpdate &update)
+{
+    if (update.complete) {
+        // What this entry knows of its own requests stays valid.
+        for (auto &[id, worker] : m_workers)
+            worker.entry.usable = false;
+    }
+    for (const RoutingEntry &entry : update.workers) {
+        WorkerState &worker = m_workers[entry.worker];
+        if (worker.entry.incarnation != entry.incarnation) {
+            worker.window = 0;
+            worker.failures = 0;
+            worker.ejectedUntil = {};
+        }
+        worker.entry = entry;
+    }
+    m_version = update.version;
+    m_entries = std::max<std::uint32_t>(1, update.entries);
+}
+
+std::uint32_t Router::limitOf(const WorkerState &, std::uint32_t slots) const
+{
+    const double share = m_settings.slotOversubscription * slots / m_entries;
+    const std::uint32_t connections =
+        std::max<std::uint32_t>(1, m_settings.agentConnections / m_entries);
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(share)), 1, connections);
+}
+
+double Router::scoreOf(const WorkerState &worker)
+{
+    return (worker.inFlight + 1) * worker.latencyMs;
+}
+
+RouteTarget Router::targetOf(const WorkerState &worker)
+{
+    return {worker.entry.worker, worker.entry.incarnation, worker.entry.httpAddress,
+            worker.entry.rpcAddress, worker.window};
+}
+
+RouteChoice Router::choose(const ServiceId &service, Instant now,
+                           std::span<const WorkerId> excluded)
+{
+    m_candidates.clear();
+    bool offered = false;
+    bool othersOffer = false;
+    std::vector<Candidate> lastResort;
+    for (auto &[id, worker] : m_workers) {
+        const std::uint32_t slots = worker.entry.usable ? slotsFor(worker.entry, service) : 0;
+        if (slots == 0)
+            continue;
+        offered = true;
+        const std::uint32_t limit = limitOf(worker, slots);
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+        othersOffer = othersOffer || !isExcluded;
+        if (worker.inFlight >= limit)
+            continue;
+        // After an ejection one request at a time probes whether the worker is well again.
+        const bool suspect =
+            m_settings.ejection && worker.failures >= m_settings.ejectAfterFailures;
+        if (isExcluded || (suspect && (now < worker.ejectedUntil || worker.inFlight > 0)))
+            lastResort.push_back({&worker, limit});
+        else
+            m_candidates.push_back({&worker, limit});
+    }
+    if (!offered)
+        return NoBackend{};
+    // Better a doubtful worker than none, unless a sound one only is busy.
+    if (m_candidates.empty() && !othersOffer)
+        m_candidates = std::move(lastResort);
+    if (m_candidates.empty())
+        return AllBusy{};
+
+    std::uniform_int_distribution<std::size_t> index(0, m_candidates.size() - 1);
+    const WorkerState *first = m_candidates[index(m_random)].worker;
+    if (!m_settings.twoChoices)
+        return targetOf(*first);
+    const WorkerState *second = m_candidates[index(m_random)].worker;
+    return targetOf(scoreOf(*second) < scoreOf(*first) ? *second : *first);
+}
+
+std::optional<RouteTarget> Router::find(const WorkerId &worker,
+                                        const Incarnation &incarnation) const
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || found->second.entry.incarnation != incarnation)
+        return std::nullopt;
+    return targetOf(found->second);
+}
+
+void Router::started(const WorkerId &worker)
+{
+    ++m_workers[worker].inFlight;
+}
+
+void Router::finished(const WorkerId &id, DispatchResult result, Duration latency, Instant now)
+{
+    WorkerState &worker = m_workers[id];
+    if (worker.inFlight > 0)
+        --worker.inFlight;
+    const double latencyMs = std::chrono::duration<double, std::milli>(latency).count();
+    switch (result) {
+    case DispatchResult::Good:
+        worker.failures = 0;
+        worker.ejection = {};
+        worker.latencyMs += latencyWeight * (latencyMs - worker.latencyMs);
+        break;
+    case DispatchResult::Busy:
+        break;
+    case DispatchResult::Failed:
+        ++worker.failures;
+        if (worker.failures >= m_settings.ejectAfterFailures) {
+            worker.ejection =
+                std::clamp(worker.ejection * 2, m_settings.firstEjection, m_settings.maxEjection);
+            worker.ejectedUntil = now + worker.ejection;
+        }
+        break;
+    }
+}
+
+void Router::heardWindow(const WorkerId &worker, std::uint64_t window)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+        found->second.window = std::max(found->second.window, window);
+}
+
+std::uint32_t Router::capacityOf(const ServiceId &service) const
+{
+    std::uint32_t capacity = 0;
+    for (const auto &[id, worker] : m_workers) {
+        const std::uint32_t slots = worker.entry.usable ? slotsFor(worker.entry, service) : 0;
+        if (slots > 0)
+            capacity += limitOf(worker, slots);
+    }
+    return capacity;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Rpc/Address.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <string>
+#include <string_view>
+
+namespace guavashift {
+
+/// An IP number with a port. Names are not resolved.
+struct Address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    /// Reads "IP:port". Fails for host names and for ports outside 0 to 65535.
+    static Result<Address> parse(std::string_view text);
+
+    [[nodiscard]] std::string text() const;
+    bool operator==(const Address &) const = default;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Rpc/JsonRpcCaller.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace guavashift {
+
+/// One connection to a JSON-RPC server over ACE TCP. Plain C++14: the client headers of
+/// libjsonrpccpp do not compile as later C++.
+class JsonRpcCaller final
+{
+public:
+    enum class Outcome {
+        Ok,
+        NotSent, ///< The connection could not be made; nothing was sent.
+        Lost,    ///< Sent at least in part, no answer.
+        Refused, ///< The server answered with an error; `result` holds its text.
+    };
+
+    JsonRpcCaller(std::string ip, unsigned short port, std::string hello, long connectTimeoutMs,
+                  unsigned long maxFrameBytes);
+    ~JsonRpcCaller();
+    JsonRpcCaller(const JsonRpcCaller &) = delete;
+    JsonRpcCaller &operator=(const JsonRpcCaller &) = delete;
+
+    /// Calls `method` with the JSON object `parameters` and writes the JSON result to `result`.
+    /// Connects first if needed.
+    Outcome call(const std::string &method, const std::string &parameters, long timeoutMs,
+                 std::string &result);
+
+private:
+    class Connector;
+    std::unique_ptr<Connector> m_connector;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Settings/SettingsReader.cpp
@@ -0,0 +1,286 @@
+#include <Guavashift/Settings/SettingsReader.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+#include <charconv>
+#include <optional>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::uint64_t maxPort = 65'535;
+
+std::string environmentName(std::string flag)
+{
+    std::string name = "GUAVASHIFT_";
+    for (const char c : flag)
+        name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    return name;
+}
+
+/// All flags as texts; they are checked together afterwards.
+class FlagTexts final
+{
+public:
+    explicit FlagTexts(CLI::App &app)
+        : m_app(app)
+    {
+    }
+
+    void add(const std::string &flag, const std::string &help)
+    {
+        m_app.add_option("--" + flag, m_texts[flag], help)->envname(environmentName(flag));
+    }
+
+    void addList(const std::string &flag, const std::string &help)
+    {
+        m_app.add_option("--" + flag, m_lists[flag], help)
+            ->envname(environmentName(flag))
+            ->delimiter(',');
+    }
+
+    [[nodiscard]] const std::string &text(const std::string &flag) const
+    {
+        return m_texts.at(flag);
+    }
+    [[nodiscard]] const std::vector<std::string> &list(const std::string &flag) const
+    {
+        return m_lists.at(flag);
+    }
+
+private:
+    CLI::App &m_app;
+    std::map<std::string, std::string> m_texts;
+    std::map<std::string, std::vector<std::string>> m_lists;
+};
+
+/// Turns the texts into settings and collects what is wrong.
+class Checker final
+{
+public:
+    Checker(const FlagTexts &texts, Findings &findings)
+        : m_texts(texts)
+        , m_findings(findings)
+    {
+    }
+
+    void report(const std::string &flag, std::string message)
+    {
+        m_findings.push_back({"--" + flag, std::move(message)});
+    }
+
+    template <typename Integer>
+    void number(const std::string &flag, Integer &value, std::uint64_t least, std::uint64_t most)
+    {
+        const std::string &text = m_texts.text(flag);
+        if (text.empty())
+            return;
+        std::uint64_t read = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), read);
+        if (error != std::errc() || end != text.data() + text.size())
+            report(flag, fmt::format("'{}' is not a whole number", text));
+        else if (read < least || read > most)
+            report(flag, fmt::format("{} is not within {} to {}", read, least, most));
+        else
+            value = static_cast<Integer>(read);
+    }
+
+    void name(const std::string &flag, std::string &value)
+    {
+        value = m_texts.text(flag);
+        const bool valid = !value.empty() && value.size() <= 64
+            && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+                   return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+               });
+        if (!valid)
+            report(flag, "is needed: 1 to 64 letters, digits, '-', '_' or '.'");
+    }
+
+    void address(const std::string &flag, std::string &value)
+    {
+        const std::string &text = m_texts.text(flag);
+        if (!text.empty())
+            value = text;
+        if (value.empty())
+            report(flag, "is needed: IP:port");
+        else
+            checkAddress(flag, value);
+    }
+
+    void checkAddress(const std::string &flag, const std::string &text)
+    {
+        const std::size_t colon = text.rfind(':');
+        in_addr parsed{};
+        std::uint64_t port = 0;
+        bool valid = colon != std::string::npos
+            && inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) == 1;
+        if (valid) {
+            const char *first = text.data() + colon + 1;
+            const char *last = text.data() + text.size();
+            const auto [end, error] = std::from_chars(first, last, port);
+            valid = error == std::errc() && end == last && port <= maxPort;
+        }
+        if (!valid)
+            report(flag, fmt::format("'{}' is not IP:port; names are not resolved", text));
+    }
+
+    void logLevel(const std::string &flag, LogLevel &level)
+    {
+        const std::string &text = m_texts.text(flag);
+        if (text.empty() || text == "info")
+            level = LogLevel::Info;
+        else if (text == "debug")
+            level = LogLevel::Debug;
+        else if (text == "warning")
+            level = LogLevel::Warning;
+        else if (text == "error")
+            level = LogLevel::Error;
+        else
+            report(flag, fmt::format("'{}' is not debug, info, warning or error", text));
+    }
+
+private:
+    const FlagTexts &m_texts;
+    Findings &m_findings;
+};
+
+void addFlags(FlagTexts &texts)
+{
+    texts.addList("role", "role to carry: agent, control, entry; repeatable");
+    texts.add("vm", "name of this VM, unique in the cluster");
+    texts.add("failure-domain", "failure domain that this VM stands in");
+    texts.add("rack", "rack that this VM stands in");
+    texts.add("cluster-id", "id that all processes of the cluster share (default guavashift)");
+    texts.add("cluster-key", "secret that all processes of the cluster share");
+    texts.add("operator-token", "token that the administration API asks for");
+    texts.addList("control-address", "IP:port of each control process; repeatable");
+    texts.add("admin-listen", "IP:port for health, metrics and administration");
+    texts.add("log-level", "debug, info, warning or error (default info)");
+    texts.add("trace-sample-permille", "traces started here, per thousand requests (default 10)");
+    texts.add("control-listen", "control: IP:port for other processes of the system");
+    texts.add("data-folder", "control: folder of the replicated state");
+    texts.add("target-voters", "control: voters wanted, 1 to 7 (default 3)");
+    texts.add("voter-lost-seconds",
+              "control: silence after which a voter is replaced (default 30)");
+    texts.add("entry-listen", "entry: IP:port for callers");
+    texts.add("entry-connections", "entry: callers' connections at a time (default 1024)");
+    texts.add("agent-listen", "agent: IP:port for requests from entries");
+    texts.add("agent-rpc-listen", "agent: IP:port for questions from entries");
+    texts.add("platform-address", "agent: IP:port of the platform's interface on this worker");
+    texts.add("capacity-milli-cores", "agent: processors of this worker, in thousandths");
+    texts.add("capacity-memory-mb", "agent: memory of this worker, in MiB");
+    texts.add("capacity-accelerators", "agent: accelerators of this worker (default 0)");
+    texts.add("drain-seconds",
+              "longest wait for requests in flight at a planned stop (default 30)");
+}
+
+bool hasRole(const DaemonSettings &settings, std::string_view role)
+{
+    return std::find(settings.roles.begin(), settings.roles.end(), role) != settings.roles.end();
+}
+
+void readCommon(const FlagTexts &texts, Checker &checker, DaemonSettings &settings,
+                const std::vector<std::string> &knownRoles)
+{
+    settings.roles = texts.list("role");
+    if (settings.roles.empty())
+        checker.report("role", "is needed at least once");
+    for (const std::string &role : settings.roles) {
+        if (std::find(knownRoles.begin(), knownRoles.end(), role) == knownRoles.end())
+            checker.report(
+                "role",
+                fmt::format("there is no role '{}'; known: {}", role, fmt::join(knownRoles, ", ")));
+        if (std::count(settings.roles.begin(), settings.roles.end(), role) > 1)
+            checker.report("role", fmt::format("'{}' stands twice", role));
+    }
+    checker.name("vm", settings.vm);
+    checker.name("failure-domain", settings.failureDomain.value);
+    settings.rack.value = texts.text("rack");
+    if (!texts.text("cluster-id").empty())
+        settings.clusterId = texts.text("cluster-id");
+    settings.clusterKey = texts.text("cluster-key");
+    settings.operatorToken = texts.text("operator-token");
+    settings.controlAddresses = texts.list("control-address");
+    if (settings.controlAddresses.empty())
+        checker.report("control-address", "is needed at least once");
+    for (const std::string &address : settings.controlAddresses)
+        checker.checkAddress("control-address", address);
+    checker.address("admin-listen", settings.adminListen);
+    checker.logLevel("log-level", settings.logLevel);
+    checker.number("trace-sample-permille", settings.traceSamplePermille, 0, 1000);
+    checker.number("drain-seconds", settings.drainSeconds, 1, 3600);
+}
+
+void readRoles(const FlagTexts &texts, Checker &checker, DaemonSettings &settings)
+{
+    if (hasRole(settings, "control")) {
+        checker.address("control-listen", settings.controlListen);
+        settings.dataFolder = texts.text("data-folder");
+        if (settings.dataFolder.empty())
+            checker.report("data-folder", "is needed");
+        checker.number("target-voters", settings.targetVoters, 1, 7);
+        checker.number("voter-lost-seconds", settings.voterLostSeconds, 2, 86'400);
+    }
+    if (hasRole(settings, "entry")) {
+        checker.address("entry-listen", settings.entryListen);
+        checker.number("entry-connections", settings.entryConnections, 1, 65'536);
+    }
+    if (hasRole(settings, "agent")) {
+        checker.address("agent-listen", settings.agentListen);
+        checker.address("agent-rpc-listen", settings.agentRpcListen);
+        checker.address("platform-address", settings.platformAddress);
+        checker.number("capacity-milli-cores", settings.capacity.milliCores, 1, 10'000'000);
+        checker.number("capacity-memory-mb", settings.capacity.memoryMb, 1, 1'000'000'000);
+        checker.number("capacity-accelerators", settings.capacity.accelerators, 0, 10'000);
+        if (texts.text("capacity-milli-cores").empty())
+            checker.report("capacity-milli-cores", "is needed");
+        if (texts.text("capacity-memory-mb").empty())
+            checker.report("capacity-memory-mb", "is needed");
+        settings.rack.value = texts.text("rack");
+        if (settings.rack.isEmpty())
+            checker.report("rack", "is needed");
+    }
+}
+
+} // namespace
+
+SettingsResult readDaemonSettings(int argc, const char *const *argv,
+                                  const std::vector<std::string> &knownRoles)
+{
+    CLI::App app("guavashiftd: a process of the guavashift scheduler", "guavashiftd");
+    FlagTexts texts(app);
+    bool showVersion = false;
+    bool checkOnly = false;
+    app.add_flag("--version", showVersion, "print the version");
+    app.add_flag("--check-settings", checkOnly, "check the settings and start nothing");
+    addFlags(texts);
+    app.allow_extras();
+
+    Findings findings;
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::CallForHelp &) {
+        return PrintAndExit{app.help()};
+    } catch (const CLI::ParseError &error) {
+        findings.push_back({"command line", error.what()});
+    }
+    if (showVersion)
+        return PrintAndExit{fmt::format("guavashiftd {}\n", GUAVASHIFT_VERSION)};
+    for (const std::string &extra : app.remaining())
+        findings.push_back({extra, "is not known"});
+
+    DaemonSettings settings;
+    Checker checker(texts, findings);
+    readCommon(texts, checker, settings, knownRoles);
+    readRoles(texts, checker, settings);
+    if (!findings.empty())
+        return WrongSettings{std::move(findings)};
+    if (checkOnly)
+        return PrintAndExit{"the settings are sound\n"};
+    return RunDaemon{std::move(settings)};
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/State/Records.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <Guavashift/Configuration/Configuration.h>
+
+#include <set>
+
+namespace guavashift {
+
+/// Number of a task's attempt. Grows by one with each start of the task, anywhere.
+using Attempt = std::uint64_t;
+
+/// A backend server that announced itself with its agent.
+struct BackendServer
+{
+    ServiceId service;
+    TaskId task;
+    std::uint32_t slots = 8;
+    bool leaving = false;
+
+    bool operator==(const BackendServer &) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(BackendServer, service, task, slots, leaving)
+
+/// What an agent tells of its VM when it announces itself.
+struct WorkerFacts
+{
+    Incarnation incarnation; ///< Of the agent process.
+    std::string bootId;      ///< Of the VM; a new one means that all its tasks are gone.
+    FailureDomain failureDomain;
+    RackId rack;
+    Resources capacity;
+    std::string httpAddress; ///< Where entries send requests.
+    std::string rpcAddress;  ///< Where entries ask to revoke them.
+
+    bool operator==(const WorkerFacts &) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerFacts, incarnation, bootId, failureDomain,
+                                                rack, capacity, httpAddress, rpcAddress)
+
+enum class WorkerStatus { Up, Draining, Lost };
+NLOHMANN_JSON_SERIALIZE_ENUM(WorkerStatus,
+                             {{WorkerStatus::Up, "up"},
+                              {WorkerStatus::Draining, "draining"},
+                              {WorkerStatus::Lost, "lost"}})
+
+/// A worker VM with all that is committed to it.
+struct Worker
+{
+    WorkerId id;
+    WorkerFacts facts;
+    WorkerStatus status = WorkerStatus::Up;
+    Resources reserved; ///< Sum of the sizes of the attempts that may still run there.
+    std::set<TaskId> tasks;
+    std::vector<BackendServer> backends;
+    std::uint64_t ordersVersion = 0;  ///< Grows with each change of what should run there.
+    std::uint64_t routingVersion = 0; ///< The state's when entries must last have been told.
+    /// Different jobs that failed here since the last success.
+    std::set<std::string> failedJobs;
+    WallMs quarantinedUntil = 0;
+    std::uint32_t quarantines = 0; ///< In a row; doubles the length of the next.
+    bool probation = false;        ///< After a quarantine, until one task succeeds.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Worker, id, facts, status, reserved, tasks,
+                                                backends, ordersVersion, routingVersion, failedJobs,
+                                                quarantinedUntil, quarantines, probation)
+
+enum class TaskKind { LatencyCritical, Batch };
+NLOHMANN_JSON_SERIALIZE_ENUM(TaskKind,
+                             {{TaskKind::LatencyCritical, "latency-critical"},
+                              {TaskKind::Batch, "batch"}})
+
+enum class TaskPhase {
+    Queued,   ///< Waits for a worker.
+    Starting, ///< Ordered to start; may run.
+    Running,  ///< Reported as running.
+    Stopping, ///< Ordered to stop; may still run.
+    Done,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(TaskPhase,
+                             {{TaskPhase::Queued, "queued"},
+                              {TaskPhase::Starting, "starting"},
+                              {TaskPhase::Running, "running"},
+                              {TaskPhase::Stopping, "stopping"},
+                              {TaskPhase::Done, "done"}})
+
+/// Why a task was told to stop.
+enum class StopReason { None, Eviction, Cancellation, Removal };
+NLOHMANN_JSON_SERIALIZE_ENUM(StopReason,
+                             {{StopReason::None, "none"},
+                              {StopReason::Eviction, "eviction"},
+                              {StopReason::Cancellation, "cancellation"},
+                              {StopReason::Removal, "removal"}})
+
+/// One replica of a service or one task of a batch job.
+struct Task
+{
+    TaskId id;
+    TaskKind kind = TaskKind::Batch;
+    TeamId team;
+    ServiceId service;  ///< Of a latency-critical task.
+    std::string job;    ///< "team/job" of a batch task.
+    std::string family; ///< Jobs of one family resemble each other.
+    Resources size;
+    bool urgent = false;
+    WallMs releaseAt = 0;
+    WallMs dueAt = 0;
+    std::int64_t declaredRuntimeMs = 0;
+
+    TaskPhase phase = TaskPhase::Queued;
+    Attempt attempt = 0; ///< Last one assigned.
+    WorkerId worker;     ///< Where the current attempt may run; empty while queued.
+    StopReason stopReason = StopReason::None;
+    WallMs queuedAt = 0;
+    WallMs startedAt = 0;             ///< Of the current attempt.
+    std::string checkpoint;           ///< From which the next attempt resumes.
+    std::int64_t doneMs = 0;          ///< Work covered by the checkpoint.
+    std::uint32_t speedPercent = 100; ///< Below 100 while throttled.
+    std::uint32_t evictions = 0;
+    std::set<WorkerId> failedOn;
+
+    [[nodiscard]] bool isPlaced() const
+    {
+        return phase == TaskPhase::Starting || phase == TaskPhase::Running
+            || phase == TaskPhase::Stopping;
+    }
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Task, id, kind, team, service, job, family, size,
+                                                urgent, releaseAt, dueAt, declaredRuntimeMs, phase,
+                                                attempt, worker, stopReason, queuedAt, startedAt,
+                                                checkpoint, doneMs, speedPercent, evictions,
+                                                failedOn)
+
+/// A batch job as the planning office submits it.
+struct JobSpec
+{
+    TeamId team;
+    std::string id; ///< Unique within the team.
+    std::string family;
+    std::uint32_t tasks = 1;
+    Resources size; ///< Of each task.
+    bool urgent = false;
+    WallMs releaseAt = 0;       ///< No task starts earlier.
+    WallMs dueAt = 0;           ///< When it should be complete; 0 if it does not matter.
+    std::int64_t runtimeMs = 0; ///< Declared; may be far off.
+
+    bool operator==(const JobSpec &) const = default;
+    [[nodiscard]] std::string key() const { return team.value + "/" + id; }
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSpec, team, id, family, tasks, size, urgent,
+                                                releaseAt, dueAt, runtimeMs)
+
+enum class JobStatus { Active, Completed, Failed, Cancelled };
+NLOHMANN_JSON_SERIALIZE_ENUM(JobStatus,
+                             {{JobStatus::Active, "active"},
+                              {JobStatus::Completed, "completed"},
+                              {JobStatus::Failed, "failed"},
+                              {JobStatus::Cancelled, "cancelled"}})
+
+struct Job
+{
+    JobSpec spec;
+    JobStatus status = JobStatus::Active;
+    std::uint32_t completedTasks = 0;
+    std::uint32_t openTasks = 0; ///< Not done yet.
+    std::uint32_t evictions = 0;
+    std::uint32_t failures = 0;
+    WallMs submittedAt = 0;
+    WallMs endedAt = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Job, spec, status, completedTasks, openTasks,
+                                                evictions, failures, submittedAt, endedAt)
+
+/// Which agent may run the request with an idempotency key.
+struct Claim
+{
+    ServiceId service;
+    std::string key;
+    std::uint64_t requestHash = 0; ///< Of method, target and body.
+    RequestId requestId;
+    WorkerId worker;
+    Incarnation incarnation;  ///< Of the agent when it was claimed.
+    std::uint64_t window = 0; ///< The agent's window number then.
+    WallMs expiresAt = 0;
+
+    bool operator==(const Claim &) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, service, key, requestHash, requestId, worker,
+                                                incarnation, window, expiresAt)
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/State/SnapshotCodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <Guavashift/State/StateMachine.h>
+
+namespace guavashift {
+
+/// Writes and reads the whole state as a sequence of length-prefixed CBOR records, so that no more
+/// than one record is held as a document at a time.
+class SnapshotCodec final
+{
+public:
+    static std::string encode(const StateMachine &state);
+
+    /// Fails for an unknown format version or damaged bytes; `state` is then unchanged.
+    static Result<void> decode(std::string_view bytes, StateMachine &state);
+
+    /// Hash of the encoded state. Equal on all replicas after the same index.
+    static std::uint64_t hash(const StateMachine &state);
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/State/StateMachine.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <Guavashift/State/Commands.h>
+#include <Guavashift/State/Outcomes.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace guavashift {
+
+/// Rules checked in apply. Only tests construct a state machine without one, to see its proof fail.
+struct StateRules
+{
+    bool checkCapacity = true;
+    bool checkAttempt = true;
+    bool checkVersion = true;
+    bool keepReservationUntilEnd = true;
+    bool checkClaims = true;
+};
+
+/// The state that all control replicas share. Deterministic: the same commands in the same order
+/// give the same state and outcomes everywhere. All rules are checked here, so that a leader with
+/// an old view can propose nothing harmful.
+class StateMachine final
+{
+public:
+    explicit StateMachine(const StateRules &rules = {});
+
+    /// Applies all commands in order.
+    std::vector<Outcome> apply(const CommandBatch &batch);
+    Outcome apply(WallMs time, const CommandBody &command);
+
+    [[nodiscard]] WallMs time() const { return m_time; }
+    [[nodiscard]] const VersionedDocument &configuration() const { return m_configuration; }
+    [[nodiscard]] const std::map<WorkerId, Worker> &workers() const { return m_workers; }
+    [[nodiscard]] const std::map<TaskId, Task> &tasks() const { return m_tasks; }
+    [[nodiscard]] const std::map<std::string, Job> &jobs() const { return m_jobs; }
+    [[nodiscard]] const std::map<std::string, Claim> &claims() const { return m_claims; }
+    [[nodiscard]] const std::set<TaskId> &queued() const { return m_queued; }
+    [[nodiscard]] const std::map<TeamId, Resources> &teamUsage() const { return m_teamUsage; }
+    /// Grows with each change of workers or backend servers that entries must know.
+    [[nodiscard]] std::uint64_t routingVersion() const { return m_routingVersion; }
+
+    /// Breaks of the rules that must hold after every command; empty in a sound state.
+    [[nodiscard]] Findings checkInvariants() const;
+
+private:
+    friend class SnapshotCodec;
+
+    Outcome handle(const SubmitPatch &command);
+    Outcome handle(const AnnounceWorker &command);
+    Outcome handle(const UpdateBackends &command);
+    Outcome handle(const DeclareWorkerLost &command);
+    Outcome handle(const DrainWorker &command);
+    Outcome handle(const SubmitJob &command);
+    Outcome handle(const CancelJobs &command);
+    Outcome handle(const StartAttempt &command);
+    Outcome handle(const EvictAttempt &command);
+    Outcome handle(const ThrottleAttempt &command);
+    Outcome handle(const ReportAttempt &command);
+    Outcome handle(const ClaimKey &command);
+    Outcome handle(const MoveClaim &command);
+
+    // Services and jobs.
+    void reconcileServices();
+    [[nodiscard]] Findings checkJob(const JobSpec &spec) const;
+    [[nodiscard]] Findings explainInfeasible(const JobSpec &spec) const;
+    void addTask(Task task);
+    void removeTask(const TaskId &id);
+    void endJob(Job &job, JobStatus status);
+    void stopJobTasks(const std::string &key);
+    void forgetOldJobs();
+
+    // Attempts.
+    [[nodiscard]] std::optional<std::string> refuseStart(const StartAttempt &command,
+                                                         const Task &task) const;
+    void stopTask(Task &task, StopReason reason);
+    /// Frees the reservation of the current attempt, whose end is certain.
+    void releaseAttempt(Task &task);
+    void requeue(Task &task);
+    void endAttempts(Worker &worker);
+    void taskCompleted(Task &task);
+    void taskFailed(Task &task);
+    void taskStopped(Task &task);
+    void noteFailure(Worker &worker, const Task &task);
+    void touchOrders(Worker &worker) { ++worker.ordersVersion; }
+    void touchRouting(Worker &worker) { worker.routingVersion = ++m_routingVersion; }
+
+    // Claims.
+    void expireClaims();
+    static std::string claimKey(const Claim &claim);
+
+    StateRules m_rules;
+    WallMs m_time = 0;
+    VersionedDocument m_configuration;
+    std::map<WorkerId, Worker> m_workers;
+    std::map<TaskId, Task> m_tasks;
+    std::map<std::string, Job> m_jobs;
+    std::map<std::string, Claim> m_claims;
+    std::uint64_t m_routingVersion = 0;
+
+    // Derived from the above.
+    std::set<TaskId> m_queued;
+    std::map<TeamId, Resources> m_teamUsage;
+    std::set<std::pair<WallMs, std::string>> m_claimExpiry;
+    std::set<std::pair<WallMs, std::string>> m_endedJobs;
+};
+
+/// The id of the n-th task of a job or replica of a service.
+TaskId batchTaskId(std::string_view jobKey, std::uint32_t number);
+TaskId serviceTaskId(const ServiceId &service, std::uint32_t number);
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/State/StateMachineClaims.cpp
@@ -0,0 +1,89 @@
+#include <Guavashift/State/StateMachine.h>
+
+// The part of StateMachine that keeps idempotency keys, and its invariants.
+
+namespace guavashift {
+
+std::string StateMachine::claimKey(const Claim &claim)
+{
+    return claim.service.value + "\n" + claim.key;
+}
+
+void StateMachine::expireClaims()
+{
+    while (!m_claimExpiry.empty() && m_claimExpiry.begin()->first <= m_time) {
+        m_claims.erase(m_claimExpiry.begin()->second);
+        m_claimExpiry.erase(m_claimExpiry.begin());
+    }
+}
+
+Outcome StateMachine::handle(const ClaimKey &command)
+{
+    const std::string key = claimKey(command.claim);
+    const auto found = m_claims.find(key);
+    if (found != m_claims.end() && m_rules.checkClaims) {
+        if (found->second.requestHash != command.claim.requestHash)
+            return Rejected{"the key was used for another request"};
+        return ClaimGranted{found->second, false};
+    }
+    Claim claim = command.claim;
+    claim.expiresAt = m_time + 1000 * WallMs(m_configuration.document().limits.keyExpirySeconds);
+    m_claims.insert_or_assign(key, claim);
+    m_claimExpiry.emplace(claim.expiresAt, key);
+    return ClaimGranted{std::move(claim), true};
+}
+
+Outcome StateMachine::handle(const MoveClaim &command)
+{
+    const auto found = m_claims.find(claimKey(command.claim));
+    if (found == m_claims.end())
+        return Rejected{"there is no such claim"};
+    Claim &claim = found->second;
+    // Another entry may have moved it already; its claim is the one in force.
+    if (claim.requestId != command.from)
+        return ClaimGranted{claim, false};
+    claim.requestId = command.claim.requestId;
+    claim.worker = command.claim.worker;
+    claim.incarnation = command.claim.incarnation;
+    claim.window = command.claim.window;
+    return ClaimGranted{claim, true};
+}
+
+Findings StateMachine::checkInvariants() const
+{
+    Findings findings;
+    std::map<WorkerId, Resources> reserved;
+    std::map<TeamId, Resources> usage;
+    std::map<std::string, std::uint32_t> open;
+    for (const auto &[id, task] : m_tasks) {
+        if (task.isPlaced()) {
+            reserved[task.worker] += task.size;
+            usage[task.team] += task.size;
+        }
+        if (task.isPlaced() != !task.worker.isEmpty())
+            findings.push_back({id.value, "phase and worker disagree"});
+        if ((task.phase == TaskPhase::Queued) != m_queued.contains(id))
+            findings.push_back({id.value, "phase and queue disagree"});
+        if (task.kind == TaskKind::Batch && task.phase != TaskPhase::Done)
+            ++open[task.job];
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.reserved != reserved[id])
+            findings.push_back({id.value, "reservations do not add up"});
+        if (!worker.tasks.empty() && !worker.reserved.fitsWithin(worker.facts.capacity))
+            findings.push_back({id.value, "committed beyond its capacity"});
+    }
+    for (const auto &[team, used] : m_teamUsage) {
+        if (used != usage[team])
+            findings.push_back({team.value, "the team's usage does not add up"});
+    }
+    for (const auto &[key, job] : m_jobs) {
+        if (job.status == JobStatus::Active && job.openTasks != open[key])
+            findings.push_back({key, "open tasks do not add up"});
+        if (job.status == JobStatus::Completed && job.completedTasks != job.spec.tasks)
+            findings.push_back({key, "completed without all its tasks"});
+    }
+    return findings;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# make demo: sets everything up and shows the main job. make test: the whole test suite.
+BUILD := build
+JOBS ?= $(shell nproc)
+
+.PHONY: all install build demo test format lint models bench clean
+
+all: build
+
+install:
+	bash Build/install.sh
+
+build: install
+	cmake -S . -B $(BUILD) -DGUAVASHIFT_WARNINGS_AS_ERRORS=ON > /dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	bash Build/demo.sh
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 2
+
+format:
+	git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+lint:
+	bash Build/lint.sh
+
+models: install
+	bash Build/models.sh
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/PerformanceTest/LoadRun.cpp
@@ -0,0 +1,176 @@
+#include <PerformanceTest/LoadRun.h>
+
+#include <thread>
+
+namespace guavashift {
+
+namespace {
+
+constexpr int maxOrderTries = 8;
+constexpr Duration resendPause = std::chrono::milliseconds(100);
+constexpr std::string_view runHeader = "Guavashift-Run";
+
+} // namespace
+
+struct LoadRun::ThreadState
+{
+    LoadResult result;
+    std::mt19937_64 random;
+    std::atomic<std::uint64_t> finished = 0;
+};
+
+LoadRun::LoadRun(const LoadSettings &settings)
+    : m_settings(settings)
+    , m_client(HttpClientSettings())
+{
+}
+
+LoadResult LoadRun::run()
+{
+    m_start = BootClock::now();
+    std::vector<ThreadState> states(m_settings.threads);
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < m_settings.threads; ++i) {
+        states[i].random.seed(m_settings.seed * 1000 + i);
+        threads.emplace_back([this, i, &states] { runThread(i, states[i]); });
+    }
+    std::thread progress;
+    if (m_settings.progress)
+        progress = std::thread([&] { printProgress(states); });
+    for (std::thread &thread : threads)
+        thread.join();
+    m_done = true;
+    if (progress.joinable())
+        progress.join();
+
+    LoadResult total;
+    total.seconds = std::chrono::duration<double>(BootClock::now() - m_start).count();
+    for (ThreadState &state : states) {
+        LoadResult &part = state.result;
+        total.samples.insert(total.samples.end(), part.samples.begin(), part.samples.end());
+        total.orders.insert(total.orders.end(), part.orders.begin(), part.orders.end());
+        total.sent += part.sent;
+        total.answered += part.answered;
+        total.wrong += part.wrong;
+        total.notRun += part.notRun;
+        total.unknown += part.unknown;
+        total.lost += part.lost;
+        total.resent += part.resent;
+    }
+    return total;
+}
+
+void LoadRun::printProgress(std::vector<ThreadState> &states)
+{
+    while (!m_done) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        std::uint64_t finished = 0;
+        for (const ThreadState &state : states)
+            finished += state.finished;
+        fmt::print(stderr, "\r{:6.1f} s  {} requests finished",
+                   std::chrono::duration<double>(BootClock::now() - m_start).count(), finished);
+    }
+    fmt::print(stderr, "\n");
+}
+
+void LoadRun::runThread(unsigned, ThreadState &state)
+{
+    const Instant end = m_start
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_settings.seconds));
+    for (;;) {
+        const std::uint64_t number = m_next++;
+        if (m_settings.maxRequests != 0 && number >= m_settings.maxRequests)
+            return;
+        Instant due = BootClock::now();
+        if (m_settings.requestsPerSecond > 0) {
+            due = m_start
+                + std::chrono::duration_cast<Duration>(
+                      std::chrono::duration<double>(number / m_settings.requestsPerSecond));
+            std::this_thread::sleep_for(due - BootClock::now());
+        }
+        if (due >= end)
+            return;
+        if (state.random() % 100 < m_settings.orderPercent)
+            sendOrder(state, number, due);
+        else
+            sendQuote(state, number, due);
+        ++state.finished;
+    }
+}
+
+bool LoadRun::send(ThreadState &state, const HttpCall &call, const std::string &token,
+                   std::string_view &run)
+{
+    ++state.result.sent;
+    const auto answer = m_client.send(call);
+    run = "lost";
+    if (!answer) {
+        ++state.result.lost;
+        return false;
+    }
+    if (const auto header = answer->headers.find(runHeader)) {
+        run = *header == "not-run" ? "not-run" : "unknown";
+        ++(run == "not-run" ? state.result.notRun : state.result.unknown);
+        return false;
+    }
+    run = "ran";
+    const bool whole = answer->body.starts_with("token=" + token + "\n")
+        && answer->body.ends_with("\nend=" + token + "\n");
+    ++(whole ? state.result.answered : state.result.wrong);
+    return whole;
+}
+
+void LoadRun::sendQuote(ThreadState &state, std::uint64_t number, Instant due)
+{
+    const std::string token = fmt::format("t{}-{}", m_settings.seed, number);
+    HttpCall call;
+    call.address = m_settings.entries[number % m_settings.entries.size()];
+    call.target = m_settings.path;
+    call.headers.add("X-Token", token);
+    call.timeout = m_settings.timeout;
+    std::string_view run;
+    const bool good = send(state, call, token, run);
+    state.result.samples.push_back(
+        {std::chrono::duration<double>(due - m_start).count(), BootClock::now() - due, good});
+}
+
+void LoadRun::sendOrder(ThreadState &state, std::uint64_t number, Instant due)
+{
+    OrderRecord order;
+    order.id = fmt::format("o{}-{}", m_settings.seed, number);
+    const bool resendAnswered = state.random() % 100 < m_settings.resendPercent;
+    const std::string body = "order " + order.id;
+    // Sent until it is answered, each time through the next entry, as a careful caller would.
+    int extra = resendAnswered ? 1 : 0;
+    for (int i = 0; i < maxOrderTries && (!order.answered || extra > 0); ++i) {
+        if (order.answered)
+            --extra;
+        if (i > 0)
+            ++state.result.resent;
+        HttpCall call;
+        call.address =
+            m_settings
+                .entries[(number + static_cast<std::uint64_t>(i)) % m_settings.entries.size()];
+        call.method = "POST";
+        call.target = m_settings.orderPath;
+        call.headers.add("X-Token", order.id);
+        call.headers.add("X-Order", order.id);
+        call.headers.add("Idempotency-Key", order.id);
+        call.body = body;
+        call.timeout = m_settings.timeout;
+        std::string_view run;
+        const bool good = send(state, call, order.id, run);
+        if (good && !order.answered) {
+            order.answered = true;
+            state.result.samples.push_back({std::chrono::duration<double>(due - m_start).count(),
+                                            BootClock::now() - due, true});
+        }
+        if (run != "not-run")
+            order.onlyNotRun = false;
+        if (!good)
+            std::this_thread::sleep_for(resendPause);
+    }
+    state.result.orders.push_back(std::move(order));
+}
+
+} // namespace guavashift
