Place batch work by what it does to counter services

Change: interference learned by family and pair from late measurements, held against what ran at their time; services share workers so that others stay free of them; loud work goes there; relief slows down or moves only tasks that are to blame, and loosens only what the model expects to fit.

--- a/Guavashift/Control/LeaderDuties.cpp
+++ b/Guavashift/Control/LeaderDuties.cpp
@@ -88,8 +88,11 @@
     if (request.ordersVersion != worker.ordersVersion)
         reply.orders = ordersFor(state, worker);
     for (const ReportAttempt &report : request.reports) {
-        if (report.worker == worker.id && isNews(state, report))
-            commands.emplace_back(report);
+        if (report.worker != worker.id || !isNews(state, report))
+            continue;
+        if (report.event == AttemptEvent::Completed)
+            m_scheduler.completed(state.tasks().at(report.task), report.doneMs);
+        commands.emplace_back(report);
     }
     for (const UsageReport &usage : request.usage)
         m_scheduler.observe(usage, state);
--- a/Guavashift/Placement/Placement.h
+++ b/Guavashift/Placement/Placement.h
@@ -2,5 +2,6 @@
 
 // Public header of the Placement library: the scheduling decision.
 
+#include <Guavashift/Placement/Policies.h>
 #include <Guavashift/Placement/Scheduler.h>
 #include <Guavashift/Placement/UsageReport.h>
--- /dev/null
+++ b/Guavashift/Placement/Placer.cpp
@@ -0,0 +1,169 @@
+#include <Guavashift/Placement/Placer.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace guavashift {
+
+namespace {
+
+/// Weights of the cost of a place, against the growth of the squared slowdowns.
+constexpr double harmWeight = 0.2;
+constexpr double loadWeight = 0.01;
+
+double usedShare(const WorkerView &view)
+{
+    const auto capacity =
+        static_cast<double>(std::max<std::int64_t>(1, view.worker->facts.capacity.milliCores));
+    return 1 - static_cast<double>(view.free.milliCores) / capacity;
+}
+
+/// Share of the processors that latency-critical tasks would have with one more of `size`.
+double criticalShare(const WorkerView &view, const Resources &size)
+{
+    return static_cast<double>(view.criticalMilliCores + size.milliCores)
+        / static_cast<double>(std::max<std::int64_t>(1, view.worker->facts.capacity.milliCores));
+}
+
+} // namespace
+
+Placer::Placer(const PlacementPolicy &policy, bool spreadsServices, HarmEstimator &harm,
+               std::mt19937_64 &random)
+    : m_policy(policy)
+    , m_spreadsServices(spreadsServices)
+    , m_harm(harm)
+    , m_random(random)
+{
+}
+
+WorkerView *Placer::choose(ClusterView &view, const Task &task, const Resources &size, bool mayWait)
+{
+    if (task.kind == TaskKind::LatencyCritical && m_spreadsServices)
+        return spread(view, task, size);
+    return std::visit(
+        [&](const auto &policy) { return chooseBy(policy, view, task, size, mayWait); }, m_policy);
+}
+
+WorkerView *Placer::chooseBy(const FirstFit &, ClusterView &view, const Task &task,
+                             const Resources &size, bool)
+{
+    for (WorkerView &worker : view.workers()) {
+        if (view.isFeasible(worker, task, size))
+            return &worker;
+    }
+    return nullptr;
+}
+
+WorkerView *Placer::chooseBy(const LeastLoaded &, ClusterView &view, const Task &task,
+                             const Resources &size, bool)
+{
+    WorkerView *best = nullptr;
+    for (WorkerView &worker : view.workers()) {
+        if (view.isFeasible(worker, task, size)
+            && (best == nullptr || usedShare(worker) < usedShare(*best)))
+            best = &worker;
+    }
+    return best;
+}
+
+WorkerView *Placer::chooseBy(const RandomFeasible &, ClusterView &view, const Task &task,
+                             const Resources &size, bool)
+{
+    const std::vector<WorkerView *> candidates = sample(view, task, size, 1);
+    return candidates.empty() ? nullptr : candidates[m_random() % candidates.size()];
+}
+
+WorkerView *Placer::chooseBy(const InterferenceAware &policy, ClusterView &view, const Task &task,
+                             const Resources &size, bool mayWait)
+{
+    const FamilyId family = m_harm.families().idOf(task.family);
+    const double limit =
+        view.state().configuration().document().policy.slowdownLimitPercent / 100.0;
+    WorkerView *best = nullptr;
+    double bestCost = 0;
+    double bestSlowdown = 0;
+    for (WorkerView *worker : sample(view, task, size, policy.candidates)) {
+        const HarmEstimator::Forecast forecast =
+            m_harm.forecast(worker->worker->id, family, policy.usesBound);
+        double cost = forecast.addedSquares + harmWeight * forecast.addedHarm
+            + loadWeight * usedShare(*worker);
+        // A worker without counter services is worth keeping for work that does harm.
+        if (policy.savesQuietWorkers && !worker->hasLatencyCritical())
+            cost += harmWeight * policy.harmlessLimit;
+        if (best == nullptr || cost < bestCost) {
+            best = worker;
+            bestCost = cost;
+            bestSlowdown = forecast.worstSlowdown;
+        }
+    }
+    const bool harmful = best != nullptr && bestSlowdown > limit;
+    if (harmful && mayWait && policy.waitsForBetter)
+        return nullptr;
+    return best;
+}
+
+std::vector<WorkerView *> Placer::sample(ClusterView &view, const Task &task, const Resources &size,
+                                         std::size_t count)
+{
+    std::vector<WorkerView *> found;
+    std::vector<WorkerView> &workers = view.workers();
+    if (workers.empty())
+        return found;
+    // A few tries at random find room on most days; a full look is the exception.
+    const std::size_t tries = std::min(workers.size(), 4 * count);
+    if (workers.size() > 2 * count) {
+        for (std::size_t i = 0; i < tries && found.size() < count; ++i) {
+            WorkerView &worker = workers[m_random() % workers.size()];
+            if (view.isFeasible(worker, task, size))
+                found.push_back(&worker);
+        }
+        if (!found.empty())
+            return found;
+    }
+    for (WorkerView &worker : workers) {
+        if (view.isFeasible(worker, task, size))
+            found.push_back(&worker);
+    }
+    return found;
+}
+
+WorkerView *Placer::spread(ClusterView &view, const Task &task, const Resources &size)
+{
+    // Replicas of the service in each failure domain and rack, and on each worker.
+    std::map<FailureDomain, int> inDomain;
+    std::map<RackId, int> inRack;
+    std::map<WorkerId, int> onWorker;
+    const std::string prefix = "service/" + task.service.value + "/";
+    const auto &tasks = view.state().tasks();
+    for (auto at = tasks.lower_bound(TaskId{prefix});
+         at != tasks.end() && at->first.value.starts_with(prefix); ++at) {
+        const WorkerView *place = view.find(at->second.worker);
+        if (place == nullptr)
+            continue;
+        ++inDomain[place->worker->facts.failureDomain];
+        ++inRack[place->worker->facts.rack];
+        ++onWorker[place->worker->id];
+    }
+    // Fewest neighbours of the same service first. Then together with other services, but not
+    // beyond what leaves room for the day's peak: other workers stay free for noisy work.
+    const auto *aware = std::get_if<InterferenceAware>(&m_policy);
+    const double densityLimit = aware == nullptr ? 0 : aware->densityLimit;
+    WorkerView *best = nullptr;
+    std::tuple<int, int, int, bool, double, double> bestCost;
+    for (WorkerView &worker : view.workers()) {
+        if (!view.isFeasible(worker, task, size))
+            continue;
+        const double share = criticalShare(worker, size);
+        const bool dense = share > densityLimit;
+        const std::tuple cost(
+            onWorker[worker.worker->id], inDomain[worker.worker->facts.failureDomain],
+            inRack[worker.worker->facts.rack], dense, dense ? share : -share, usedShare(worker));
+        if (best == nullptr || cost < bestCost) {
+            best = &worker;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Placement/Placer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <Guavashift/Placement/ClusterView.h>
+#include <Guavashift/Placement/HarmEstimator.h>
+#include <Guavashift/Placement/Policies.h>
+
+namespace guavashift {
+
+/// Chooses the worker for one task.
+class Placer final
+{
+public:
+    Placer(const PlacementPolicy &policy, bool spreadsServices, HarmEstimator &harm,
+           std::mt19937_64 &random);
+
+    /// The worker to start on, or null if none has room or waiting is better. `mayWait` tells
+    /// whether the task has the time to wait for a worker where it does less harm.
+    WorkerView *choose(ClusterView &view, const Task &task, const Resources &size, bool mayWait);
+
+private:
+    WorkerView *chooseBy(const FirstFit &policy, ClusterView &view, const Task &task,
+                         const Resources &size, bool mayWait);
+    WorkerView *chooseBy(const LeastLoaded &policy, ClusterView &view, const Task &task,
+                         const Resources &size, bool mayWait);
+    WorkerView *chooseBy(const RandomFeasible &policy, ClusterView &view, const Task &task,
+                         const Resources &size, bool mayWait);
+    WorkerView *chooseBy(const InterferenceAware &policy, ClusterView &view, const Task &task,
+                         const Resources &size, bool mayWait);
+
+    /// Some workers with room, at random; all of them if the sample finds none.
+    std::vector<WorkerView *> sample(ClusterView &view, const Task &task, const Resources &size,
+                                     std::size_t count);
+    WorkerView *spread(ClusterView &view, const Task &task, const Resources &size);
+
+    PlacementPolicy m_policy;
+    bool m_spreadsServices;
+    HarmEstimator &m_harm;
+    std::mt19937_64 &m_random;
+};
+
+} // namespace guavashift
--- a/Guavashift/Placement/Scheduler.cpp
+++ b/Guavashift/Placement/Scheduler.cpp
@@ -6,58 +6,168 @@
 
 namespace {
 
-struct Room
-{
-    const Worker *worker = nullptr;
-    Resources free;
-};
+/// A task with less slack takes the best place there is instead of waiting for a better one.
+constexpr double leastSlackShare = 0.5;
+constexpr WallMs leastSlackMs = 10'000;
+
+/// A task without a due time waits at most this long for a place where it does no harm.
+constexpr WallMs longestWaitMs = 60'000;
 
-std::vector<Room> roomsOf(const StateMachine &state)
+/// Sizes that found no room in this round; a larger one need not be tried.
+class FailedSizes final
 {
-    std::vector<Room> rooms;
-    for (const auto &[id, worker] : state.workers()) {
-        if (worker.status == WorkerStatus::Up)
-            rooms.push_back({&worker, worker.facts.capacity - worker.reserved});
+public:
+    [[nodiscard]] bool covers(const Resources &size) const
+    {
+        return std::any_of(m_sizes.begin(), m_sizes.end(),
+                           [&](const Resources &failed) { return failed.fitsWithin(size); });
     }
-    return rooms;
-}
+
+    void add(const Resources &size)
+    {
+        constexpr std::size_t maxSizes = 16;
+        if (m_sizes.size() < maxSizes)
+            m_sizes.push_back(size);
+    }
+
+private:
+    std::vector<Resources> m_sizes;
+};
 
 } // namespace
 
 Scheduler::Scheduler(const SchedulerSettings &settings, std::uint64_t seed)
     : m_settings(settings)
     , m_random(seed)
+    , m_harm(InterferenceSettings{.remembersPeaks = settings.remembersPeaks},
+             settings.attributesToPast)
+    , m_placer(settings.placement, settings.spreadsServices, m_harm, m_random)
+    , m_relief(settings.relief, m_harm)
+    , m_roomMaker(m_random)
 {
 }
 
-void Scheduler::observe(const UsageReport &, const StateMachine &) { }
+void Scheduler::observe(const UsageReport &report, const StateMachine &state)
+{
+    m_harm.observe(report, state);
+    const auto task = state.tasks().find(report.task);
+    if (task != state.tasks().end() && task->second.kind == TaskKind::Batch)
+        m_runtimes.used(m_harm.families().idOf(task->second.family), report.used);
+}
+
+void Scheduler::completed(const Task &task, std::int64_t doneMs)
+{
+    m_runtimes.completed(m_harm.families().idOf(task.family), task.declaredRuntimeMs, doneMs);
+}
 
 std::vector<CommandBody> Scheduler::decide(const StateMachine &state, WallMs now)
 {
     std::vector<CommandBody> commands;
-    std::vector<Room> rooms = roomsOf(state);
-    for (const TaskId &id : state.queued()) {
-        if (commands.size() >= m_settings.maxStartsPerRound)
+    m_harm.track(state, now);
+    ClusterView view(state, now);
+    const bool draining =
+        std::any_of(state.workers().begin(), state.workers().end(), [](const auto &item) {
+            return item.second.status == WorkerStatus::Draining && !item.second.tasks.empty();
+        });
+    if (draining)
+        RoomMaker::emptyDraining(state, commands);
+    m_relief.decide(view, commands);
+    std::vector<Candidate> candidates = collect(state, now);
+    order(candidates);
+    place(view, candidates, commands);
+    return commands;
+}
+
+Scheduler::Candidate Scheduler::candidateOf(const Task &task, WallMs now)
+{
+    const FamilyId family = m_harm.families().idOf(task.family);
+    Candidate candidate;
+    candidate.task = &task;
+    candidate.size = task.kind == TaskKind::Batch ? m_runtimes.size(family, task.size) : task.size;
+    candidate.slackMs = std::numeric_limits<WallMs>::max();
+    if (task.dueAt != 0) {
+        const std::int64_t runtime = m_settings.estimatesRuntime
+            ? m_runtimes.runtimeMs(family, task.declaredRuntimeMs)
+            : task.declaredRuntimeMs;
+        candidate.slackMs = task.dueAt - now - std::max<std::int64_t>(0, runtime - task.doneMs);
+    }
+    return candidate;
+}
+
+std::vector<Scheduler::Candidate> Scheduler::collect(const StateMachine &state, WallMs now)
+{
+    std::vector<Candidate> candidates;
+    for (const QueuePosition &position : state.queued()) {
+        if (candidates.size() >= m_settings.maxLookedAt)
             break;
-        const Task &task = state.tasks().at(id);
-        if (task.releaseAt > now)
+        candidates.push_back(candidateOf(state.tasks().at(position.task), now));
+    }
+    // Released since the state's time last moved.
+    for (const auto &[releaseAt, id] : state.unreleased()) {
+        if (releaseAt > now || candidates.size() >= 2 * m_settings.maxLookedAt)
+            break;
+        candidates.push_back(candidateOf(state.tasks().at(id), now));
+    }
+    return candidates;
+}
+
+void Scheduler::order(std::vector<Candidate> &candidates) const
+{
+    const auto rank = [](const Candidate &candidate) {
+        if (candidate.task->kind == TaskKind::LatencyCritical)
+            return 0;
+        return candidate.task->urgent ? 1 : 2;
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&](const Candidate &a, const Candidate &b) {
+                         if (rank(a) != rank(b))
+                             return rank(a) < rank(b);
+                         if (rank(a) < 2 || !m_settings.slackOrder)
+                             return a.task->queuedAt < b.task->queuedAt;
+                         // Whoever is certainly late already does not push others over the edge.
+                         const bool lateA = a.slackMs < 0;
+                         const bool lateB = b.slackMs < 0;
+                         if (lateA != lateB)
+                             return lateB;
+                         return a.slackMs < b.slackMs;
+                     });
+}
+
+void Scheduler::place(ClusterView &view, const std::vector<Candidate> &candidates,
+                      std::vector<CommandBody> &commands)
+{
+    FailedSizes failed;
+    std::size_t started = 0;
+    for (const Candidate &candidate : candidates) {
+        if (started >= m_settings.maxStartsPerRound)
+            break;
+        const Task &task = *candidate.task;
+        const bool ahead = task.kind == TaskKind::LatencyCritical || task.urgent;
+        if (!view.hasQuota(task, candidate.size))
+            continue;
+        if (failed.covers(candidate.size)) {
+            if (ahead)
+                m_roomMaker.makeRoom(view, task, candidate.size, commands);
             continue;
-        Room *best = nullptr;
-        for (Room &room : rooms) {
-            const bool quarantined =
-                task.kind == TaskKind::Batch && room.worker->quarantinedUntil > now;
-            if (quarantined || !task.size.fitsWithin(room.free))
-                continue;
-            if (best == nullptr || room.free.milliCores > best->free.milliCores)
-                best = &room;
         }
-        if (best == nullptr)
+        const auto needed = static_cast<double>(task.declaredRuntimeMs) * leastSlackShare;
+        const bool hasSlack =
+            candidate.slackMs > std::max<WallMs>(leastSlackMs, static_cast<WallMs>(needed));
+        const bool mayWait = !ahead && hasSlack && view.now() - task.queuedAt < longestWaitMs;
+        WorkerView *worker = m_placer.choose(view, task, candidate.size, mayWait);
+        if (worker == nullptr) {
+            // A task that only waits for a better place says nothing of the room there is.
+            if (!mayWait && task.failedOn.empty())
+                failed.add(candidate.size);
+            if (ahead)
+                m_roomMaker.makeRoom(view, task, candidate.size, commands);
             continue;
-        best->free -= task.size;
-        commands.emplace_back(
-            StartAttempt{id, best->worker->id, best->worker->facts.incarnation, task.size});
+        }
+        view.take(*worker, task, candidate.size);
+        commands.emplace_back(StartAttempt{task.id, worker->worker->id,
+                                           worker->worker->facts.incarnation, candidate.size});
+        ++started;
     }
-    return commands;
 }
 
 } // namespace guavashift
--- a/Guavashift/Placement/Scheduler.h
+++ b/Guavashift/Placement/Scheduler.h
@@ -1,33 +1,51 @@
 #pragma once
 
-#include <Guavashift/Placement/UsageReport.h>
-
-#include <random>
+#include <Guavashift/Placement/Placer.h>
+#include <Guavashift/Placement/Relief.h>
+#include <Guavashift/Placement/RoomMaker.h>
+#include <Guavashift/Placement/RuntimeEstimator.h>
 
 namespace guavashift {
 
-/// Bounds of one round of decisions.
-struct SchedulerSettings
-{
-    std::size_t maxStartsPerRound = 256;
-    /// Workers looked at for one task.
-    std::size_t candidates = 16;
-};
-
-/// Decides which tasks start, stop and slow down. Pure but for what it learns from observe().
+/// Decides which tasks start, stop and slow down. Pure but for what it learns; it reads the
+/// replicated state and returns commands, which the state checks once more.
 class Scheduler final
 {
 public:
     Scheduler(const SchedulerSettings &settings, std::uint64_t seed);
 
+    /// Takes in a late measurement.
     void observe(const UsageReport &report, const StateMachine &state);
 
+    /// A batch task ended with success after `doneMs` of work.
+    void completed(const Task &task, std::int64_t doneMs);
+
     /// Commands to propose now.
     std::vector<CommandBody> decide(const StateMachine &state, WallMs now);
 
 private:
+    /// A queued task with what the decision needs.
+    struct Candidate
+    {
+        const Task *task = nullptr;
+        Resources size;
+        /// Time that can pass before it must start; WallMs maximum without a due time.
+        WallMs slackMs = 0;
+    };
+
+    [[nodiscard]] std::vector<Candidate> collect(const StateMachine &state, WallMs now);
+    [[nodiscard]] Candidate candidateOf(const Task &task, WallMs now);
+    void order(std::vector<Candidate> &candidates) const;
+    void place(ClusterView &view, const std::vector<Candidate> &candidates,
+               std::vector<CommandBody> &commands);
+
     SchedulerSettings m_settings;
     std::mt19937_64 m_random;
+    HarmEstimator m_harm;
+    RuntimeEstimator m_runtimes;
+    Placer m_placer;
+    Relief m_relief;
+    RoomMaker m_roomMaker;
 };
 
 } // namespace guavashift
--- a/Guavashift/State/SnapshotCodec.cpp
+++ b/Guavashift/State/SnapshotCodec.cpp
@@ -79,7 +79,7 @@
             } else if (kind == SnapshotRecord::Task) {
                 auto task = value.get<Task>();
                 if (task.phase == TaskPhase::Queued)
-                    loaded.m_queued.insert(task.id);
+                    loaded.enqueue(task);
                 if (task.isPlaced())
                     loaded.m_teamUsage[task.team] += task.size;
                 loaded.m_tasks.emplace(task.id, std::move(task));
--- a/Guavashift/State/StateMachine.cpp
+++ b/Guavashift/State/StateMachine.cpp
@@ -22,6 +22,7 @@
     m_time = std::max(m_time, time);
     expireClaims();
     forgetOldJobs();
+    releaseDueTasks();
     return std::visit([this](const auto &body) { return handle(body); }, command);
 }
 
--- a/Guavashift/State/StateMachine.h
+++ b/Guavashift/State/StateMachine.h
@@ -19,6 +19,17 @@
     bool checkClaims = true;
 };
 
+/// Position in the queue of tasks: latency-critical first, then urgent, then by the latest start
+/// that the declared run time allows, then those without a due time in the order of arrival.
+struct QueuePosition
+{
+    int rank = 0;
+    WallMs at = 0;
+    TaskId task;
+
+    auto operator<=>(const QueuePosition &) const = default;
+};
+
 /// The state that all control replicas share. Deterministic: the same commands in the same order
 /// give the same state and outcomes everywhere. All rules are checked here, so that a leader with
 /// an old view can propose nothing harmful.
@@ -37,7 +48,13 @@
     [[nodiscard]] const std::map<TaskId, Task> &tasks() const { return m_tasks; }
     [[nodiscard]] const std::map<std::string, Job> &jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<std::string, Claim> &claims() const { return m_claims; }
-    [[nodiscard]] const std::set<TaskId> &queued() const { return m_queued; }
+    /// Tasks that wait for a worker and were released by time().
+    [[nodiscard]] const std::set<QueuePosition> &queued() const { return m_queued; }
+    /// Tasks that wait for their release time, by that time.
+    [[nodiscard]] const std::set<std::pair<WallMs, TaskId>> &unreleased() const
+    {
+        return m_unreleased;
+    }
     [[nodiscard]] const std::map<TeamId, Resources> &teamUsage() const { return m_teamUsage; }
     /// Grows with each change of workers or backend servers that entries must know.
     [[nodiscard]] std::uint64_t routingVersion() const { return m_routingVersion; }
@@ -68,6 +85,9 @@
     [[nodiscard]] Findings explainInfeasible(const JobSpec &spec) const;
     void addTask(Task task);
     void removeTask(const TaskId &id);
+    void enqueue(const Task &task);
+    void dequeue(const Task &task);
+    void releaseDueTasks();
     void endJob(Job &job, JobStatus status);
     void stopJobTasks(const std::string &key);
     void forgetOldJobs();
@@ -101,12 +121,16 @@
     std::uint64_t m_routingVersion = 0;
 
     // Derived from the above.
-    std::set<TaskId> m_queued;
+    std::set<QueuePosition> m_queued;
+    std::set<std::pair<WallMs, TaskId>> m_unreleased;
     std::map<TeamId, Resources> m_teamUsage;
     std::set<std::pair<WallMs, std::string>> m_claimExpiry;
     std::set<std::pair<WallMs, std::string>> m_endedJobs;
 };
 
+/// Where a queued task stands.
+QueuePosition queuePositionOf(const Task &task);
+
 /// The id of the n-th task of a job or replica of a service.
 TaskId batchTaskId(std::string_view jobKey, std::uint32_t number);
 TaskId serviceTaskId(const ServiceId &service, std::uint32_t number);
--- a/Guavashift/State/StateMachineAttempts.cpp
+++ b/Guavashift/State/StateMachineAttempts.cpp
@@ -54,6 +54,7 @@
         return Rejected{std::move(*reason)};
 
     Worker &worker = m_workers.at(command.worker);
+    dequeue(task);
     task.size = command.size;
     task.phase = TaskPhase::Starting;
     task.worker = command.worker;
@@ -61,7 +62,6 @@
     task.speedPercent = 100;
     task.startedAt = m_time;
     ++task.attempt;
-    m_queued.erase(task.id);
     worker.reserved += task.size;
     worker.tasks.insert(task.id);
     m_teamUsage[task.team] += task.size;
@@ -173,7 +173,7 @@
         if (const auto service = services.find(task.service); service != services.end())
             task.size = service->second.size;
     }
-    m_queued.insert(task.id);
+    enqueue(task);
 }
 
 void StateMachine::taskCompleted(Task &task)
--- a/Guavashift/State/StateMachineClaims.cpp
+++ b/Guavashift/State/StateMachineClaims.cpp
@@ -62,7 +62,9 @@
         }
         if (task.isPlaced() != !task.worker.isEmpty())
             findings.push_back({id.value, "phase and worker disagree"});
-        if ((task.phase == TaskPhase::Queued) != m_queued.contains(id))
+        const bool waits =
+            m_queued.contains(queuePositionOf(task)) || m_unreleased.contains({task.releaseAt, id});
+        if ((task.phase == TaskPhase::Queued) != waits)
             findings.push_back({id.value, "phase and queue disagree"});
         if (task.kind == TaskKind::Batch && task.phase != TaskPhase::Done)
             ++open[task.job];
--- a/Guavashift/State/StateMachineJobs.cpp
+++ b/Guavashift/State/StateMachineJobs.cpp
@@ -28,15 +28,54 @@
 void StateMachine::addTask(Task task)
 {
     task.queuedAt = m_time;
-    m_queued.insert(task.id);
+    enqueue(task);
     const TaskId id = task.id;
     m_tasks.emplace(id, std::move(task));
 }
 
 void StateMachine::removeTask(const TaskId &id)
 {
-    m_queued.erase(id);
-    m_tasks.erase(id);
+    const auto found = m_tasks.find(id);
+    if (found == m_tasks.end())
+        return;
+    if (found->second.phase == TaskPhase::Queued)
+        dequeue(found->second);
+    m_tasks.erase(found);
+}
+
+QueuePosition queuePositionOf(const Task &task)
+{
+    enum Rank { LatencyCriticalRank, UrgentRank, DueRank, OpenRank };
+    if (task.kind == TaskKind::LatencyCritical)
+        return {LatencyCriticalRank, task.queuedAt, task.id};
+    if (task.urgent)
+        return {UrgentRank, task.queuedAt, task.id};
+    if (task.dueAt != 0)
+        return {DueRank, task.dueAt - std::max<WallMs>(0, task.declaredRuntimeMs - task.doneMs),
+                task.id};
+    return {OpenRank, task.queuedAt, task.id};
+}
+
+void StateMachine::enqueue(const Task &task)
+{
+    if (task.releaseAt > m_time)
+        m_unreleased.emplace(task.releaseAt, task.id);
+    else
+        m_queued.insert(queuePositionOf(task));
+}
+
+void StateMachine::dequeue(const Task &task)
+{
+    m_unreleased.erase({task.releaseAt, task.id});
+    m_queued.erase(queuePositionOf(task));
+}
+
+void StateMachine::releaseDueTasks()
+{
+    while (!m_unreleased.empty() && m_unreleased.begin()->first <= m_time) {
+        m_queued.insert(queuePositionOf(m_tasks.at(m_unreleased.begin()->second)));
+        m_unreleased.erase(m_unreleased.begin());
+    }
 }
 
 void StateMachine::reconcileServices()
--- /dev/null
+++ b/PerformanceTest/Scheduling/FakeCluster.cpp
@@ -0,0 +1,250 @@
+#include <PerformanceTest/Scheduling/FakeCluster.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace guavashift {
+
+namespace {
+
+constexpr WallMs checkpointIntervalMs = 30'000;
+constexpr WallMs failAfterMs = 200;
+constexpr WallMs lossLengthMs = 60'000;
+/// Time that a stop takes until its end is reported.
+constexpr double batchSlowdownPerShare = 0.35;
+
+std::size_t numberAtEnd(const std::string &text)
+{
+    const std::size_t at = text.find_last_not_of("0123456789");
+    return std::stoul(text.substr(at + 1));
+}
+
+} // namespace
+
+FakeCluster::FakeCluster(const Scenario &scenario, StateMachine &state)
+    : m_scenario(scenario)
+    , m_state(state)
+    , m_random(scenario.settings.seed + 1)
+    , m_losses(scenario.losses)
+{
+    for (const ScenarioJob &job : scenario.jobs)
+        m_trueRuntime[job.spec.key()] = job.trueRuntimeMs;
+    std::sort(m_losses.begin(), m_losses.end(),
+              [](const auto &a, const auto &b) { return a.second < b.second; });
+}
+
+WorkerId FakeCluster::workerId(std::size_t index)
+{
+    return WorkerId{fmt::format("w{:05}", index)};
+}
+
+void FakeCluster::announce()
+{
+    const ScenarioSettings &settings = m_scenario.settings;
+    m_state.apply(m_now, SubmitPatch{{"bench", "1", 0, m_scenario.configuration}});
+    for (std::size_t i = 0; i < settings.workers; ++i) {
+        WorkerFacts facts;
+        facts.incarnation.value = "agent";
+        facts.bootId = "boot";
+        // Three to a rack.
+        facts.rack.value = "rack" + std::to_string(i / 3);
+        facts.failureDomain.value = "domain" + std::to_string((i / 3) % settings.failureDomains);
+        facts.capacity = {settings.milliCores, settings.memoryMb, 0};
+        m_state.apply(m_now, AnnounceWorker{workerId(i), facts});
+    }
+}
+
+double FakeCluster::noiseOf(std::size_t index, WallMs now) const
+{
+    const HiddenFamily &family = m_scenario.families[index];
+    const double seconds = static_cast<double>(now - scenarioStart) / 1000;
+    const double phase =
+        std::fmod(seconds + 37.0 * static_cast<double>(index), family.wavePeriodSeconds);
+    return family.noise + (phase < family.waveLengthSeconds ? family.waveNoise : 0);
+}
+
+double FakeCluster::loadOf(std::size_t service, WallMs now) const
+{
+    // One "day" in the length of a run, each service with its own peak.
+    const double day = static_cast<double>(toMs(m_scenario.settings.length));
+    const double phase =
+        static_cast<double>(now - scenarioStart) / day + 0.13 * static_cast<double>(service);
+    return 0.55 + 0.35 * std::sin(2 * std::numbers::pi * phase);
+}
+
+double FakeCluster::slowdownOf(std::size_t service, const std::vector<BatchLook> &neighbours,
+                               std::size_t critical, WallMs now)
+{
+    double pressure = 0.01 * static_cast<double>(critical);
+    for (const BatchLook &each : neighbours)
+        pressure +=
+            noiseOf(each.family, now) * m_scenario.sensitivity[service][each.family] * each.speed;
+    // Steeper than linear in load and in the sum, unlike what the scheduler assumes.
+    const double load = loadOf(service, now);
+    std::normal_distribution<> noise(0, 0.02);
+    return std::max(1.0, 1 + std::pow(load, 1.5) * std::pow(pressure, 1.15) + noise(m_random));
+}
+
+std::size_t FakeCluster::familyOf(const Task &task)
+{
+    return numberAtEnd(task.family);
+}
+
+void FakeCluster::loseVms(WallMs now)
+{
+    for (; m_nextLoss < m_losses.size() && m_losses[m_nextLoss].second <= now; ++m_nextLoss) {
+        const WorkerId id = workerId(m_losses[m_nextLoss].first);
+        const Worker &worker = m_state.workers().at(id);
+        if (worker.status == WorkerStatus::Lost)
+            continue;
+        for (const TaskId &task : worker.tasks) {
+            const auto run = m_running.find(task);
+            if (run == m_running.end())
+                continue;
+            m_lostCoreMs += (run->second.doneMs - run->second.checkpointMs)
+                * static_cast<double>(m_state.tasks().at(task).size.milliCores) / 1000;
+            m_running.erase(run);
+        }
+        m_state.apply(now, DeclareWorkerLost{id, worker.facts.incarnation});
+        m_lostUntil[id] = now + lossLengthMs;
+    }
+    std::erase_if(m_lostUntil, [&](const auto &item) {
+        if (item.second > now)
+            return false;
+        WorkerFacts facts = m_state.workers().at(item.first).facts;
+        facts.bootId = "boot" + std::to_string(++m_boots);
+        m_state.apply(now, AnnounceWorker{item.first, facts});
+        return true;
+    });
+}
+
+std::vector<ReportAttempt> FakeCluster::advance(WallMs now)
+{
+    loseVms(now);
+    std::vector<ReportAttempt> reports;
+    for (const auto &[id, worker] : m_state.workers()) {
+        if (worker.status != WorkerStatus::Lost)
+            advanceWorker(worker, now, reports);
+    }
+    m_now = now;
+    return reports;
+}
+
+void FakeCluster::advanceWorker(const Worker &worker, WallMs now,
+                                std::vector<ReportAttempt> &reports)
+{
+    std::vector<BatchLook> batch;
+    std::size_t critical = 0;
+    double batchShare = 0;
+    for (const TaskId &id : worker.tasks) {
+        const Task &task = m_state.tasks().at(id);
+        Running &run = m_running[id];
+        if (run.attempt != task.attempt) {
+            run = {task.attempt,
+                   worker.id,
+                   now,
+                   static_cast<double>(task.doneMs),
+                   static_cast<double>(task.doneMs),
+                   now};
+        }
+        if (task.kind == TaskKind::LatencyCritical) {
+            ++critical;
+            continue;
+        }
+        const double share = static_cast<double>(task.size.milliCores)
+            / static_cast<double>(worker.facts.capacity.milliCores);
+        batchShare += share;
+        batch.push_back({familyOf(task), task.speedPercent / 100.0, share});
+    }
+    const bool failing = m_scenario.failing[numberAtEnd(worker.id.value)];
+    for (const TaskId &id : worker.tasks) {
+        const Task &task = m_state.tasks().at(id);
+        Running &run = m_running.at(id);
+        if (task.phase == TaskPhase::Starting)
+            reports.emplace_back(
+                ReportAttempt{id, task.attempt, worker.id, AttemptEvent::Started, {}, 0});
+        if (task.kind == TaskKind::LatencyCritical) {
+            if (task.phase == TaskPhase::Stopping) {
+                reports.emplace_back(
+                    ReportAttempt{id, task.attempt, worker.id, AttemptEvent::Stopped, {}, 0});
+                m_running.erase(id);
+                continue;
+            }
+            const std::size_t service = numberAtEnd(task.service.value);
+            const double slowdown = slowdownOf(service, batch, critical, now);
+            m_counterSamples.push_back(slowdown);
+            report(task, slowdown, loadOf(service, now), now);
+            continue;
+        }
+        const double slowdown = 1 + batchSlowdownPerShare * batchShare;
+        advanceBatch(task, run, slowdown, now, failing, reports);
+    }
+}
+
+void FakeCluster::advanceBatch(const Task &task, Running &run, double slowdown, WallMs now,
+                               bool failing, std::vector<ReportAttempt> &reports)
+{
+    const double cores = static_cast<double>(task.size.milliCores) / 1000;
+    run.doneMs += static_cast<double>(std::min(now - m_now, now - run.startedAt))
+        * task.speedPercent / 100.0 / slowdown;
+    if (now - run.checkpointAt >= checkpointIntervalMs) {
+        run.checkpointMs = run.doneMs;
+        run.checkpointAt = now;
+    }
+    const auto done = [&](AttemptEvent event, double doneMs) {
+        reports.emplace_back(ReportAttempt{task.id, task.attempt, task.worker, event,
+                                           "done=" + std::to_string(doneMs),
+                                           static_cast<std::int64_t>(doneMs)});
+        m_running.erase(task.id);
+    };
+    if (task.phase == TaskPhase::Stopping) {
+        // An eviction falls back on the last checkpoint.
+        m_lostCoreMs += (run.doneMs - run.checkpointMs) * cores;
+        done(AttemptEvent::Stopped, run.checkpointMs);
+        return;
+    }
+    if (failing && now - run.startedAt >= failAfterMs) {
+        done(AttemptEvent::Failed, run.checkpointMs);
+        return;
+    }
+    const auto needed = static_cast<double>(m_trueRuntime.at(task.job));
+    if (run.doneMs >= needed) {
+        m_workCoreMs += needed * cores;
+        done(AttemptEvent::Completed, run.doneMs);
+        return;
+    }
+    report(task, slowdown, 1, now);
+}
+
+void FakeCluster::report(const Task &task, double slowdown, double load, WallMs now)
+{
+    UsageReport usage;
+    usage.task = task.id;
+    usage.attempt = task.attempt;
+    usage.measuredAt = now;
+    usage.slowdownPercent = static_cast<std::uint32_t>(std::lround(100 * slowdown));
+    usage.loadPercent = static_cast<std::uint32_t>(std::lround(100 * load));
+    usage.used = task.size;
+    if (task.kind == TaskKind::Batch)
+        usage.used.memoryMb = m_scenario.families[familyOf(task)].memoryUsedMb;
+    // Measurements come late, and not all equally late.
+    const WallMs lag = toMs(m_scenario.settings.lag) + static_cast<WallMs>(m_random() % 2000);
+    m_arriving.push_back({now + lag, usage});
+}
+
+std::vector<UsageReport> FakeCluster::takeReports(WallMs now)
+{
+    std::vector<UsageReport> reports;
+    for (auto &arriving : m_arriving) {
+        if (arriving.at <= now) {
+            reports.push_back(std::move(arriving.report));
+            arriving.at = std::numeric_limits<WallMs>::max();
+        }
+    }
+    while (!m_arriving.empty() && m_arriving.front().at == std::numeric_limits<WallMs>::max())
+        m_arriving.pop_front();
+    return reports;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/PerformanceTest/Scheduling/FakeCluster.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <PerformanceTest/Scheduling/Scenario.h>
+
+#include <map>
+
+namespace guavashift {
+
+/// What a run was worth to its users.
+struct RunFigures
+{
+    double counterP99 = 0; ///< 99th percentile of counter services' slowdown.
+    double counterP50 = 0;
+    double onTimePercent = 0; ///< Jobs with a due time that were complete by then.
+    double workHours = 0;     ///< Core hours of completed batch tasks.
+    std::uint64_t evictions = 0;
+    double lostHours = 0; ///< Core hours of work done twice.
+    std::uint64_t starts = 0;
+    double decideMsMean = 0; ///< Processor time of one round of decisions.
+    double decideMsMax = 0;
+    double usPerStart = 0; ///< Time of decisions over the number of starts.
+    std::uint64_t ledgerFaults = 0;
+};
+
+/// Workers that run what the state says, with hidden slowdowns. A small fake at the interface: no
+/// processes, no network, one virtual clock.
+class FakeCluster final
+{
+public:
+    FakeCluster(const Scenario &scenario, StateMachine &state);
+
+    /// Announces all workers and submits the configuration.
+    void announce();
+
+    /// Moves to `now`: runs tasks and loses VMs. Returns what the agents report.
+    std::vector<ReportAttempt> advance(WallMs now);
+
+    /// Measurements that have arrived by now.
+    std::vector<UsageReport> takeReports(WallMs now);
+
+    [[nodiscard]] const std::vector<double> &counterSamples() const { return m_counterSamples; }
+    [[nodiscard]] double lostMs() const { return m_lostCoreMs; }
+    [[nodiscard]] double workMs() const { return m_workCoreMs; }
+
+private:
+    struct Running
+    {
+        Attempt attempt = 0;
+        WorkerId worker;
+        WallMs startedAt = 0;
+        double doneMs = 0;
+        double checkpointMs = 0;
+        WallMs checkpointAt = 0;
+    };
+
+    struct Arriving
+    {
+        WallMs at = 0;
+        UsageReport report;
+    };
+
+    struct BatchLook
+    {
+        std::size_t family = 0;
+        double speed = 1;
+        double share = 0; ///< Of the worker's processors.
+    };
+
+    void advanceWorker(const Worker &worker, WallMs now, std::vector<ReportAttempt> &reports);
+    void loseVms(WallMs now);
+    [[nodiscard]] double noiseOf(std::size_t family, WallMs now) const;
+    [[nodiscard]] double loadOf(std::size_t service, WallMs now) const;
+    [[nodiscard]] double slowdownOf(std::size_t service, const std::vector<BatchLook> &neighbours,
+                                    std::size_t critical, WallMs now);
+    void advanceBatch(const Task &task, Running &run, double slowdown, WallMs now, bool failing,
+                      std::vector<ReportAttempt> &reports);
+    void report(const Task &task, double slowdown, double load, WallMs now);
+    std::size_t familyOf(const Task &task);
+    static WorkerId workerId(std::size_t index);
+
+    const Scenario &m_scenario;
+    StateMachine &m_state;
+    std::mt19937_64 m_random;
+    WallMs m_now = scenarioStart;
+    std::map<TaskId, Running> m_running;
+    std::map<std::string, std::int64_t> m_trueRuntime; ///< By job.
+    std::map<WorkerId, WallMs> m_lostUntil;
+    std::size_t m_nextLoss = 0;
+    std::vector<std::pair<std::size_t, WallMs>> m_losses;
+    std::deque<Arriving> m_arriving;
+    std::vector<double> m_counterSamples;
+    double m_lostCoreMs = 0;
+    double m_workCoreMs = 0;
+    unsigned m_boots = 0;
+};
+
+} // namespace guavashift
