--- /dev/null
+++ b/UnitTests/Agent/GatePropertyTest.cpp
@@ -0,0 +1,314 @@
+#include <Guavashift/Agent/Agent.h>
+#include <Guavashift/Routing/Routing.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace guavashift;
+
+namespace {
+
+const ServiceId orders{"orders"};
+
+GateSettings smallGate()
+{
+    GateSettings settings;
+    settings.windowLength = std::chrono::seconds(1);
+    settings.unkeyedWindows = 3;
+    settings.keyedWindows = 20;
+    settings.maxRemembered = 50;
+    settings.maxWaiting = 3;
+    settings.maxAnswerBytes = 40;
+    return settings;
+}
+
+/// What happened to one request id, as an outside observer counts it.
+struct Truth
+{
+    int runs = 0;
+    bool saidNotRun = false;
+    bool keyed = false;
+};
+
+/// Callers, entries and a network that loses, doubles and delays dispatches to one agent, which
+/// restarts now and then.
+class GateHistory final
+{
+public:
+    GateHistory(const GateSettings &settings, std::uint64_t seed)
+        : m_settings(settings)
+        , m_random(seed)
+    {
+        restart();
+    }
+
+    /// Returns the broken rules.
+    std::vector<std::string> run(int steps)
+    {
+        for (int i = 0; i < steps; ++i)
+            step();
+        std::vector<std::string> broken;
+        for (const auto &[id, truth] : m_truth) {
+            if (truth.runs > 1)
+                broken.push_back(id + " ran twice");
+            if (truth.runs > 0 && truth.saidNotRun)
+                broken.push_back(id + " was said not to have run, but ran");
+        }
+        return broken;
+    }
+
+private:
+    std::size_t below(std::size_t limit) { return m_random() % limit; }
+
+    void restart()
+    {
+        m_gate.emplace(m_settings, Incarnation{"i" + std::to_string(++m_incarnation)}, m_now);
+        const std::vector<BackendServer> backends{{orders, TaskId{"b1"}, 2, false}};
+        m_gate->updateBackends(backends);
+        m_running.clear();
+    }
+
+    void step()
+    {
+        m_now += std::chrono::milliseconds(below(300));
+        m_gate->advance(m_now);
+        const std::size_t kind = below(40);
+        if (kind == 0)
+            restart();
+        else if (kind < 12)
+            newRequest();
+        else if (kind < 24)
+            copyOfRequest();
+        else if (kind < 30)
+            revoke();
+        else
+            finish();
+    }
+
+    void newRequest()
+    {
+        Dispatch dispatch;
+        dispatch.id.value = "r" + std::to_string(m_nextId++);
+        dispatch.incarnation = m_gate->incarnation();
+        dispatch.window = m_gate->window();
+        dispatch.service = orders;
+        dispatch.keyed = below(2) == 0;
+        m_truth[dispatch.id.value].keyed = dispatch.keyed;
+        m_sent.push_back(dispatch);
+        // Some are lost on the way, or come much later.
+        if (below(4) != 0)
+            arrive(dispatch);
+    }
+
+    void copyOfRequest()
+    {
+        if (!m_sent.empty())
+            arrive(m_sent[m_sent.size() - 1 - below(std::min<std::size_t>(m_sent.size(), 60))]);
+    }
+
+    void arrive(const Dispatch &dispatch)
+    {
+        Truth &truth = m_truth[dispatch.id.value];
+        std::visit(Overloaded{[&](const RunNow &) {
+                                  ++truth.runs;
+                                  m_running.push_back(dispatch.id);
+                              },
+                              [&](const RefuseDispatch &refusal) {
+                                  truth.saidNotRun = truth.saidNotRun || refusal.certainlyNotRun;
+                              },
+                              [](const auto &) {}},
+                   m_gate->arrive(dispatch));
+    }
+
+    void revoke()
+    {
+        if (m_sent.empty())
+            return;
+        const Dispatch &dispatch =
+            m_sent[m_sent.size() - 1 - below(std::min<std::size_t>(m_sent.size(), 60))];
+        const RevokeOutcome outcome =
+            m_gate->revoke({dispatch.id, dispatch.incarnation, dispatch.window, dispatch.keyed});
+        Truth &truth = m_truth[dispatch.id.value];
+        truth.saidNotRun = truth.saidNotRun || outcome == RevokeOutcome::Revoked;
+    }
+
+    void finish()
+    {
+        if (m_running.empty())
+            return;
+        const std::size_t index = below(m_running.size());
+        const RequestId id = m_running[index];
+        m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(index));
+        RunEnd end;
+        if (below(3) != 0)
+            end.answer = std::make_shared<HttpResponse>(HttpResponse::text(200, id.value));
+        for (const SlotGranted &granted : m_gate->finish(id, end)) {
+            ++m_truth[granted.id.value].runs;
+            m_running.push_back(granted.id);
+        }
+    }
+
+    GateSettings m_settings;
+    std::mt19937_64 m_random;
+    Instant m_now = Instant(std::chrono::seconds(100));
+    std::optional<Gate> m_gate;
+    int m_incarnation = 0;
+    std::uint64_t m_nextId = 1;
+    std::vector<Dispatch> m_sent;
+    std::vector<RequestId> m_running;
+    std::map<std::string, Truth> m_truth;
+};
+
+std::size_t countBroken(const GateSettings &settings)
+{
+    std::size_t broken = 0;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed)
+        broken += GateHistory(settings, seed).run(1500).empty() ? 0 : 1;
+    return broken;
+}
+
+} // namespace
+
+/// No request id runs twice, and "not run" is never said of one that runs.
+class GatePropertyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatePropertyTest);
+    CPPUNIT_TEST(runsAtMostOnceAndNeverLies);
+    CPPUNIT_TEST(breaksWithoutIncarnationCheck);
+    CPPUNIT_TEST(breaksWithoutWindowCheck);
+    CPPUNIT_TEST(breaksWithoutMemory);
+    CPPUNIT_TEST(keepsToSlotsAndLine);
+    CPPUNIT_TEST(memoryIsBounded);
+    CPPUNIT_TEST(refusesNewWorkWhileLeaving);
+    CPPUNIT_TEST(goesOnWithWhatIsKnownWithoutTheLease);
+    CPPUNIT_TEST(repeatsTheKeptAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void runsAtMostOnceAndNeverLies()
+    {
+        CPPUNIT_ASSERT(rc::check("at most once, and no lie", [] {
+            GateHistory history(smallGate(), *rc::gen::arbitrary<std::uint64_t>());
+            const std::vector<std::string> broken = history.run(*rc::gen::inRange(1, 3000));
+            for (const std::string &each : broken)
+                RC_LOG() << each << "\n";
+            RC_ASSERT(broken.empty());
+        }));
+    }
+
+    void breaksWithoutIncarnationCheck()
+    {
+        GateSettings settings = smallGate();
+        settings.checkIncarnation = false;
+        CPPUNIT_ASSERT(countBroken(settings) > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countBroken(smallGate()));
+    }
+
+    void breaksWithoutWindowCheck()
+    {
+        GateSettings settings = smallGate();
+        settings.checkWindow = false;
+        CPPUNIT_ASSERT(countBroken(settings) > 0);
+    }
+
+    void breaksWithoutMemory()
+    {
+        GateSettings settings = smallGate();
+        settings.rememberRequests = false;
+        settings.maxWaiting = 0;
+        Gate gate(settings, Incarnation{"i"}, Instant());
+        announce(gate, 1);
+        const Dispatch dispatch = dispatchOf("r1");
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatch)));
+        (void)gate.finish(dispatch.id, {});
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatch)));
+    }
+
+    void keepsToSlotsAndLine()
+    {
+        Gate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 2);
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatchOf("r1"))));
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatchOf("r2"))));
+        for (const char *id : {"r3", "r4", "r5"})
+            CPPUNIT_ASSERT(std::holds_alternative<WaitForSlot>(gate.arrive(dispatchOf(id))));
+        const GateDecision decision = gate.arrive(dispatchOf("r6"));
+        CPPUNIT_ASSERT(std::get<RefuseDispatch>(decision).reason == RefusalReason::Full);
+        CPPUNIT_ASSERT(gate.withdraw(RequestId{"r3"}));
+        const std::vector<SlotGranted> granted = gate.finish(RequestId{"r1"}, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), granted.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r4"), granted[0].id.value);
+    }
+
+    void memoryIsBounded()
+    {
+        Gate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 8);
+        Instant now;
+        std::size_t most = 0;
+        for (int i = 0; i < 5000; ++i) {
+            now += std::chrono::milliseconds(10);
+            gate.advance(now);
+            Dispatch dispatch = dispatchOf("r" + std::to_string(i));
+            dispatch.window = gate.window();
+            dispatch.keyed = i % 2 == 0;
+            if (std::holds_alternative<RunNow>(gate.arrive(dispatch)))
+                (void)gate.finish(dispatch.id, {});
+            most = std::max(most, gate.remembered());
+        }
+        // The newest windows are kept beyond the bound, 100 ids in each here.
+        CPPUNIT_ASSERT(most <= 50 + 3 * 100);
+    }
+
+    void refusesNewWorkWhileLeaving()
+    {
+        Gate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 2);
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatchOf("r1"))));
+        gate.startLeaving();
+        const auto refusal = std::get<RefuseDispatch>(gate.arrive(dispatchOf("r2")));
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::Leaving && refusal.certainlyNotRun);
+        CPPUNIT_ASSERT(std::holds_alternative<JoinRunning>(gate.arrive(dispatchOf("r1"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), gate.inFlight());
+    }
+
+    void goesOnWithWhatIsKnownWithoutTheLease()
+    {
+        Gate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 2);
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatchOf("r1"))));
+        gate.setLeaseHeld(false);
+        // The copy must not be told "not run": the request runs.
+        CPPUNIT_ASSERT(std::holds_alternative<JoinRunning>(gate.arrive(dispatchOf("r1"))));
+        const auto refusal = std::get<RefuseDispatch>(gate.arrive(dispatchOf("r2")));
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::LeaseExpired);
+    }
+
+    void repeatsTheKeptAnswer()
+    {
+        Gate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 2);
+        Dispatch dispatch = dispatchOf("r1");
+        dispatch.keyed = true;
+        CPPUNIT_ASSERT(std::holds_alternative<RunNow>(gate.arrive(dispatch)));
+        (void)gate.finish(dispatch.id,
+                          {false, std::make_shared<HttpResponse>(HttpResponse::text(200, "a"))});
+        const auto repeat = std::get<RepeatAnswer>(gate.arrive(dispatch));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), repeat.answer->body);
+    }
+
+private:
+    static void announce(Gate &gate, std::uint32_t slots)
+    {
+        const std::vector<BackendServer> backends{{orders, TaskId{"b1"}, slots, false}};
+        gate.updateBackends(backends);
+    }
+
+    static Dispatch dispatchOf(const std::string &id)
+    {
+        return {RequestId{id}, Incarnation{"i"}, 1, orders, false};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatePropertyTest);
--- /dev/null
+++ b/UnitTests/Control/MembershipPlannerTest.cpp
@@ -0,0 +1,145 @@
+#include <Guavashift/Control/LeaseTable.h>
+#include <Guavashift/Control/LeasedConfiguration.h>
+#include <Guavashift/Control/MembershipPlanner.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace guavashift;
+
+namespace {
+
+Instant at(int milliseconds)
+{
+    return Instant(std::chrono::seconds(1000) + std::chrono::milliseconds(milliseconds));
+}
+
+Member member(const std::string &vm, bool voter, const std::string &disk = "1")
+{
+    return {ReplicaId{vm + "/" + disk}, vm, vm + ":1", FailureDomain{vm}, voter};
+}
+
+ReplicaHealth healthy(const ReplicaId &)
+{
+    return {100, at(0)};
+}
+
+HeartbeatReply replyOf(ConfigVersion version, std::optional<Json> document)
+{
+    HeartbeatReply reply;
+    reply.configLeaseMs = 2500;
+    reply.configVersion = version;
+    reply.configuration = std::move(document);
+    return reply;
+}
+
+} // namespace
+
+/// Decisions on membership and leases.
+class MembershipPlannerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipPlannerTest);
+    CPPUNIT_TEST(takesInAndPromotes);
+    CPPUNIT_TEST(promotesOnlyWhoHasCaughtUp);
+    CPPUNIT_TEST(replacesALostDiskBeforeRemovingIt);
+    CPPUNIT_TEST(prefersAnotherFailureDomain);
+    CPPUNIT_TEST(newLeaderWaitsForOldGrants);
+    CPPUNIT_TEST(configurationNeverStepsBack);
+    CPPUNIT_TEST(configurationLeaseCountsFromSending);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void takesInAndPromotes()
+    {
+        MembershipPlanner planner({});
+        Membership membership{{member("a", true)}};
+        CPPUNIT_ASSERT(!plan(planner, membership));
+        planner.joinRequested(member("b", false), at(0));
+        membership = *plan(planner, membership);
+        CPPUNIT_ASSERT(!membership.isVoter(ReplicaId{"b/1"}));
+        membership = *plan(planner, membership);
+        CPPUNIT_ASSERT(membership.isVoter(ReplicaId{"b/1"}));
+        CPPUNIT_ASSERT(!plan(planner, membership));
+    }
+
+    void promotesOnlyWhoHasCaughtUp()
+    {
+        const MembershipPlanner planner({});
+        const Membership membership{{member("a", true), member("b", false)}};
+        const auto behind =
+            planner.plan(membership, ReplicaId{"a/1"}, 100, at(0), [](const ReplicaId &) {
+                return ReplicaHealth{99, at(0)};
+            });
+        CPPUNIT_ASSERT(!behind);
+    }
+
+    void replacesALostDiskBeforeRemovingIt()
+    {
+        MembershipPlanner planner({});
+        Membership membership{{member("a", true), member("b", true), member("c", true)}};
+        planner.joinRequested(member("c", false, "2"), at(0));
+        std::vector<std::size_t> voters;
+        while (const std::optional<Membership> next = plan(planner, membership)) {
+            CPPUNIT_ASSERT(membership.isSingleChangeTo(*next));
+            membership = *next;
+            voters.push_back(membership.voterCount());
+        }
+        // In as a learner, promoted, and only then the old one leaves.
+        CPPUNIT_ASSERT(voters == (std::vector<std::size_t>{3, 4, 3}));
+        CPPUNIT_ASSERT(membership.isVoter(ReplicaId{"c/2"}));
+        CPPUNIT_ASSERT(membership.find(ReplicaId{"c/1"}) == nullptr);
+    }
+
+    void prefersAnotherFailureDomain()
+    {
+        const MembershipPlanner planner({});
+        Member same = member("b", false);
+        same.failureDomain.value = "a";
+        const Membership membership{{member("a", true), same, member("c", false)}};
+        CPPUNIT_ASSERT(plan(planner, membership)->isVoter(ReplicaId{"c/1"}));
+    }
+
+    void newLeaderWaitsForOldGrants()
+    {
+        LeaseTable table({});
+        const WorkerId worker{"w"};
+        table.start(at(0));
+        // The old leader may have granted until its own lease ran out, 450 ms after this start.
+        CPPUNIT_ASSERT(!table.isExpired(worker, at(3'649)));
+        CPPUNIT_ASSERT(table.isExpired(worker, at(3'650)));
+        table.granted(worker, at(3'000));
+        CPPUNIT_ASSERT(!table.isExpired(worker, at(6'199)));
+        CPPUNIT_ASSERT(table.isExpired(worker, at(6'200)));
+    }
+
+    void configurationNeverStepsBack()
+    {
+        LeasedConfiguration configuration;
+        configuration.update(at(0), replyOf(2, Json::object()));
+        configuration.update(at(100), replyOf(1, Json::object()));
+        CPPUNIT_ASSERT_EQUAL(ConfigVersion(2), configuration.version());
+        // The late answer did not extend the lease either.
+        CPPUNIT_ASSERT(configuration.documentAt(at(2'499)) != nullptr);
+        CPPUNIT_ASSERT(configuration.documentAt(at(2'500)) == nullptr);
+    }
+
+    void configurationLeaseCountsFromSending()
+    {
+        LeasedConfiguration configuration;
+        CPPUNIT_ASSERT(configuration.documentAt(at(0)) == nullptr);
+        configuration.update(at(0), replyOf(1, Json::object()));
+        CPPUNIT_ASSERT(configuration.documentAt(at(2'400)) != nullptr);
+        CPPUNIT_ASSERT(configuration.documentAt(at(2'500)) == nullptr);
+        // A newer version without its document is not in force here, and gives no lease.
+        configuration.update(at(3'000), replyOf(2, std::nullopt));
+        CPPUNIT_ASSERT(configuration.documentAt(at(3'001)) == nullptr);
+    }
+
+private:
+    static std::optional<Membership> plan(const MembershipPlanner &planner,
+                                          const Membership &membership)
+    {
+        return planner.plan(membership, ReplicaId{"a/1"}, 100, at(0), healthy);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipPlannerTest);
--- /dev/null
+++ b/UnitTests/Rpc/RpcTest.cpp
@@ -0,0 +1,121 @@
+#include <Guavashift/Rpc/Rpc.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+#include <thread>
+
+using namespace guavashift;
+
+namespace {
+
+RpcSettings settingsWith(const std::string &key)
+{
+    RpcSettings settings;
+    settings.clusterKey = key;
+    settings.handlerThreads = 4;
+    return settings;
+}
+
+} // namespace
+
+/// Calls between own processes over loopback.
+class RpcTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RpcTest);
+    CPPUNIT_TEST(answersCalls);
+    CPPUNIT_TEST(passesErrorsOn);
+    CPPUNIT_TEST(refusesAWrongKey);
+    CPPUNIT_TEST(reconnectsAfterARestart);
+    CPPUNIT_TEST(givesUpOnASilentServer);
+    CPPUNIT_TEST(parsesAddresses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answersCalls()
+    {
+        RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
+        addMethods(server);
+        CPPUNIT_ASSERT(server.start().has_value());
+        RpcClient client(settingsWith("key"), server.address());
+        const Json value = {{"text", std::string(20'000, 'x')},
+                            {"list", {1, -2, 2.5, true, nullptr}}};
+        const Result<Json> answer = client.call("echo", value, std::chrono::seconds(5));
+        CPPUNIT_ASSERT(answer && *answer == value);
+    }
+
+    void passesErrorsOn()
+    {
+        RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
+        addMethods(server);
+        CPPUNIT_ASSERT(server.start().has_value());
+        RpcClient client(settingsWith("key"), server.address());
+        const Result<Json> failed = client.call("fail", Json::object(), std::chrono::seconds(5));
+        CPPUNIT_ASSERT(failed.error().code == ErrorCode::Conflict);
+        CPPUNIT_ASSERT_EQUAL(std::string("no"), failed.error().message);
+        const Result<Json> malformed =
+            client.call("strict", Json::object(), std::chrono::seconds(5));
+        CPPUNIT_ASSERT(malformed.error().code == ErrorCode::InvalidArgument);
+        CPPUNIT_ASSERT(!client.call("nothing", Json::object(), std::chrono::seconds(5)));
+    }
+
+    void refusesAWrongKey()
+    {
+        RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
+        addMethods(server);
+        CPPUNIT_ASSERT(server.start().has_value());
+        RpcClient client(settingsWith("yek"), server.address());
+        CPPUNIT_ASSERT(!client.call("echo", Json::object(), std::chrono::seconds(2)));
+    }
+
+    void reconnectsAfterARestart()
+    {
+        auto server = std::make_unique<RpcServer>(settingsWith("key"), Address{"127.0.0.1", 0});
+        addMethods(*server);
+        CPPUNIT_ASSERT(server->start().has_value());
+        const Address address = server->address();
+        RpcClient client(settingsWith("key"), address);
+        CPPUNIT_ASSERT(client.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
+        server.reset();
+        const Result<Json> failed = client.call("echo", Json::object(), std::chrono::seconds(1));
+        CPPUNIT_ASSERT(failed.error().code == ErrorCode::Unavailable);
+        server = std::make_unique<RpcServer>(settingsWith("key"), address);
+        addMethods(*server);
+        CPPUNIT_ASSERT(server->start().has_value());
+        CPPUNIT_ASSERT(client.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
+    }
+
+    void givesUpOnASilentServer()
+    {
+        RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
+        std::promise<void> release;
+        std::shared_future<void> released = release.get_future().share();
+        server.add("hang", [released](const Json &) -> Result<Json> {
+            released.wait();
+            return Json(1);
+        });
+        CPPUNIT_ASSERT(server.start().has_value());
+        RpcClient client(settingsWith("key"), server.address());
+        const Result<Json> answer =
+            client.call("hang", Json::object(), std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(answer.error().code == ErrorCode::Timeout);
+        release.set_value();
+    }
+
+    void parsesAddresses()
+    {
+        CPPUNIT_ASSERT(Address::parse("127.0.0.1:80").has_value());
+        for (const char *wrong : {"localhost:80", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:70000"})
+            CPPUNIT_ASSERT(!Address::parse(wrong));
+    }
+
+private:
+    static void addMethods(RpcServer &server)
+    {
+        server.add("echo", [](const Json &json) -> Result<Json> { return json; });
+        server.add("fail",
+                   [](const Json &) -> Result<Json> { return fail(ErrorCode::Conflict, "no"); });
+        server.add("strict", [](const Json &json) -> Result<Json> { return json.at("needed"); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RpcTest);
