--- a/Guavashift/Core/Log.cpp
+++ b/Guavashift/Core/Log.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::atomic<LogLevel> s_level{LogLevel::Info};
+std::atomic<LogLevel> minimumLevel{LogLevel::Info};
 
 std::string_view nameOf(LogLevel level)
 {
@@ -49,12 +49,12 @@
 
 void setLogLevel(LogLevel level)
 {
-    s_level = level;
+    minimumLevel = level;
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level < s_level.load())
+    if (level < minimumLevel.load())
         return;
     std::string line = fmt::format("time={} level={} event={}", wallNow(), nameOf(level), event);
     for (const LogField &field : fields) {
--- a/Guavashift/Entry/CommandBatcher.cpp
+++ b/Guavashift/Entry/CommandBatcher.cpp
@@ -60,6 +60,7 @@
 void CommandBatcher::send(std::vector<Waiting> &batch)
 {
     std::vector<CommandBody> commands;
+    commands.reserve(batch.size());
     for (const Waiting &waiting : batch)
         commands.push_back(waiting.command);
     Result<std::vector<Outcome>> outcomes = m_control.execute(commands, m_timeout);
--- a/Guavashift/Entry/RequestForwarder.cpp
+++ b/Guavashift/Entry/RequestForwarder.cpp
@@ -30,7 +30,7 @@
                                    LeasedConfiguration &configuration, RoutingTable &routing,
                                    HttpClient &client, CommandBatcher &commands,
                                    AgentClients &agents, TaskPool &pool, Telemetry &telemetry,
-                                   std::string vm)
+                                   const std::string &vm)
     : m_settings(settings)
     , m_configuration(configuration)
     , m_routing(routing)
--- a/Guavashift/Entry/RequestForwarder.h
+++ b/Guavashift/Entry/RequestForwarder.h
@@ -32,7 +32,8 @@
 public:
     RequestForwarder(const RequestForwarderSettings &settings, LeasedConfiguration &configuration,
                      RoutingTable &routing, HttpClient &client, CommandBatcher &commands,
-                     AgentClients &agents, TaskPool &pool, Telemetry &telemetry, std::string vm);
+                     AgentClients &agents, TaskPool &pool, Telemetry &telemetry,
+                     const std::string &vm);
 
     HttpResponse handle(const HttpRequest &request, double traceProbability);
 
--- a/Guavashift/Http/TokenGuard.cpp
+++ b/Guavashift/Http/TokenGuard.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-TokenGuard::TokenGuard(std::string token)
+TokenGuard::TokenGuard(const std::string &token)
     : m_expected(token.empty() ? std::string() : "Bearer " + token)
 {
 }
--- a/Guavashift/Http/TokenGuard.h
+++ b/Guavashift/Http/TokenGuard.h
@@ -12,7 +12,7 @@
 class TokenGuard final
 {
 public:
-    explicit TokenGuard(std::string token);
+    explicit TokenGuard(const std::string &token);
 
     /// Null if the request may pass, else the refusal.
     [[nodiscard]] std::optional<HttpResponse> check(const HttpRequest &request) const;
--- a/Guavashift/Placement/ClusterView.cpp
+++ b/Guavashift/Placement/ClusterView.cpp
@@ -31,7 +31,7 @@
              at != worker.tasks.end() && at->value.starts_with("service/"); ++at)
             view.criticalMilliCores += state.tasks().at(*at).size.milliCores;
         m_totalFree += positivePart(view.free);
-        m_workers.push_back(std::move(view));
+        m_workers.push_back(view);
     }
     for (const auto &[team, usage] : state.teamUsage())
         m_usage.emplace(team, usage);
--- a/Guavashift/Settings/SettingsReader.cpp
+++ b/Guavashift/Settings/SettingsReader.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t maxPort = 65'535;
 
-std::string environmentName(std::string flag)
+std::string environmentName(const std::string &flag)
 {
     std::string name = "GUAVASHIFT_";
     for (const char c : flag)
--- a/PerformanceTest/Scheduling/Main.cpp
+++ b/PerformanceTest/Scheduling/Main.cpp
@@ -14,10 +14,10 @@
     SchedulerSettings settings;
 };
 
-SchedulerSettings baseline(PlacementPolicy placement, ReliefPolicy relief)
+SchedulerSettings baseline(const PlacementPolicy &placement, const ReliefPolicy &relief)
 {
     SchedulerSettings settings;
-    settings.placement = std::move(placement);
+    settings.placement = placement;
     settings.relief = relief;
     settings.slackOrder = false;
     settings.estimatesRuntime = false;
--- /dev/null
+++ b/Spec/attempt.pml
@@ -0,0 +1,89 @@
+/* Worker lease, attempt number, frozen agent, new leader.
+ *
+ * One task, two workers. The leader starts attempt n on a worker; the agent there checks its lease
+ * and calls the platform; it may be frozen between the check and the call. When the worker's lease
+ * has run out (LEASE + MARGIN after the last grant) the leader starts attempt n + 1 on the other.
+ * The platform checks the end of the lease again when the call arrives, stops the task at the end
+ * of the lease, and refuses attempts that it has seen.
+ *
+ * Checked: never two attempts run at the same time; no attempt starts twice; each resume follows one
+ * certain end.
+ * -DNO_PLATFORM_LEASE drops the platform's check, -DNO_ATTEMPT drops the refusal of attempts seen. */
+
+#define LEASE 3
+#define MARGIN 1
+#define HORIZON 12
+#define NONE 255
+
+#ifdef NO_ATTEMPT
+#define IS_NEW(w, a) true
+#else
+#define IS_NEW(w, a) (a > seen[w])
+#endif
+#ifdef NO_PLATFORM_LEASE
+#define IN_TIME(end) true
+#define RAN_OUT(end) false
+#else
+#define IN_TIME(end) (now < end)
+#define RAN_OUT(end) (now >= end)
+#endif
+
+byte now = 0;
+byte attempt = 0;          /* last assigned by the replicated state */
+byte place = NONE;         /* worker of the current attempt */
+byte grantedAt[2];         /* last grant by any leader */
+byte expiry[2];            /* of the worker's lease as its agent sees it */
+byte running[2];           /* attempt that runs at the platform, 0 for none */
+byte seen[2];              /* highest attempt seen by the platform */
+byte callPending[2];       /* attempt of a start call on its way, 0 for none */
+byte callExpiry[2];
+byte ends = 0;             /* certain ends of attempts */
+bool started[4];           /* attempts that have started once */
+
+inline checkSingle() { assert(!(running[0] != 0 && running[1] != 0)) }
+
+proctype Time() {
+    do
+    :: atomic { now < HORIZON ->
+        now++;
+        if :: running[0] != 0 && RAN_OUT(expiry[0]) -> running[0] = 0 :: else fi;
+        if :: running[1] != 0 && RAN_OUT(expiry[1]) -> running[1] = 0 :: else fi }
+    od
+}
+
+proctype Leader() {
+    byte w;
+    do
+    :: atomic { place == NONE && attempt < 3 ->
+        if :: w = 0 :: w = 1 fi;
+        assert(attempt == ends);
+        attempt++; place = w }
+    /* Only after the lease has provably run out is the end certain. */
+    :: atomic { place != NONE && now > grantedAt[place] + LEASE + MARGIN ->
+        ends++; place = NONE }
+    od
+}
+
+proctype Agent(byte w) {
+    do
+    /* A heartbeat: the lease counts from when it was sent. */
+    :: atomic { now < HORIZON -> grantedAt[w] = now; expiry[w] = now + LEASE }
+    /* The check; the call follows at any later time, because the agent may be frozen between. */
+    :: atomic { place == w && now < expiry[w] && callPending[w] == 0 && running[w] != attempt && IS_NEW(w, attempt) -> callPending[w] = attempt; callExpiry[w] = expiry[w] }
+    :: atomic { callPending[w] != 0 ->
+        if
+        :: IS_NEW(w, callPending[w]) && IN_TIME(callExpiry[w]) ->
+            running[w] = callPending[w]; seen[w] = callPending[w];
+            assert(!started[running[w]]);
+            started[running[w]] = true;
+            checkSingle()
+        :: else
+        fi;
+        callPending[w] = 0 }
+    /* The task ends; its end is reported and committed. */
+    :: atomic { running[w] != 0 && place == w && running[w] == attempt ->
+        running[w] = 0; ends++; place = NONE }
+    od
+}
+
+init { atomic { run Time(); run Leader(); run Agent(0); run Agent(1) } }
--- a/StandIns/Main.cpp
+++ b/StandIns/Main.cpp
@@ -118,11 +118,11 @@
     std::map<TaskId, TaskOrder> m_services;
 };
 
-volatile std::sig_atomic_t s_stopped = 0;
+volatile std::sig_atomic_t isStopped = 0;
 
 void onSignal(int)
 {
-    s_stopped = 1;
+    isStopped = 1;
 }
 
 int runStandIn(const StandInSettings &settings)
@@ -147,7 +147,7 @@
     }
     HttpClient client{HttpClientSettings()};
     Announcer announcer(client, settings.agentAdmin, Address{listen->ip, server.port()}.text());
-    while (s_stopped == 0) {
+    while (isStopped == 0) {
         platform.advance(BootClock::now());
         if (!settings.agentAdmin.empty())
             announcer.announce(platform.runningServices());
--- a/UnitTests/Consensus/ReplicaPropertyTest.cpp
+++ b/UnitTests/Consensus/ReplicaPropertyTest.cpp
@@ -135,6 +135,7 @@
     for (std::uint64_t seed = 1; seed <= count; ++seed) {
         std::mt19937_64 random(seed);
         std::vector<Fault> faults;
+        faults.reserve(25);
         for (int i = 0; i < 25; ++i)
             faults.push_back({static_cast<FaultKind>(random() % 10), random() % settings.vms,
                               static_cast<int>(20 + random() % 1500)});
