--- a/Build/cluster.sh
+++ b/Build/cluster.sh
@@ -49,7 +49,8 @@
     start "control$n" "$bin/guavashiftd" --role control --role entry --vm "cv$n" \
         --failure-domain "domain$n" --cluster-key "$key" --control-address "$control_addresses" \
         --admin-listen "127.0.0.$n:7100" --control-listen "127.0.0.$n:7001" \
-        --data-folder "$work/data$n" --entry-listen "127.0.0.$n:7080"
+        --data-folder "$work/data$n" --entry-listen "127.0.0.$n:7080" \
+        --snapshot-entries "${SNAPSHOT_ENTRIES:-20000}"
 }
 
 start_worker() {
--- a/Guavashift/Agent/AgentLoop.cpp
+++ b/Guavashift/Agent/AgentLoop.cpp
@@ -143,7 +143,7 @@
     request.incarnation = m_facts.incarnation;
     request.configVersion = m_configuration.version();
     request.ordersVersion = m_orders.version;
-    request.reports = m_reports;
+    request.reports = untoldReports();
     for (const PlatformTask &task : m_status.tasks) {
         if (!task.usage || m_usageSent[task.task] >= task.usage->measuredAt)
             continue;
@@ -165,12 +165,42 @@
         auto reply = answer->get<HeartbeatReply>();
         m_configuration.update(sent, reply);
         m_lease.renew(sent, std::chrono::milliseconds(reply.workerLeaseMs));
+        reportsTold(request, reply);
         takeOrders(reply);
     } catch (const Json::exception &error) {
         logEvent(LogLevel::Error, "heartbeat-unreadable", {{"reason", error.what()}});
     }
 }
 
+std::vector<ReportAttempt> AgentLoop::untoldReports() const
+{
+    std::vector<ReportAttempt> untold;
+    for (const ReportAttempt &report : m_reports) {
+        if (report.event != AttemptEvent::Started
+            || !m_startsTold.contains({report.task, report.attempt}))
+            untold.push_back(report);
+    }
+    return untold;
+}
+
+void AgentLoop::reportsTold(const HeartbeatRequest &request, const HeartbeatReply &reply)
+{
+    // What an earlier leader was told may not have been committed.
+    if (reply.epoch != m_epoch) {
+        m_startsTold.clear();
+        m_epoch = reply.epoch;
+        return;
+    }
+    std::set<std::pair<TaskId, Attempt>> running;
+    for (const ReportAttempt &report : m_reports)
+        running.emplace(report.task, report.attempt);
+    std::erase_if(m_startsTold, [&](const auto &told) { return !running.contains(told); });
+    for (const ReportAttempt &report : request.reports) {
+        if (report.event == AttemptEvent::Started)
+            m_startsTold.emplace(report.task, report.attempt);
+    }
+}
+
 void AgentLoop::takeOrders(HeartbeatReply &reply)
 {
     if (reply.announceNeeded) {
--- a/Guavashift/Agent/AgentLoop.h
+++ b/Guavashift/Agent/AgentLoop.h
@@ -49,6 +49,8 @@
     void updateBackends();
     bool carryOut(const PlatformAction &action);
     void takeOrders(HeartbeatReply &reply);
+    [[nodiscard]] std::vector<ReportAttempt> untoldReports() const;
+    void reportsTold(const HeartbeatRequest &request, const HeartbeatReply &reply);
 
     AgentLoopSettings m_settings;
     WorkerId m_worker;
@@ -63,6 +65,9 @@
     WorkerOrders m_orders;
     bool m_ordersKnown = false;
     std::vector<ReportAttempt> m_reports;
+    /// Starts that the present leader has been told of.
+    std::set<std::pair<TaskId, Attempt>> m_startsTold;
+    std::uint64_t m_epoch = 0;
     std::map<TaskId, WallMs> m_usageSent; ///< Newest measurement passed on, by task.
     PlatformStatus m_status;
     std::optional<std::vector<BackendServer>> m_backendsTold;
--- a/Guavashift/Consensus/Messages.h
+++ b/Guavashift/Consensus/Messages.h
@@ -76,8 +76,31 @@
     std::string data;
     std::uint64_t round = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotChunk, term, lastIndex, lastTerm, membership, offset,
-                                   totalBytes, data, round)
+
+/// The data is binary, which JSON strings cannot hold, so it travels as hexadecimal digits.
+inline void to_json(Json &json, const SnapshotChunk &chunk) // NOLINT
+{
+    json = {{"term", chunk.term},
+            {"lastIndex", chunk.lastIndex},
+            {"lastTerm", chunk.lastTerm},
+            {"membership", chunk.membership},
+            {"offset", chunk.offset},
+            {"totalBytes", chunk.totalBytes},
+            {"data", encodeHex(chunk.data)},
+            {"round", chunk.round}};
+}
+
+inline void from_json(const Json &json, SnapshotChunk &chunk) // NOLINT
+{
+    json.at("term").get_to(chunk.term);
+    json.at("lastIndex").get_to(chunk.lastIndex);
+    json.at("lastTerm").get_to(chunk.lastTerm);
+    json.at("membership").get_to(chunk.membership);
+    json.at("offset").get_to(chunk.offset);
+    json.at("totalBytes").get_to(chunk.totalBytes);
+    chunk.data = decodeHex(json.at("data").get_ref<const std::string &>());
+    json.at("round").get_to(chunk.round);
+}
 
 struct SnapshotReply
 {
--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -124,9 +124,11 @@
             doLeaderDuties(now);
         }
         updateJoinWish();
-        if (!m_stopped
-            && m_replica->appliedIndex() >= m_snapshotIndex + m_settings.snapshotInterval)
-            takeSnapshot();
+        if (m_stopped)
+            continue;
+        if (m_replica->appliedIndex() >= m_snapshotIndex + m_settings.snapshotInterval)
+            startSnapshot();
+        finishSnapshot();
     }
     // Whoever still waits learns that nothing is known.
     for (auto &[index, waiter] : m_waiters)
@@ -346,17 +348,35 @@
              {{"index", m_snapshotIndex}, {"bytes", data.size()}});
 }
 
-void ControlNode::takeSnapshot()
+void ControlNode::startSnapshot()
 {
-    const Instant started = BootClock::now();
-    auto snapshot = std::make_shared<Snapshot>();
-    snapshot->lastIndex = m_replica->appliedIndex();
-    snapshot->lastTerm = *m_replica->log().termAt(snapshot->lastIndex);
     // Membership changes after the applied index are not part of the image.
-    if (m_replica->log().membershipIndex() > snapshot->lastIndex)
+    const LogIndex index = m_replica->appliedIndex();
+    if (m_snapshotJob.valid() || m_replica->log().membershipIndex() > index)
         return;
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->lastIndex = index;
+    snapshot->lastTerm = *m_replica->log().termAt(index);
     snapshot->membership = m_replica->membership();
-    snapshot->data = hexOf(m_digest) + SnapshotCodec::encode(m_state);
+    snapshot->data = hexOf(m_digest);
+    // Writing a large state takes longer than an election timeout, so a copy is written elsewhere.
+    m_snapshotJob =
+        std::async(std::launch::async, [snapshot, state = m_state]() -> SnapshotPointer {
+            snapshot->data += SnapshotCodec::encode(state);
+            return snapshot;
+        });
+}
+
+void ControlNode::finishSnapshot()
+{
+    if (!m_snapshotJob.valid()
+        || m_snapshotJob.wait_for(Duration::zero()) != std::future_status::ready)
+        return;
+    const SnapshotPointer snapshot = m_snapshotJob.get();
+    // A newer one may have come from the leader meanwhile.
+    if (snapshot->lastIndex < m_replica->log().firstIndex())
+        return;
+    const Instant started = BootClock::now();
     m_snapshotIndex = snapshot->lastIndex;
     m_replica->compact(snapshot);
     const EntryLog &log = m_replica->log();
@@ -369,7 +389,7 @@
     logEvent(LogLevel::Info, "snapshot-taken",
              {{"index", m_snapshotIndex},
               {"bytes", snapshot->data.size()},
-              {"took_ms", toMs(BootClock::now() - started)}});
+              {"stored_ms", toMs(BootClock::now() - started)}});
 }
 
 void ControlNode::compareDigest(const CompareDigest &compare)
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -98,7 +98,8 @@
     void installSnapshot(const InstallSnapshot &install);
     void compareDigest(const CompareDigest &compare);
     void roleChanged(const RoleChanged &change);
-    void takeSnapshot();
+    void startSnapshot();
+    void finishSnapshot();
     void proposePending();
     void storageFailed(const Error &error);
     PeerLink *linkTo(const ReplicaId &id);
@@ -124,6 +125,7 @@
     std::uint64_t m_digest = 0;
     std::map<LogIndex, std::uint64_t> m_digests;
     LogIndex m_snapshotIndex = 0;
+    std::future<SnapshotPointer> m_snapshotJob;
     bool m_needsSync = false;
     bool m_stopped = false; ///< A disk fault or different state: takes part no more.
     std::string m_stopReason;
--- a/Guavashift/Control/ControlRole.cpp
+++ b/Guavashift/Control/ControlRole.cpp
@@ -50,6 +50,7 @@
     node.rpc = rpcSettings(m_settings);
     node.membership.targetVoters = m_settings.targetVoters;
     node.membership.voterLostAfter = std::chrono::seconds(m_settings.voterLostSeconds);
+    node.snapshotInterval = m_settings.snapshotEntries;
     node.leases.leaderLease = node.replica.leaderLease;
     const Member self{folder->replica(), m_settings.vm, m_settings.controlListen,
                       m_settings.failureDomain, false};
--- a/Guavashift/Settings/DaemonSettings.h
+++ b/Guavashift/Settings/DaemonSettings.h
@@ -26,7 +26,8 @@
     std::string controlListen;
     std::string dataFolder;
     std::uint32_t targetVoters = 3;
-    std::uint32_t voterLostSeconds = 30; ///< Silence after which a voter is replaced.
+    std::uint32_t snapshotEntries = 20'000; ///< Log entries between two snapshots.
+    std::uint32_t voterLostSeconds = 30;    ///< Silence after which a voter is replaced.
 
     // entry
     std::string entryListen;
--- a/Guavashift/Settings/SettingsReader.cpp
+++ b/Guavashift/Settings/SettingsReader.cpp
@@ -163,6 +163,7 @@
     texts.add("control-listen", "control: IP:port for other processes of the system");
     texts.add("data-folder", "control: folder of the replicated state");
     texts.add("target-voters", "control: voters wanted, 1 to 7 (default 3)");
+    texts.add("snapshot-entries", "control: log entries between two snapshots (default 20000)");
     texts.add("voter-lost-seconds",
               "control: silence after which a voter is replaced (default 30)");
     texts.add("entry-listen", "entry: IP:port for callers");
@@ -222,6 +223,7 @@
         if (settings.dataFolder.empty())
             checker.report("data-folder", "is needed");
         checker.number("target-voters", settings.targetVoters, 1, 7);
+        checker.number("snapshot-entries", settings.snapshotEntries, 10, 10'000'000);
         checker.number("voter-lost-seconds", settings.voterLostSeconds, 2, 86'400);
     }
     if (hasRole(settings, "entry")) {
--- a/UnitTests/Consensus/FailoverTest.cpp
+++ b/UnitTests/Consensus/FailoverTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(catchesUpAFollowerThatLostTheEndOfItsLog);
     CPPUNIT_TEST(handsLeadershipOver);
     CPPUNIT_TEST(aReturningReplicaDoesNotDisturb);
+    CPPUNIT_TEST(messagesSurviveTheirJsonForm);
     CPPUNIT_TEST(sessionIsTheSameEachTime);
     CPPUNIT_TEST_SUITE_END();
 
@@ -148,6 +149,17 @@
         CPPUNIT_ASSERT_EQUAL(term, cluster.replica(leader).term());
     }
 
+    void messagesSurviveTheirJsonForm()
+    {
+        SnapshotChunk chunk;
+        chunk.totalBytes = 256;
+        for (int byte = 0; byte < 256; ++byte)
+            chunk.data += static_cast<char>(byte);
+        const std::string text = Json(Envelope{ReplicaId{"a"}, ReplicaId{"b"}, chunk}).dump();
+        const auto back = Json::parse(text).get<Envelope>();
+        CPPUNIT_ASSERT(std::get<SnapshotChunk>(back.body).data == chunk.data);
+    }
+
     void sessionIsTheSameEachTime()
     {
         std::string transcript;
--- a/UnitTests/Process/faults.sh
+++ b/UnitTests/Process/faults.sh
@@ -124,6 +124,8 @@
     finish_load
     ;;
 lost-disk)
+    # Snapshots every few entries, so that the new replicas are filled by one.
+    SNAPSHOT_ENTRIES=20
     start_cluster
     for i in $(seq 1 30); do
         echo "{\"limits\": {\"queueLength\": $i}}" | "$bin/guavashift" config patch - > /dev/null
@@ -136,6 +138,7 @@
         wait_for 40 is_repaired "$n" 31
     done
     [ "$(config_version)" -eq 31 ] || fail "a change was lost"
+    grep -c 'event=snapshot-installed' "$work/control2.log" > /dev/null || fail "no snapshot was sent"
     ;;
 torn-log)
     start_cluster
