--- a/Build/measure.sh
+++ b/Build/measure.sh
@@ -53,7 +53,7 @@
     # 20 ms of work, 4 backend servers with 8 slots: 1600 requests a second at most.
     for rate in 800 1600 2400 4800; do
         echo "-- $rate/s"
-        load --entry "$entries" --rate "$rate" --threads 400 --seconds 6 --path '/quote?work_ms=20'
+        load --entry "$entries" --rate "$rate" --threads 2000 --seconds 6 --path '/quote?work_ms=20'
     done
     ;;
 slow)
--- /dev/null
+++ b/UnitTests/Configuration/ExamplesTest.cpp
@@ -0,0 +1,30 @@
+#include <Guavashift/Configuration/Configuration.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
+
+using namespace guavashift;
+
+/// The example configurations are sound.
+class ExamplesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExamplesTest);
+    CPPUNIT_TEST(examplesAreSound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void examplesAreSound()
+    {
+        for (const char *name :
+             {"demo.json", "wanjiru/configuration.json", "rangkai/configuration.json"}) {
+            std::ifstream stream(std::string(GUAVASHIFT_EXAMPLES) + "/" + name);
+            const Json json = Json::parse(stream, nullptr, false);
+            CPPUNIT_ASSERT(!json.is_discarded());
+            const auto document = readDocument(json);
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                                 document ? std::string() : describe(document.error()));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExamplesTest);
