Choose between two different workers and start hedges

Cause: with one of four backend servers 40 ms slower the 99th percentile was 43.17 ms and no hedge ever started: a hedge asked for a worker with a deadline that had already passed, the two random candidates were the same worker in one of four cases, and a first slow answer weighed a tenth. Ruled out: the slow worker's share of waiting requests (the line was empty). Change: a hedge takes a worker at once or not at all; two different candidates are compared; a rise of latency weighs half; old latencies lose their weight, so that a recovered worker is tried again. The load report names refusals; scripts wait until every entry serves before they measure.

--- a/Build/cluster.sh
+++ b/Build/cluster.sh
@@ -68,6 +68,11 @@
         --platform-address "$ip:7300" --capacity-milli-cores 32000 --capacity-memory-mb 125000
 }
 
+# Whether entry N answers requests of both demo services.
+serves() {
+    curl -sf --noproxy '*' "http://127.0.0.$1:7080/quote" > /dev/null \
+        && curl -sf --noproxy '*' "http://127.0.0.$1:7080/order" > /dev/null
+}
 is_ready() { curl -sf --noproxy '*' "http://$1/ready"; }
 voters() { "$bin/guavashift" members list --output json | grep -c '"voter": true'; }
 has_voters() { [ "$(voters)" -eq "$1" ]; }
--- a/Build/demo.sh
+++ b/Build/demo.sh
@@ -18,6 +18,7 @@
 "$bin/guavashift" config patch examples/demo.json --operator demo > /dev/null
 for n in 1 2 3; do wait_for 20 is_ready "127.0.0.$n:7100"; done
 wait_for 30 has_running 8
+for n in 1 2 3; do wait_for 20 serves "$n"; done
 
 echo "submitting batch jobs"
 for job in $(seq 1 10); do
--- a/Build/measure.sh
+++ b/Build/measure.sh
@@ -25,9 +25,10 @@
     "$bin/guavashift" config patch examples/demo.json --operator measure > /dev/null
     for n in 1 2 3; do wait_for 20 is_ready "127.0.0.$n:7100"; done
     wait_for 30 has_running 8
+    for n in 1 2 3; do wait_for 20 serves "$n"; done
 }
 
-load() { "$bin/guavashift-load" --quiet "$@" | grep -E 'answered|not run|unknown|per second|p50|p99'; }
+load() { "$bin/guavashift-load" --quiet "$@" | grep -E 'answered|refusal|not run|unknown|per second|p50|p99'; }
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 rss_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
 cpu_percent() { # PID SECONDS
--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -271,8 +271,8 @@
         // Slower than usual: a second copy goes elsewhere if there is room right now.
         lock.unlock();
         const WorkerId first = m_plan.target.worker;
-        const auto second = m_forwarder.m_routing.acquire(
-            m_route.service, BootClock::now() + Duration(1), 0, std::span(&first, 1));
+        const std::optional<RouteTarget> second =
+            m_forwarder.m_routing.tryAcquire(m_route.service, std::span(&first, 1));
         if (second && second->worker != first && m_forwarder.takeFromBudget()) {
             m_forwarder.m_hedges.Increment();
             start({*second, m_forwarder.newRequestId(), second->window});
--- a/Guavashift/Entry/RoutingTable.cpp
+++ b/Guavashift/Entry/RoutingTable.cpp
@@ -61,6 +61,18 @@
     }
 }
 
+std::optional<RouteTarget> RoutingTable::tryAcquire(const ServiceId &service,
+                                                    std::span<const WorkerId> excluded)
+{
+    const std::lock_guard lock(m_mutex);
+    const RouteChoice choice = m_router.choose(service, BootClock::now(), excluded);
+    const auto *target = std::get_if<RouteTarget>(&choice);
+    if (target == nullptr)
+        return std::nullopt;
+    m_router.started(target->worker);
+    return *target;
+}
+
 std::optional<RouteTarget> RoutingTable::acquireAt(const WorkerId &worker,
                                                    const Incarnation &incarnation)
 {
--- a/Guavashift/Entry/RoutingTable.h
+++ b/Guavashift/Entry/RoutingTable.h
@@ -24,6 +24,10 @@
                                                std::uint32_t maxWaiting,
                                                std::span<const WorkerId> excluded);
 
+    /// A worker with room right now, counted there until release(); nothing if none has room.
+    std::optional<RouteTarget> tryAcquire(const ServiceId &service,
+                                          std::span<const WorkerId> excluded);
+
     /// The given worker, if it still has that incarnation; counted until release().
     std::optional<RouteTarget> acquireAt(const WorkerId &worker, const Incarnation &incarnation);
 
--- a/Guavashift/Routing/Router.cpp
+++ b/Guavashift/Routing/Router.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-constexpr double latencyWeight = 0.1;
+/// Weight of a new latency in the moving average. A worker that became slow is noticed sooner than
+/// one that became fast again.
+constexpr double risingWeight = 0.5;
+constexpr double fallingWeight = 0.1;
 
 /// Slots that a worker offers for the service through backend servers that do not leave.
 std::uint32_t slotsFor(const RoutingEntry &entry, const ServiceId &service)
@@ -56,9 +59,11 @@
     return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::ceil(share)), 1, connections);
 }
 
-double Router::scoreOf(const WorkerState &worker)
+double Router::scoreOf(const WorkerState &worker, Instant now) const
 {
-    return (worker.inFlight + 1) * worker.latencyMs;
+    const double age = std::chrono::duration<double>(now - worker.measuredAt).count();
+    const double halfLife = std::chrono::duration<double>(m_settings.latencyHalfLife).count();
+    return (worker.inFlight + 1) * worker.latencyMs * std::exp2(-std::max(0.0, age) / halfLife);
 }
 
 RouteTarget Router::targetOf(const WorkerState &worker)
@@ -101,11 +106,15 @@
         return AllBusy{};
 
     std::uniform_int_distribution<std::size_t> index(0, m_candidates.size() - 1);
-    const WorkerState *first = m_candidates[index(m_random)].worker;
-    if (!m_settings.twoChoices)
-        return targetOf(*first);
-    const WorkerState *second = m_candidates[index(m_random)].worker;
-    return targetOf(scoreOf(*second) < scoreOf(*first) ? *second : *first);
+    const std::size_t first = index(m_random);
+    if (!m_settings.twoChoices || m_candidates.size() == 1)
+        return targetOf(*m_candidates[first].worker);
+    // Two different ones: otherwise a slow worker would be compared with itself now and then.
+    std::uniform_int_distribution<std::size_t> step(1, m_candidates.size() - 1);
+    const std::size_t second = (first + step(m_random)) % m_candidates.size();
+    const WorkerState &one = *m_candidates[first].worker;
+    const WorkerState &other = *m_candidates[second].worker;
+    return targetOf(scoreOf(other, now) < scoreOf(one, now) ? other : one);
 }
 
 std::optional<RouteTarget> Router::find(const WorkerId &worker,
@@ -132,7 +141,9 @@
     case DispatchResult::Good:
         worker.failures = 0;
         worker.ejection = {};
-        worker.latencyMs += latencyWeight * (latencyMs - worker.latencyMs);
+        worker.latencyMs += (latencyMs > worker.latencyMs ? risingWeight : fallingWeight)
+            * (latencyMs - worker.latencyMs);
+        worker.measuredAt = now;
         break;
     case DispatchResult::Busy:
         break;
--- a/Guavashift/Routing/Router.h
+++ b/Guavashift/Routing/Router.h
@@ -19,6 +19,9 @@
     std::uint32_t agentConnections = 64;
     /// Requests of this entry at one worker, as a multiple of its share of the slots.
     double slotOversubscription = 1.5;
+    /// Time in which an old latency loses half its weight, so that a worker that was slow is tried
+    /// again.
+    Duration latencyHalfLife = std::chrono::seconds(5);
     /// Two random candidates are compared; with false one random candidate is taken.
     bool twoChoices = true;
     bool ejection = true;
@@ -83,6 +86,7 @@
         Duration ejection{};
         Instant ejectedUntil;
         double latencyMs = 1; ///< Moving average.
+        Instant measuredAt;   ///< When it was last updated.
     };
 
     struct Candidate
@@ -93,7 +97,7 @@
 
     [[nodiscard]] std::uint32_t limitOf(const WorkerState &worker, std::uint32_t slots) const;
     [[nodiscard]] static RouteTarget targetOf(const WorkerState &worker);
-    static double scoreOf(const WorkerState &worker);
+    [[nodiscard]] double scoreOf(const WorkerState &worker, Instant now) const;
 
     RouterSettings m_settings;
     std::mt19937_64 m_random;
--- a/PerformanceTest/LoadReport.cpp
+++ b/PerformanceTest/LoadReport.cpp
@@ -72,6 +72,8 @@
     line("wrong or short answers", result.wrong);
     line("refused as not run", result.notRun);
     line("refused as unknown", result.unknown);
+    for (const auto &[reason, count] : result.refusals)
+        line("  refusal", fmt::format("{} times {}", count, reason.substr(0, reason.find('\n'))));
     line("no answer from the entry", result.lost);
     line("orders", result.orders.size());
     line("orders sent again", result.resent);
--- a/PerformanceTest/LoadRun.cpp
+++ b/PerformanceTest/LoadRun.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int maxOrderTries = 8;
+constexpr std::size_t maxRefusalText = 100;
 constexpr Duration resendPause = std::chrono::milliseconds(100);
 constexpr std::string_view runHeader = "Guavashift-Run";
 
@@ -50,6 +51,8 @@
         LoadResult &part = state.result;
         total.samples.insert(total.samples.end(), part.samples.begin(), part.samples.end());
         total.orders.insert(total.orders.end(), part.orders.begin(), part.orders.end());
+        for (const auto &[text, count] : part.refusals)
+            total.refusals[text] += count;
         total.sent += part.sent;
         total.answered += part.answered;
         total.wrong += part.wrong;
@@ -124,6 +127,7 @@
     }
     if (const auto header = answer->headers.find(runHeader)) {
         run = *header == "not-run" ? "not-run" : "unknown";
+        ++state.result.refusals[answer->body.substr(0, maxRefusalText)];
         ++(run == "not-run" ? state.result.notRun : state.result.unknown);
         return false;
     }
--- a/PerformanceTest/LoadRun.h
+++ b/PerformanceTest/LoadRun.h
@@ -56,6 +56,7 @@
     std::uint64_t lost = 0; ///< No answer from the entry at all.
     std::uint64_t resent = 0;
     double seconds = 0;
+    std::map<std::string, std::uint64_t> refusals; ///< Texts of refusals with their number.
 };
 
 /// Sends requests at a fixed rate, whatever the answers take, and checks every answer.
--- a/UnitTests/Process/faults.sh
+++ b/UnitTests/Process/faults.sh
@@ -24,6 +24,7 @@
     "$bin/guavashift" config patch examples/demo.json --operator test > /dev/null
     for n in 1 2 3; do wait_for 20 is_ready "127.0.0.$n:7100"; done
     wait_for 30 has_running 8
+    for n in 1 2 3; do wait_for 20 serves "$n"; done
 }
 
 # load NAME ARGUMENTS...: sends requests in the background
--- a/UnitTests/Routing/RoutingTest.cpp
+++ b/UnitTests/Routing/RoutingTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(saysNotRunOnlyWhenCertain);
     CPPUNIT_TEST(keepsToTheLimitOfEachWorker);
     CPPUNIT_TEST(avoidsASlowWorker);
+    CPPUNIT_TEST(triesASlowWorkerAgain);
     CPPUNIT_TEST(ejectsAndProbesAFailingWorker);
     CPPUNIT_TEST(leavingBackendGetsNothing);
     CPPUNIT_TEST(budgetBoundsRetries);
@@ -118,10 +119,31 @@
             }
             return slow / 40.0;
         };
-        CPPUNIT_ASSERT(shareOfSlow(true) < 10);
+        CPPUNIT_ASSERT(shareOfSlow(true) < 2);
         CPPUNIT_ASSERT(shareOfSlow(false) > 20);
     }
 
+    void triesASlowWorkerAgain()
+    {
+        Router router({}, 1);
+        router.update(tableOf(2));
+        Instant now(std::chrono::seconds(10));
+        const auto finish = [&](const char *worker, int milliseconds) {
+            for (int i = 0; i < 50; ++i) {
+                router.started(WorkerId{worker});
+                router.finished(WorkerId{worker}, DispatchResult::Good,
+                                std::chrono::milliseconds(milliseconds), now);
+            }
+        };
+        finish("w0", 40);
+        finish("w1", 5);
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), chosen(router, now).value);
+        // Three half-lives later the old figure has lost its weight.
+        now += std::chrono::seconds(20);
+        finish("w1", 5);
+        CPPUNIT_ASSERT_EQUAL(std::string("w0"), chosen(router, now).value);
+    }
+
     void ejectsAndProbesAFailingWorker()
     {
         Router router({}, 1);
