--- /dev/null
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -0,0 +1,128 @@
+#include <Guavashift/Channel/EventLoop.h>
+
+#include <ace/Dev_Poll_Reactor.h>
+
+namespace guavashift {
+
+namespace {
+
+/// Longest sleep without a timer; short enough that a stop is noticed without a wake-up.
+constexpr Duration longestWait = std::chrono::milliseconds(500);
+
+} // namespace
+
+/// Only wakes the reactor; the work itself stands in the queue.
+class EventLoop::Waker final : public ACE_Event_Handler
+{
+public:
+    int handle_exception(ACE_HANDLE) override { return 0; } // NOLINT(readability-identifier-naming)
+};
+
+EventLoop::EventLoop(const EventLoopSettings &settings)
+    : m_settings(settings)
+    , m_waker(std::make_unique<Waker>())
+{
+}
+
+EventLoop::~EventLoop() = default;
+
+Result<void> EventLoop::open()
+{
+    auto implementation = std::make_unique<ACE_Dev_Poll_Reactor>(m_settings.maxHandles, true);
+    if (!implementation->initialized())
+        return fail(ErrorCode::Io,
+                    fmt::format("cannot open an event loop for {} handles", m_settings.maxHandles));
+    m_reactor = std::make_unique<ACE_Reactor>(implementation.release(), true);
+    return {};
+}
+
+void EventLoop::post(Work work)
+{
+    bool wake = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wake = m_posted.empty();
+        m_posted.push_back(std::move(work));
+    }
+    // One wake-up serves all work that gathers before the loop gets to it.
+    if (wake)
+        m_reactor->notify(m_waker.get());
+}
+
+EventLoop::TimerId EventLoop::after(Duration delay, Work work)
+{
+    const TimerId id = m_nextTimer++;
+    const Instant at = BootClock::now() + delay;
+    m_timers.emplace(std::pair(at, id), std::move(work));
+    m_timerTimes.emplace(id, at);
+    return id;
+}
+
+void EventLoop::cancel(TimerId timer)
+{
+    const auto found = m_timerTimes.find(timer);
+    if (found == m_timerTimes.end())
+        return;
+    m_timers.erase({found->second, timer});
+    m_timerTimes.erase(found);
+}
+
+void EventLoop::run()
+{
+    for (;;) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping)
+                return;
+        }
+        const Duration wait = untilNextTimer();
+        ACE_Time_Value timeout(0, std::chrono::duration_cast<std::chrono::microseconds>(wait).count());
+        m_reactor->handle_events(timeout);
+        runPosted();
+        runTimers();
+        if (m_roundEnd)
+            m_roundEnd();
+    }
+}
+
+void EventLoop::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_reactor->notify(m_waker.get());
+}
+
+void EventLoop::runPosted()
+{
+    std::deque<Work> posted;
+    {
+        const std::lock_guard lock(m_mutex);
+        posted.swap(m_posted);
+    }
+    for (const Work &work : posted)
+        work();
+}
+
+void EventLoop::runTimers()
+{
+    const Instant now = BootClock::now();
+    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
+        const auto first = m_timers.begin();
+        const Work work = std::move(first->second);
+        m_timerTimes.erase(first->first.second);
+        m_timers.erase(first);
+        work();
+    }
+}
+
+Duration EventLoop::untilNextTimer() const
+{
+    if (m_timers.empty())
+        return longestWait;
+    const Duration wait = m_timers.begin()->first.first - BootClock::now();
+    return std::clamp(wait, Duration::zero(), longestWait);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Channel/EventLoop.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace guavashift {
+
+struct EventLoopSettings
+{
+    /// Handles that the loop can watch. Opening fails above what the process may have.
+    std::size_t maxHandles = 1024;
+};
+
+/// One thread that waits for sockets, timers and work posted by other threads. Everything that a
+/// role believes is changed on this thread only, so it needs no locks.
+class EventLoop final
+{
+public:
+    using Work = std::function<void()>;
+    using TimerId = std::uint64_t;
+
+    explicit EventLoop(const EventLoopSettings &settings);
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// Opens the loop. Fails if the process may not have that many handles.
+    Result<void> open();
+
+    /// Carries out `work` soon on the loop's thread. Callable from any thread.
+    void post(Work work);
+
+    /// Carries out `work` once after `delay`. Only on the loop's thread.
+    TimerId after(Duration delay, Work work);
+    void cancel(TimerId timer);
+
+    /// Called after each round of events, before waiting again.
+    void setRoundEnd(Work work) { m_roundEnd = std::move(work); }
+
+    /// Runs until stop().
+    void run();
+    /// Callable from any thread.
+    void stop();
+
+    [[nodiscard]] ACE_Reactor &reactor() { return *m_reactor; }
+
+private:
+    class Waker;
+
+    void runPosted();
+    void runTimers();
+    [[nodiscard]] Duration untilNextTimer() const;
+
+    EventLoopSettings m_settings;
+    std::unique_ptr<ACE_Reactor> m_reactor;
+    std::unique_ptr<Waker> m_waker;
+    std::mutex m_mutex;
+    std::deque<Work> m_posted;
+    bool m_stopping = false;
+    std::map<std::pair<Instant, TimerId>, Work> m_timers;
+    std::map<TimerId, Instant> m_timerTimes;
+    TimerId m_nextTimer = 1;
+    Work m_roundEnd;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -0,0 +1,259 @@
+#include <Guavashift/Channel/FrameConnection.h>
+
+#include <Guavashift/Core/Address.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::size_t headerBytes = 4;
+constexpr std::size_t readBytes = 64 << 10;
+/// How often silence and keep-alive are looked at, as a part of the keep-alive interval.
+constexpr int watchesPerKeepAlive = 2;
+
+void prepareSocket(int handle, Duration silence)
+{
+    const int on = 1;
+    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const auto timeout = static_cast<unsigned>(toMs(silence));
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    fcntl(handle, F_SETFL, fcntl(handle, F_GETFL, 0) | O_NONBLOCK); // NOLINT
+}
+
+} // namespace
+
+FrameConnection::FrameConnection(EventLoop &loop, const ChannelSettings &settings)
+    : m_loop(loop)
+    , m_settings(settings)
+{
+}
+
+FrameConnection::~FrameConnection()
+{
+    *m_alive = false;
+    close();
+}
+
+void FrameConnection::setHandlers(OnFrame onFrame, OnClosed onClosed)
+{
+    m_onFrame = std::move(onFrame);
+    m_onClosed = std::move(onClosed);
+}
+
+void FrameConnection::adopt(ACE_HANDLE handle)
+{
+    prepareSocket(handle, m_settings.silence);
+    start(handle, false);
+}
+
+void FrameConnection::connect(const std::string &address)
+{
+    const Result<Address> parsed = Address::parse(address);
+    const int handle = parsed ? ::socket(AF_INET, SOCK_STREAM, 0) : -1;
+    m_started = BootClock::now();
+    if (handle < 0) {
+        m_loop.post([this, alive = m_alive] {
+            if (*alive)
+                lose("no socket or a wrong address");
+        });
+        return;
+    }
+    prepareSocket(handle, m_settings.silence);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(parsed->port);
+    inet_pton(AF_INET, parsed->ip.c_str(), &target.sin_addr);
+    const int result = ::connect(handle, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+    if (result != 0 && errno != EINPROGRESS) {
+        ::close(handle);
+        m_loop.post([this, alive = m_alive] {
+            if (*alive)
+                lose("not reachable");
+        });
+        return;
+    }
+    start(handle, result != 0);
+}
+
+void FrameConnection::start(ACE_HANDLE handle, bool connecting)
+{
+    m_handle = handle;
+    m_connecting = connecting;
+    m_started = m_lastInput = m_lastOutput = BootClock::now();
+    m_wantsOutput = connecting;
+    reactor(&m_loop.reactor());
+    m_loop.reactor().register_handler(
+        this, connecting ? ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK
+                         : ACE_Event_Handler::READ_MASK);
+    watch();
+    if (!connecting)
+        flush();
+}
+
+void FrameConnection::watch()
+{
+    m_watchTimer = m_loop.after(m_settings.keepAlive / watchesPerKeepAlive, [this] {
+        m_watchTimer = 0;
+        const Instant now = BootClock::now();
+        if (m_connecting && now - m_started > m_settings.connectTimeout)
+            return lose("connecting took too long");
+        if (!m_connecting && now - m_lastInput > m_settings.silence)
+            return lose("silent");
+        // An empty frame keeps the other side from taking this one for dead.
+        if (!m_connecting && m_output.empty() && now - m_lastOutput >= m_settings.keepAlive)
+            send({});
+        if (isOpen() && m_watchTimer == 0)
+            watch();
+    });
+}
+
+void FrameConnection::send(std::string_view frame)
+{
+    if (m_output.size() - m_outputDone + frame.size() > m_settings.maxQueuedBytes)
+        return lose("the other side does not read");
+    const auto length = htonl(static_cast<std::uint32_t>(frame.size()));
+    char header[headerBytes]; // NOLINT
+    std::memcpy(header, &length, headerBytes);
+    m_output.append(header, headerBytes);
+    m_output.append(frame);
+    if (isOpen() && !m_connecting && !m_wantsOutput)
+        flush();
+}
+
+void FrameConnection::flush()
+{
+    while (m_outputDone < m_output.size()) {
+        const ssize_t sent = ::send(m_handle, m_output.data() + m_outputDone,
+                                    m_output.size() - m_outputDone, MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR)
+            continue;
+        if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return wantOutput(true);
+        if (sent <= 0)
+            return lose("broken while sending");
+        m_outputDone += static_cast<std::size_t>(sent);
+        m_bytesSent += static_cast<std::uint64_t>(sent);
+        m_lastOutput = BootClock::now();
+    }
+    m_output.clear();
+    m_outputDone = 0;
+    wantOutput(false);
+}
+
+void FrameConnection::wantOutput(bool wanted)
+{
+    if (wanted == m_wantsOutput)
+        return;
+    m_wantsOutput = wanted;
+    m_loop.reactor().mask_ops(this, ACE_Event_Handler::WRITE_MASK,
+                              wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+}
+
+int FrameConnection::handle_output(ACE_HANDLE)
+{
+    if (m_connecting) {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        getsockopt(m_handle, SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            lose("refused");
+            return 0;
+        }
+        m_connecting = false;
+        m_lastInput = BootClock::now();
+    }
+    flush();
+    return 0;
+}
+
+int FrameConnection::handle_input(ACE_HANDLE)
+{
+    if (m_connecting) {
+        handle_output(m_handle);
+        if (!isOpen() || m_connecting)
+            return 0;
+    }
+    const std::shared_ptr<bool> alive = m_alive;
+    for (;;) {
+        const std::size_t before = m_input.size();
+        m_input.resize(before + readBytes);
+        const ssize_t got = ::recv(m_handle, m_input.data() + before, readBytes, 0);
+        m_input.resize(before + static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+        if (got < 0 && errno == EINTR)
+            continue;
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return 0;
+        if (got <= 0) {
+            lose(got == 0 ? "closed by the other side" : "broken while receiving");
+            return 0;
+        }
+        m_lastInput = BootClock::now();
+        takeFrames();
+        if (!*alive || !isOpen() || static_cast<std::size_t>(got) < readBytes)
+            return 0;
+    }
+}
+
+void FrameConnection::takeFrames()
+{
+    const std::shared_ptr<bool> alive = m_alive;
+    std::string input = std::exchange(m_input, {});
+    std::string_view rest = input;
+    while (rest.size() >= headerBytes) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, rest.data(), headerBytes);
+        length = ntohl(length);
+        if (length > m_settings.maxFrameBytes)
+            return lose("a frame is too large");
+        if (rest.size() - headerBytes < length)
+            break;
+        const std::string_view frame = rest.substr(headerBytes, length);
+        rest.remove_prefix(headerBytes + length);
+        if (length > 0 && m_onFrame)
+            m_onFrame(frame);
+        if (!*alive || !isOpen())
+            return;
+    }
+    m_input.assign(rest);
+}
+
+int FrameConnection::handle_close(ACE_HANDLE, ACE_Reactor_Mask)
+{
+    return 0;
+}
+
+void FrameConnection::close()
+{
+    if (m_watchTimer != 0)
+        m_loop.cancel(std::exchange(m_watchTimer, 0));
+    if (!isOpen())
+        return;
+    const ACE_HANDLE handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
+    m_loop.reactor().remove_handler(handle,
+                                    ACE_Event_Handler::ALL_EVENTS_MASK
+                                        | ACE_Event_Handler::DONT_CALL);
+    ::close(handle);
+}
+
+void FrameConnection::lose(std::string_view reason)
+{
+    close();
+    if (m_onClosed) {
+        // The owner drops this object from its callback's successor, never inside one of ours.
+        m_loop.post([alive = m_alive, closed = m_onClosed, text = std::string(reason)] {
+            if (*alive)
+                closed(text);
+        });
+    }
+}
+
+} // namespace guavashift
--- a/Guavashift/Control/DataFolder.cpp
+++ b/Guavashift/Consensus/DataFolder.cpp
@@ -1,4 +1,4 @@
-#include <Guavashift/Control/DataFolder.h>
+#include <Guavashift/Consensus/DataFolder.h>
 
 namespace guavashift {
 
@@ -25,6 +25,13 @@
 
 Result<DataFolder> DataFolder::open(const std::filesystem::path &path, std::string_view clusterId,
                                     std::string_view vm, std::uint64_t randomNumber)
+{
+    return openAs(path, clusterId, vm, hexOf(randomNumber));
+}
+
+Result<DataFolder> DataFolder::openAs(const std::filesystem::path &path,
+                                      std::string_view clusterId, std::string_view vm,
+                                      std::string_view incarnation)
 {
     std::error_code error;
     if (std::filesystem::create_directories(path, error); error)
@@ -37,7 +44,8 @@
         // State without an identity is somebody else's, or damaged.
         if (std::filesystem::exists(path / "log") || std::filesystem::exists(path / "snapshot"))
             return fail(ErrorCode::Io, path.string() + ": holds state but no identity");
-        const Identity identity{std::string(clusterId), std::string(vm), hexOf(randomNumber)};
+        const Identity identity{std::string(clusterId), std::string(vm),
+                                std::string(incarnation)};
         if (Result<void> stored = replaceFile(path / identityName, Json(identity).dump()); !stored)
             return tl::unexpected(stored.error());
         return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
--- a/Guavashift/Control/MembershipPlanner.cpp
+++ b/Guavashift/Consensus/MembershipPlanner.cpp
@@ -1,4 +1,4 @@
-#include <Guavashift/Control/MembershipPlanner.h>
+#include <Guavashift/Consensus/MembershipPlanner.h>
 
 #include <algorithm>
 #include <set>
--- a/Guavashift/Rpc/Address.cpp
+++ b/Guavashift/Core/Address.cpp
@@ -1,4 +1,4 @@
-#include <Guavashift/Rpc/Address.h>
+#include <Guavashift/Core/Address.h>
 
 #include <arpa/inet.h>
 #include <charconv>
--- a/Guavashift/Core/Check.cpp
+++ b/Guavashift/Core/Check.cpp
@@ -9,6 +9,7 @@
 {
     logEvent(LogLevel::Error, "invariant-broken",
              {{"condition", condition}, {"file", file}, {"line", line}});
+    flushLog();
     std::abort();
 }
 
--- a/Guavashift/Core/Log.h
+++ b/Guavashift/Core/Log.h
@@ -26,8 +26,14 @@
 /// Least level that is written. Set once at start.
 void setLogLevel(LogLevel level);
 
-/// Writes one line "time=... level=... event=... key=value ..." to standard error. Values with
-/// spaces or quotes are quoted.
+/// Writes one line "time=... level=... event=... key=value ..." to standard output. Values with
+/// spaces or quotes are quoted. Never waits: lines that cannot be kept are dropped and counted.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Writes what still waits, before the process ends abnormally.
+void flushLog();
+
+/// Lines dropped since the start because their reader was too slow.
+std::uint64_t droppedLogLines();
+
 } // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Public header of the Dispatch library: the leader's decisions on staged jobs.
+#include <Guavashift/Dispatch/Dispatcher.h>
+#include <Guavashift/Dispatch/WorkerFacts.h>
+#include <Guavashift/Dispatch/WorkerPool.h>
--- /dev/null
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -0,0 +1,489 @@
+#include <Guavashift/Dispatch/Dispatcher.h>
+
+namespace guavashift {
+
+namespace {
+
+/// Time along the longest chain of steps, by the declared estimates.
+std::int64_t chainMs(const JobPlan &plan)
+{
+    std::vector<std::int64_t> ends(plan.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t i = 0; i < plan.steps.size(); ++i) {
+        std::int64_t start = 0;
+        for (const std::uint32_t earlier : plan.steps[i].after)
+            start = std::max(start, ends[earlier]);
+        ends[i] = start + plan.steps[i].estimateMs;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const DispatchSettings &settings, const JobBook &book)
+    : m_settings(settings)
+    , m_book(book)
+{
+}
+
+void Dispatcher::start(Instant now)
+{
+    stop();
+    for (const auto &[id, job] : m_book.jobs()) {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+                for (std::uint32_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
+                    const StageTask &task = occurrence.steps[s].tasks[t];
+                    if (task.stage != TaskStage::Bound)
+                        continue;
+                    const TaskRef ref{id, number, s, t};
+                    PlacedRun run = placedRun(ref, task.run);
+                    run.committed = true;
+                    run.boundAt = now;
+                    m_pool.place(task.lifetime, std::move(run));
+                    m_placed.emplace(ref, task.lifetime);
+                }
+            }
+        }
+        if (job.isActive()) {
+            offerReadySteps(id, job);
+            scheduleOccurrences(id, job);
+        }
+    }
+    // The leader before may have granted a lease just now.
+    for (const auto &[lifetime, worker] : m_pool.workers())
+        m_pool.find(lifetime)->leaseEnd = now + m_settings.workerLease + m_settings.leaseMargin;
+}
+
+void Dispatcher::stop()
+{
+    m_pool.clear();
+    m_ready.clear();
+    m_readyByTask.clear();
+    m_placed.clear();
+    m_due.clear();
+    m_records.clear();
+    m_commands.clear();
+    m_orders.clear();
+    m_endsProposed.clear();
+}
+
+PlacedRun Dispatcher::placedRun(const TaskRef &ref, std::uint32_t run) const
+{
+    const StepPlan &step = m_book.find(ref.job)->plan.steps[ref.step];
+    PlacedRun placed;
+    placed.task = ref;
+    placed.run = run;
+    placed.size = step.size;
+    placed.fillsLeftover = step.fillsLeftover;
+    placed.serves = step.tailTargetMs > 0;
+    return placed;
+}
+
+ReadyTask Dispatcher::readyTask(const StageJob &job, const TaskRef &ref) const
+{
+    ReadyTask ready;
+    ready.task = ref;
+    ready.objective = std::max(job.acceptedAt, job.plan.occurrences == 0
+                                   ? 0
+                                   : job.plan.dueAt(ref.occurrence))
+        + chainMs(job.plan);
+    const QueueSettings &terms = m_book.termsOf(job);
+    ready.priority = terms.priority;
+    ready.objective += terms.targetLatencyMs
+        + static_cast<std::int64_t>((terms.stretch - 1) * static_cast<double>(chainMs(job.plan)));
+    return ready;
+}
+
+void Dispatcher::offer(const TaskRef &ref)
+{
+    const StageJob *job = m_book.find(ref.job);
+    if (job == nullptr || !job->isActive() || m_placed.contains(ref)
+        || m_readyByTask.contains(ref))
+        return;
+    const ReadyTask ready = readyTask(*job, ref);
+    m_ready.insert(ready);
+    m_readyByTask.emplace(ref, ready);
+}
+
+void Dispatcher::offerStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
+                           std::uint32_t step)
+{
+    for (std::uint32_t t = 0; t < job.plan.steps[step].tasks; ++t) {
+        const TaskRef ref{id, occurrence, step, t};
+        const StageTask *task = m_book.find(ref);
+        if (task == nullptr || task->stage == TaskStage::Waiting)
+            offer(ref);
+    }
+}
+
+void Dispatcher::offerReadySteps(const std::string &id, const StageJob &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            if (!occurrence.steps[s].isDone() && JobBook::isReady(job, number, s))
+                offerStep(id, job, number, s);
+        }
+    }
+}
+
+void Dispatcher::scheduleOccurrences(const std::string &id, const StageJob &job)
+{
+    for (std::uint32_t k = 0; k < job.plan.occurrences; ++k) {
+        if (!job.occurrencesDone.contains(k) && !job.occurrences.contains(k))
+            m_due.emplace(job.plan.dueAt(k), std::pair(id, k));
+    }
+}
+
+void Dispatcher::beginDueOccurrences(WallMs wallNow)
+{
+    while (!m_due.empty() && m_due.begin()->first <= wallNow + m_settings.earlyMs) {
+        const auto [id, occurrence] = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        const StageJob *job = m_book.find(id);
+        if (job == nullptr || !job->isActive())
+            continue;
+        for (std::uint32_t s = 0; s < job->plan.steps.size(); ++s) {
+            if (job->plan.steps[s].after.empty())
+                offerStep(id, *job, occurrence, s);
+        }
+    }
+}
+
+void Dispatcher::withdraw(const std::string &id)
+{
+    const TaskRef first{id, 0, 0, 0};
+    for (auto at = m_readyByTask.lower_bound(first);
+         at != m_readyByTask.end() && at->first.job == id;) {
+        m_ready.erase(at->second);
+        at = m_readyByTask.erase(at);
+    }
+    for (auto at = m_placed.lower_bound(first); at != m_placed.end() && at->first.job == id; ++at) {
+        PoolWorker *worker = m_pool.find(at->second);
+        if (worker == nullptr)
+            continue;
+        const auto run = worker->runs.find(at->first);
+        if (run != worker->runs.end())
+            orderStop(at->second, *worker, run->second);
+    }
+}
+
+void Dispatcher::orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run)
+{
+    if (!run.committed || run.stopAsked)
+        return;
+    run.stopAsked = true;
+    if (!worker.node.empty())
+        m_orders.emplace_back(worker.node, StopOrder{lifetime, run.task, run.run});
+}
+
+void Dispatcher::workerReported(const std::string &node, const WorkerFacts &facts, Instant now)
+{
+    // One machine carries one worker: an earlier lifetime there has ended.
+    std::vector<Lifetime> ended;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        const bool sameName = lifetime.worker == facts.lifetime.worker;
+        if ((worker.node == node || sameName) && lifetime != facts.lifetime
+            && lifetime.born <= facts.lifetime.born)
+            ended.push_back(lifetime);
+    }
+    for (const Lifetime &lifetime : ended)
+        lifetimeEnded(lifetime, false, now);
+    PoolWorker &worker = m_pool.add(facts.lifetime);
+    const bool drains = facts.draining && !worker.facts.draining;
+    worker.facts = facts;
+    worker.node = node;
+    worker.hasFacts = true;
+    worker.leaseEnd =
+        std::max(worker.leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
+    if (drains)
+        evacuate(worker, now);
+}
+
+void Dispatcher::evacuate(PoolWorker &worker, Instant)
+{
+    for (auto &[task, run] : worker.runs) {
+        const StageJob *job = m_book.find(task.job);
+        if (job == nullptr || job->plan.steps.empty())
+            continue;
+        // What can go on elsewhere from where it is moves at once; the rest may still end in time.
+        if (job->plan.steps[task.step].checkpoints)
+            orderStop(worker.facts.lifetime, worker, run);
+    }
+}
+
+void Dispatcher::leaseGranted(const std::string &node, Instant now)
+{
+    for (const auto &[lifetime, known] : m_pool.workers()) {
+        if (known.node == node)
+            m_pool.find(lifetime)->leaseEnd =
+                now + m_settings.workerLease + m_settings.leaseMargin;
+    }
+}
+
+void Dispatcher::nodeLost(const std::string &node)
+{
+    for (const auto &[lifetime, known] : m_pool.workers()) {
+        if (known.node == node)
+            m_pool.find(lifetime)->node.clear();
+    }
+}
+
+void Dispatcher::rowsReported(const Lifetime &lifetime, std::span<const RunRow> rows, Instant now)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    worker->silent = false;
+    for (const RunRow &row : rows) {
+        const auto found = worker->runs.find(row.task);
+        if (found == worker->runs.end() || found->second.run != row.run)
+            continue;
+        found->second.row = row;
+        found->second.rowAt = now;
+    }
+}
+
+void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunRow> rows,
+                                   Instant boundBefore)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    worker->silent = false;
+    std::map<TaskRef, std::uint32_t> running;
+    for (const RunRow &row : rows)
+        running[row.task] = std::max(running[row.task], row.run);
+    for (auto &[task, run] : worker->runs) {
+        const auto found = running.find(task);
+        if (found != running.end() && found->second == run.run) {
+            // A stop that the agent before was told of is asked for again.
+            const StageJob *job = m_book.find(task.job);
+            run.stopAsked = false;
+            if (job == nullptr || !job->isActive())
+                orderStop(lifetime, *worker, run);
+            continue;
+        }
+        if (run.committed && run.boundAt <= boundBefore)
+            queueEnd(run, RunEnd::NotStarted);
+    }
+    // What runs there without being bound there belongs to an end that was settled otherwise.
+    for (const RunRow &row : rows) {
+        const auto found = worker->runs.find(row.task);
+        if (found == worker->runs.end() || found->second.run != row.run)
+            m_orders.emplace_back(worker->node, StopOrder{lifetime, row.task, row.run});
+    }
+    if (worker->facts.draining)
+        evacuate(*worker, boundBefore);
+}
+
+void Dispatcher::workerSilent(const Lifetime &lifetime, bool silent)
+{
+    if (PoolWorker *worker = m_pool.find(lifetime))
+        worker->silent = silent;
+}
+
+void Dispatcher::lifetimeEnded(const Lifetime &lifetime, bool silent, Instant)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    endAllRuns(lifetime, RunEnd::Lapsed);
+    if (silent)
+        worker->silent = true;
+    else {
+        worker->hasFacts = false;
+        worker->node.clear();
+        m_pool.removeIfIdle(lifetime);
+    }
+}
+
+void Dispatcher::endAllRuns(const Lifetime &lifetime, RunEnd end)
+{
+    for (const auto &[task, run] : m_pool.find(lifetime)->runs) {
+        if (run.committed)
+            queueEnd(run, end);
+    }
+}
+
+void Dispatcher::queueEnd(const PlacedRun &run, RunEnd end)
+{
+    if (!m_endsProposed.emplace(run.task, run.run).second)
+        return;
+    m_commands.emplace_back(EndRun{run.task, run.run, end, run.row.checkpoint});
+}
+
+void Dispatcher::startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
+                              Instant now)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+    const auto found = worker->runs.find(task);
+    if (found != worker->runs.end() && found->second.run == run && found->second.committed)
+        queueEnd(found->second, RunEnd::NotStarted);
+}
+
+void Dispatcher::endReported(const EndRun &end)
+{
+    const auto placed = m_placed.find(end.task);
+    if (placed == m_placed.end())
+        return;
+    PoolWorker *worker = m_pool.find(placed->second);
+    const auto run = worker->runs.find(end.task);
+    if (run == worker->runs.end() || run->second.run != end.run || !run->second.committed)
+        return;
+    if (!m_endsProposed.emplace(end.task, end.run).second)
+        return;
+    EndRun command = end;
+    // A lapsed run leaves no word of its last checkpoint, but the worker showed it before.
+    if (command.checkpoint.empty())
+        command.checkpoint = run->second.row.checkpoint;
+    m_commands.emplace_back(std::move(command));
+}
+
+void Dispatcher::noteEnd(const EndRun &end, const Lifetime &lifetime, Instant now)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr || worker->node.empty())
+        return;
+    Record &record = m_records[worker->node];
+    if (end.end == RunEnd::Done) {
+        record = {};
+        return;
+    }
+    if (end.end != RunEnd::Failed)
+        return;
+    record.failedJobs.insert(end.task.job);
+    if (record.failedJobs.size() < m_settings.failuresToDoubt)
+        return;
+    constexpr int mostDoublings = 3;
+    record.pause = record.pause == Duration::zero()
+        ? m_settings.failurePause
+        : std::min(record.pause * 2, m_settings.failurePause * (1 << mostDoublings));
+    worker->suspectUntil = now + record.pause;
+}
+
+void Dispatcher::applied(const StageCommand &command, const StageOutcome &outcome, Instant now)
+{
+    std::visit(
+        Overloaded{
+            [](const ReplaceConfiguration &) {},
+            [&](const AcceptJob &accept) {
+                if (!outcome.applied)
+                    return;
+                const StageJob &job = *m_book.find(accept.job);
+                offerReadySteps(accept.job, job);
+                scheduleOccurrences(accept.job, job);
+            },
+            [&](const CancelJob &cancel) { withdraw(cancel.job); },
+            [&](const StartRun &start) {
+                const auto placed = m_placed.find(start.task);
+                if (placed == m_placed.end())
+                    return;
+                if (!outcome.applied)
+                    return proposalLost(command);
+                PoolWorker &worker = *m_pool.find(start.lifetime);
+                PlacedRun &run = worker.runs.at(start.task);
+                run.committed = true;
+                run.boundAt = now;
+                const StageJob &job = *m_book.find(start.task.job);
+                const StepPlan &step = job.plan.steps[start.task.step];
+                // Without an agent it is settled by the next agent's inventory or the lease.
+                if (!worker.node.empty())
+                    m_orders.emplace_back(
+                        worker.node,
+                        StartOrder{start.lifetime,
+                                   {start.task, start.run, step.image, step.tailTargetMs,
+                                    step.fillsLeftover},
+                                   job.plan.payload,
+                                   m_book.find(start.task)->checkpoint,
+                                   {}});
+            },
+            [&](const EndRun &end) {
+                m_endsProposed.erase({end.task, end.run});
+                if (!outcome.applied)
+                    return;
+                const auto placed = m_placed.find(end.task);
+                if (placed != m_placed.end()) {
+                    const Lifetime lifetime = placed->second;
+                    noteEnd(end, lifetime, now);
+                    m_pool.release(lifetime, end.task);
+                    m_placed.erase(placed);
+                    if (!m_pool.find(lifetime)->hasFacts)
+                        m_pool.removeIfIdle(lifetime);
+                }
+                const StageJob *job = m_book.find(end.task.job);
+                if (job == nullptr)
+                    return;
+                if (!job->isActive())
+                    return withdraw(end.task.job);
+                const StageTask *task = m_book.find(end.task);
+                if (task != nullptr && task->stage == TaskStage::Waiting)
+                    offer(end.task);
+                else
+                    offerReadySteps(end.task.job, *job);
+            }},
+        command);
+}
+
+void Dispatcher::proposalLost(const StageCommand &command)
+{
+    std::visit(Overloaded{[&](const StartRun &start) {
+                              const auto placed = m_placed.find(start.task);
+                              if (placed == m_placed.end())
+                                  return;
+                              m_pool.release(placed->second, start.task);
+                              m_placed.erase(placed);
+                              const StageTask *task = m_book.find(start.task);
+                              if (task == nullptr || task->stage == TaskStage::Waiting)
+                                  offer(start.task);
+                          },
+                          [&](const EndRun &end) { m_endsProposed.erase({end.task, end.run}); },
+                          [](const auto &) {}},
+               command);
+}
+
+void Dispatcher::expireLeases(Instant now)
+{
+    std::vector<Lifetime> expired;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (now > worker.leaseEnd)
+            expired.push_back(lifetime);
+    }
+    for (const Lifetime &lifetime : expired)
+        lifetimeEnded(lifetime, false, now);
+}
+
+std::vector<StageCommand> Dispatcher::decide(Instant now, WallMs wallNow)
+{
+    expireLeases(now);
+    beginDueOccurrences(wallNow);
+    placeReady(now);
+    return std::exchange(m_commands, {});
+}
+
+std::vector<std::pair<std::string, AgentOrder>> Dispatcher::takeOrders()
+{
+    return std::exchange(m_orders, {});
+}
+
+std::vector<RunTraits> Dispatcher::traitsOf(const Lifetime &lifetime) const
+{
+    std::vector<RunTraits> traits;
+    const auto found = m_pool.workers().find(lifetime);
+    if (found == m_pool.workers().end())
+        return traits;
+    for (const auto &[task, run] : found->second.runs) {
+        const StageJob *job = m_book.find(task.job);
+        if (job == nullptr || job->plan.steps.empty())
+            continue;
+        const StepPlan &step = job->plan.steps[task.step];
+        traits.push_back({task, run.run, step.image, step.tailTargetMs, step.fillsLeftover});
+    }
+    return traits;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <Guavashift/Dispatch/WorkerPool.h>
+
+#include <set>
+
+namespace guavashift {
+
+/// Times and shares by which the leader decides. Those named as limits come from the deployment.
+struct DispatchSettings
+{
+    /// How long one grant lets a worker run; limit of the deployment, see FleetBounds.
+    Duration workerLease = std::chrono::milliseconds(4500);
+    /// Added before a lease counts as over: late timers, clocks that run 2 % slow.
+    Duration leaseMargin = std::chrono::milliseconds(400);
+    /// How much earlier than due a scheduled occurrence may start; limit of the deployment.
+    std::int64_t earlyMs = 0;
+    /// A worker that refused a start is passed over this long.
+    Duration refusalPause = std::chrono::milliseconds(500);
+    /// A worker on which different jobs failed is passed over this long; doubles up to the most.
+    Duration failurePause = std::chrono::seconds(2);
+    /// Failures of different jobs on one worker, without a success between, before it is doubted.
+    std::uint32_t failuresToDoubt = 3;
+    /// Part of what serving tasks reserve that they are taken to use on average.
+    double servingLoad = 0.6;
+    /// Fillers may want this part of a worker's processors more than is left over.
+    double fillerOvercommit = 0.15;
+    /// How much slower a task is away from its data; limit of the deployment.
+    double remoteFactor = 1.5;
+};
+
+/// A task that could run now, in the order in which tasks are served.
+struct ReadyTask
+{
+    std::int32_t priority = 0;
+    WallMs objective = 0; ///< When the job should be complete.
+    TaskRef task;
+
+    auto operator<=>(const ReadyTask &) const = default;
+};
+
+using AgentOrder = std::variant<StartOrder, StopOrder>;
+
+/// The leader's decisions on staged jobs: which task runs next, where, and which runs must stop.
+/// Keeps only what can be learned again after a change of leader. Pure: time comes in as values,
+/// commands and orders go out.
+class Dispatcher final
+{
+public:
+    Dispatcher(const DispatchSettings &settings, const JobBook &book);
+
+    /// Called when this replica begins to lead; learns all bound runs from the book.
+    void start(Instant now);
+    void stop();
+
+    /// Facts from the agent on `node`. A new lifetime there ends the one before.
+    void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
+    /// A grant was given to the agent on `node`.
+    void leaseGranted(const std::string &node, Instant now);
+    void nodeLost(const std::string &node);
+    void rowsReported(const Lifetime &lifetime, std::span<const RunRow> rows, Instant now);
+    /// All that runs there, and nothing else that was bound up to `boundBefore`.
+    void inventoryReported(const Lifetime &lifetime, std::span<const RunRow> rows,
+                           Instant boundBefore);
+    /// Nothing of that lifetime runs any more, or ever will.
+    void lifetimeEnded(const Lifetime &lifetime, bool silent, Instant now);
+    void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
+                      Instant now);
+    void workerSilent(const Lifetime &lifetime, bool silent);
+    void endReported(const EndRun &end);
+
+    /// A command was committed and applied to the book.
+    void applied(const StageCommand &command, const StageOutcome &outcome, Instant now);
+    /// A proposed start was not committed.
+    void proposalLost(const StageCommand &command);
+
+    /// Commands to propose now.
+    std::vector<StageCommand> decide(Instant now, WallMs wallNow);
+    /// Orders for agents that have gathered, each with the agent's node.
+    std::vector<std::pair<std::string, AgentOrder>> takeOrders();
+
+    /// What the agent needs to know of the runs it found.
+    [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
+    [[nodiscard]] const WorkerPool &pool() const { return m_pool; }
+    [[nodiscard]] std::size_t readyTasks() const { return m_ready.size(); }
+
+private:
+    [[nodiscard]] ReadyTask readyTask(const StageJob &job, const TaskRef &ref) const;
+    [[nodiscard]] PlacedRun placedRun(const TaskRef &ref, std::uint32_t run) const;
+    void offer(const TaskRef &ref);
+    void offerStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
+                   std::uint32_t step);
+    void offerReadySteps(const std::string &id, const StageJob &job);
+    void withdraw(const std::string &id);
+    void scheduleOccurrences(const std::string &id, const StageJob &job);
+    void beginDueOccurrences(WallMs wallNow);
+    void endAllRuns(const Lifetime &lifetime, RunEnd end);
+    void queueEnd(const PlacedRun &run, RunEnd end);
+    void expireLeases(Instant now);
+    void evacuate(PoolWorker &worker, Instant now);
+    void placeReady(Instant now);
+    bool placeTask(const ReadyTask &ready, Instant now);
+    bool placeGang(const ReadyTask &ready, Instant now);
+    [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now);
+    [[nodiscard]] bool mayRun(const PoolWorker &worker, const QueueSettings &queue,
+                              const StepPlan &step, const TaskRef &ref, Instant now) const;
+    [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
+    [[nodiscard]] std::int64_t leftover(const PoolWorker &worker) const;
+    void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
+    void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
+    void noteEnd(const EndRun &end, const Lifetime &lifetime, Instant now);
+
+    struct Record
+    {
+        std::set<std::string> failedJobs; ///< Since the last success.
+        Duration pause = Duration::zero();
+    };
+
+    DispatchSettings m_settings;
+    const JobBook &m_book;
+    WorkerPool m_pool;
+    std::set<ReadyTask> m_ready;
+    std::map<TaskRef, ReadyTask> m_readyByTask;
+    std::map<TaskRef, Lifetime> m_placed; ///< Bound or proposed.
+    std::set<std::pair<WallMs, std::pair<std::string, std::uint32_t>>> m_due;
+    std::map<std::string, Record> m_records; ///< By node.
+    std::vector<StageCommand> m_commands;
+    std::vector<std::pair<std::string, AgentOrder>> m_orders;
+    std::set<std::pair<TaskRef, std::uint32_t>> m_endsProposed;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -0,0 +1,151 @@
+#include <Guavashift/Dispatch/Dispatcher.h>
+
+// The part of Dispatcher that chooses workers.
+
+namespace guavashift {
+
+void Dispatcher::placeReady(Instant now)
+{
+    // A shape that found no room once this round finds none for its like either.
+    std::set<std::pair<std::string, std::uint32_t>> stuck;
+    std::vector<ReadyTask> ready(m_ready.begin(), m_ready.end());
+    for (const ReadyTask &each : ready) {
+        const std::pair<std::string, std::uint32_t> shape{each.task.job, each.task.step};
+        if (stuck.contains(shape) || !m_readyByTask.contains(each.task))
+            continue;
+        const StageJob &job = *m_book.find(each.task.job);
+        const bool placed = job.plan.steps[each.task.step].gang ? placeGang(each, now)
+                                                                : placeTask(each, now);
+        if (!placed)
+            stuck.insert(shape);
+    }
+}
+
+bool Dispatcher::placeTask(const ReadyTask &ready, Instant now)
+{
+    const StageJob &job = *m_book.find(ready.task.job);
+    PoolWorker *worker = chooseWorker(job, ready.task, now);
+    if (worker == nullptr)
+        return false;
+    const StageTask *task = m_book.find(ready.task);
+    bind(ready.task, task == nullptr ? 1 : task->run + 1, *worker, now);
+    return true;
+}
+
+bool Dispatcher::placeGang(const ReadyTask &ready, Instant now)
+{
+    const StageJob &job = *m_book.find(ready.task.job);
+    const std::uint32_t members = job.plan.steps[ready.task.step].tasks;
+    // All members start together with one run number, so all must be free.
+    std::uint32_t run = 0;
+    std::vector<TaskRef> refs;
+    for (std::uint32_t t = 0; t < members; ++t) {
+        TaskRef ref = ready.task;
+        ref.task = t;
+        if (!m_readyByTask.contains(ref))
+            return false;
+        if (const StageTask *task = m_book.find(ref))
+            run = std::max(run, task->run);
+        refs.push_back(ref);
+    }
+    const std::size_t commandsBefore = m_commands.size();
+    for (const TaskRef &ref : refs) {
+        PoolWorker *worker = chooseWorker(job, ref, now);
+        if (worker != nullptr) {
+            bind(ref, run + 1, *worker, now);
+            continue;
+        }
+        // No room for one: none starts.
+        for (std::size_t i = commandsBefore; i < m_commands.size(); ++i)
+            proposalLost(m_commands[i]);
+        m_commands.resize(commandsBefore);
+        return false;
+    }
+    return true;
+}
+
+void Dispatcher::bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now)
+{
+    PlacedRun placed = placedRun(ref, run);
+    placed.boundAt = now;
+    const auto ready = m_readyByTask.find(ref);
+    m_ready.erase(ready->second);
+    m_readyByTask.erase(ready);
+    m_placed.emplace(ref, worker.facts.lifetime);
+    m_commands.emplace_back(StartRun{ref, run, worker.facts.lifetime});
+    m_pool.place(worker.facts.lifetime, std::move(placed));
+}
+
+bool Dispatcher::mayRun(const PoolWorker &worker, const QueueSettings &queue, const StepPlan &step,
+                        const TaskRef &ref, Instant now) const
+{
+    if (!worker.hasFacts || worker.node.empty() || worker.silent || worker.facts.draining
+        || worker.facts.service != queue.service || now < worker.suspectUntil)
+        return false;
+    if (!step.requiredLabel.empty() && !worker.facts.hasLabel(step.requiredLabel))
+        return false;
+    if (step.maxPerWorker > 0) {
+        std::uint32_t here = 0;
+        for (auto at = worker.runs.lower_bound({ref.job, ref.occurrence, ref.step, 0});
+             at != worker.runs.end() && at->first.job == ref.job
+             && at->first.occurrence == ref.occurrence && at->first.step == ref.step;
+             ++at)
+            ++here;
+        if (here >= step.maxPerWorker)
+            return false;
+    }
+    Resources size = step.size;
+    if (step.fillsLeftover)
+        size.milliCores = 0;
+    if (!size.fitsWithin(worker.room()))
+        return false;
+    if (!step.fillsLeftover)
+        return true;
+    const auto slack = static_cast<std::int64_t>(
+        m_settings.fillerOvercommit * static_cast<double>(worker.facts.capacity.milliCores));
+    return leftover(worker) + slack >= step.size.milliCores;
+}
+
+std::int64_t Dispatcher::leftover(const PoolWorker &worker) const
+{
+    // Serving tasks use a part of what they reserve; all others use it whole.
+    const auto unused = static_cast<std::int64_t>((1 - m_settings.servingLoad)
+                                                  * static_cast<double>(worker.serving));
+    return worker.room().milliCores + unused - worker.fillers;
+}
+
+double Dispatcher::scoreOf(const PoolWorker &worker, const StepPlan &step) const
+{
+    const double cores = static_cast<double>(std::max<std::int64_t>(
+        worker.facts.capacity.milliCores, 1));
+    const double memory =
+        static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.memoryMb, 1));
+    double score = step.fillsLeftover
+        ? static_cast<double>(leftover(worker)) / cores
+        : std::min(static_cast<double>(worker.room().milliCores) / cores,
+                   static_cast<double>(worker.room().memoryMb) / memory);
+    // Away from its data a task takes longer by a known factor.
+    if (!step.dataRack.empty() && !worker.facts.hasLabel(step.dataRack))
+        score -= m_settings.remoteFactor;
+    return score;
+}
+
+PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now)
+{
+    const QueueSettings &terms = m_book.termsOf(job);
+    const StepPlan &step = job.plan.steps[ref.step];
+    PoolWorker *best = nullptr;
+    double bestScore = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!mayRun(worker, terms, step, ref, now))
+            continue;
+        const double score = scoreOf(worker, step);
+        if (best == nullptr || score > bestScore) {
+            best = m_pool.find(lifetime);
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -0,0 +1,68 @@
+#include <Guavashift/Dispatch/WorkerPool.h>
+
+namespace guavashift {
+
+namespace {
+
+/// What a run takes of the worker's room: a filler's processor share is not reserved.
+Resources reservationOf(const PlacedRun &run)
+{
+    Resources size = run.size;
+    if (run.fillsLeftover)
+        size.milliCores = 0;
+    return size;
+}
+
+} // namespace
+
+PoolWorker *WorkerPool::find(const Lifetime &lifetime)
+{
+    const auto found = m_workers.find(lifetime);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+PoolWorker &WorkerPool::add(const Lifetime &lifetime)
+{
+    PoolWorker &worker = m_workers[lifetime];
+    worker.facts.lifetime = lifetime;
+    return worker;
+}
+
+void WorkerPool::removeIfIdle(const Lifetime &lifetime)
+{
+    const auto found = m_workers.find(lifetime);
+    if (found != m_workers.end() && found->second.runs.empty())
+        m_workers.erase(found);
+}
+
+void WorkerPool::place(const Lifetime &lifetime, PlacedRun run)
+{
+    PoolWorker &worker = add(lifetime);
+    worker.reserved += reservationOf(run);
+    if (run.fillsLeftover)
+        worker.fillers += run.size.milliCores;
+    if (run.serves)
+        worker.serving += run.size.milliCores;
+    const TaskRef task = run.task;
+    const bool added = worker.runs.emplace(task, std::move(run)).second;
+    GUAVASHIFT_CHECK(added);
+}
+
+void WorkerPool::release(const Lifetime &lifetime, const TaskRef &task)
+{
+    PoolWorker *worker = find(lifetime);
+    if (worker == nullptr)
+        return;
+    const auto found = worker->runs.find(task);
+    if (found == worker->runs.end())
+        return;
+    const PlacedRun &run = found->second;
+    worker->reserved -= reservationOf(run);
+    if (run.fillsLeftover)
+        worker->fillers -= run.size.milliCores;
+    if (run.serves)
+        worker->serving -= run.size.milliCores;
+    worker->runs.erase(found);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <Guavashift/Dispatch/WorkerFacts.h>
+
+#include <map>
+
+namespace guavashift {
+
+/// A run that the leader has bound to a worker, or is about to.
+struct PlacedRun
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    Resources size;
+    bool fillsLeftover = false;
+    bool serves = false;
+    bool committed = false;
+    bool stopAsked = false;
+    Instant boundAt;
+    RunRow row; ///< As the worker showed it last.
+    Instant rowAt;
+};
+
+/// What the leader knows of one lifetime of a worker.
+struct PoolWorker
+{
+    WorkerFacts facts;
+    std::string node;           ///< Whose agent speaks for it; empty: none does now.
+    bool hasFacts = false;      ///< False for one that is known from bound runs only.
+    bool silent = false;        ///< Does not answer its agent.
+    Instant leaseEnd;           ///< Nothing runs there after this without a new grant.
+    Instant suspectUntil;       ///< Not used for new runs before, after refusals or failures.
+    Resources reserved;         ///< By all placed runs; fillers without their processor share.
+    std::int64_t fillers = 0;   ///< Thousandths of a core that fillers could use.
+    std::int64_t serving = 0;   ///< Reserved by tasks that serve.
+    std::map<TaskRef, PlacedRun> runs;
+
+    [[nodiscard]] Resources room() const { return facts.capacity - reserved; }
+};
+
+/// All lifetimes of workers that the leader knows, with what is placed on them. Pure.
+class WorkerPool final
+{
+public:
+    using Workers = std::map<Lifetime, PoolWorker>;
+
+    [[nodiscard]] const Workers &workers() const { return m_workers; }
+    [[nodiscard]] PoolWorker *find(const Lifetime &lifetime);
+    PoolWorker &add(const Lifetime &lifetime);
+    void clear() { m_workers.clear(); }
+
+    /// Forgets a lifetime on which nothing is placed any more.
+    void removeIfIdle(const Lifetime &lifetime);
+
+    void place(const Lifetime &lifetime, PlacedRun run);
+    void release(const Lifetime &lifetime, const TaskRef &task);
+
+private:
+    Workers m_workers;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -0,0 +1,159 @@
+#include <Guavashift/Fleet/CoreNode.h>
+
+namespace guavashift {
+
+namespace {
+
+/// Silence after which a voter counts as lost, so that a newcomer takes its place.
+constexpr Duration voterLostAfter = std::chrono::milliseconds(1500);
+
+ReplicaDriverSettings driverSettings(const FleetSettings &fleet, const ChannelSettings &channel)
+{
+    ReplicaDriverSettings settings;
+    settings.channel = channel;
+    settings.membership.targetVoters = 2 * std::size_t{fleet.bounds.lossesBorne} + 1;
+    settings.membership.voterLostAfter = voterLostAfter;
+    settings.membership.learnerLostAfter = std::chrono::seconds(10);
+    return settings;
+}
+
+JobBookSettings bookSettings(const FleetBounds &bounds)
+{
+    // A quarter more, since leaders' clocks may step forward.
+    return {toMs(bounds.endedKept) * 5 / 4};
+}
+
+DispatchSettings dispatchSettings(const FleetBounds &bounds)
+{
+    DispatchSettings settings;
+    settings.workerLease = workerLeaseOf(bounds);
+    // Worker clocks may be 2 % slow.
+    settings.leaseMargin = bounds.thawSlack + settings.workerLease / 50;
+    settings.remoteFactor = bounds.remoteFactor;
+    return settings;
+}
+
+} // namespace
+
+CoreNode::CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
+                   QueueTableReader reader, std::uint64_t seed)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_channel(channel)
+    , m_book(bookSettings(settings.bounds), std::move(reader))
+    , m_driver(loop, driverSettings(settings, channel), settings, m_book,
+               {[this](const StageCommand &command, const StageOutcome &outcome) {
+                    m_leader.applied(command, outcome);
+                },
+                [this](bool leads) {
+                    m_becameLeader = leads;
+                    if (!leads)
+                        m_leader.deactivate();
+                    m_link.setWanted(!leads);
+                }},
+               seed)
+    , m_leader(settings, dispatchSettings(settings.bounds), m_book, m_driver)
+    , m_link(loop, {channel}, settings, NodeRole::Core,
+             {[](const Welcome &) {}, [] {},
+              [this](const FleetMessage &message) { forwardedAnswer(message); }},
+             seed + 1)
+    , m_listener(loop, [this](ACE_HANDLE handle) { accept(handle); })
+{
+}
+
+Result<void> CoreNode::start()
+{
+    if (Result<void> opened = m_driver.open(); !opened)
+        return opened;
+    m_loop.setRoundEnd([this] { endRound(); });
+    m_link.setWanted(true);
+    return m_listener.open(m_settings.channelAddress());
+}
+
+void CoreNode::drain()
+{
+    m_driver.handOver();
+}
+
+void CoreNode::endRound()
+{
+    // All that earlier leaders committed is applied once an entry of this term is.
+    if (m_becameLeader && m_driver.mayAnswer()) {
+        m_becameLeader = false;
+        m_leader.activate();
+    }
+    m_leader.endRound();
+    m_driver.endRound();
+    m_leader.endRound();
+}
+
+void CoreNode::accept(ACE_HANDLE handle)
+{
+    const std::uint64_t id = m_nextConnection++;
+    auto connection = std::make_unique<FrameConnection>(m_loop, m_channel);
+    connection->setHandlers([this, id](std::string_view frame) { received(id, frame); },
+                            [this, id](std::string_view) {
+                                m_leader.closed(id);
+                                m_connections.erase(id);
+                            });
+    FrameConnection &adopted = *connection;
+    m_connections.emplace(id, std::move(connection));
+    adopted.adopt(handle);
+}
+
+void CoreNode::received(std::uint64_t id, std::string_view frame)
+{
+    const std::optional<FleetMessage> message = decodeFrame(frame);
+    if (!message)
+        return;
+    const auto send = [this, id](const FleetMessage &reply) {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end())
+            found->second->send(encodeFrame(reply));
+    };
+    const LeaderIs leader{m_leader.isActive() && m_driver.mayAnswer(), m_driver.leaderAddress()};
+    std::visit(Overloaded{[&](const ReplicaMessages &messages) { m_driver.receive(messages); },
+                          [&](const JoinRequest &join) { m_driver.joinRequested(join.member); },
+                          [&](const AskLeader &) { send(leader); },
+                          [&](const Hello &hello) {
+                              if (leader.self)
+                                  m_leader.greet(id, hello, send);
+                              else
+                                  send(leader);
+                          },
+                          [&](const auto &) { m_leader.receive(id, *message); }},
+               *message);
+}
+
+void CoreNode::call(FleetCall call, Duration patience, FleetLeader::Answer answer)
+{
+    if (m_driver.leads())
+        return m_leader.handle(call, std::move(answer));
+    if (!m_link.isOpen())
+        return answer({call.id, CallResult::Unavailable, "no leader is known", 1});
+    call.id = m_nextCall++;
+    const EventLoop::TimerId timer = m_loop.after(patience, [this, id = call.id] {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            return;
+        const FleetLeader::Answer late = std::move(found->second.answer);
+        m_pending.erase(found);
+        late({id, CallResult::Unknown, "the leader did not answer in time", 0});
+    });
+    m_pending.emplace(call.id, Pending{std::move(answer), timer});
+    m_link.send(call);
+}
+
+void CoreNode::forwardedAnswer(const FleetMessage &message)
+{
+    const auto *answer = std::get_if<FleetAnswer>(&message);
+    const auto found = answer == nullptr ? m_pending.end() : m_pending.find(answer->id);
+    if (found == m_pending.end())
+        return;
+    m_loop.cancel(found->second.timer);
+    const FleetLeader::Answer pending = std::move(found->second.answer);
+    m_pending.erase(found);
+    pending(*answer);
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/CoreNode.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <Guavashift/Fleet/FleetLeader.h>
+#include <Guavashift/Fleet/LeaderLink.h>
+
+namespace guavashift {
+
+/// A control process: a replica, and the leader's part while it leads. Calls that reach a follower
+/// are passed on to the leader. On an event loop's thread.
+class CoreNode final
+{
+public:
+    CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
+             QueueTableReader reader, std::uint64_t seed);
+
+    Result<void> start();
+    /// Hands leadership over; call before the planned end.
+    void drain();
+
+    /// Answers, from here or through the leader, within `patience`.
+    void call(FleetCall call, Duration patience, FleetLeader::Answer answer);
+
+    [[nodiscard]] bool leads() const { return m_driver.leads(); }
+
+private:
+    struct Pending
+    {
+        FleetLeader::Answer answer;
+        EventLoop::TimerId timer = 0;
+    };
+
+    void accept(ACE_HANDLE handle);
+    void received(std::uint64_t id, std::string_view frame);
+    void forwardedAnswer(const FleetMessage &message);
+    void endRound();
+
+    EventLoop &m_loop;
+    FleetSettings m_settings;
+    ChannelSettings m_channel;
+    JobBook m_book;
+    ReplicaDriver m_driver;
+    FleetLeader m_leader;
+    LeaderLink m_link;
+    FrameListener m_listener;
+    std::map<std::uint64_t, std::unique_ptr<FrameConnection>> m_connections;
+    std::uint64_t m_nextConnection = 1;
+    std::map<std::uint64_t, Pending> m_pending;
+    std::uint64_t m_nextCall = 1;
+    bool m_becameLeader = false;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -0,0 +1,340 @@
+#include <Guavashift/Fleet/FleetLeader.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr Duration directoryInterval = std::chrono::milliseconds(500);
+/// Sessions of one term that get tokens of their own.
+constexpr std::uint64_t sessionsPerTerm = 1 << 16;
+/// How long callers are told to wait when nothing could be decided.
+constexpr std::int64_t retryAfterSeconds = 1;
+
+FleetAnswer unavailable(const FleetCall &call, std::string reason)
+{
+    return {call.id, CallResult::Unavailable, std::move(reason), retryAfterSeconds};
+}
+
+std::string_view stateName(const StageJob &job)
+{
+    switch (job.status) {
+    case StageJobStatus::Completed:
+        return "completed";
+    case StageJobStatus::Failed:
+        return "failed";
+    case StageJobStatus::Cancelled:
+        return "cancelled";
+    case StageJobStatus::Active:
+        break;
+    }
+    return job.begun ? "running" : "queued";
+}
+
+bool isJobId(std::string_view text)
+{
+    constexpr std::size_t mostCharacters = 128;
+    return !text.empty() && text.size() <= mostCharacters
+        && text.find_first_of("./ ") == std::string_view::npos;
+}
+
+} // namespace
+
+FleetLeader::FleetLeader(const FleetSettings &fleet, const DispatchSettings &dispatch,
+                         JobBook &book, ReplicaDriver &driver)
+    : m_fleet(fleet)
+    , m_book(book)
+    , m_driver(driver)
+    , m_dispatcher(dispatch, book)
+    , m_workerLease(dispatch.workerLease)
+{
+}
+
+void FleetLeader::activate()
+{
+    m_active = true;
+    m_sessionsOpened = 0;
+    m_dispatcher.start(BootClock::now());
+    logEvent(LogLevel::Info, "leading",
+             {{"term", m_driver.term()},
+              {"jobs", m_book.jobs().size()},
+              {"configuration", m_book.queues().version()}});
+}
+
+void FleetLeader::deactivate()
+{
+    if (!m_active)
+        return;
+    m_active = false;
+    m_dispatcher.stop();
+    // They look for the new leader at once.
+    for (const auto &[id, session] : m_sessions)
+        session.send(LeaderIs{false, m_driver.leaderAddress()});
+    m_sessions.clear();
+    m_sessionOfNode.clear();
+    logEvent(LogLevel::Info, "leading-ended");
+}
+
+void FleetLeader::greet(SessionId id, const Hello &hello, Send send)
+{
+    if (const auto before = m_sessionOfNode.find(hello.node); before != m_sessionOfNode.end())
+        closed(before->second);
+    const std::uint64_t number = ++m_sessionsOpened;
+    const std::uint64_t fence = (m_driver.term() * sessionsPerTerm + number) * fenceSpan;
+    Session &session = m_sessions[id];
+    session = {hello.role, hello.node, hello.address, std::move(send), BootClock::now(), {}};
+    m_sessionOfNode[hello.node] = id;
+    session.send(Welcome{fence, toMs(m_workerLease)});
+    session.send(m_directory);
+    logEvent(LogLevel::Info, "session-opened",
+             {{"node", hello.node}, {"fence", fence}, {"address", hello.address}});
+}
+
+void FleetLeader::closed(SessionId id)
+{
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end())
+        return;
+    const Session session = std::move(found->second);
+    m_sessions.erase(found);
+    m_sessionOfNode.erase(session.node);
+    if (session.role == NodeRole::Agent)
+        m_dispatcher.nodeLost(session.node);
+    logEvent(LogLevel::Info, "session-closed", {{"node", session.node}});
+}
+
+void FleetLeader::receive(SessionId id, const FleetMessage &message)
+{
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end() || !m_active || !m_driver.mayAnswer())
+        return;
+    if (const auto *call = std::get_if<FleetCall>(&message)) {
+        handle(*call, [this, id](FleetAnswer answer) {
+            const auto session = m_sessions.find(id);
+            if (session != m_sessions.end())
+                session->second.send(std::move(answer));
+        });
+        return;
+    }
+    if (const auto *ended = std::get_if<RunsEnded>(&message))
+        return endsListed(id, *ended);
+    receiveFromAgent(found->second, message);
+}
+
+void FleetLeader::receiveFromAgent(Session &session, const FleetMessage &message)
+{
+    const Instant now = BootClock::now();
+    std::visit(
+        Overloaded{
+            [&](const RenewLease &renew) {
+                m_dispatcher.leaseGranted(session.node, now);
+                session.send(LeaseGranted{renew.sentAt});
+            },
+            [&](const WorkerReport &report) {
+                session.lifetime = report.facts.lifetime;
+                m_dispatcher.workerReported(session.node, report.facts, now);
+                logEvent(LogLevel::Info, "worker-reported",
+                         {{"node", session.node},
+                          {"worker", report.facts.lifetime.worker},
+                          {"born", report.facts.lifetime.born},
+                          {"draining", report.facts.draining}});
+            },
+            [&](const Inventory &inventory) {
+                m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
+                                               session.openedAt);
+                session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
+            },
+            [&](const RunTable &table) {
+                m_dispatcher.rowsReported(table.lifetime, table.rows, now);
+            },
+            [&](const StartRefused &refused) {
+                m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run, now);
+                logEvent(LogLevel::Info, "start-refused",
+                         {{"task", refused.task.text()},
+                          {"run", refused.run},
+                          {"worker", refused.lifetime.worker},
+                          {"reason", refused.reason}});
+            },
+            [&](const LifetimeEnded &ended) {
+                m_dispatcher.lifetimeEnded(ended.lifetime, ended.silent, now);
+                logEvent(LogLevel::Info, "worker-ended",
+                         {{"worker", ended.lifetime.worker},
+                          {"born", ended.lifetime.born},
+                          {"silent", ended.silent}});
+            },
+            [](const auto &) {}},
+        message);
+}
+
+void FleetLeader::endsListed(SessionId id, const RunsEnded &ended)
+{
+    std::uint64_t upTo = 0;
+    for (const ListedEnd &each : ended.ends) {
+        m_dispatcher.endReported(each.end);
+        upTo = std::max(upTo, each.number);
+    }
+    propose(m_dispatcher.decide(BootClock::now(), wallNow()));
+    // Nothing more to commit, but all before must be committed first.
+    m_driver.propose({}, [this, id, lifetime = ended.lifetime, upTo](bool committed, auto) {
+        const auto session = m_sessions.find(id);
+        if (committed && session != m_sessions.end())
+            session->second.send(EndsCommitted{lifetime, upTo});
+    });
+}
+
+void FleetLeader::propose(std::vector<StageCommand> commands)
+{
+    if (commands.empty())
+        return;
+    m_driver.propose(commands, [this, commands](bool committed, auto) {
+        if (committed || !m_active)
+            return;
+        for (const StageCommand &command : commands)
+            m_dispatcher.proposalLost(command);
+    });
+}
+
+void FleetLeader::applied(const StageCommand &command, const StageOutcome &outcome)
+{
+    if (!m_active)
+        return;
+    m_dispatcher.applied(command, outcome, BootClock::now());
+    std::visit(Overloaded{[&](const StartRun &start) {
+                              logEvent(LogLevel::Info, "run-bound",
+                                       {{"task", start.task.text()},
+                                        {"run", start.run},
+                                        {"worker", start.lifetime.worker},
+                                        {"applied", outcome.applied},
+                                        {"reason", outcome.reason}});
+                          },
+                          [&](const EndRun &end) {
+                              logEvent(LogLevel::Info, "run-ended",
+                                       {{"task", end.task.text()},
+                                        {"run", end.run},
+                                        {"end", nameOf(end.end)},
+                                        {"applied", outcome.applied}});
+                          },
+                          [](const auto &) {}},
+               command);
+}
+
+void FleetLeader::endRound()
+{
+    if (!m_active || !m_driver.mayAnswer())
+        return;
+    const Instant now = BootClock::now();
+    propose(m_dispatcher.decide(now, wallNow()));
+    flushOrders();
+    if (now >= m_nextDirectory) {
+        m_nextDirectory = now + directoryInterval;
+        sendDirectory();
+    }
+}
+
+void FleetLeader::flushOrders()
+{
+    for (auto &[node, order] : m_dispatcher.takeOrders()) {
+        const auto session = m_sessionOfNode.find(node);
+        if (session == m_sessionOfNode.end())
+            continue;
+        std::visit([&](auto &each) { m_sessions.at(session->second).send(std::move(each)); },
+                   order);
+    }
+}
+
+void FleetLeader::sendDirectory()
+{
+    Directory directory;
+    directory.cores = m_driver.addresses();
+    for (const auto &[id, session] : m_sessions) {
+        if (session.role != NodeRole::Core)
+            directory.relays.push_back(session.address);
+    }
+    if (directory == m_directory)
+        return;
+    m_directory = std::move(directory);
+    for (const auto &[id, session] : m_sessions)
+        session.send(m_directory);
+}
+
+void FleetLeader::handle(const FleetCall &call, Answer answer)
+{
+    const auto logged = [this, call, answer](FleetAnswer result) {
+        result.id = call.id;
+        logAnswer(call, result);
+        answer(std::move(result));
+    };
+    if (!m_active || !m_driver.mayAnswer())
+        return logged(unavailable(call, "this process does not lead"));
+    if (call.kind == CallKind::ReplaceConfiguration)
+        return replaceConfiguration(call, logged);
+    if (m_book.document().empty())
+        return logged(unavailable(call, "there is no configuration yet"));
+    if (call.kind == CallKind::ReadConfiguration)
+        return logged({call.id, CallResult::Document, m_book.document(), 0});
+    const std::optional<QueueMatch> match = m_book.queues().match(call.host, call.path);
+    if (!match)
+        return logged({call.id, CallResult::NoQueue, {}, 0});
+    if (call.kind == CallKind::Submit)
+        return submit(call, *match, logged);
+    if (call.kind == CallKind::Cancel)
+        return cancel(call, match->rest, logged);
+    if (match->rest.empty())
+        return logged({call.id, CallResult::Pending, {},
+                       static_cast<std::int64_t>(m_book.pendingIn(match->queue->name))});
+    logged(stateOf(call, match->rest));
+}
+
+void FleetLeader::submit(const FleetCall &call, const QueueMatch &match, Answer answer)
+{
+    const std::string job(match.rest);
+    if (!isJobId(job) || !call.plan)
+        return answer({call.id, CallResult::Invalid, "no job id or no job", 0});
+    if (const Findings findings = call.plan->check(); !findings.empty())
+        return answer({call.id, CallResult::Invalid, describe(findings), 0});
+    // A resend of an accepted job gets the first answer.
+    if (m_book.find(job) != nullptr)
+        return answer({call.id, CallResult::Done, {}, 0});
+    m_driver.propose({AcceptJob{job, match.queue->name, *call.plan}},
+                     [answer, id = call.id](bool committed, auto) {
+                         answer({id, committed ? CallResult::Done : CallResult::Unknown,
+                                 committed ? "" : "leadership was lost", 0});
+                     });
+}
+
+void FleetLeader::cancel(const FleetCall &call, std::string_view job, Answer answer)
+{
+    if (m_book.find(job) == nullptr)
+        return answer({call.id, CallResult::NoJob, {}, 0});
+    m_driver.propose({CancelJob{std::string(job)}}, [answer, id = call.id](bool committed, auto) {
+        answer({id, committed ? CallResult::Done : CallResult::Unknown, {}, 0});
+    });
+}
+
+void FleetLeader::replaceConfiguration(const FleetCall &call, Answer answer)
+{
+    m_driver.propose({ReplaceConfiguration{call.document}},
+                     [answer, id = call.id](bool committed, auto) {
+                         answer({id, committed ? CallResult::Done : CallResult::Unknown, {}, 0});
+                     });
+}
+
+FleetAnswer FleetLeader::stateOf(const FleetCall &call, std::string_view job) const
+{
+    const StageJob *found = m_book.find(job);
+    if (found == nullptr)
+        return {call.id, CallResult::NoJob, {}, 0};
+    return {call.id, CallResult::State, std::string(stateName(*found)), 0};
+}
+
+void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
+{
+    logEvent(LogLevel::Info, "call-answered",
+             {{"request", call.request},
+              {"kind", static_cast<int>(call.kind)},
+              {"path", call.path},
+              {"result", static_cast<int>(answer.result)},
+              {"configuration", m_book.queues().version()},
+              {"reason", call.kind == CallKind::ReadConfiguration ? std::string() : answer.text}});
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <Guavashift/Fleet/ReplicaDriver.h>
+
+namespace guavashift {
+
+/// What the leading control process does for gateways and agents: sessions, leases, callers'
+/// requests, and carrying the dispatcher's commands and orders. On an event loop's thread.
+class FleetLeader final
+{
+public:
+    using Answer = std::function<void(FleetAnswer)>;
+    using Send = std::function<void(const FleetMessage &)>;
+    using SessionId = std::uint64_t;
+
+    FleetLeader(const FleetSettings &fleet, const DispatchSettings &dispatch, JobBook &book,
+                ReplicaDriver &driver);
+
+    /// This replica leads now; or leads no more.
+    void activate();
+    void deactivate();
+    [[nodiscard]] bool isActive() const { return m_active; }
+
+    /// Opens a session; an earlier one of the same node ends.
+    void greet(SessionId session, const Hello &hello, Send send);
+    void receive(SessionId session, const FleetMessage &message);
+    void closed(SessionId session);
+
+    void handle(const FleetCall &call, Answer answer);
+
+    void applied(const StageCommand &command, const StageOutcome &outcome);
+    /// Decides and hands out what has gathered.
+    void endRound();
+
+private:
+    struct Session
+    {
+        NodeRole role = NodeRole::Gateway;
+        std::string node;
+        std::string address;
+        Send send;
+        Instant openedAt;
+        std::optional<Lifetime> lifetime;
+    };
+
+    void receiveFromAgent(Session &session, const FleetMessage &message);
+    void endsListed(SessionId id, const RunsEnded &ended);
+    void sendDirectory();
+    void flushOrders();
+    void propose(std::vector<StageCommand> commands);
+    void submit(const FleetCall &call, const QueueMatch &match, Answer answer);
+    void cancel(const FleetCall &call, std::string_view job, Answer answer);
+    void replaceConfiguration(const FleetCall &call, Answer answer);
+    [[nodiscard]] FleetAnswer stateOf(const FleetCall &call, std::string_view job) const;
+    void logAnswer(const FleetCall &call, const FleetAnswer &answer) const;
+
+    FleetSettings m_fleet;
+    JobBook &m_book;
+    ReplicaDriver &m_driver;
+    Dispatcher m_dispatcher;
+    Duration m_workerLease;
+    bool m_active = false;
+    std::uint64_t m_sessionsOpened = 0;
+    std::map<SessionId, Session> m_sessions;
+    std::map<std::string, SessionId> m_sessionOfNode;
+    Directory m_directory;
+    Instant m_nextDirectory;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -0,0 +1,99 @@
+#include <Guavashift/Fleet/GatewayNode.h>
+
+namespace guavashift {
+
+GatewayNode::GatewayNode(EventLoop &loop, const GatewaySettings &gateway,
+                         const FleetSettings &settings, const ChannelSettings &channel,
+                         std::uint64_t seed)
+    : m_loop(loop)
+    , m_gateway(gateway)
+    , m_link(loop, {channel}, settings, NodeRole::Gateway,
+             {[this](const Welcome &) { opened(); }, [] {},
+              [this](const FleetMessage &message) { received(message); }},
+             seed)
+    , m_relay(loop, channel,
+              [this](const std::string &address) {
+                  const std::vector<std::string> &cores = m_link.directory().cores;
+                  return std::find(cores.begin(), cores.end(), address) != cores.end();
+              })
+    , m_address(settings.channelAddress())
+{
+}
+
+Result<void> GatewayNode::start()
+{
+    m_link.setWanted(true);
+    return m_relay.open(m_address);
+}
+
+void GatewayNode::call(FleetCall call, Duration deadline, Answer answer)
+{
+    const std::uint64_t id = m_nextCall++;
+    call.id = id;
+    Pending &pending = m_pending[id];
+    pending.call = std::move(call);
+    pending.answer = std::move(answer);
+    Duration limit = m_gateway.answerTimeout;
+    if (deadline > m_gateway.deadlineMargin)
+        limit = std::min(limit, deadline - m_gateway.deadlineMargin);
+    pending.deadlineTimer = m_loop.after(limit, [this, id] {
+        finish(id, {id, CallResult::Unknown, "no answer in time", 0});
+    });
+    if (m_link.isOpen()) {
+        pending.passedOn = true;
+        m_link.send(pending.call);
+        return;
+    }
+    pending.patienceTimer = m_loop.after(std::min(m_gateway.patience, limit), [this, id] {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            return;
+        found->second.patienceTimer = 0;
+        if (!found->second.passedOn)
+            finish(id, {id, CallResult::Unavailable, "no leader is known", 1});
+    });
+}
+
+void GatewayNode::opened()
+{
+    for (auto &[id, pending] : m_pending) {
+        pending.passedOn = true;
+        m_link.send(pending.call);
+    }
+}
+
+void GatewayNode::received(const FleetMessage &message)
+{
+    const auto *answer = std::get_if<FleetAnswer>(&message);
+    if (answer == nullptr)
+        return;
+    const auto found = m_pending.find(answer->id);
+    if (found == m_pending.end())
+        return;
+    // Whether it was done is asked of the next leader.
+    if (answer->result == CallResult::Unknown)
+        return;
+    finish(answer->id, *answer);
+}
+
+void GatewayNode::finish(std::uint64_t id, FleetAnswer answer)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+        return;
+    const Pending pending = std::move(found->second);
+    m_pending.erase(found);
+    for (const EventLoop::TimerId timer : {pending.patienceTimer, pending.deadlineTimer}) {
+        if (timer != 0)
+            m_loop.cancel(timer);
+    }
+    if (answer.result == CallResult::Unavailable || answer.result == CallResult::Unknown)
+        logEvent(LogLevel::Warning, "call-unanswered",
+                 {{"request", pending.call.request},
+                  {"path", pending.call.path},
+                  {"passed_on", pending.passedOn},
+                  {"reason", answer.text}});
+    pending.answer(std::move(answer));
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <Guavashift/Fleet/LeaderLink.h>
+#include <Guavashift/Fleet/Relay.h>
+
+namespace guavashift {
+
+struct GatewaySettings
+{
+    /// How long a call waits for a leader before it is refused as not done.
+    Duration patience = std::chrono::milliseconds(500);
+    /// Kept back from the caller's deadline for the way back.
+    Duration deadlineMargin = std::chrono::milliseconds(100);
+    /// Longest wait for an answer once a call was passed on.
+    Duration answerTimeout = std::chrono::milliseconds(2500);
+};
+
+/// Passes callers' requests on to the leader, which alone answers. Holds no truth. A call that was
+/// passed on and not answered is passed on again to the next leader: all calls may be repeated.
+class GatewayNode final
+{
+public:
+    using Answer = std::function<void(FleetAnswer)>;
+
+    GatewayNode(EventLoop &loop, const GatewaySettings &gateway, const FleetSettings &settings,
+                const ChannelSettings &channel, std::uint64_t seed);
+
+    Result<void> start();
+
+    /// `deadline` is what the caller waits at most; zero if it did not say.
+    void call(FleetCall call, Duration deadline, Answer answer);
+
+    /// Whether calls can be answered now.
+    [[nodiscard]] bool isReady() const { return m_link.isOpen(); }
+    [[nodiscard]] std::size_t pending() const { return m_pending.size(); }
+
+private:
+    struct Pending
+    {
+        FleetCall call;
+        Answer answer;
+        bool passedOn = false;
+        EventLoop::TimerId patienceTimer = 0;
+        EventLoop::TimerId deadlineTimer = 0;
+    };
+
+    void opened();
+    void received(const FleetMessage &message);
+    void finish(std::uint64_t id, FleetAnswer answer);
+
+    EventLoop &m_loop;
+    GatewaySettings m_gateway;
+    LeaderLink m_link;
+    Relay m_relay;
+    std::string m_address;
+    std::map<std::uint64_t, Pending> m_pending;
+    std::uint64_t m_nextCall = 1;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -0,0 +1,479 @@
+#include <Guavashift/Fleet/ReplicaDriver.h>
+
+#include <Guavashift/Consensus/DataFolder.h>
+#include <Guavashift/Core/Address.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::string_view clusterName = "fleet";
+/// Incarnation of the first disks: known to all seeds without asking.
+constexpr std::string_view firstIncarnation = "first";
+/// Commands that one log entry carries at most.
+constexpr std::size_t maxCommandsPerEntry = 1024;
+constexpr Duration planInterval = std::chrono::milliseconds(100);
+
+std::string ipOf(const std::string &address)
+{
+    const Result<Address> parsed = Address::parse(address);
+    return parsed ? parsed->ip : std::string();
+}
+
+} // namespace
+
+ReplicaDriver::ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
+                             const FleetSettings &fleet, JobBook &book, Observer observer,
+                             std::uint64_t seed)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_fleet(fleet)
+    , m_book(book)
+    , m_observer(std::move(observer))
+    , m_random(seed)
+    , m_planner(settings.membership)
+{
+}
+
+ReplicaDriver::~ReplicaDriver()
+{
+    abandonWaiters();
+}
+
+bool ReplicaDriver::isSeed() const
+{
+    return std::find(m_fleet.seeds.begin(), m_fleet.seeds.end(), m_fleet.channelAddress())
+        != m_fleet.seeds.end();
+}
+
+Membership ReplicaDriver::firstMembership() const
+{
+    // All seeds are told of the same ones, so they write the same entry.
+    std::vector<std::string> seeds = m_fleet.seeds;
+    std::sort(seeds.begin(), seeds.end());
+    Membership membership;
+    for (const std::string &seed : seeds) {
+        const std::string ip = ipOf(seed);
+        membership.members.push_back({ReplicaId{fmt::format("{}/{}", ip, firstIncarnation)}, ip,
+                                      seed, FailureDomain{}, true});
+    }
+    return membership;
+}
+
+Result<PersistentState> ReplicaDriver::loadOrBootstrap()
+{
+    const std::filesystem::path path(m_fleet.dataFolder);
+    const bool isNew = !std::filesystem::exists(path / "identity");
+    const bool isFirst = isNew && m_fleet.firstStart && isSeed();
+    Result<DataFolder> folder =
+        isFirst ? DataFolder::openAs(path, clusterName, m_fleet.ip, firstIncarnation)
+                : DataFolder::open(path, clusterName, m_fleet.ip, m_random());
+    if (!folder)
+        return tl::unexpected(folder.error());
+    m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(),
+              FailureDomain{m_fleet.zone}, false};
+    PersistentState state;
+    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(path, state);
+    if (!store)
+        return tl::unexpected(store.error());
+    m_store = std::move(*store);
+    const bool wasFirst = m_self.id.value.ends_with(fmt::format("/{}", firstIncarnation));
+    // A first start that was cut off before its entry was stored is taken up again.
+    if (wasFirst && !state.snapshot && state.entries.empty()) {
+        state.hardState = {1, {}};
+        state.entries = {{1, 1, EntryKind::Membership, Json(firstMembership()).dump()}};
+        Result<void> stored = m_store->saveHardState(state.hardState);
+        if (stored)
+            stored = m_store->append(state.entries);
+        if (stored)
+            stored = m_store->sync();
+        if (!stored)
+            return tl::unexpected(stored.error());
+    }
+    return state;
+}
+
+Result<void> ReplicaDriver::open()
+{
+    Result<PersistentState> state = loadOrBootstrap();
+    if (!state)
+        return tl::unexpected(state.error());
+    if (state->snapshot) {
+        if (Result<void> loaded = m_book.load(state->snapshot->data); !loaded)
+            return loaded;
+    }
+    logEvent(LogLevel::Info, "replica-opened",
+             {{"replica", m_self.id},
+              {"term", state->hardState.term},
+              {"entries", state->entries.size()},
+              {"has_snapshot", state->snapshot != nullptr}});
+    m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(*state),
+                                          m_random(), BootClock::now());
+    scheduleTick();
+    return {};
+}
+
+void ReplicaDriver::scheduleTick()
+{
+    // The round's end does the work.
+    m_loop.after(m_settings.tick, [this] { scheduleTick(); });
+}
+
+void ReplicaDriver::endRound()
+{
+    if (m_stopped || !m_replica)
+        return;
+    const Instant now = BootClock::now();
+    m_replica->tick(now);
+    proposePending();
+    processEffects();
+    if (m_stopped)
+        return;
+    if (m_replica->isLeader() && now >= m_nextPlan) {
+        m_nextPlan = now + planInterval;
+        planMembership();
+    }
+    if (now >= m_nextJoin) {
+        m_nextJoin = now + m_settings.joinInterval;
+        askToJoin();
+    }
+    if (m_bytesSinceSnapshot > m_settings.snapshotBytes)
+        takeSnapshot();
+}
+
+bool ReplicaDriver::mayAnswer() const
+{
+    return leads() && m_replica->hasLease(BootClock::now());
+}
+
+void ReplicaDriver::receive(const ReplicaMessages &messages)
+{
+    if (m_stopped || !m_replica)
+        return;
+    for (const Envelope &envelope : messages.envelopes) {
+        m_toldAddresses[envelope.from] = messages.address;
+        // Messages to an earlier incarnation of this machine's disk are not for this one.
+        if (envelope.to == m_self.id)
+            m_replica->receive(BootClock::now(), envelope);
+    }
+}
+
+void ReplicaDriver::joinRequested(const Member &member)
+{
+    if (leads())
+        m_planner.joinRequested(member, BootClock::now());
+}
+
+void ReplicaDriver::propose(std::vector<StageCommand> commands, Done done)
+{
+    m_proposals.push_back({std::move(commands), std::move(done)});
+}
+
+void ReplicaDriver::proposePending()
+{
+    std::vector<Proposal> proposals = std::exchange(m_proposals, {});
+    std::size_t next = 0;
+    while (next < proposals.size()) {
+        StageBatch batch;
+        batch.time = wallNow();
+        std::vector<Waiter> waiters;
+        do {
+            Proposal &proposal = proposals[next++];
+            waiters.push_back({m_replica->term(), batch.commands.size(), proposal.commands.size(),
+                               std::move(proposal.done)});
+            std::move(proposal.commands.begin(), proposal.commands.end(),
+                      std::back_inserter(batch.commands));
+        } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry);
+        // Nothing to commit: done as soon as all that was proposed before is.
+        const bool isEmpty = batch.commands.empty();
+        const Result<LogIndex> index =
+            isEmpty && leads() ? Result<LogIndex>(m_replica->log().lastIndex())
+                               : m_replica->propose(BootClock::now(), batch.encode());
+        for (Waiter &waiter : waiters) {
+            if (!index)
+                waiter.done(false, {});
+            else if (isEmpty && *index <= m_replica->appliedIndex())
+                waiter.done(true, {});
+            else
+                m_waiters.emplace(*index, std::move(waiter));
+        }
+    }
+}
+
+void ReplicaDriver::processEffects()
+{
+    for (;;) {
+        const std::vector<Effect> effects = m_replica->takeEffects();
+        if (effects.empty() || m_stopped)
+            return;
+        // The leader's entries travel while its own disk writes them.
+        sendMessages(effects, false);
+        storeAll(effects);
+        if (m_stopped)
+            return;
+        m_replica->synced(BootClock::now());
+        sendMessages(effects, true);
+        for (const Effect &effect : effects) {
+            std::visit(Overloaded{[this](const ApplyEntries &committed) {
+                                      for (const LogEntry &entry : committed.entries)
+                                          apply(entry);
+                                  },
+                                  [this](const InstallSnapshot &each) { install(each.snapshot); },
+                                  [this](const CompareDigest &each) { compare(each.digest); },
+                                  [this](const RoleChanged &change) { announceRole(change); },
+                                  [](const auto &) {}},
+                       effect);
+        }
+    }
+}
+
+void ReplicaDriver::check(const Result<void> &stored)
+{
+    if (stored || m_stopped)
+        return;
+    m_stopped = true;
+    logEvent(LogLevel::Error, "replica-stopped", {{"reason", stored.error().message}});
+    abandonWaiters();
+    if (std::exchange(m_wasLeader, false))
+        m_observer.roleChanged(false);
+}
+
+void ReplicaDriver::storeAll(const std::vector<Effect> &effects)
+{
+    bool needsSync = false;
+    const bool installs = std::any_of(effects.begin(), effects.end(), [](const Effect &effect) {
+        return std::holds_alternative<InstallSnapshot>(effect);
+    });
+    if (installs) {
+        // What is stored is replaced by the current state, which covers every other effect.
+        const EntryLog &log = m_replica->log();
+        const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
+        check(m_store->replaceBySnapshot(*log.snapshot(), m_replica->hardState(), tail));
+        needsSync = true;
+        m_bytesSinceSnapshot = 0;
+    } else {
+        for (const Effect &effect : effects) {
+            std::visit(Overloaded{[&](const SaveHardState &save) {
+                                      check(m_store->saveHardState(save.hardState));
+                                      needsSync = true;
+                                  },
+                                  [&](const TruncateLog &truncate) {
+                                      check(m_store->truncateFrom(truncate.from));
+                                      needsSync = true;
+                                  },
+                                  [&](const AppendToLog &append) {
+                                      check(m_store->append(append.entries));
+                                      for (const LogEntry &entry : append.entries)
+                                          m_bytesSinceSnapshot += entry.payload.size();
+                                      needsSync = true;
+                                  },
+                                  [](const auto &) {}},
+                       effect);
+        }
+    }
+    if (needsSync && !m_stopped)
+        check(m_store->sync());
+}
+
+void ReplicaDriver::sendMessages(const std::vector<Effect> &effects, bool afterSync)
+{
+    std::map<std::string, ReplicaMessages> byAddress;
+    for (const Effect &effect : effects) {
+        const auto *message = std::get_if<SendMessage>(&effect);
+        if (message == nullptr || message->afterSync != afterSync)
+            continue;
+        // A replica's own word on its address is newer than the membership's.
+        const ReplicaId &to = message->envelope.to;
+        std::string address;
+        if (const auto told = m_toldAddresses.find(to); told != m_toldAddresses.end())
+            address = told->second;
+        else if (const Member *member = m_replica->membership().find(to))
+            address = member->address;
+        if (!address.empty())
+            byAddress[address].envelopes.push_back(message->envelope);
+    }
+    for (auto &[address, messages] : byAddress) {
+        messages.address = m_self.address;
+        sendTo(address, std::move(messages));
+    }
+}
+
+void ReplicaDriver::sendTo(const std::string &address, const FleetMessage &message)
+{
+    Peer &peer = m_peers[address];
+    const Instant now = BootClock::now();
+    if (!peer.connection) {
+        if (now < peer.retryAt)
+            return;
+        peer.connection = std::make_unique<FrameConnection>(m_loop, m_settings.channel);
+        peer.connection->setHandlers({}, [this, address](std::string_view) {
+            Peer &lost = m_peers[address];
+            lost.connection.reset();
+            lost.retryAt = BootClock::now() + m_settings.reconnectPause;
+        });
+        peer.connection->connect(address);
+    }
+    peer.connection->send(encodeFrame(message));
+}
+
+void ReplicaDriver::apply(const LogEntry &entry)
+{
+    std::vector<StageOutcome> outcomes;
+    if (entry.kind == EntryKind::Command) {
+        try {
+            const StageBatch batch = StageBatch::decode(entry.payload);
+            for (const StageCommand &command : batch.commands) {
+                outcomes.push_back(m_book.apply(batch.time, command));
+                if (m_wasLeader)
+                    m_observer.applied(command, outcomes.back());
+            }
+        } catch (const Json::exception &error) {
+            // The same on every replica, so all of them pass over it.
+            logEvent(LogLevel::Error, "entry-unreadable",
+                     {{"index", entry.index}, {"reason", error.what()}});
+        }
+    }
+    if (entry.index % m_settings.digestInterval == 0) {
+        constexpr std::size_t digestsKept = 64;
+        m_digests[entry.index] = m_book.digest();
+        if (m_digests.size() > digestsKept)
+            m_digests.erase(m_digests.begin());
+        m_replica->updateDigest({entry.index, m_book.digest()});
+    }
+    settleWaiters(entry.index, entry.term, outcomes);
+}
+
+void ReplicaDriver::settleWaiters(LogIndex index, Term term,
+                                  std::span<const StageOutcome> outcomes)
+{
+    while (!m_waiters.empty() && m_waiters.begin()->first <= index) {
+        const Waiter waiter = std::move(m_waiters.begin()->second);
+        m_waiters.erase(m_waiters.begin());
+        // Another leader's entry took the place: what was proposed here was not committed here.
+        const bool committed = waiter.count == 0
+            || (waiter.term == term && waiter.first + waiter.count <= outcomes.size());
+        waiter.done(committed, committed && waiter.count > 0
+                                   ? outcomes.subspan(waiter.first, waiter.count)
+                                   : std::span<const StageOutcome>());
+    }
+}
+
+void ReplicaDriver::abandonWaiters()
+{
+    std::multimap<LogIndex, Waiter> waiters = std::exchange(m_waiters, {});
+    for (auto &[index, waiter] : waiters)
+        waiter.done(false, {});
+    std::vector<Proposal> proposals = std::exchange(m_proposals, {});
+    for (Proposal &proposal : proposals)
+        proposal.done(false, {});
+}
+
+void ReplicaDriver::install(const SnapshotPointer &snapshot)
+{
+    m_digests.clear();
+    check(m_book.load(snapshot->data));
+    logEvent(LogLevel::Info, "snapshot-installed",
+             {{"index", snapshot->lastIndex}, {"bytes", snapshot->data.size()}});
+}
+
+void ReplicaDriver::compare(const StateDigest &digest)
+{
+    const auto found = m_digests.find(digest.index);
+    if (found != m_digests.end() && found->second != digest.digest)
+        check(fail(ErrorCode::Conflict,
+                   fmt::format("the state differs from the leader's at index {}", digest.index)));
+}
+
+void ReplicaDriver::announceRole(const RoleChanged &change)
+{
+    logEvent(LogLevel::Info, "role-changed",
+             {{"replica", m_self.id},
+              {"leads", change.role == ReplicaRole::Leader},
+              {"term", change.term},
+              {"leader", change.leader}});
+    const bool leadsNow = change.role == ReplicaRole::Leader;
+    if (leadsNow == m_wasLeader)
+        return;
+    m_wasLeader = leadsNow;
+    if (!leadsNow)
+        abandonWaiters();
+    m_observer.roleChanged(leadsNow);
+}
+
+void ReplicaDriver::takeSnapshot()
+{
+    // Membership changes after the applied index are not part of the image.
+    const LogIndex index = m_replica->appliedIndex();
+    if (m_replica->log().membershipIndex() > index || index < m_replica->log().firstIndex())
+        return;
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->lastIndex = index;
+    snapshot->lastTerm = *m_replica->log().termAt(index);
+    snapshot->membership = m_replica->membership();
+    snapshot->data = m_book.save();
+    m_replica->compact(snapshot);
+    const EntryLog &log = m_replica->log();
+    const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
+    check(m_store->replaceBySnapshot(*snapshot, m_replica->hardState(), tail));
+    m_bytesSinceSnapshot = 0;
+    logEvent(LogLevel::Info, "snapshot-taken",
+             {{"index", index}, {"bytes", snapshot->data.size()}});
+}
+
+void ReplicaDriver::planMembership()
+{
+    const Instant now = BootClock::now();
+    if (!m_replica->hasLease(now))
+        return;
+    const std::optional<Membership> next = m_planner.plan(
+        m_replica->membership(), m_self.id, m_replica->commitIndex(), now,
+        [this](const ReplicaId &id) {
+            return ReplicaHealth{m_replica->matchIndex(id), m_replica->lastContact(id)};
+        });
+    if (next && m_replica->proposeMembership(now, *next))
+        logEvent(LogLevel::Info, "membership-proposed",
+                 {{"members", next->members.size()}, {"voters", next->voterCount()}});
+}
+
+void ReplicaDriver::askToJoin()
+{
+    const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
+    if (isMember && !m_replica->leader().isEmpty())
+        return;
+    for (const std::string &address : addresses()) {
+        if (address != m_self.address)
+            sendTo(address, JoinRequest{m_self});
+    }
+}
+
+std::string ReplicaDriver::leaderAddress() const
+{
+    if (!m_replica || m_replica->leader().isEmpty())
+        return {};
+    if (m_replica->leader() == m_self.id)
+        return m_self.address;
+    if (const auto told = m_toldAddresses.find(m_replica->leader()); told != m_toldAddresses.end())
+        return told->second;
+    const Member *member = m_replica->membership().find(m_replica->leader());
+    return member == nullptr ? std::string() : member->address;
+}
+
+std::vector<std::string> ReplicaDriver::addresses() const
+{
+    std::vector<std::string> addresses;
+    for (const Member &member : m_replica->membership().members)
+        addresses.push_back(member.address);
+    for (const std::string &seed : m_fleet.seeds) {
+        if (std::find(addresses.begin(), addresses.end(), seed) == addresses.end())
+            addresses.push_back(seed);
+    }
+    return addresses;
+}
+
+void ReplicaDriver::handOver()
+{
+    if (leads())
+        (void)m_replica->transferLeadership(BootClock::now());
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <Guavashift/Channel/Channel.h>
+#include <Guavashift/Consensus/MembershipPlanner.h>
+#include <Guavashift/Fleet/FleetMessages.h>
+#include <Guavashift/Fleet/FleetSettings.h>
+
+namespace guavashift {
+
+struct ReplicaDriverSettings
+{
+    ReplicaSettings replica;
+    MembershipPlannerSettings membership;
+    ChannelSettings channel;
+    /// The log is replaced by a snapshot when it has grown by this much.
+    std::size_t snapshotBytes = 4 << 20;
+    /// How often a process that is no member asks to join.
+    Duration joinInterval = std::chrono::milliseconds(300);
+    /// Pause before a broken connection to another replica is made again.
+    Duration reconnectPause = std::chrono::milliseconds(200);
+    /// How often timers of the replica are looked at.
+    Duration tick = std::chrono::milliseconds(25);
+    /// Digests are compared at multiples of this index.
+    LogIndex digestInterval = 64;
+};
+
+/// Drives one Replica with its disk and its peers on an event loop's thread and applies committed
+/// commands to a JobBook. Commands that gather within one round of the loop share one log entry.
+class ReplicaDriver final
+{
+public:
+    /// Told once whether the commands were committed.
+    using Done = std::function<void(bool committed, std::span<const StageOutcome> outcomes)>;
+
+    struct Observer
+    {
+        std::function<void(const StageCommand &, const StageOutcome &)> applied;
+        std::function<void(bool leads)> roleChanged;
+    };
+
+    ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
+                  const FleetSettings &fleet, JobBook &book, Observer observer,
+                  std::uint64_t seed);
+    ~ReplicaDriver();
+
+    /// Opens the data folder and begins to take part.
+    Result<void> open();
+
+    void receive(const ReplicaMessages &messages);
+    void joinRequested(const Member &member);
+
+    void propose(std::vector<StageCommand> commands, Done done);
+
+    /// To be called at the end of each round of the loop.
+    void endRound();
+
+    [[nodiscard]] bool leads() const { return m_replica && m_replica->isLeader() && !m_stopped; }
+    /// Whether this replica leads and may answer from its state without asking others.
+    [[nodiscard]] bool mayAnswer() const;
+    [[nodiscard]] Term term() const { return m_replica->term(); }
+    [[nodiscard]] std::string leaderAddress() const;
+    /// Channels of all replicas that are known.
+    [[nodiscard]] std::vector<std::string> addresses() const;
+    /// Asks another voter to take over.
+    void handOver();
+
+private:
+    struct Peer
+    {
+        std::unique_ptr<FrameConnection> connection;
+        Instant retryAt;
+    };
+
+    struct Proposal
+    {
+        std::vector<StageCommand> commands;
+        Done done;
+    };
+
+    struct Waiter
+    {
+        Term term = 0;
+        std::size_t first = 0;
+        std::size_t count = 0;
+        Done done;
+    };
+
+    [[nodiscard]] Result<PersistentState> loadOrBootstrap();
+    [[nodiscard]] Membership firstMembership() const;
+    [[nodiscard]] bool isSeed() const;
+    void scheduleTick();
+    void proposePending();
+    void processEffects();
+    void storeAll(const std::vector<Effect> &effects);
+    void check(const Result<void> &stored);
+    void sendMessages(const std::vector<Effect> &effects, bool afterSync);
+    void sendTo(const std::string &address, const FleetMessage &message);
+    void apply(const LogEntry &entry);
+    void settleWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes);
+    void install(const SnapshotPointer &snapshot);
+    void compare(const StateDigest &digest);
+    void announceRole(const RoleChanged &change);
+    void takeSnapshot();
+    void planMembership();
+    void askToJoin();
+    void abandonWaiters();
+
+    EventLoop &m_loop;
+    ReplicaDriverSettings m_settings;
+    FleetSettings m_fleet;
+    JobBook &m_book;
+    Observer m_observer;
+    std::mt19937_64 m_random;
+    Member m_self;
+    std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<Replica> m_replica;
+    bool m_stopped = false; ///< After a disk fault or a differing state: takes part no more.
+    bool m_wasLeader = false;
+    std::map<std::string, Peer> m_peers; ///< By address.
+    std::map<ReplicaId, std::string> m_toldAddresses;
+    std::vector<Proposal> m_proposals;
+    std::multimap<LogIndex, Waiter> m_waiters;
+    std::map<LogIndex, std::uint64_t> m_digests;
+    std::size_t m_bytesSinceSnapshot = 0;
+    MembershipPlanner m_planner;
+    Instant m_nextPlan;
+    Instant m_nextJoin;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -0,0 +1,444 @@
+#include <Guavashift/Fleet/WorkerNode.h>
+
+#include <array>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::array<std::string_view, 11> resultNames{
+    "done",        "fenced-off", "too-old", "too-late",       "no-room",   "no-approval",
+    "unhealthy",   "wrong",      "other-lifetime", "no-program", "no-answer"};
+
+} // namespace
+
+std::string_view nameOf(WorkerCallResult result)
+{
+    return resultNames.at(static_cast<std::size_t>(result));
+}
+
+WorkerNode::WorkerNode(EventLoop &loop, const WorkerNodeSettings &worker,
+                       const FleetSettings &settings, const ChannelSettings &channel,
+                       WorkerPort &port, std::uint64_t seed)
+    : m_loop(loop)
+    , m_worker(worker)
+    , m_settings(settings)
+    , m_port(port)
+    , m_link(loop, {channel}, settings, NodeRole::Agent,
+             {[this](const Welcome &welcome) { opened(welcome); }, [this] { lost(); },
+              [this](const FleetMessage &message) { received(message); }},
+             seed)
+    , m_relay(loop, channel,
+              [this](const std::string &address) {
+                  const std::vector<std::string> &cores = m_link.directory().cores;
+                  return std::find(cores.begin(), cores.end(), address) != cores.end();
+              })
+    , m_lease(settings.bounds.longestWorkerLease, BootClock::now())
+{
+}
+
+Result<void> WorkerNode::start()
+{
+    m_link.setWanted(true);
+    renewRegularly();
+    sendTable();
+    return m_relay.open(m_settings.channelAddress());
+}
+
+bool WorkerNode::isCurrent(const Lifetime &lifetime) const
+{
+    return m_facts && m_facts->lifetime == lifetime;
+}
+
+// The leader.
+
+void WorkerNode::opened(const Welcome &welcome)
+{
+    m_sessionFence = welcome.fence;
+    m_fenceStep = 0;
+    m_leaseLength = std::chrono::milliseconds(welcome.leaseMs);
+    m_inventoryDue = true;
+    m_listedUpTo = m_committedUpTo;
+    if (m_facts)
+        m_link.send(WorkerReport{*m_facts});
+    renewLease();
+    look(Duration::zero());
+}
+
+void WorkerNode::lost()
+{
+    m_inventoryDue = false;
+}
+
+void WorkerNode::renewLease()
+{
+    if (m_link.isOpen())
+        m_link.send(RenewLease{BootClock::now().time_since_epoch().count()});
+}
+
+void WorkerNode::renewRegularly()
+{
+    renewLease();
+    m_loop.after(m_worker.renewInterval, [this] { renewRegularly(); });
+}
+
+void WorkerNode::received(const FleetMessage &message)
+{
+    std::visit(Overloaded{[this](const LeaseGranted &granted) {
+                              m_lease.granted(Instant(Duration(granted.sentAt)) + m_leaseLength);
+                          },
+                          [this](const StartOrder &order) { startRun(order); },
+                          [this](const StopOrder &order) { stopRun(order); },
+                          [this](const EndsCommitted &committed) {
+                              if (isCurrent(committed.lifetime))
+                                  m_committedUpTo = std::max(m_committedUpTo, committed.upTo);
+                          },
+                          [this](const KnownRuns &known) {
+                              for (const RunTraits &traits : known.runs) {
+                                  const auto run = m_runs.find({traits.task, traits.run});
+                                  if (run != m_runs.end())
+                                      run->second.traits = traits;
+                              }
+                          },
+                          [](const auto &) {}},
+               message);
+}
+
+void WorkerNode::sendTable()
+{
+    if (m_link.isOpen() && m_facts && !m_inventoryDue && !m_silent) {
+        RunTable table{m_facts->lifetime, {}};
+        for (const auto &[key, run] : m_runs) {
+            if (run.stage == Stage::Running)
+                table.rows.push_back(run.row);
+        }
+        m_link.send(table);
+    }
+    m_loop.after(m_worker.tableInterval, [this] { sendTable(); });
+}
+
+// The worker's word on itself.
+
+void WorkerNode::workerReported(const WorkerFacts &facts, std::uint64_t sequence)
+{
+    const bool isNew = !m_facts || m_facts->lifetime != facts.lifetime;
+    // A report of a dead lifetime may come late; its worker started earlier.
+    if (isNew && m_facts && facts.lifetime.born < m_facts->lifetime.born)
+        return;
+    if (!isNew && sequence <= m_sequence)
+        return;
+    m_sequence = sequence;
+    if (isNew) {
+        if (m_facts)
+            endLifetime(false);
+        m_facts = facts;
+        m_listedUpTo = m_committedUpTo = 0;
+        m_inventoryDue = m_link.isOpen();
+        m_silent = false;
+        logEvent(LogLevel::Info, "worker-found",
+                 {{"worker", facts.lifetime.worker},
+                  {"born", facts.lifetime.born},
+                  {"service", facts.service},
+                  {"milli_cores", facts.capacity.milliCores}});
+    } else if (*m_facts == facts) {
+        return;
+    }
+    const bool drains = facts.draining && !m_facts->draining;
+    m_facts = facts;
+    if (drains)
+        logEvent(LogLevel::Info, "worker-drains", {{"worker", facts.lifetime.worker}});
+    m_link.send(WorkerReport{facts});
+    if (isNew)
+        look(Duration::zero());
+}
+
+void WorkerNode::workerLeaves(const std::string &worker)
+{
+    if (m_facts && m_facts->lifetime.worker == worker)
+        endLifetime(false);
+}
+
+void WorkerNode::endLifetime(bool silent)
+{
+    logEvent(LogLevel::Info, "lifetime-ended",
+             {{"worker", m_facts->lifetime.worker},
+              {"born", m_facts->lifetime.born},
+              {"silent", silent},
+              {"runs", m_runs.size()}});
+    m_link.send(LifetimeEnded{m_facts->lifetime, silent});
+    m_runs.clear();
+    if (!silent) {
+        m_facts.reset();
+        m_lease.workerChanged(BootClock::now());
+    }
+}
+
+// Looks at the worker.
+
+void WorkerNode::scheduleLook(Duration delay)
+{
+    if (m_lookTimer != 0)
+        return;
+    m_lookTimer = m_loop.after(delay, [this] {
+        m_lookTimer = 0;
+        const bool paces = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &each) {
+            return each.second.traits.fillsLeftover;
+        });
+        look(paces ? m_worker.paceWait : m_worker.holdWait);
+    });
+}
+
+void WorkerNode::look(Duration wait)
+{
+    if (!m_facts || !m_link.isOpen())
+        return;
+    const Instant now = BootClock::now();
+    HoldRequest request;
+    request.worker = m_facts->lifetime.worker;
+    request.fence = fence();
+    request.seenUpTo = m_committedUpTo;
+    request.untilMs = m_lease.untilMs(now);
+    request.wait = wait;
+    ++m_looksOpen;
+    m_port.hold(request, [this, request, now](const WorkerReply &reply) {
+        --m_looksOpen;
+        looked(request, now, reply);
+    });
+}
+
+void WorkerNode::looked(const HoldRequest &request, Instant sent, const WorkerReply &reply)
+{
+    const Instant now = BootClock::now();
+    if (!m_facts || m_facts->lifetime.worker != request.worker)
+        return;
+    switch (reply.result) {
+    case WorkerCallResult::Done:
+        break;
+    case WorkerCallResult::NoProgram:
+    case WorkerCallResult::OtherLifetime:
+        return endLifetime(false);
+    case WorkerCallResult::FencedOff:
+        // Another session has spoken to the worker; a new one gets a higher token.
+        if (request.fence == fence())
+            m_link.renew("fenced off by the worker");
+        return;
+    default:
+        // Without a word until its lease has run out, nothing of it runs any more.
+        if (now > m_lease.latestEnd() && !m_silent) {
+            m_silent = true;
+            endLifetime(true);
+        }
+        if (m_looksOpen == 0)
+            scheduleLook(m_worker.retryPause);
+        return;
+    }
+    if (reply.born != 0 && reply.born != m_facts->lifetime.born) {
+        // It started anew under its old name; its own report will follow.
+        return endLifetime(false);
+    }
+    if (m_silent) {
+        m_silent = false;
+        m_inventoryDue = true;
+    }
+    m_lease.observe(reply.clockMs, sent, now);
+    learnEnds(reply);
+    learnRunning(request, sent, reply);
+    applyPace();
+    if (m_looksOpen == 0)
+        scheduleLook(Duration::zero());
+}
+
+void WorkerNode::learnEnds(const WorkerReply &reply)
+{
+    RunsEnded ended{m_facts->lifetime, {}};
+    for (const ListedEnd &each : reply.ended) {
+        m_runs.erase({each.end.task, each.end.run});
+        if (each.number <= m_listedUpTo)
+            continue;
+        m_listedUpTo = each.number;
+        ended.ends.push_back(each);
+        logEvent(LogLevel::Info, "run-listed",
+                 {{"task", each.end.task.text()},
+                  {"run", each.end.run},
+                  {"end", nameOf(each.end.end)}});
+    }
+    if (!ended.ends.empty())
+        m_link.send(ended);
+}
+
+void WorkerNode::learnRunning(const HoldRequest &request, Instant sent, const WorkerReply &reply)
+{
+    std::set<RunKey> running;
+    for (const RunRow &row : reply.running) {
+        const RunKey key{row.task, row.run};
+        running.insert(key);
+        const auto [position, added] = m_runs.try_emplace(key);
+        Run &run = position->second;
+        if (added)
+            run.traits.task = row.task, run.traits.run = row.run;
+        run.stage = Stage::Running;
+        run.row = row;
+        run.seenAt = std::max(run.seenAt, sent);
+    }
+    settleUnclear(request, running);
+    // A stop that was answered before this look leaves nothing behind that is not listed.
+    for (auto at = m_runs.begin(); at != m_runs.end();) {
+        const auto current = at++;
+        const Run &run = current->second;
+        if (running.contains(current->first))
+            continue;
+        if (run.stopAnswered && sent > run.stopSentAt)
+            drop(current->first, "stopped before it ran");
+        else if (run.stage == Stage::Running && !run.stopWanted && sent > run.seenAt)
+            m_runs.erase(current); // Its end was listed before.
+    }
+    if (m_inventoryDue && request.fence >= m_sessionFence) {
+        m_inventoryDue = false;
+        m_link.send(Inventory{m_facts->lifetime, reply.running});
+    }
+}
+
+void WorkerNode::settleUnclear(const HoldRequest &request, const std::set<RunKey> &running)
+{
+    // The worker has seen a higher token, so an order under a lower one does nothing any more.
+    for (auto at = m_runs.begin(); at != m_runs.end();) {
+        const auto current = at++;
+        const Run &run = current->second;
+        const bool settled = run.stage == Stage::Unclear && run.fence < request.fence
+            && !running.contains(current->first);
+        if (settled)
+            drop(current->first, "never arrived");
+    }
+}
+
+void WorkerNode::drop(const RunKey &key, std::string_view reason)
+{
+    m_runs.erase(key);
+    if (m_facts)
+        m_link.send(StartRefused{m_facts->lifetime, key.first, key.second, std::string(reason)});
+}
+
+// Orders.
+
+void WorkerNode::refuse(const StartOrder &order, std::string_view reason)
+{
+    m_link.send(StartRefused{order.lifetime, order.traits.task, order.traits.run,
+                             std::string(reason)});
+}
+
+void WorkerNode::startRun(const StartOrder &order)
+{
+    if (!isCurrent(order.lifetime))
+        return refuse(order, "another lifetime");
+    if (m_facts->draining)
+        return refuse(order, "draining");
+    const std::int64_t until = m_lease.untilMs(BootClock::now());
+    if (until == 0)
+        return refuse(order, "no lease");
+    const RunKey key{order.traits.task, order.traits.run};
+    const auto [position, added] = m_runs.try_emplace(key);
+    if (!added)
+        return;
+    position->second.traits = order.traits;
+    position->second.fence = fence();
+    const std::uint64_t sentUnder = fence();
+    m_port.start({sentUnder, until, order}, [this, key, sentUnder](const WorkerReply &reply) {
+        started(key, sentUnder, reply);
+    });
+}
+
+void WorkerNode::started(const RunKey &key, std::uint64_t sentUnder, const WorkerReply &reply)
+{
+    const auto found = m_runs.find(key);
+    logEvent(LogLevel::Info, "start-answered",
+             {{"task", key.first.text()}, {"run", key.second}, {"result", nameOf(reply.result)}});
+    if (found == m_runs.end() || found->second.stage != Stage::Starting
+        || found->second.fence != sentUnder)
+        return;
+    Run &run = found->second;
+    switch (reply.result) {
+    case WorkerCallResult::Done:
+        run.stage = Stage::Running;
+        run.seenAt = BootClock::now();
+        run.row.task = key.first;
+        run.row.run = key.second;
+        if (run.traits.fillsLeftover)
+            applyPace();
+        return;
+    case WorkerCallResult::NoAnswer:
+        // It may still happen, unless the worker has seen a higher token by then.
+        run.stage = Stage::Unclear;
+        if (run.fence >= m_sessionFence && m_fenceStep + 1 < fenceSpan) {
+            m_fenceStep = std::max(m_fenceStep, run.fence - m_sessionFence + 1);
+            look(Duration::zero());
+        }
+        return;
+    default:
+        drop(key, nameOf(reply.result));
+    }
+}
+
+void WorkerNode::stopRun(const StopOrder &order)
+{
+    if (!isCurrent(order.lifetime))
+        return;
+    const RunKey key{order.task, order.run};
+    const auto [position, added] = m_runs.try_emplace(key);
+    if (added) {
+        position->second.traits.task = order.task;
+        position->second.traits.run = order.run;
+        position->second.stage = Stage::Running;
+    }
+    position->second.stopWanted = true;
+    sendStop(key);
+}
+
+void WorkerNode::sendStop(const RunKey &key)
+{
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end() || !m_facts || !m_link.isOpen())
+        return;
+    m_port.stop({fence(), {m_facts->lifetime, key.first, key.second}},
+                [this, key](const WorkerReply &reply) {
+                    const auto run = m_runs.find(key);
+                    logEvent(LogLevel::Info, "stop-answered",
+                             {{"task", key.first.text()},
+                              {"run", key.second},
+                              {"result", nameOf(reply.result)}});
+                    if (run == m_runs.end())
+                        return;
+                    if (reply.result == WorkerCallResult::Done) {
+                        run->second.stopAnswered = true;
+                        run->second.stopSentAt = BootClock::now();
+                        look(Duration::zero());
+                        return;
+                    }
+                    m_loop.after(m_worker.stopRetry, [this, key] { sendStop(key); });
+                });
+}
+
+void WorkerNode::applyPace()
+{
+    if (!m_facts)
+        return;
+    std::vector<TailReading> readings;
+    for (const auto &[key, run] : m_runs) {
+        if (run.stage == Stage::Running && run.traits.tailTargetMs > 0)
+            readings.push_back({run.row.figure, static_cast<double>(run.traits.tailTargetMs)});
+    }
+    const std::int32_t pace = m_pacer.update(readings, BootClock::now());
+    for (auto &[key, run] : m_runs) {
+        if (run.stage != Stage::Running || !run.traits.fillsLeftover || run.pace == pace)
+            continue;
+        run.pace = pace;
+        m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
+                    [this, key = key](const WorkerReply &reply) {
+                        const auto found = m_runs.find(key);
+                        // Whether it acts is unknown: it is told again.
+                        if (found != m_runs.end() && reply.result != WorkerCallResult::Done)
+                            found->second.pace = unknownPace;
+                    });
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <Guavashift/Fleet/LeaderLink.h>
+#include <Guavashift/Fleet/LeaseClock.h>
+#include <Guavashift/Fleet/Pacer.h>
+#include <Guavashift/Fleet/Relay.h>
+#include <Guavashift/Fleet/WorkerPort.h>
+
+#include <set>
+
+namespace guavashift {
+
+struct WorkerNodeSettings
+{
+    /// How long one look at the worker waits for an end.
+    Duration holdWait = std::chrono::milliseconds(1000);
+    /// The same where fillers must be paced, so that tails are seen in time.
+    Duration paceWait = std::chrono::milliseconds(200);
+    /// How often the lease is renewed with the leader.
+    Duration renewInterval = std::chrono::milliseconds(500);
+    /// How often the leader is told of all runs.
+    Duration tableInterval = std::chrono::milliseconds(500);
+    /// Pause after a look that failed.
+    Duration retryPause = std::chrono::milliseconds(150);
+    /// Unanswered stops are sent again after this.
+    Duration stopRetry = std::chrono::milliseconds(400);
+};
+
+/// The agent beside one worker: its reports, orders, lease and pacing. What it knows it learns again
+/// from the worker after a restart. On an event loop's thread.
+class WorkerNode final
+{
+public:
+    WorkerNode(EventLoop &loop, const WorkerNodeSettings &worker, const FleetSettings &settings,
+               const ChannelSettings &channel, WorkerPort &port, std::uint64_t seed);
+
+    Result<void> start();
+
+    /// The worker's word on itself. An older one than the last is passed over.
+    void workerReported(const WorkerFacts &facts, std::uint64_t sequence);
+    /// The worker says that it ends.
+    void workerLeaves(const std::string &worker);
+
+private:
+    enum class Stage : std::uint8_t { Starting, Unclear, Running };
+
+    struct Run
+    {
+        RunTraits traits;
+        Stage stage = Stage::Starting;
+        std::uint64_t fence = 0; ///< Under which the start was sent.
+        bool stopWanted = false;
+        bool stopAnswered = false;
+        Instant stopSentAt;
+        Instant seenAt; ///< Known to run at this time at least.
+        RunRow row;
+        std::int32_t pace = 100; ///< As the worker was told last.
+    };
+
+    /// After a call for a new pace that got no clear answer.
+    static constexpr std::int32_t unknownPace = -1;
+
+    using RunKey = std::pair<TaskRef, std::uint32_t>;
+
+    // Leader.
+    void opened(const Welcome &welcome);
+    void lost();
+    void received(const FleetMessage &message);
+    void renewLease();
+    void renewRegularly();
+    void sendTable();
+
+    // Worker.
+    void look(Duration wait);
+    void scheduleLook(Duration delay);
+    void looked(const HoldRequest &request, Instant sent, const WorkerReply &reply);
+    void learnRunning(const HoldRequest &request, Instant sent, const WorkerReply &reply);
+    void learnEnds(const WorkerReply &reply);
+    void settleUnclear(const HoldRequest &request, const std::set<RunKey> &running);
+    void startRun(const StartOrder &order);
+    void started(const RunKey &key, std::uint64_t fence, const WorkerReply &reply);
+    void stopRun(const StopOrder &order);
+    void sendStop(const RunKey &key);
+    void refuse(const StartOrder &order, std::string_view reason);
+    void drop(const RunKey &key, std::string_view reason);
+    void endLifetime(bool silent);
+    void applyPace();
+    [[nodiscard]] bool isCurrent(const Lifetime &lifetime) const;
+    [[nodiscard]] std::uint64_t fence() const { return m_sessionFence + m_fenceStep; }
+
+    EventLoop &m_loop;
+    WorkerNodeSettings m_worker;
+    FleetSettings m_settings;
+    WorkerPort &m_port;
+    LeaderLink m_link;
+    Relay m_relay;
+    std::uint64_t m_sessionFence = 0;
+    std::uint64_t m_fenceStep = 0;
+    bool m_inventoryDue = false;
+    Duration m_leaseLength = Duration::zero();
+
+    std::optional<WorkerFacts> m_facts;
+    std::uint64_t m_sequence = 0;
+    bool m_silent = false;
+    LeaseClock m_lease;
+    std::uint64_t m_listedUpTo = 0;    ///< Ends told to the leader in this session.
+    std::uint64_t m_committedUpTo = 0; ///< Ends that need not be listed any more.
+    std::map<RunKey, Run> m_runs;
+    Pacer m_pacer;
+    std::uint64_t m_lookNumber = 0;
+    std::size_t m_looksOpen = 0;
+    EventLoop::TimerId m_lookTimer = 0;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <Guavashift/Fleet/FleetMessages.h>
+
+namespace guavashift {
+
+/// How a call to the worker ended.
+enum class WorkerCallResult : std::uint8_t {
+    Done,
+    FencedOff,     ///< The worker has seen a higher fencing token.
+    TooOld,        ///< That run, or a later one, was stopped or ended there.
+    TooLate,       ///< The lease named had passed.
+    NoRoom,        ///< It does not fit.
+    NoApproval,    ///< The policy's ticket is missing or void.
+    Unhealthy,     ///< The worker did nothing.
+    Wrong,         ///< The worker could not read the order.
+    OtherLifetime, ///< Another worker answers at the address.
+    NoProgram,     ///< Nothing listens at the address.
+    NoAnswer       ///< Whether it was carried out, or still will be, is unknown.
+};
+std::string_view nameOf(WorkerCallResult result);
+
+/// What a worker answers to each call.
+struct WorkerReply
+{
+    WorkerCallResult result = WorkerCallResult::NoAnswer;
+    std::int64_t born = 0;    ///< 0: not told.
+    std::int64_t clockMs = 0; ///< The worker's steady clock; 0: not told.
+    std::vector<RunRow> running;
+    std::vector<ListedEnd> ended;
+};
+
+/// Extends the lease of all that runs, acknowledges ends, and asks for both lists.
+struct HoldRequest
+{
+    std::string worker;
+    std::uint64_t fence = 0;
+    std::uint64_t seenUpTo = 0;
+    std::int64_t untilMs = 0; ///< On the worker's clock; 0: do not extend.
+    Duration wait = Duration::zero();
+};
+
+struct StartRequest
+{
+    std::uint64_t fence = 0;
+    std::int64_t untilMs = 0;
+    StartOrder order;
+};
+
+struct StopRequest
+{
+    std::uint64_t fence = 0;
+    StopOrder order;
+};
+
+struct PaceRequest
+{
+    std::uint64_t fence = 0;
+    std::string worker;
+    TaskRef task;
+    std::uint32_t run = 0;
+    std::int32_t percent = 100;
+};
+
+/// The calls to the one worker beside an agent. Replies come on the event loop's thread.
+class WorkerPort
+{
+public:
+    using Callback = std::function<void(WorkerReply)>;
+
+    WorkerPort() = default;
+    WorkerPort(const WorkerPort &) = delete;
+    WorkerPort &operator=(const WorkerPort &) = delete;
+    virtual ~WorkerPort() = default;
+
+    virtual void hold(const HoldRequest &request, Callback callback) = 0;
+    virtual void start(const StartRequest &request, Callback callback) = 0;
+    virtual void stop(const StopRequest &request, Callback callback) = 0;
+    virtual void pace(const PaceRequest &request, Callback callback) = 0;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Http/AsyncHttpClient.cpp
@@ -0,0 +1,187 @@
+#include <Guavashift/Http/AsyncHttpClient.h>
+
+#include <cerrno>
+#include <curl/curl.h>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace guavashift {
+
+namespace {
+
+constexpr int longestWaitMs = 1000;
+constexpr long connectTimeoutMs = 700;
+/// Idle connections kept open in all.
+constexpr long maxKeptConnections = 32;
+
+/// One call with all that libcurl refers to while it runs.
+struct Transfer
+{
+    AsyncHttpCall call;
+    AsyncHttpClient::Callback callback;
+    std::string url;
+    curl_slist *headers = nullptr;
+    HttpResponse response;
+
+    ~Transfer() { curl_slist_free_all(headers); }
+};
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *cls)
+{
+    static_cast<Transfer *>(cls)->response.body.append(data, size * count);
+    return size * count;
+}
+
+} // namespace
+
+class AsyncHttpClient::Implementation final
+{
+public:
+    Implementation()
+    {
+        static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+        GUAVASHIFT_CHECK(initialized == CURLE_OK);
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxKeptConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~Implementation()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+        for (auto &[easy, transfer] : m_running) {
+            curl_multi_remove_handle(m_multi, easy);
+            curl_easy_cleanup(easy);
+        }
+        for (CURL *easy : m_idle)
+            curl_easy_cleanup(easy);
+        curl_multi_cleanup(m_multi);
+    }
+
+    void send(AsyncHttpCall call, Callback callback)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->callback = std::move(callback);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_queued.push_back(std::move(transfer));
+        }
+        curl_multi_wakeup(m_multi);
+    }
+
+private:
+    void run()
+    {
+        for (;;) {
+            std::deque<std::unique_ptr<Transfer>> queued;
+            {
+                const std::lock_guard lock(m_mutex);
+                if (m_stopping)
+                    return;
+                queued.swap(m_queued);
+            }
+            for (auto &transfer : queued)
+                begin(std::move(transfer));
+            int running = 0;
+            curl_multi_perform(m_multi, &running);
+            finishDone();
+            curl_multi_poll(m_multi, nullptr, 0, longestWaitMs, nullptr);
+        }
+    }
+
+    void begin(std::unique_ptr<Transfer> transfer)
+    {
+        CURL *easy = nullptr;
+        if (m_idle.empty()) {
+            easy = curl_easy_init();
+        } else {
+            easy = m_idle.back();
+            m_idle.pop_back();
+        }
+        const AsyncHttpCall &call = transfer->call;
+        transfer->url = "http://" + call.address + call.target;
+        for (const HttpHeader &header : call.headers.all())
+            transfer->headers =
+                curl_slist_append(transfer->headers, (header.name + ": " + header.value).c_str());
+        // Without this libcurl waits for a "100 Continue" before larger bodies.
+        transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_URL, transfer->url.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(toMs(call.timeout)));
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+        if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+        }
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_multi_add_handle(m_multi, easy);
+        m_running.emplace(easy, std::move(transfer));
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            CURL *easy = message->easy_handle;
+            const CURLcode code = message->data.result;
+            const auto found = m_running.find(easy);
+            const std::unique_ptr<Transfer> transfer = std::move(found->second);
+            m_running.erase(found);
+            long status = 0;
+            long systemError = 0;
+            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+            curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
+            curl_multi_remove_handle(m_multi, easy);
+            curl_easy_reset(easy);
+            m_idle.push_back(easy);
+            if (code == CURLE_OK) {
+                transfer->response.status = static_cast<int>(status);
+                transfer->callback(std::move(transfer->response));
+            } else {
+                const bool refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+                transfer->callback(tl::unexpected(refused ? HttpCallFailure::Refused
+                                                          : HttpCallFailure::Silent));
+            }
+        }
+    }
+
+    CURLM *m_multi = nullptr;
+    std::mutex m_mutex;
+    std::deque<std::unique_ptr<Transfer>> m_queued;
+    bool m_stopping = false;
+    std::map<CURL *, std::unique_ptr<Transfer>> m_running;
+    std::vector<CURL *> m_idle;
+    std::thread m_thread;
+};
+
+AsyncHttpClient::AsyncHttpClient()
+    : m_implementation(std::make_unique<Implementation>())
+{
+}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::send(AsyncHttpCall call, Callback callback)
+{
+    m_implementation->send(std::move(call), std::move(callback));
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -0,0 +1,203 @@
+#include <Guavashift/Http/AsyncHttpServer.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <microhttpd.h>
+#include <mutex>
+#include <netinet/in.h>
+
+namespace guavashift {
+
+namespace {
+
+constexpr unsigned listenBacklog = 1024;
+
+MHD_Result addHeader(void *cls, MHD_ValueKind, const char *key, const char *value)
+{
+    static_cast<HttpHeaders *>(cls)->add(key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+/// Leaves escapes as they are: paths are passed on unchanged.
+std::size_t keepEscapes(void *, MHD_Connection *, char *text)
+{
+    return std::char_traits<char>::length(text);
+}
+
+/// One request from its headers to its answer.
+struct Exchange
+{
+    HttpRequest request;
+    bool tooLarge = false;
+    bool handed = false;
+    std::mutex mutex;
+    bool answered = false;
+    bool suspended = false;
+    HttpResponse response;
+};
+
+using ExchangePointer = std::shared_ptr<Exchange>;
+
+} // namespace
+
+class AsyncHttpServer::Implementation final
+{
+public:
+    Implementation(const HttpServerSettings &settings, Handler handler)
+        : m_settings(settings)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    ~Implementation() { stop(); }
+
+    Result<void> start()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(m_settings.port);
+        if (inet_pton(AF_INET, m_settings.ip.c_str(), &address.sin_addr) != 1)
+            return fail(ErrorCode::InvalidArgument, m_settings.ip + " is not an IP number");
+        const auto timeoutSeconds = static_cast<unsigned>(toMs(m_settings.idleTimeout) / 1000);
+        m_daemon = MHD_start_daemon(
+            MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, m_settings.port,
+            nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR, &address,
+            MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+            timeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
+            MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+            MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
+            &Implementation::onCompleted, this, MHD_OPTION_END);
+        if (m_daemon == nullptr)
+            return fail(ErrorCode::Io,
+                        fmt::format("cannot listen on {}:{}", m_settings.ip, m_settings.port));
+        return {};
+    }
+
+    void stop()
+    {
+        if (m_daemon == nullptr)
+            return;
+        MHD_stop_daemon(m_daemon);
+        m_daemon = nullptr;
+    }
+
+    void startClosing() { m_closing = true; }
+    [[nodiscard]] std::size_t waiting() const { return m_waiting; }
+
+private:
+    static MHD_Result onAccess(void *cls, MHD_Connection *connection, const char *url,
+                               const char *method, const char *, const char *uploadData,
+                               std::size_t *uploadSize, void **context)
+    {
+        return static_cast<Implementation *>(cls)->access(connection, url, method, uploadData,
+                                                          uploadSize, context);
+    }
+
+    static void onCompleted(void *, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    {
+        delete static_cast<ExchangePointer *>(*context);
+        *context = nullptr;
+    }
+
+    MHD_Result access(MHD_Connection *connection, const char *url, const char *method,
+                      const char *uploadData, std::size_t *uploadSize, void **context)
+    {
+        // The first call brings the headers only.
+        if (*context == nullptr) {
+            auto exchange = std::make_shared<Exchange>();
+            exchange->request.method = method;
+            exchange->request.path = url;
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
+                                      &exchange->request.headers);
+            *context = new ExchangePointer(std::move(exchange));
+            return MHD_YES;
+        }
+        const ExchangePointer exchange = *static_cast<ExchangePointer *>(*context);
+        // Further calls bring the body in pieces.
+        if (*uploadSize > 0) {
+            if (exchange->request.body.size() + *uploadSize > m_settings.maxBodyBytes)
+                exchange->tooLarge = true;
+            else
+                exchange->request.body.append(uploadData, *uploadSize);
+            *uploadSize = 0;
+            return MHD_YES;
+        }
+        if (exchange->tooLarge)
+            return respond(connection,
+                           HttpResponse::json(413, {{"error", "the body is too large"}}));
+        // The next call asks for the answer; the one after a resume finds it.
+        if (!exchange->handed) {
+            exchange->handed = true;
+            ++m_waiting;
+            m_handler(std::move(exchange->request),
+                      [this, exchange, connection](HttpResponse response) {
+                          const std::lock_guard lock(exchange->mutex);
+                          if (exchange->answered)
+                              return;
+                          --m_waiting;
+                          exchange->answered = true;
+                          exchange->response = std::move(response);
+                          if (exchange->suspended)
+                              MHD_resume_connection(connection);
+                      });
+        }
+        {
+            const std::lock_guard lock(exchange->mutex);
+            if (!exchange->answered) {
+                exchange->suspended = true;
+                MHD_suspend_connection(connection);
+                return MHD_YES;
+            }
+        }
+        return respond(connection, exchange->response);
+    }
+
+    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response)
+    {
+        MHD_Response *native = MHD_create_response_from_buffer(
+            response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+        for (const HttpHeader &header : response.headers.all())
+            MHD_add_response_header(native, header.name.c_str(), header.value.c_str());
+        if (m_closing)
+            MHD_add_response_header(native, "Connection", "close");
+        const MHD_Result result =
+            MHD_queue_response(connection, static_cast<unsigned>(response.status), native);
+        MHD_destroy_response(native);
+        return result;
+    }
+
+    HttpServerSettings m_settings;
+    Handler m_handler;
+    MHD_Daemon *m_daemon = nullptr;
+    std::atomic<bool> m_closing = false;
+    std::atomic<std::size_t> m_waiting = 0;
+};
+
+AsyncHttpServer::AsyncHttpServer(const HttpServerSettings &settings, Handler handler)
+    : m_implementation(std::make_shared<Implementation>(settings, std::move(handler)))
+{
+}
+
+AsyncHttpServer::~AsyncHttpServer() = default;
+
+Result<void> AsyncHttpServer::start()
+{
+    return m_implementation->start();
+}
+
+void AsyncHttpServer::stop()
+{
+    m_implementation->stop();
+}
+
+void AsyncHttpServer::startClosing()
+{
+    m_implementation->startClosing();
+}
+
+std::size_t AsyncHttpServer::waiting() const
+{
+    return m_implementation->waiting();
+}
+
+} // namespace guavashift
--- a/Guavashift/Rpc/RpcClient.h
+++ b/Guavashift/Rpc/RpcClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Guavashift/Rpc/Address.h>
+#include <Guavashift/Core/Address.h>
 #include <Guavashift/Rpc/RpcSettings.h>
 
 #include <memory>
--- /dev/null
+++ b/Guavashift/Stages/JobBook.cpp
@@ -0,0 +1,250 @@
+#include <Guavashift/Stages/JobBook.h>
+
+namespace guavashift {
+
+JobBook::JobBook(const JobBookSettings &settings, QueueTableReader reader)
+    : m_settings(settings)
+    , m_reader(std::move(reader))
+{
+}
+
+StageOutcome JobBook::apply(WallMs time, const StageCommand &command)
+{
+    // Leaders' clocks differ; the state's time never goes back.
+    m_time = std::max(m_time, time);
+    forgetOld();
+    const StageOutcome outcome =
+        std::visit([this](const auto &body) { return handle(body); }, command);
+    const std::uint64_t parts[] = {m_digest, command.index(), outcome.applied ? 1U : 0U, // NOLINT
+                                   m_jobs.size(), m_ended.size()};
+    m_digest = hashBytes({reinterpret_cast<const char *>(parts), sizeof(parts)});
+    return outcome;
+}
+
+const StageJob *JobBook::find(std::string_view job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+StageTask *JobBook::findTask(const TaskRef &ref)
+{
+    const auto job = m_jobs.find(ref.job);
+    if (job == m_jobs.end())
+        return nullptr;
+    const auto occurrence = job->second.occurrences.find(ref.occurrence);
+    if (occurrence == job->second.occurrences.end())
+        return nullptr;
+    std::vector<StageStep> &steps = occurrence->second.steps;
+    if (ref.step >= steps.size() || ref.task >= steps[ref.step].tasks.size())
+        return nullptr;
+    return &steps[ref.step].tasks[ref.task];
+}
+
+const StageTask *JobBook::find(const TaskRef &ref) const
+{
+    return const_cast<JobBook *>(this)->findTask(ref);
+}
+
+std::size_t JobBook::pendingIn(std::string_view queue) const
+{
+    const auto found = m_pending.find(queue);
+    return found == m_pending.end() ? 0 : found->second;
+}
+
+const QueueSettings &JobBook::termsOf(const StageJob &job) const
+{
+    const QueueSettings *queue = m_queues.find(job.queue);
+    return queue == nullptr ? job.terms : *queue;
+}
+
+bool JobBook::isReady(const StageJob &job, std::uint32_t occurrence, std::uint32_t step)
+{
+    const std::vector<std::uint32_t> &after = job.plan.steps[step].after;
+    if (after.empty())
+        return true;
+    const auto found = job.occurrences.find(occurrence);
+    if (found == job.occurrences.end())
+        return false;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return found->second.steps[earlier].isDone();
+    });
+}
+
+StageOutcome JobBook::handle(const ReplaceConfiguration &command)
+{
+    tl::expected<QueueTable, Findings> table = m_reader(command.document);
+    if (!table)
+        return {false, "the document is invalid"};
+    if (!m_document.empty() && table->version() <= m_queues.version())
+        return {false, "a version as high is in force"};
+    m_queues = std::move(*table);
+    m_document = command.document;
+    return {true};
+}
+
+StageOutcome JobBook::handle(const AcceptJob &command)
+{
+    const auto [position, added] = m_jobs.try_emplace(command.job);
+    if (!added)
+        return {false, "the job is known"};
+    StageJob &job = position->second;
+    job.queue = command.queue;
+    job.plan = command.plan;
+    job.acceptedAt = m_time;
+    if (const QueueSettings *queue = m_queues.find(command.queue))
+        job.terms = *queue;
+    ++m_pending[job.queue];
+    if (job.plan.occurrences == 0)
+        occurrenceOf(job, 0);
+    return {true};
+}
+
+StageOutcome JobBook::handle(const CancelJob &command)
+{
+    const auto found = m_jobs.find(command.job);
+    if (found == m_jobs.end())
+        return {false, "there is no such job"};
+    if (!found->second.isActive())
+        return {false, "the job has ended"};
+    endJob(command.job, found->second, StageJobStatus::Cancelled);
+    return {true};
+}
+
+StageOccurrence &JobBook::occurrenceOf(StageJob &job, std::uint32_t occurrence)
+{
+    const auto [position, added] = job.occurrences.try_emplace(occurrence);
+    if (added) {
+        for (const StepPlan &step : job.plan.steps)
+            position->second.steps.push_back({std::vector<StageTask>(step.tasks), 0});
+    }
+    return position->second;
+}
+
+StageOutcome JobBook::handle(const StartRun &command)
+{
+    const TaskRef &ref = command.task;
+    const auto found = m_jobs.find(ref.job);
+    if (found == m_jobs.end() || !found->second.isActive())
+        return {false, "the job does not run"};
+    StageJob &job = found->second;
+    if (ref.occurrence >= job.plan.runs() || job.occurrencesDone.contains(ref.occurrence)
+        || ref.step >= job.plan.steps.size() || ref.task >= job.plan.steps[ref.step].tasks)
+        return {false, "there is no such task"};
+    if (!isReady(job, ref.occurrence, ref.step))
+        return {false, "an earlier step is not done"};
+    occurrenceOf(job, ref.occurrence);
+    StageTask &task = *findTask(ref);
+    if (task.stage != TaskStage::Waiting)
+        return {false, "the task is bound or done"};
+    if (command.run <= task.run)
+        return {false, "the run is not newer"};
+    if (!job.plan.steps[ref.step].longRunning && task.failures >= termsOf(job).maxAttempts)
+        return {false, "no attempt is left"};
+    task.stage = TaskStage::Bound;
+    task.run = command.run;
+    task.lifetime = command.lifetime;
+    ++job.bound;
+    if (!job.begun) {
+        job.begun = true;
+        --m_pending[job.queue];
+    }
+    return {true};
+}
+
+StageOutcome JobBook::handle(const EndRun &command)
+{
+    StageTask *task = findTask(command.task);
+    if (task == nullptr || task->stage != TaskStage::Bound || task->run != command.run)
+        return {false, "the run is not the current one"};
+    StageJob &job = m_jobs.find(command.task.job)->second;
+    const StepPlan &plan = job.plan.steps[command.task.step];
+    task->stage = TaskStage::Waiting;
+    task->lifetime = {};
+    if (!command.checkpoint.empty())
+        task->checkpoint = command.checkpoint;
+    --job.bound;
+    if (command.end == RunEnd::Done && !plan.longRunning)
+        taskDone(job, command.task);
+    else if (command.end == RunEnd::Failed && !plan.longRunning)
+        taskFailed(job, command.task);
+    shedEnded(job);
+    return {true};
+}
+
+void JobBook::taskDone(StageJob &job, const TaskRef &ref)
+{
+    StageOccurrence &occurrence = job.occurrences.at(ref.occurrence);
+    StageStep &step = occurrence.steps[ref.step];
+    // One member's end stands for its whole gang.
+    const bool wholeStep = job.plan.steps[ref.step].gang;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        StageTask &task = step.tasks[i];
+        if ((i != ref.task && !wholeStep) || task.stage == TaskStage::Done)
+            continue;
+        if (task.stage == TaskStage::Bound)
+            --job.bound;
+        task.stage = TaskStage::Done;
+        task.lifetime = {};
+        task.checkpoint.clear();
+        ++step.done;
+    }
+    if (!step.isDone())
+        return;
+    if (++occurrence.stepsDone < occurrence.steps.size())
+        return;
+    job.occurrencesDone.insert(ref.occurrence);
+    if (job.plan.occurrences > 0)
+        job.occurrences.erase(ref.occurrence);
+    if (job.isActive() && job.occurrencesDone.size() == job.plan.runs())
+        endJob(ref.job, job, StageJobStatus::Completed);
+}
+
+void JobBook::taskFailed(StageJob &job, const TaskRef &ref)
+{
+    StageStep &step = job.occurrences.at(ref.occurrence).steps[ref.step];
+    StageTask &failed = step.tasks[ref.task];
+    ++failed.failures;
+    std::uint32_t failures = failed.failures;
+    // A gang fails as one.
+    if (job.plan.steps[ref.step].gang) {
+        failures = 0;
+        for (const StageTask &task : step.tasks)
+            failures += task.failures;
+    }
+    if (failures >= termsOf(job).maxAttempts && job.isActive())
+        endJob(ref.job, job, StageJobStatus::Failed);
+}
+
+void JobBook::endJob(const std::string &id, StageJob &job, StageJobStatus status)
+{
+    job.status = status;
+    job.endedAt = m_time;
+    m_ended.emplace(m_time, id);
+    if (!job.begun)
+        --m_pending[job.queue];
+    shedEnded(job);
+}
+
+void JobBook::shedEnded(StageJob &job)
+{
+    if (job.isActive() || job.bound > 0)
+        return;
+    job.plan = {};
+    job.occurrences.clear();
+    job.occurrencesDone.clear();
+}
+
+void JobBook::forgetOld()
+{
+    while (!m_ended.empty() && m_ended.begin()->first + m_settings.keepEndedMs < m_time) {
+        const auto found = m_jobs.find(m_ended.begin()->second);
+        // What still runs is kept until its end is known.
+        if (found->second.bound > 0)
+            return;
+        m_jobs.erase(found);
+        m_ended.erase(m_ended.begin());
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Stages/JobBookStorage.cpp
@@ -0,0 +1,161 @@
+#include <Guavashift/Stages/JobBook.h>
+
+// The part of JobBook that writes and reads its state as a whole.
+
+namespace guavashift {
+
+namespace {
+
+constexpr int formatVersion = 1;
+
+Json saveTask(const StageTask &task)
+{
+    if (task == StageTask{})
+        return nullptr;
+    return Json::array({task.stage, task.run, task.failures, task.lifetime.worker,
+                        task.lifetime.born, task.checkpoint});
+}
+
+StageTask loadTask(const Json &json)
+{
+    if (json.is_null())
+        return {};
+    return {json.at(0).get<TaskStage>(),
+            json.at(1).get<std::uint32_t>(),
+            json.at(2).get<std::uint32_t>(),
+            {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()},
+            json.at(5).get<std::string>()};
+}
+
+Json saveOccurrence(const StageOccurrence &occurrence)
+{
+    Json steps = Json::array();
+    for (const StageStep &step : occurrence.steps) {
+        Json tasks = Json::array();
+        for (const StageTask &task : step.tasks)
+            tasks.push_back(saveTask(task));
+        steps.push_back(std::move(tasks));
+    }
+    return steps;
+}
+
+StageOccurrence loadOccurrence(const Json &json)
+{
+    StageOccurrence occurrence;
+    for (const Json &tasks : json) {
+        StageStep step;
+        for (const Json &task : tasks) {
+            step.tasks.push_back(loadTask(task));
+            step.done += step.tasks.back().stage == TaskStage::Done ? 1 : 0;
+        }
+        occurrence.stepsDone += step.isDone() ? 1 : 0;
+        occurrence.steps.push_back(std::move(step));
+    }
+    return occurrence;
+}
+
+Json saveTerms(const QueueSettings &terms)
+{
+    Json approval;
+    if (terms.approval)
+        approval = Json::array({terms.approval->decisionMs, terms.approval->perWorkerMs,
+                                terms.approval->validityMs});
+    return Json::array({terms.name, terms.host, terms.pathPrefix, terms.service, terms.timeoutMs,
+                        terms.targetLatencyMs, terms.priority, terms.maxAttempts, terms.stretch,
+                        std::move(approval)});
+}
+
+QueueSettings loadTerms(const Json &json)
+{
+    QueueSettings terms;
+    json.at(0).get_to(terms.name);
+    json.at(1).get_to(terms.host);
+    json.at(2).get_to(terms.pathPrefix);
+    json.at(3).get_to(terms.service);
+    json.at(4).get_to(terms.timeoutMs);
+    json.at(5).get_to(terms.targetLatencyMs);
+    json.at(6).get_to(terms.priority);
+    json.at(7).get_to(terms.maxAttempts);
+    json.at(8).get_to(terms.stretch);
+    if (const Json &approval = json.at(9); !approval.is_null())
+        terms.approval = ApprovalTerms{approval.at(0), approval.at(1), approval.at(2)};
+    return terms;
+}
+
+Json saveJob(const std::string &id, const StageJob &job)
+{
+    Json occurrences = Json::array();
+    for (const auto &[number, occurrence] : job.occurrences)
+        occurrences.push_back(Json::array({number, saveOccurrence(occurrence)}));
+    return Json::array({id, job.queue, job.plan, job.status, job.acceptedAt, job.endedAt,
+                        saveTerms(job.terms), job.begun, std::move(occurrences), job.occurrencesDone});
+}
+
+StageJob loadJob(const Json &json)
+{
+    StageJob job;
+    json.at(1).get_to(job.queue);
+    json.at(2).get_to(job.plan);
+    job.status = json.at(3).get<StageJobStatus>();
+    json.at(4).get_to(job.acceptedAt);
+    json.at(5).get_to(job.endedAt);
+    job.terms = loadTerms(json.at(6));
+    json.at(7).get_to(job.begun);
+    for (const Json &entry : json.at(8)) {
+        StageOccurrence occurrence = loadOccurrence(entry.at(1));
+        for (const StageStep &step : occurrence.steps) {
+            for (const StageTask &task : step.tasks)
+                job.bound += task.stage == TaskStage::Bound ? 1 : 0;
+        }
+        job.occurrences.emplace(entry.at(0).get<std::uint32_t>(), std::move(occurrence));
+    }
+    json.at(9).get_to(job.occurrencesDone);
+    return job;
+}
+
+} // namespace
+
+std::string JobBook::save() const
+{
+    Json jobs = Json::array();
+    for (const auto &[id, job] : m_jobs)
+        jobs.push_back(saveJob(id, job));
+    std::string bytes;
+    Json::to_cbor(
+        Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs)}), bytes);
+    return bytes;
+}
+
+Result<void> JobBook::load(std::string_view bytes)
+{
+    JobBook loaded(m_settings, m_reader);
+    try {
+        const Json json = Json::from_cbor(bytes);
+        if (json.at(0).get<int>() != formatVersion)
+            return fail(ErrorCode::InvalidArgument, "the state has an unknown format version");
+        json.at(1).get_to(loaded.m_time);
+        json.at(2).get_to(loaded.m_document);
+        json.at(3).get_to(loaded.m_digest);
+        for (const Json &entry : json.at(4)) {
+            const auto id = entry.at(0).get<std::string>();
+            StageJob job = loadJob(entry);
+            if (!job.isActive())
+                loaded.m_ended.emplace(job.endedAt, id);
+            else if (!job.begun)
+                ++loaded.m_pending[job.queue];
+            loaded.m_jobs.emplace(id, std::move(job));
+        }
+    } catch (const Json::exception &error) {
+        return fail(ErrorCode::InvalidArgument, error.what());
+    }
+    if (!loaded.m_document.empty()) {
+        tl::expected<QueueTable, Findings> table = m_reader(loaded.m_document);
+        if (!table)
+            return fail(ErrorCode::InvalidArgument, "the saved configuration cannot be read");
+        loaded.m_queues = std::move(*table);
+    }
+    *this = std::move(loaded);
+    return {};
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -0,0 +1,85 @@
+#include <Guavashift/Stages/StageCommands.h>
+
+namespace guavashift {
+
+namespace {
+
+enum class Kind { Configuration, Accept, Cancel, Start, End };
+
+Json encodeTask(const TaskRef &ref)
+{
+    return Json::array({ref.job, ref.occurrence, ref.step, ref.task});
+}
+
+TaskRef decodeTask(const Json &json)
+{
+    return {json.at(0).get<std::string>(), json.at(1).get<std::uint32_t>(),
+            json.at(2).get<std::uint32_t>(), json.at(3).get<std::uint32_t>()};
+}
+
+Json encodeCommand(const StageCommand &command)
+{
+    return std::visit(
+        Overloaded{
+            [](const ReplaceConfiguration &replace) {
+                return Json::array({Kind::Configuration, replace.document});
+            },
+            [](const AcceptJob &accept) {
+                return Json::array({Kind::Accept, accept.job, accept.queue, accept.plan});
+            },
+            [](const CancelJob &cancel) { return Json::array({Kind::Cancel, cancel.job}); },
+            [](const StartRun &start) {
+                return Json::array({Kind::Start, encodeTask(start.task), start.run,
+                                    start.lifetime.worker, start.lifetime.born});
+            },
+            [](const EndRun &end) {
+                return Json::array(
+                    {Kind::End, encodeTask(end.task), end.run, end.end, end.checkpoint});
+            }},
+        command);
+}
+
+StageCommand decodeCommand(const Json &json)
+{
+    switch (json.at(0).get<Kind>()) {
+    case Kind::Configuration:
+        return ReplaceConfiguration{json.at(1).get<std::string>()};
+    case Kind::Accept:
+        return AcceptJob{json.at(1).get<std::string>(), json.at(2).get<std::string>(),
+                         json.at(3).get<JobPlan>()};
+    case Kind::Cancel:
+        return CancelJob{json.at(1).get<std::string>()};
+    case Kind::Start:
+        return StartRun{decodeTask(json.at(1)),
+                        json.at(2).get<std::uint32_t>(),
+                        {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()}};
+    case Kind::End:
+        return EndRun{decodeTask(json.at(1)), json.at(2).get<std::uint32_t>(),
+                      json.at(3).get<RunEnd>(), json.at(4).get<std::string>()};
+    }
+    throw Json::other_error::create(501, "unknown kind of command", &json);
+}
+
+} // namespace
+
+std::string StageBatch::encode() const
+{
+    Json list = Json::array();
+    for (const StageCommand &command : commands)
+        list.push_back(encodeCommand(command));
+    std::string bytes;
+    Json::to_cbor(Json::array({time, std::move(list)}), bytes);
+    return bytes;
+}
+
+StageBatch StageBatch::decode(std::string_view bytes)
+{
+    const Json json = Json::from_cbor(bytes);
+    StageBatch batch;
+    batch.time = json.at(0).get<WallMs>();
+    for (const Json &command : json.at(1))
+        batch.commands.push_back(decodeCommand(command));
+    return batch;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Stages/StageCommands.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Guavashift/Stages/JobPlan.h>
+
+#include <variant>
+
+namespace guavashift {
+
+/// Replaces the configuration if its version is higher than the one in force.
+struct ReplaceConfiguration
+{
+    std::string document; ///< As the operator sent it.
+};
+
+struct AcceptJob
+{
+    std::string job;
+    std::string queue;
+    JobPlan plan;
+};
+
+struct CancelJob
+{
+    std::string job;
+};
+
+/// Binds the next run of a task to one worker. Sent to the worker only once committed.
+struct StartRun
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    Lifetime lifetime;
+};
+
+/// The end of a run, as its worker lists it or as it follows from the worker's lease.
+struct EndRun
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    RunEnd end = RunEnd::Done;
+    std::string checkpoint;
+};
+
+using StageCommand =
+    std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun>;
+
+/// Commands that were proposed together, with the leader's wall-clock time.
+struct StageBatch
+{
+    WallMs time = 0;
+    std::vector<StageCommand> commands;
+
+    [[nodiscard]] std::string encode() const;
+    /// Throws Json::exception for bytes that encode() did not write.
+    static StageBatch decode(std::string_view bytes);
+};
+
+} // namespace guavashift
--- a/UnitTests/Consensus/SimulatedCluster.h
+++ b/UnitTests/Consensus/SimulatedCluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Guavashift/Control/MembershipPlanner.h>
+#include <Guavashift/Consensus/MembershipPlanner.h>
 #include <UnitTests/Consensus/SimulatedDisk.h>
 
 #include <map>
