Answer and decide only from a state that has applied all commits

Cause: after a restart of the whole core the new leader began with a book that had not applied its log yet: it bound tasks anew that were bound, and lasting tasks were not started again. Change: a leader answers once the round in which its first commit came has applied everything.

--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -75,16 +75,21 @@
             if (m_stopping)
                 return;
         }
-        const Duration wait = untilNextTimer();
-        ACE_Time_Value timeout(0, std::chrono::duration_cast<std::chrono::microseconds>(wait).count());
-        m_reactor->handle_events(timeout);
-        runPosted();
-        runTimers();
-        if (m_roundEnd)
-            m_roundEnd();
+        runOnce();
     }
 }
 
+void EventLoop::runOnce()
+{
+    const Duration wait = untilNextTimer();
+    ACE_Time_Value timeout(0, std::chrono::duration_cast<std::chrono::microseconds>(wait).count());
+    m_reactor->handle_events(timeout);
+    runPosted();
+    runTimers();
+    for (const Work &work : m_roundEnds)
+        work();
+}
+
 void EventLoop::stop()
 {
     {
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -43,10 +43,12 @@
     void cancel(TimerId timer);
 
     /// Called after each round of events, before waiting again.
-    void setRoundEnd(Work work) { m_roundEnd = std::move(work); }
+    void addRoundEnd(Work work) { m_roundEnds.push_back(std::move(work)); }
 
     /// Runs until stop().
     void run();
+    /// One round: waits for events, carries out what is due.
+    void runOnce();
     /// Callable from any thread.
     void stop();
 
@@ -68,7 +70,7 @@
     std::map<std::pair<Instant, TimerId>, Work> m_timers;
     std::map<TimerId, Instant> m_timerTimes;
     TimerId m_nextTimer = 1;
-    Work m_roundEnd;
+    std::vector<Work> m_roundEnds;
 };
 
 } // namespace guavashift
--- a/Guavashift/Core/Address.h
+++ b/Guavashift/Core/Address.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Guavashift/Core/Error.h>
+#include <Guavashift/Core/Core.h>
 
 #include <string>
 #include <string_view>
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -65,7 +65,7 @@
 {
     if (Result<void> opened = m_driver.open(); !opened)
         return opened;
-    m_loop.setRoundEnd([this] { endRound(); });
+    m_loop.addRoundEnd([this] { endRound(); });
     m_link.setWanted(true);
     return m_listener.open(m_settings.channelAddress());
 }
@@ -77,14 +77,16 @@
 
 void CoreNode::endRound()
 {
-    // All that earlier leaders committed is applied once an entry of this term is.
+    m_leader.endRound();
+    m_driver.endRound();
     if (m_becameLeader && m_driver.mayAnswer()) {
         m_becameLeader = false;
         m_leader.activate();
     }
     m_leader.endRound();
-    m_driver.endRound();
-    m_leader.endRound();
+    // What follows from the commits of this round need not wait for the next.
+    if (m_driver.hasProposals())
+        m_driver.endRound();
 }
 
 void CoreNode::accept(ACE_HANDLE handle)
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -129,6 +129,8 @@
     processEffects();
     if (m_stopped)
         return;
+    // All that is committed is applied now, also what earlier leaders left.
+    m_caughtUp = m_caughtUp || (m_replica->isLeader() && m_replica->hasLease(now));
     if (m_replica->isLeader() && now >= m_nextPlan) {
         m_nextPlan = now + planInterval;
         planMembership();
@@ -143,7 +145,7 @@
 
 bool ReplicaDriver::mayAnswer() const
 {
-    return leads() && m_replica->hasLease(BootClock::now());
+    return m_caughtUp && leads() && m_replica->hasLease(BootClock::now());
 }
 
 void ReplicaDriver::receive(const ReplicaMessages &messages)
@@ -395,6 +397,7 @@
     if (leadsNow == m_wasLeader)
         return;
     m_wasLeader = leadsNow;
+    m_caughtUp = false;
     if (!leadsNow)
         abandonWaiters();
     m_observer.roleChanged(leadsNow);
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -50,6 +50,7 @@
     void joinRequested(const Member &member);
 
     void propose(std::vector<StageCommand> commands, Done done);
+    [[nodiscard]] bool hasProposals() const { return !m_proposals.empty(); }
 
     /// To be called at the end of each round of the loop.
     void endRound();
@@ -116,6 +117,7 @@
     std::unique_ptr<Replica> m_replica;
     bool m_stopped = false; ///< After a disk fault or a differing state: takes part no more.
     bool m_wasLeader = false;
+    bool m_caughtUp = false; ///< Leads and has applied all that earlier leaders committed.
     std::map<std::string, Peer> m_peers; ///< By address.
     std::map<ReplicaId, std::string> m_toldAddresses;
     std::vector<Proposal> m_proposals;
