Pace and place fillers by the harm learned of image pairs

Cause: fillers beside serving tasks were slowed alike on every sign of a long tail, down to nothing in waves, although most pairs of images do not disturb each other, and late jobs went first. Ruled out: processors (11 agents at 0.010 cores) and waiting for decisions (p50 51 ms).

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -19,6 +19,22 @@
     return longest;
 }
 
+/// Time along the longest chain of steps that begins with `step`.
+std::int64_t remainingMs(const JobPlan &plan, std::uint32_t step)
+{
+    std::vector<std::int64_t> rest(plan.steps.size(), 0);
+    for (std::size_t i = plan.steps.size(); i > step; --i) {
+        const std::size_t at = i - 1;
+        rest[at] += plan.steps[at].estimateMs;
+        for (const std::uint32_t earlier : plan.steps[at].after)
+            rest[earlier] = std::max(rest[earlier], rest[at]);
+    }
+    return rest[step];
+}
+
+/// A job is worth something until this multiple of the time that its objective allows.
+constexpr std::int64_t lateFactor = 3;
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobBook &book)
@@ -78,6 +94,8 @@
     placed.size = step.size;
     placed.fillsLeftover = step.fillsLeftover;
     placed.serves = step.tailTargetMs > 0;
+    placed.image = step.image;
+    placed.tailTargetMs = static_cast<double>(step.tailTargetMs);
     return placed;
 }
 
@@ -85,14 +103,14 @@
 {
     ReadyTask ready;
     ready.task = ref;
-    ready.objective = std::max(job.acceptedAt, job.plan.occurrences == 0
-                                   ? 0
-                                   : job.plan.dueAt(ref.occurrence))
-        + chainMs(job.plan);
     const QueueSettings &terms = m_book.termsOf(job);
+    const WallMs due = job.plan.occurrences == 0 ? 0 : job.plan.dueAt(ref.occurrence);
+    const auto allowed = terms.targetLatencyMs
+        + static_cast<std::int64_t>(terms.stretch * static_cast<double>(chainMs(job.plan)));
     ready.priority = terms.priority;
-    ready.objective += terms.targetLatencyMs
-        + static_cast<std::int64_t>((terms.stretch - 1) * static_cast<double>(chainMs(job.plan)));
+    ready.objective = std::max(job.acceptedAt, due) + allowed;
+    ready.lateEnd = ready.objective + (lateFactor - 1) * allowed;
+    ready.remainingMs = remainingMs(job.plan, ref.step);
     return ready;
 }
 
@@ -195,6 +213,7 @@
     worker.facts = facts;
     worker.node = node;
     worker.hasFacts = true;
+    worker.harmsTold.clear();
     worker.leaseEnd =
         std::max(worker.leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
     if (drains)
@@ -236,13 +255,7 @@
     if (worker == nullptr)
         return;
     worker->silent = false;
-    for (const RunRow &row : rows) {
-        const auto found = worker->runs.find(row.task);
-        if (found == worker->runs.end() || found->second.run != row.run)
-            continue;
-        found->second.row = row;
-        found->second.rowAt = now;
-    }
+    learnHarm(*worker, rows, now);
 }
 
 void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunRow> rows,
@@ -397,7 +410,7 @@
                         worker.node,
                         StartOrder{start.lifetime,
                                    {start.task, start.run, step.image, step.tailTargetMs,
-                                    step.fillsLeftover},
+                                    step.fillsLeftover, step.size.milliCores},
                                    job.plan.payload,
                                    m_book.find(start.task)->checkpoint,
                                    {}});
@@ -461,7 +474,7 @@
 {
     expireLeases(now);
     beginDueOccurrences(wallNow);
-    placeReady(now);
+    placeReady(now, wallNow);
     return std::exchange(m_commands, {});
 }
 
@@ -481,7 +494,8 @@
         if (job == nullptr || job->plan.steps.empty())
             continue;
         const StepPlan &step = job->plan.steps[task.step];
-        traits.push_back({task, run.run, step.image, step.tailTargetMs, step.fillsLeftover});
+        traits.push_back({task, run.run, step.image, step.tailTargetMs, step.fillsLeftover,
+                          step.size.milliCores});
     }
     return traits;
 }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -25,6 +25,16 @@
     double servingLoad = 0.6;
     /// Fillers may want this part of a worker's processors more than is left over.
     double fillerOvercommit = 0.15;
+    /// Part of its target that a serving task's tail may be driven to by fillers.
+    double tailLimit = 0.8;
+    /// A filler that would run below this part of its speed waits for a better place.
+    double leastFillerSpeed = 0.5;
+    /// Two reports of a worker further apart than this say nothing on harm.
+    Duration harmWindow = std::chrono::milliseconds(1100);
+    /// How often harms are worked out and told.
+    Duration harmInterval = std::chrono::milliseconds(500);
+    /// Changes of a harm below this are not told.
+    double harmStep = 0.15;
     /// How much slower a task is away from its data; limit of the deployment.
     double remoteFactor = 1.5;
 };
@@ -34,6 +44,8 @@
 {
     std::int32_t priority = 0;
     WallMs objective = 0; ///< When the job should be complete.
+    WallMs lateEnd = 0;   ///< When its completion is worth nothing any more.
+    std::int64_t remainingMs = 0; ///< Of work from this task to the job's end, by estimate.
     TaskRef task;
 
     auto operator<=>(const ReadyTask &) const = default;
@@ -79,6 +91,9 @@
     /// Orders for agents that have gathered, each with the agent's node.
     std::vector<std::pair<std::string, AgentOrder>> takeOrders();
 
+    /// Harms that agents do not know yet, each with the agent's node.
+    std::vector<std::pair<std::string, std::vector<HarmRow>>> takeHarms(Instant now);
+
     /// What the agent needs to know of the runs it found.
     [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
     [[nodiscard]] const WorkerPool &pool() const { return m_pool; }
@@ -98,13 +113,16 @@
     void queueEnd(const PlacedRun &run, RunEnd end);
     void expireLeases(Instant now);
     void evacuate(PoolWorker &worker, Instant now);
-    void placeReady(Instant now);
+    void placeReady(Instant now, WallMs wallNow);
+    [[nodiscard]] std::vector<ReadyTask> servingOrder(WallMs wallNow) const;
     bool placeTask(const ReadyTask &ready, Instant now);
     bool placeGang(const ReadyTask &ready, Instant now);
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now);
     [[nodiscard]] bool mayRun(const PoolWorker &worker, const QueueSettings &queue,
                               const StepPlan &step, const TaskRef &ref, Instant now) const;
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
+    void learnHarm(PoolWorker &worker, std::span<const RunRow> rows, Instant now);
+    [[nodiscard]] double speedOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] std::int64_t leftover(const PoolWorker &worker) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
@@ -123,6 +141,8 @@
     std::map<TaskRef, ReadyTask> m_readyByTask;
     std::map<TaskRef, Lifetime> m_placed; ///< Bound or proposed.
     std::set<std::pair<WallMs, std::pair<std::string, std::uint32_t>>> m_due;
+    HarmTable m_harms;
+    Instant m_nextHarms;
     std::map<std::string, Record> m_records; ///< By node.
     std::vector<StageCommand> m_commands;
     std::vector<std::pair<std::string, AgentOrder>> m_orders;
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -1,15 +1,40 @@
 #include <Guavashift/Dispatch/Dispatcher.h>
 
+#include <cmath>
+
 // The part of Dispatcher that chooses workers.
 
 namespace guavashift {
 
-void Dispatcher::placeReady(Instant now)
+std::vector<ReadyTask> Dispatcher::servingOrder(WallMs wallNow) const
+{
+    // First what can still be in time, then what can still be late, then the rest: once there is
+    // more work than room, running the latest first would make everything late.
+    const auto hopeOf = [&](const ReadyTask &ready) {
+        if (wallNow + ready.remainingMs <= ready.objective)
+            return 0;
+        return wallNow + ready.remainingMs <= ready.lateEnd ? 1 : 2;
+    };
+    std::vector<std::pair<int, const ReadyTask *>> order;
+    order.reserve(m_ready.size());
+    for (const ReadyTask &each : m_ready)
+        order.emplace_back(hopeOf(each), &each);
+    std::stable_sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
+        return std::pair(left.second->priority, left.first)
+            < std::pair(right.second->priority, right.first);
+    });
+    std::vector<ReadyTask> ready;
+    ready.reserve(order.size());
+    for (const auto &[hope, each] : order)
+        ready.push_back(*each);
+    return ready;
+}
+
+void Dispatcher::placeReady(Instant now, WallMs wallNow)
 {
     // A shape that found no room once this round finds none for its like either.
     std::set<std::pair<std::string, std::uint32_t>> stuck;
-    std::vector<ReadyTask> ready(m_ready.begin(), m_ready.end());
-    for (const ReadyTask &each : ready) {
+    for (const ReadyTask &each : servingOrder(wallNow)) {
         const std::pair<std::string, std::uint32_t> shape{each.task.job, each.task.step};
         if (stuck.contains(shape) || !m_readyByTask.contains(each.task))
             continue;
@@ -103,7 +128,31 @@
         return true;
     const auto slack = static_cast<std::int64_t>(
         m_settings.fillerOvercommit * static_cast<double>(worker.facts.capacity.milliCores));
-    return leftover(worker) + slack >= step.size.milliCores;
+    return leftover(worker) + slack >= step.size.milliCores
+        && speedOf(worker, step) >= m_settings.leastFillerSpeed;
+}
+
+double Dispatcher::speedOf(const PoolWorker &worker, const StepPlan &step) const
+{
+    const double capacity = static_cast<double>(worker.facts.capacity.milliCores);
+    // What all fillers there would use at full speed.
+    FillerActivity wanted;
+    for (const auto &[task, run] : worker.runs) {
+        if (run.fillsLeftover)
+            wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
+    }
+    const double more = static_cast<double>(step.size.milliCores) / capacity;
+    double speed = 1;
+    for (const auto &[task, run] : worker.runs) {
+        if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
+            continue;
+        const double left = std::log(m_settings.tailLimit * run.tailTargetMs) - run.own
+            - m_harms.total(run.image, wanted);
+        const double need = m_harms.harm(run.image, step.image) * more;
+        if (need > 0)
+            speed = std::min(speed, left / need);
+    }
+    return speed;
 }
 
 std::int64_t Dispatcher::leftover(const PoolWorker &worker) const
@@ -121,7 +170,8 @@
     const double memory =
         static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.memoryMb, 1));
     double score = step.fillsLeftover
-        ? static_cast<double>(leftover(worker)) / cores
+        ? std::min(speedOf(worker, step), 1.0)
+            + std::min(static_cast<double>(leftover(worker)) / cores, 0.5)
         : std::min(static_cast<double>(worker.room().milliCores) / cores,
                    static_cast<double>(worker.room().memoryMb) / memory);
     // Away from its data a task takes longer by a known factor.
--- /dev/null
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -0,0 +1,108 @@
+#include <Guavashift/Dispatch/HarmTable.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavashift {
+
+namespace {
+
+/// Rounds of coordinate descent; far more than such small systems need.
+constexpr int descentRounds = 15;
+/// Changes of activity below this carry more noise than news.
+constexpr double leastChange = 0.004;
+
+} // namespace
+
+HarmTable::HarmTable(const HarmSettings &settings)
+    : m_settings(settings)
+{
+}
+
+std::size_t HarmTable::positionOf(Sums &sums, const std::string &filler)
+{
+    const auto found = std::find(sums.fillers.begin(), sums.fillers.end(), filler);
+    if (found != sums.fillers.end())
+        return static_cast<std::size_t>(found - sums.fillers.begin());
+    sums.fillers.push_back(filler);
+    for (std::vector<double> &row : sums.products)
+        row.push_back(0);
+    sums.products.emplace_back(sums.fillers.size(), 0.0);
+    sums.responses.push_back(0);
+    return sums.fillers.size() - 1;
+}
+
+void HarmTable::observe(const std::string &serving, const FillerActivity &before,
+                        const FillerActivity &now, double change)
+{
+    FillerActivity changes = now;
+    for (const auto &[filler, activity] : before)
+        changes[filler] -= activity;
+    Sums &sums = m_byServing[serving];
+    std::vector<std::pair<std::size_t, double>> changed;
+    for (const auto &[filler, difference] : changes) {
+        if (std::abs(difference) >= leastChange)
+            changed.emplace_back(positionOf(sums, filler), difference);
+    }
+    for (const auto &[i, left] : changed) {
+        sums.responses[i] += left * change;
+        for (const auto &[j, right] : changed)
+            sums.products[i][j] += left * right;
+    }
+    sums.changed = sums.changed || !changed.empty();
+}
+
+void HarmTable::solve()
+{
+    for (auto &[serving, sums] : m_byServing) {
+        if (std::exchange(sums.changed, false))
+            solve(sums);
+    }
+}
+
+void HarmTable::solve(Sums &sums) const
+{
+    const std::size_t count = sums.fillers.size();
+    std::vector<double> harms(count, m_settings.prior);
+    // Ridge regression towards the prior; harms are never negative.
+    for (int round = 0; round < descentRounds; ++round) {
+        for (std::size_t i = 0; i < count; ++i) {
+            double rest = sums.responses[i] + m_settings.priorWeight * m_settings.prior;
+            for (std::size_t j = 0; j < count; ++j) {
+                if (j != i)
+                    rest -= sums.products[i][j] * harms[j];
+            }
+            harms[i] = std::clamp(rest / (sums.products[i][i] + m_settings.priorWeight), 0.0,
+                                  m_settings.most);
+        }
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        const double uncertainty =
+            m_settings.spread / std::sqrt(sums.products[i][i] + m_settings.priorWeight);
+        sums.harms[sums.fillers[i]] = harms[i] + m_settings.margin * uncertainty;
+        sums.responses[i] *= m_settings.kept;
+        for (double &product : sums.products[i])
+            product *= m_settings.kept;
+    }
+}
+
+double HarmTable::harm(std::string_view serving, std::string_view filler) const
+{
+    const double unknown = m_settings.prior
+        + m_settings.margin * m_settings.spread / std::sqrt(m_settings.priorWeight);
+    const auto sums = m_byServing.find(serving);
+    if (sums == m_byServing.end())
+        return unknown;
+    const auto found = sums->second.harms.find(filler);
+    return found == sums->second.harms.end() ? unknown : found->second;
+}
+
+double HarmTable::total(std::string_view serving, const FillerActivity &activity) const
+{
+    double sum = 0;
+    for (const auto &[filler, share] : activity)
+        sum += harm(serving, filler) * share;
+    return sum;
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <Guavashift/Core/Core.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace guavashift {
+
+struct HarmSettings
+{
+    /// Taken for a pair of images of which nothing has been seen: growth of the logarithm of the
+    /// tail if the filler used the whole worker.
+    double prior = 1.2;
+    /// Weight of the prior, in squared activity.
+    double priorWeight = 0.02;
+    /// Harms above this are not believed.
+    double most = 15;
+    /// Part of what was learned that is kept from one solution to the next.
+    double kept = 0.997;
+    /// Spread of one observation, for the margin added where little has been seen.
+    double spread = 0.25;
+    /// How many spreads the margin is.
+    double margin = 0.3;
+};
+
+/// Activity of fillers on one worker by image: processors in use as a part of the worker's.
+using FillerActivity = std::map<std::string, double>;
+
+/// Learns by how much fillers of one image raise the tail latency of serving tasks of another, from
+/// how tails change when the activity beside them changes. The logarithm of a tail is taken to be
+/// the task's own part plus the sum of harm times activity. Pure.
+class HarmTable final
+{
+public:
+    explicit HarmTable(const HarmSettings &settings = {});
+
+    /// The logarithm of a tail changed by `change` while the activity beside it changed so.
+    void observe(const std::string &serving, const FillerActivity &before,
+                 const FillerActivity &now, double change);
+
+    /// Works out all harms anew from what was observed.
+    void solve();
+
+    [[nodiscard]] double harm(std::string_view serving, std::string_view filler) const;
+    /// By how much the logarithm of the tail is raised by that activity.
+    [[nodiscard]] double total(std::string_view serving, const FillerActivity &activity) const;
+
+private:
+    /// Sums of products for the regression of one serving image.
+    struct Sums
+    {
+        std::vector<std::string> fillers;
+        std::vector<std::vector<double>> products; ///< Of activity changes, by pair of fillers.
+        std::vector<double> responses;             ///< Activity change times tail change.
+        std::map<std::string, double, std::less<>> harms;
+        bool changed = false;
+    };
+
+    static std::size_t positionOf(Sums &sums, const std::string &filler);
+    void solve(Sums &sums) const;
+
+    HarmSettings m_settings;
+    std::map<std::string, Sums, std::less<>> m_byServing;
+};
+
+} // namespace guavashift
--- a/Guavashift/Dispatch/WorkerFacts.h
+++ b/Guavashift/Dispatch/WorkerFacts.h
@@ -48,6 +48,15 @@
     std::string image;
     std::int64_t tailTargetMs = 0;
     bool fillsLeftover = false;
+    std::int64_t milliCores = 0;
+};
+
+/// What was learned of one pair of images, see HarmTable.
+struct HarmRow
+{
+    std::string serving;
+    std::string filler;
+    double harm = 0;
 };
 
 /// Bind a task to a worker: sent to its agent once committed.
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Dispatch/HarmTable.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
 
 #include <map>
@@ -17,8 +18,11 @@
     bool committed = false;
     bool stopAsked = false;
     Instant boundAt;
+    std::string image;
+    double tailTargetMs = 0;
     RunRow row; ///< As the worker showed it last.
     Instant rowAt;
+    double own = 0; ///< Logarithm of a serving task's tail without fillers; smoothed.
 };
 
 /// What the leader knows of one lifetime of a worker.
@@ -34,6 +38,9 @@
     std::int64_t fillers = 0;   ///< Thousandths of a core that fillers could use.
     std::int64_t serving = 0;   ///< Reserved by tasks that serve.
     std::map<TaskRef, PlacedRun> runs;
+    FillerActivity activity; ///< Of the fillers that its last report showed.
+    Instant activityAt;
+    std::vector<HarmRow> harmsTold; ///< To its agent, last.
 
     [[nodiscard]] Resources room() const { return facts.capacity - reserved; }
 };
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -224,6 +224,11 @@
     const Instant now = BootClock::now();
     propose(m_dispatcher.decide(now, wallNow()));
     flushOrders();
+    for (auto &[node, rows] : m_dispatcher.takeHarms(now)) {
+        const auto session = m_sessionOfNode.find(node);
+        if (session != m_sessionOfNode.end())
+            m_sessions.at(session->second).send(HarmReport{std::move(rows)});
+    }
     if (now >= m_nextDirectory) {
         m_nextDirectory = now + directoryInterval;
         sendDirectory();
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -54,7 +54,7 @@
 Json pack(const RunTraits &traits)
 {
     return list(pack(traits.task), traits.run, traits.image, traits.tailTargetMs,
-                 traits.fillsLeftover);
+                 traits.fillsLeftover, traits.milliCores);
 }
 
 void unpack(const Json &json, RunTraits &traits)
@@ -64,6 +64,19 @@
     json.at(2).get_to(traits.image);
     json.at(3).get_to(traits.tailTargetMs);
     json.at(4).get_to(traits.fillsLeftover);
+    json.at(5).get_to(traits.milliCores);
+}
+
+Json pack(const HarmRow &row)
+{
+    return list(row.serving, row.filler, row.harm);
+}
+
+void unpack(const Json &json, HarmRow &row)
+{
+    json.at(0).get_to(row.serving);
+    json.at(1).get_to(row.filler);
+    json.at(2).get_to(row.harm);
 }
 
 Json pack(const ListedEnd &end)
@@ -355,6 +368,16 @@
     json.at(3).get_to(message.number);
 }
 
+Json pack(const HarmReport &message)
+{
+    return list(packAll(message.rows));
+}
+
+void unpack(const Json &json, HarmReport &message)
+{
+    unpackAll(json.at(0), message.rows);
+}
+
 /// Makes the alternative at `index` and reads it.
 template <std::size_t index = 0> FleetMessage unpackMessage(std::size_t wanted, const Json &json)
 {
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -133,6 +133,12 @@
 
 enum class CallKind : std::uint8_t { Submit, Ask, Cancel, ReplaceConfiguration, ReadConfiguration };
 
+/// What was learned of the pairs of images on a worker.
+struct HarmReport
+{
+    std::vector<HarmRow> rows;
+};
+
 /// A caller's or an operator's request on its way to the leader.
 struct FleetCall
 {
@@ -169,7 +175,7 @@
     std::variant<AskLeader, LeaderIs, Hello, Welcome, Directory, RelayTo, ReplicaMessages,
                  JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory, RunTable,
                  RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns, StartOrder,
-                 StopOrder, FleetCall, FleetAnswer>;
+                 StopOrder, FleetCall, FleetAnswer, HarmReport>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Nothing for bytes that encodeFrame() did not write.
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -1,31 +1,123 @@
 #include <Guavashift/Fleet/Pacer.h>
 
+#include <cmath>
+
 namespace guavashift {
 
+namespace {
+
+/// Of a pair of which nothing was learned yet.
+const double unknownHarm = HarmTable().harm({}, {});
+/// Tails are whole milliseconds; less than this cannot be told from nothing.
+constexpr double leastTailMs = 0.5;
+constexpr Duration forgetAfter = std::chrono::seconds(5);
+
+} // namespace
+
 Pacer::Pacer(const PacerSettings &settings)
     : m_settings(settings)
 {
 }
 
-std::int32_t Pacer::update(std::span<const TailReading> readings, Instant now)
+void Pacer::learn(std::span<const HarmRow> rows)
+{
+    for (const HarmRow &row : rows)
+        m_harms[{row.serving, row.filler}] = row.harm;
+}
+
+double Pacer::harmOf(const std::string &serving, const std::string &filler) const
+{
+    const auto found = m_harms.find({serving, filler});
+    return found == m_harms.end() ? unknownHarm : found->second;
+}
+
+Pacer::Paces Pacer::update(std::span<const ServingReading> serving,
+                           std::span<const FillerReading> fillers, Instant now)
 {
-    double worst = 0;
-    for (const TailReading &reading : readings) {
-        if (reading.targetMs > 0)
-            worst = std::max(worst, reading.tailMs / reading.targetMs);
+    FillerActivity wanted;
+    FillerActivity used;
+    Paces paces;
+    for (const FillerReading &filler : fillers) {
+        wanted[filler.image] += filler.wanted;
+        used[filler.image] += filler.used;
+        paces[filler.image] = 1;
+    }
+    for (const ServingReading &reading : serving)
+        watch(reading, used, now);
+    std::erase_if(m_watched,
+                  [&](const auto &each) { return now - each.second.readAt > forgetAfter; });
+    // Slowing down for one task may already be enough for the next.
+    for (const ServingReading &reading : serving)
+        slowDownFor(reading, wanted, paces);
+    restIfOver(serving, paces, now);
+    return paces;
+}
+
+void Pacer::watch(const ServingReading &reading, const FillerActivity &used, Instant now)
+{
+    const auto [position, added] = m_watched.try_emplace(reading.task);
+    Watched &watched = position->second;
+    double own = std::log(std::max(reading.tailMs, leastTailMs));
+    for (const auto &[filler, activity] : used)
+        own -= harmOf(reading.image, filler) * activity;
+    watched.own = added ? own : watched.own + m_settings.newest * (own - watched.own);
+    watched.readAt = now;
+    const bool isOver = reading.targetMs > 0 && reading.tailMs > reading.targetMs;
+    if (isOver && !watched.isOver)
+        watched.overSince = now;
+    watched.isOver = isOver;
+}
+
+void Pacer::slowDownFor(const ServingReading &reading, const FillerActivity &wanted,
+                        Paces &paces) const
+{
+    const Watched &watched = m_watched.at(reading.task);
+    if (reading.targetMs <= 0
+        || watched.own > std::log(m_settings.hopeless * reading.targetMs))
+        return;
+    double excess = watched.own - std::log(m_settings.limit * reading.targetMs);
+    std::vector<std::pair<double, std::string>> byHarm;
+    for (const auto &[filler, activity] : wanted) {
+        const double harm = harmOf(reading.image, filler);
+        excess += harm * activity * paces[filler];
+        if (harm >= m_settings.leastHarm)
+            byHarm.emplace_back(harm, filler);
+    }
+    std::sort(byHarm.rbegin(), byHarm.rend());
+    for (const auto &[harm, filler] : byHarm) {
+        if (excess <= 0)
+            return;
+        const double whole = harm * wanted.at(filler);
+        if (whole <= 0)
+            continue;
+        const double cut = std::min(paces[filler], excess / whole);
+        paces[filler] -= cut;
+        excess -= cut * whole;
+    }
+}
+
+void Pacer::restIfOver(std::span<const ServingReading> serving, Paces &paces, Instant now)
+{
+    if (m_resting && now >= m_restUntil) {
+        m_resting = false;
+        for (auto &[task, watched] : m_watched) {
+            // Rest did not help it: it is over by its own doing.
+            if (watched.isOver)
+                watched.excusedUntil = now + m_settings.excuse;
+        }
+    }
+    for (const ServingReading &reading : serving) {
+        const Watched &watched = m_watched.at(reading.task);
+        if (m_resting || !watched.isOver || now < watched.excusedUntil
+            || now - watched.overSince < m_settings.overLimit)
+            continue;
+        m_resting = true;
+        m_restUntil = now + m_settings.rest;
     }
-    const Duration since = now - m_changedAt;
-    if (worst >= m_settings.slowDownAt && m_pace > 0 && since >= m_settings.settle) {
-        constexpr std::int32_t leastPace = 5;
-        const auto slower = static_cast<std::int32_t>(m_pace * m_settings.slowDownBy);
-        m_pace = slower < leastPace ? 0 : slower;
-        m_changedAt = now;
-    } else if (worst < m_settings.speedUpBelow && m_pace < 100
-               && since >= m_settings.speedUpEvery) {
-        m_pace = std::min(m_pace + m_settings.speedUpBy, 100);
-        m_changedAt = now;
+    if (m_resting) {
+        for (auto &[image, pace] : paces)
+            pace = 0;
     }
-    return m_pace;
 }
 
 } // namespace guavashift
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -1,50 +1,84 @@
 #pragma once
 
-#include <Guavashift/Core/Core.h>
+#include <Guavashift/Dispatch/Dispatch.h>
 
 #include <span>
 
 namespace guavashift {
 
-/// How fast fillers beside serving tasks are slowed and let go again.
+/// How fillers beside serving tasks are slowed and let go again.
 struct PacerSettings
 {
-    /// Part of its tail target at which a serving task asks fillers to slow down.
-    double slowDownAt = 0.85;
-    /// Part of the target below which fillers may go faster.
-    double speedUpBelow = 0.6;
-    /// Pace is multiplied by this on the way down.
-    double slowDownBy = 0.5;
-    /// Hundredths added on the way up, at most once in `speedUpEvery`.
-    std::int32_t speedUpBy = 10;
-    Duration speedUpEvery = std::chrono::milliseconds(400);
-    /// Tails are figures of the last half second: a new pace shows only after this.
-    Duration settle = std::chrono::milliseconds(500);
+    /// Part of its target that a serving task's tail may be driven to.
+    double limit = 0.85;
+    /// A task whose own part is above this part of its target is over it whatever fillers do.
+    double hopeless = 1.3;
+    /// Weight of the newest reading of a task's own part.
+    double newest = 0.5;
+    /// Harms below this are left alone.
+    double leastHarm = 0.1;
+    /// After this long over target, whatever was learned, all fillers rest.
+    Duration overLimit = std::chrono::milliseconds(1200);
+    /// How long they rest. Tails are figures of the last half second.
+    Duration rest = std::chrono::milliseconds(900);
+    /// How long a task that rest did not help is taken to be over by its own doing.
+    Duration excuse = std::chrono::milliseconds(2500);
 };
 
 /// One serving task's tail against its target, in milliseconds.
-struct TailReading
+struct ServingReading
 {
+    TaskRef task;
+    std::string image;
     double tailMs = 0;
     double targetMs = 0;
 };
 
-/// Chooses the pace of all fillers on one worker from the tails of the serving tasks beside them.
-/// Pure.
+/// One filler: what it could use and what it uses, as parts of the worker's processors.
+struct FillerReading
+{
+    std::string image;
+    double wanted = 0;
+    double used = 0;
+};
+
+/// Chooses the pace of the fillers on one worker, by image: as much activity as the tails of the
+/// serving tasks beside them bear by the learned harms, the least harmful first; and whatever was
+/// learned, rest for all when a tail stays over its target. Pure.
 class Pacer final
 {
 public:
+    using Paces = std::map<std::string, double>;
+
     explicit Pacer(const PacerSettings &settings = {});
 
-    /// The pace in hundredths that fits what was read at `now`.
-    std::int32_t update(std::span<const TailReading> readings, Instant now);
+    void learn(std::span<const HarmRow> rows);
 
-    [[nodiscard]] std::int32_t pace() const { return m_pace; }
+    /// Parts of full speed by image, from what was read at `now`.
+    Paces update(std::span<const ServingReading> serving, std::span<const FillerReading> fillers,
+                 Instant now);
 
 private:
+    struct Watched
+    {
+        double own = 0; ///< Logarithm of the tail without fillers.
+        Instant overSince;
+        bool isOver = false;
+        Instant excusedUntil;
+        Instant readAt;
+    };
+
+    [[nodiscard]] double harmOf(const std::string &serving, const std::string &filler) const;
+    void watch(const ServingReading &reading, const FillerActivity &used, Instant now);
+    void slowDownFor(const ServingReading &reading, const FillerActivity &wanted,
+                     Paces &paces) const;
+    void restIfOver(std::span<const ServingReading> serving, Paces &paces, Instant now);
+
     PacerSettings m_settings;
-    std::int32_t m_pace = 100;
-    Instant m_changedAt;
+    std::map<std::pair<std::string, std::string>, double> m_harms;
+    std::map<TaskRef, Watched> m_watched;
+    Instant m_restUntil;
+    bool m_resting = false;
 };
 
 } // namespace guavashift
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -1,6 +1,7 @@
 #include <Guavashift/Fleet/WorkerNode.h>
 
 #include <array>
+#include <cmath>
 
 namespace guavashift {
 
@@ -93,6 +94,7 @@
                               if (isCurrent(committed.lifetime))
                                   m_committedUpTo = std::max(m_committedUpTo, committed.upTo);
                           },
+                          [this](const HarmReport &report) { m_pacer.learn(report.rows); },
                           [this](const KnownRuns &known) {
                               for (const RunTraits &traits : known.runs) {
                                   const auto run = m_runs.find({traits.task, traits.run});
@@ -419,26 +421,47 @@
 
 void WorkerNode::applyPace()
 {
-    if (!m_facts)
+    if (!m_facts || m_facts->capacity.milliCores <= 0)
         return;
-    std::vector<TailReading> readings;
+    const auto capacity = static_cast<double>(m_facts->capacity.milliCores);
+    std::vector<ServingReading> serving;
+    std::vector<FillerReading> fillers;
     for (const auto &[key, run] : m_runs) {
-        if (run.stage == Stage::Running && run.traits.tailTargetMs > 0)
-            readings.push_back({run.row.figure, static_cast<double>(run.traits.tailTargetMs)});
+        if (run.stage != Stage::Running)
+            continue;
+        if (run.traits.tailTargetMs > 0)
+            serving.push_back({key.first, run.traits.image, run.row.figure,
+                               static_cast<double>(run.traits.tailTargetMs)});
+        if (run.traits.fillsLeftover)
+            fillers.push_back({run.traits.image,
+                               static_cast<double>(run.traits.milliCores) / capacity,
+                               run.row.figure / capacity});
     }
-    const std::int32_t pace = m_pacer.update(readings, BootClock::now());
+    if (fillers.empty())
+        return;
+    const Pacer::Paces paces = m_pacer.update(serving, fillers, BootClock::now());
     for (auto &[key, run] : m_runs) {
-        if (run.stage != Stage::Running || !run.traits.fillsLeftover || run.pace == pace)
-            continue;
-        run.pace = pace;
-        m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
-                    [this, key = key](const WorkerReply &reply) {
-                        const auto found = m_runs.find(key);
-                        // Whether it acts is unknown: it is told again.
-                        if (found != m_runs.end() && reply.result != WorkerCallResult::Done)
-                            found->second.pace = unknownPace;
-                    });
+        if (run.stage == Stage::Running && run.traits.fillsLeftover)
+            sendPace(key, run, paces.at(run.traits.image));
     }
 }
 
+void WorkerNode::sendPace(const RunKey &key, Run &run, double part)
+{
+    constexpr double wholePace = 100;
+    const auto pace = static_cast<std::int32_t>(std::lround(part * wholePace));
+    // Small changes are not worth a call, but rest and full speed are.
+    const bool isEnd = pace == 0 || pace == static_cast<std::int32_t>(wholePace);
+    if (pace == run.pace || (!isEnd && std::abs(pace - run.pace) < m_worker.leastPaceChange))
+        return;
+    run.pace = pace;
+    m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
+                [this, key = key](const WorkerReply &reply) {
+                    const auto found = m_runs.find(key);
+                    // Whether it acts is unknown: it is told again.
+                    if (found != m_runs.end() && reply.result != WorkerCallResult::Done)
+                        found->second.pace = unknownPace;
+                });
+}
+
 } // namespace guavashift
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -24,6 +24,8 @@
     Duration retryPause = std::chrono::milliseconds(150);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
+    /// Changes of a pace by less, in hundredths, are not passed on.
+    std::int32_t leastPaceChange = 8;
 };
 
 /// The agent beside one worker: its reports, orders, lease and pacing. What it knows it learns again
@@ -58,7 +60,7 @@
     };
 
     /// After a call for a new pace that got no clear answer.
-    static constexpr std::int32_t unknownPace = -1;
+    static constexpr std::int32_t unknownPace = -1000;
 
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -85,6 +87,7 @@
     void drop(const RunKey &key, std::string_view reason);
     void endLifetime(bool silent);
     void applyPace();
+    void sendPace(const RunKey &key, Run &run, double part);
     [[nodiscard]] bool isCurrent(const Lifetime &lifetime) const;
     [[nodiscard]] std::uint64_t fence() const { return m_sessionFence + m_fenceStep; }
 
