Count small harms as none; move slowed fillers; log what steps wait for

Cause: jobs waited up to ten seconds with room everywhere: a serving task near its limit blocked every filler, also those whose learned harm was within the noise (step-waits lines: best_speed 0 with 40 cores left).

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -475,6 +475,7 @@
     expireLeases(now);
     beginDueOccurrences(wallNow);
     placeReady(now, wallNow);
+    moveSlowed(now);
     return std::exchange(m_commands, {});
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -26,9 +26,19 @@
     /// Fillers may want this part of a worker's processors more than is left over.
     double fillerOvercommit = 0.15;
     /// Part of its target that a serving task's tail may be driven to by fillers.
-    double tailLimit = 0.8;
+    double tailLimit = 0.85;
     /// A filler that would run below this part of its speed waits for a better place.
     double leastFillerSpeed = 0.5;
+    /// A filler predicted to run below this part of its speed is moved, if it can go on elsewhere.
+    double slowFillerSpeed = 0.35;
+    /// What another worker must promise for a move to be worth it.
+    double movedFillerSpeed = 0.8;
+    /// A run is left where it is for this long after it was bound.
+    Duration settleTime = std::chrono::milliseconds(1200);
+    /// How often it is logged what steps wait for.
+    Duration waitLogInterval = std::chrono::seconds(1);
+    /// How often slowed fillers are looked at.
+    Duration moveInterval = std::chrono::milliseconds(500);
     /// Two reports of a worker further apart than this say nothing on harm.
     Duration harmWindow = std::chrono::milliseconds(1100);
     /// How often harms are worked out and told.
@@ -113,6 +123,8 @@
     void queueEnd(const PlacedRun &run, RunEnd end);
     void expireLeases(Instant now);
     void evacuate(PoolWorker &worker, Instant now);
+    void logWaiting(const StageJob &job, const ReadyTask &ready) const;
+    void moveSlowed(Instant now);
     void placeReady(Instant now, WallMs wallNow);
     [[nodiscard]] std::vector<ReadyTask> servingOrder(WallMs wallNow) const;
     bool placeTask(const ReadyTask &ready, Instant now);
@@ -123,6 +135,7 @@
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     void learnHarm(PoolWorker &worker, std::span<const RunRow> rows, Instant now);
     [[nodiscard]] double speedOf(const PoolWorker &worker, const StepPlan &step) const;
+    [[nodiscard]] double currentSpeed(const PoolWorker &worker, const PlacedRun &run) const;
     [[nodiscard]] std::int64_t leftover(const PoolWorker &worker) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
@@ -143,6 +156,8 @@
     std::set<std::pair<WallMs, std::pair<std::string, std::uint32_t>>> m_due;
     HarmTable m_harms;
     Instant m_nextHarms;
+    Instant m_nextMoves;
+    Instant m_nextWaitLog;
     std::map<std::string, Record> m_records; ///< By node.
     std::vector<StageCommand> m_commands;
     std::vector<std::pair<std::string, AgentOrder>> m_orders;
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -41,9 +41,39 @@
         const StageJob &job = *m_book.find(each.task.job);
         const bool placed = job.plan.steps[each.task.step].gang ? placeGang(each, now)
                                                                 : placeTask(each, now);
-        if (!placed)
-            stuck.insert(shape);
+        if (placed)
+            continue;
+        if (stuck.insert(shape).second && now >= m_nextWaitLog)
+            logWaiting(job, each);
+    }
+    if (now >= m_nextWaitLog)
+        m_nextWaitLog = now + m_settings.waitLogInterval;
+}
+
+void Dispatcher::logWaiting(const StageJob &job, const ReadyTask &ready) const
+{
+    const StepPlan &step = job.plan.steps[ready.task.step];
+    std::int64_t mostLeft = 0;
+    Resources mostRoom;
+    double bestSpeed = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.hasFacts || worker.node.empty())
+            continue;
+        mostLeft = std::max(mostLeft, leftover(worker));
+        mostRoom.milliCores = std::max(mostRoom.milliCores, worker.room().milliCores);
+        mostRoom.memoryMb = std::max(mostRoom.memoryMb, worker.room().memoryMb);
+        bestSpeed = std::max(bestSpeed, speedOf(worker, step));
     }
+    logEvent(LogLevel::Debug, "step-waits",
+             {{"job", ready.task.job},
+              {"step", ready.task.step},
+              {"image", step.image},
+              {"needs_milli_cores", step.size.milliCores},
+              {"needs_memory_mb", step.size.memoryMb},
+              {"most_left", mostLeft},
+              {"most_milli_cores", mostRoom.milliCores},
+              {"most_memory_mb", mostRoom.memoryMb},
+              {"best_speed", bestSpeed}});
 }
 
 bool Dispatcher::placeTask(const ReadyTask &ready, Instant now)
@@ -163,6 +193,66 @@
     return worker.room().milliCores + unused - worker.fillers;
 }
 
+double Dispatcher::currentSpeed(const PoolWorker &worker, const PlacedRun &filler) const
+{
+    const double capacity = static_cast<double>(worker.facts.capacity.milliCores);
+    FillerActivity wanted;
+    for (const auto &[task, run] : worker.runs) {
+        if (run.fillsLeftover)
+            wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
+    }
+    double speed = 1;
+    for (const auto &[task, run] : worker.runs) {
+        if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
+            continue;
+        // The most harmful slow down first, so the less harmful count against the room before.
+        const double own = m_harms.harm(run.image, filler.image);
+        double left = std::log(m_settings.tailLimit * run.tailTargetMs) - run.own;
+        for (const auto &[image, activity] : wanted) {
+            const double harm = m_harms.harm(run.image, image);
+            if (image != filler.image && harm < own)
+                left -= harm * activity;
+        }
+        const double need = own * wanted.at(filler.image);
+        if (need > 0)
+            speed = std::min(speed, std::max(left, 0.0) / need);
+    }
+    return speed;
+}
+
+void Dispatcher::moveSlowed(Instant now)
+{
+    if (now < m_nextMoves)
+        return;
+    m_nextMoves = now + m_settings.moveInterval;
+    for (const auto &[lifetime, known] : m_pool.workers()) {
+        if (known.node.empty() || known.silent)
+            continue;
+        PoolWorker &worker = *m_pool.find(lifetime);
+        for (auto &[task, run] : worker.runs) {
+            if (!run.fillsLeftover || !run.committed || run.stopAsked
+                || now - run.boundAt < m_settings.settleTime)
+                continue;
+            const StageJob *job = m_book.find(task.job);
+            if (job == nullptr || !job->isActive() || !job->plan.steps[task.step].checkpoints
+                || currentSpeed(worker, run) >= m_settings.slowFillerSpeed)
+                continue;
+            const PoolWorker *better = chooseWorker(*job, task, now);
+            if (better == nullptr || better == &worker
+                || speedOf(*better, job->plan.steps[task.step]) < m_settings.movedFillerSpeed)
+                continue;
+            logEvent(LogLevel::Info, "run-moved",
+                     {{"task", task.text()},
+                      {"from", lifetime.worker},
+                      {"to", better->facts.lifetime.worker},
+                      {"speed", currentSpeed(worker, run)}});
+            orderStop(lifetime, worker, run);
+            // One a round: the next prediction must see what this one changes.
+            return;
+        }
+    }
+}
+
 double Dispatcher::scoreOf(const PoolWorker &worker, const StepPlan &step) const
 {
     const double cores = static_cast<double>(std::max<std::int64_t>(
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -79,7 +79,8 @@
     for (std::size_t i = 0; i < count; ++i) {
         const double uncertainty =
             m_settings.spread / std::sqrt(sums.products[i][i] + m_settings.priorWeight);
-        sums.harms[sums.fillers[i]] = harms[i] + m_settings.margin * uncertainty;
+        const double bound = harms[i] + m_settings.margin * uncertainty;
+        sums.harms[sums.fillers[i]] = bound < m_settings.negligible ? 0 : bound;
         sums.responses[i] *= m_settings.kept;
         for (double &product : sums.products[i])
             product *= m_settings.kept;
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -24,6 +24,8 @@
     double spread = 0.25;
     /// How many spreads the margin is.
     double margin = 0.3;
+    /// Harms below this cannot be told from none and count as none.
+    double negligible = 0.45;
 };
 
 /// Activity of fillers on one worker by image: processors in use as a part of the worker's.
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -80,7 +80,7 @@
     for (const auto &[filler, activity] : wanted) {
         const double harm = harmOf(reading.image, filler);
         excess += harm * activity * paces[filler];
-        if (harm >= m_settings.leastHarm)
+        if (harm > 0)
             byHarm.emplace_back(harm, filler);
     }
     std::sort(byHarm.rbegin(), byHarm.rend());
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -15,8 +15,6 @@
     double hopeless = 1.3;
     /// Weight of the newest reading of a task's own part.
     double newest = 0.5;
-    /// Harms below this are left alone.
-    double leastHarm = 0.1;
     /// After this long over target, whatever was learned, all fillers rest.
     Duration overLimit = std::chrono::milliseconds(1200);
     /// How long they rest. Tails are figures of the last half second.
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -115,6 +115,7 @@
                 table.rows.push_back(run.row);
         }
         m_link.send(table);
+        logLoad();
     }
     m_loop.after(m_worker.tableInterval, [this] { sendTable(); });
 }
@@ -446,6 +447,22 @@
     }
 }
 
+void WorkerNode::logLoad() const
+{
+    for (const auto &[key, run] : m_runs)
+        logEvent(LogLevel::Debug, "run-row",
+                 {{"worker", m_facts->lifetime.worker},
+                  {"milli_cores", m_facts->capacity.milliCores},
+                  {"task", key.first.text()},
+                  {"image", run.traits.image},
+                  {"target_ms", run.traits.tailTargetMs},
+                  {"fills", run.traits.fillsLeftover},
+                  {"wanted", run.traits.milliCores},
+                  {"pace", run.pace},
+                  {"percent", run.row.percent},
+                  {"figure", run.row.figure}});
+}
+
 void WorkerNode::sendPace(const RunKey &key, Run &run, double part)
 {
     constexpr double wholePace = 100;
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -87,6 +87,7 @@
     void drop(const RunKey &key, std::string_view reason);
     void endLifetime(bool silent);
     void applyPace();
+    void logLoad() const;
     void sendPace(const RunKey &key, Run &run, double part);
     [[nodiscard]] bool isCurrent(const Lifetime &lifetime) const;
     [[nodiscard]] std::uint64_t fence() const { return m_sessionFence + m_fenceStep; }
