Measure harm on headroom instead of the logarithm of the tail

Cause: a filler that seemed harmless beside a lightly loaded serving task drove its tail from 29 to 482 ms once the load wave had risen: tails grow ever faster, headroom falls evenly.

--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -91,9 +91,10 @@
     m_started = m_lastInput = m_lastOutput = BootClock::now();
     m_wantsOutput = connecting;
     reactor(&m_loop.reactor());
-    m_loop.reactor().register_handler(
-        this, connecting ? ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK
-                         : ACE_Event_Handler::READ_MASK);
+    m_loop.reactor().register_handler(this,
+                                      connecting ? ACE_Event_Handler::READ_MASK
+                                              | ACE_Event_Handler::WRITE_MASK
+                                                 : ACE_Event_Handler::READ_MASK);
     watch();
     if (!connecting)
         flush();
@@ -238,9 +239,8 @@
     if (!isOpen())
         return;
     const ACE_HANDLE handle = std::exchange(m_handle, ACE_INVALID_HANDLE);
-    m_loop.reactor().remove_handler(handle,
-                                    ACE_Event_Handler::ALL_EVENTS_MASK
-                                        | ACE_Event_Handler::DONT_CALL);
+    m_loop.reactor().remove_handler(
+        handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     ::close(handle);
 }
 
--- a/Guavashift/Channel/FrameListener.cpp
+++ b/Guavashift/Channel/FrameListener.cpp
@@ -23,8 +23,8 @@
 {
     if (m_acceptor.get_handle() == ACE_INVALID_HANDLE)
         return;
-    m_loop.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK
-                                              | ACE_Event_Handler::DONT_CALL);
+    m_loop.reactor().remove_handler(
+        this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     m_acceptor.close();
 }
 
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -117,8 +117,7 @@
 void Dispatcher::offer(const TaskRef &ref)
 {
     const StageJob *job = m_book.find(ref.job);
-    if (job == nullptr || !job->isActive() || m_placed.contains(ref)
-        || m_readyByTask.contains(ref))
+    if (job == nullptr || !job->isActive() || m_placed.contains(ref) || m_readyByTask.contains(ref))
         return;
     const ReadyTask ready = readyTask(*job, ref);
     m_ready.insert(ready);
@@ -236,8 +235,7 @@
 {
     for (const auto &[lifetime, known] : m_pool.workers()) {
         if (known.node == node)
-            m_pool.find(lifetime)->leaseEnd =
-                now + m_settings.workerLease + m_settings.leaseMargin;
+            m_pool.find(lifetime)->leaseEnd = now + m_settings.workerLease + m_settings.leaseMargin;
     }
 }
 
@@ -382,63 +380,62 @@
 void Dispatcher::applied(const StageCommand &command, const StageOutcome &outcome, Instant now)
 {
     std::visit(
-        Overloaded{
-            [](const ReplaceConfiguration &) {},
-            [&](const AcceptJob &accept) {
-                if (!outcome.applied)
-                    return;
-                const StageJob &job = *m_book.find(accept.job);
-                offerReadySteps(accept.job, job);
-                scheduleOccurrences(accept.job, job);
-            },
-            [&](const CancelJob &cancel) { withdraw(cancel.job); },
-            [&](const StartRun &start) {
-                const auto placed = m_placed.find(start.task);
-                if (placed == m_placed.end())
-                    return;
-                if (!outcome.applied)
-                    return proposalLost(command);
-                PoolWorker &worker = *m_pool.find(start.lifetime);
-                PlacedRun &run = worker.runs.at(start.task);
-                run.committed = true;
-                run.boundAt = now;
-                const StageJob &job = *m_book.find(start.task.job);
-                const StepPlan &step = job.plan.steps[start.task.step];
-                // Without an agent it is settled by the next agent's inventory or the lease.
-                if (!worker.node.empty())
-                    m_orders.emplace_back(
-                        worker.node,
-                        StartOrder{start.lifetime,
-                                   {start.task, start.run, step.image, step.tailTargetMs,
-                                    step.fillsLeftover, step.size.milliCores},
-                                   job.plan.payload,
-                                   m_book.find(start.task)->checkpoint,
-                                   {}});
-            },
-            [&](const EndRun &end) {
-                m_endsProposed.erase({end.task, end.run});
-                if (!outcome.applied)
-                    return;
-                const auto placed = m_placed.find(end.task);
-                if (placed != m_placed.end()) {
-                    const Lifetime lifetime = placed->second;
-                    noteEnd(end, lifetime, now);
-                    m_pool.release(lifetime, end.task);
-                    m_placed.erase(placed);
-                    if (!m_pool.find(lifetime)->hasFacts)
-                        m_pool.removeIfIdle(lifetime);
-                }
-                const StageJob *job = m_book.find(end.task.job);
-                if (job == nullptr)
-                    return;
-                if (!job->isActive())
-                    return withdraw(end.task.job);
-                const StageTask *task = m_book.find(end.task);
-                if (task != nullptr && task->stage == TaskStage::Waiting)
-                    offer(end.task);
-                else
-                    offerReadySteps(end.task.job, *job);
-            }},
+        Overloaded{[](const ReplaceConfiguration &) {},
+                   [&](const AcceptJob &accept) {
+                       if (!outcome.applied)
+                           return;
+                       const StageJob &job = *m_book.find(accept.job);
+                       offerReadySteps(accept.job, job);
+                       scheduleOccurrences(accept.job, job);
+                   },
+                   [&](const CancelJob &cancel) { withdraw(cancel.job); },
+                   [&](const StartRun &start) {
+                       const auto placed = m_placed.find(start.task);
+                       if (placed == m_placed.end())
+                           return;
+                       if (!outcome.applied)
+                           return proposalLost(command);
+                       PoolWorker &worker = *m_pool.find(start.lifetime);
+                       PlacedRun &run = worker.runs.at(start.task);
+                       run.committed = true;
+                       run.boundAt = now;
+                       const StageJob &job = *m_book.find(start.task.job);
+                       const StepPlan &step = job.plan.steps[start.task.step];
+                       // Without an agent it is settled by the next agent's inventory or the lease.
+                       if (!worker.node.empty())
+                           m_orders.emplace_back(
+                               worker.node,
+                               StartOrder{start.lifetime,
+                                          {start.task, start.run, step.image, step.tailTargetMs,
+                                           step.fillsLeftover, step.size.milliCores},
+                                          job.plan.payload,
+                                          m_book.find(start.task)->checkpoint,
+                                          {}});
+                   },
+                   [&](const EndRun &end) {
+                       m_endsProposed.erase({end.task, end.run});
+                       if (!outcome.applied)
+                           return;
+                       const auto placed = m_placed.find(end.task);
+                       if (placed != m_placed.end()) {
+                           const Lifetime lifetime = placed->second;
+                           noteEnd(end, lifetime, now);
+                           m_pool.release(lifetime, end.task);
+                           m_placed.erase(placed);
+                           if (!m_pool.find(lifetime)->hasFacts)
+                               m_pool.removeIfIdle(lifetime);
+                       }
+                       const StageJob *job = m_book.find(end.task.job);
+                       if (job == nullptr)
+                           return;
+                       if (!job->isActive())
+                           return withdraw(end.task.job);
+                       const StageTask *task = m_book.find(end.task);
+                       if (task != nullptr && task->stage == TaskStage::Waiting)
+                           offer(end.task);
+                       else
+                           offerReadySteps(end.task.job, *job);
+                   }},
         command);
 }
 
@@ -454,7 +451,9 @@
                               if (task == nullptr || task->stage == TaskStage::Waiting)
                                   offer(start.task);
                           },
-                          [&](const EndRun &end) { m_endsProposed.erase({end.task, end.run}); },
+                          [&](const EndRun &end) {
+                              m_endsProposed.erase({end.task, end.run});
+                          },
                           [](const auto &) {}},
                command);
 }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -53,8 +53,8 @@
 struct ReadyTask
 {
     std::int32_t priority = 0;
-    WallMs objective = 0; ///< When the job should be complete.
-    WallMs lateEnd = 0;   ///< When its completion is worth nothing any more.
+    WallMs objective = 0;         ///< When the job should be complete.
+    WallMs lateEnd = 0;           ///< When its completion is worth nothing any more.
     std::int64_t remainingMs = 0; ///< Of work from this task to the job's end, by estimate.
     TaskRef task;
 
--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Tails are whole milliseconds; less than this cannot be told from nothing.
-constexpr double leastTailMs = 0.5;
 /// Weight of the newest reading of a task's own part.
 constexpr double newest = 0.4;
 
@@ -32,12 +30,12 @@
         if (found == worker.runs.end() || found->second.run != row.run)
             continue;
         PlacedRun &run = found->second;
-        if (run.serves && row.figure >= leastTailMs) {
-            const double tail = std::log(row.figure);
-            if (follows && run.rowAt != Instant() && run.row.figure >= leastTailMs)
+        if (run.serves && row.figure > 0) {
+            const double room = headroom(run.tailTargetMs, row.figure);
+            if (follows && run.rowAt != Instant() && run.row.figure > 0)
                 m_harms.observe(run.image, worker.activity, activity,
-                                tail - std::log(run.row.figure));
-            const double own = tail - m_harms.total(run.image, activity);
+                                headroom(run.tailTargetMs, run.row.figure) - room);
+            const double own = room + m_harms.total(run.image, activity);
             run.own = run.rowAt == Instant() ? own : run.own + newest * (own - run.own);
         }
         run.row = row;
@@ -72,12 +70,11 @@
         }
         PoolWorker &worker = *m_pool.find(lifetime);
         const bool isKnown = std::all_of(rows.begin(), rows.end(), [&](const HarmRow &row) {
-            return std::any_of(worker.harmsTold.begin(), worker.harmsTold.end(),
-                               [&](const HarmRow &before) {
-                                   return before.serving == row.serving
-                                       && before.filler == row.filler
-                                       && std::abs(before.harm - row.harm) < m_settings.harmStep;
-                               });
+            return std::any_of(
+                worker.harmsTold.begin(), worker.harmsTold.end(), [&](const HarmRow &before) {
+                    return before.serving == row.serving && before.filler == row.filler
+                        && std::abs(before.harm - row.harm) < m_settings.harmStep;
+                });
         });
         if (isKnown)
             continue;
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -39,8 +39,8 @@
         if (stuck.contains(shape) || !m_readyByTask.contains(each.task))
             continue;
         const StageJob &job = *m_book.find(each.task.job);
-        const bool placed = job.plan.steps[each.task.step].gang ? placeGang(each, now)
-                                                                : placeTask(each, now);
+        const bool placed =
+            job.plan.steps[each.task.step].gang ? placeGang(each, now) : placeTask(each, now);
         if (placed)
             continue;
         if (stuck.insert(shape).second && now >= m_nextWaitLog)
@@ -176,8 +176,7 @@
     for (const auto &[task, run] : worker.runs) {
         if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
             continue;
-        const double left = std::log(m_settings.tailLimit * run.tailTargetMs) - run.own
-            - m_harms.total(run.image, wanted);
+        const double left = run.own - 1 / m_settings.tailLimit - m_harms.total(run.image, wanted);
         const double need = m_harms.harm(run.image, step.image) * more;
         if (need > 0)
             speed = std::min(speed, left / need);
@@ -207,7 +206,7 @@
             continue;
         // The most harmful slow down first, so the less harmful count against the room before.
         const double own = m_harms.harm(run.image, filler.image);
-        double left = std::log(m_settings.tailLimit * run.tailTargetMs) - run.own;
+        double left = run.own - 1 / m_settings.tailLimit;
         for (const auto &[image, activity] : wanted) {
             const double harm = m_harms.harm(run.image, image);
             if (image != filler.image && harm < own)
@@ -255,8 +254,8 @@
 
 double Dispatcher::scoreOf(const PoolWorker &worker, const StepPlan &step) const
 {
-    const double cores = static_cast<double>(std::max<std::int64_t>(
-        worker.facts.capacity.milliCores, 1));
+    const double cores =
+        static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.milliCores, 1));
     const double memory =
         static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.memoryMb, 1));
     double score = step.fillsLeftover
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -33,7 +33,7 @@
 }
 
 void HarmTable::observe(const std::string &serving, const FillerActivity &before,
-                        const FillerActivity &now, double change)
+                        const FillerActivity &now, double loss)
 {
     FillerActivity changes = now;
     for (const auto &[filler, activity] : before)
@@ -45,7 +45,7 @@
             changed.emplace_back(positionOf(sums, filler), difference);
     }
     for (const auto &[i, left] : changed) {
-        sums.responses[i] += left * change;
+        sums.responses[i] += left * loss;
         for (const auto &[j, right] : changed)
             sums.products[i][j] += left * right;
     }
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -11,43 +11,52 @@
 
 struct HarmSettings
 {
-    /// Taken for a pair of images of which nothing has been seen: growth of the logarithm of the
-    /// tail if the filler used the whole worker.
-    double prior = 1.2;
+    /// Taken for a pair of images of which nothing has been seen: loss of headroom if the filler
+    /// used the whole worker.
+    double prior = 2;
     /// Weight of the prior, in squared activity.
     double priorWeight = 0.02;
     /// Harms above this are not believed.
-    double most = 15;
+    double most = 25;
     /// Part of what was learned that is kept from one solution to the next.
     double kept = 0.997;
     /// Spread of one observation, for the margin added where little has been seen.
-    double spread = 0.25;
+    double spread = 0.4;
     /// How many spreads the margin is.
     double margin = 0.3;
     /// Harms below this cannot be told from none and count as none.
-    double negligible = 0.45;
+    double negligible = 0.9;
 };
 
 /// Activity of fillers on one worker by image: processors in use as a part of the worker's.
 using FillerActivity = std::map<std::string, double>;
 
-/// Learns by how much fillers of one image raise the tail latency of serving tasks of another, from
-/// how tails change when the activity beside them changes. The logarithm of a tail is taken to be
-/// the task's own part plus the sum of harm times activity. Pure.
+/// A serving task's target over its tail latency: 1 at the target, more below it. What is left of a
+/// queue's capacity, so it falls evenly as load is added, where the tail itself rises ever faster.
+inline double headroom(double targetMs, double tailMs)
+{
+    // Tails are whole milliseconds; less than this cannot be told from nothing.
+    constexpr double leastTailMs = 0.5;
+    return targetMs / std::max(tailMs, leastTailMs);
+}
+
+/// Learns by how much fillers of one image lower the headroom of serving tasks of another, from how
+/// headrooms change when the activity beside them changes. Headroom is taken to be the task's own
+/// part less the sum of harm times activity. Pure.
 class HarmTable final
 {
 public:
     explicit HarmTable(const HarmSettings &settings = {});
 
-    /// The logarithm of a tail changed by `change` while the activity beside it changed so.
+    /// A headroom was lost by as much as `loss` while the activity beside it changed so.
     void observe(const std::string &serving, const FillerActivity &before,
-                 const FillerActivity &now, double change);
+                 const FillerActivity &now, double loss);
 
     /// Works out all harms anew from what was observed.
     void solve();
 
     [[nodiscard]] double harm(std::string_view serving, std::string_view filler) const;
-    /// By how much the logarithm of the tail is raised by that activity.
+    /// By how much headroom is lowered by that activity.
     [[nodiscard]] double total(std::string_view serving, const FillerActivity &activity) const;
 
 private:
@@ -56,7 +65,7 @@
     {
         std::vector<std::string> fillers;
         std::vector<std::vector<double>> products; ///< Of activity changes, by pair of fillers.
-        std::vector<double> responses;             ///< Activity change times tail change.
+        std::vector<double> responses;             ///< Activity change times loss.
         std::map<std::string, double, std::less<>> harms;
         bool changed = false;
     };
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -22,21 +22,21 @@
     double tailTargetMs = 0;
     RunRow row; ///< As the worker showed it last.
     Instant rowAt;
-    double own = 0; ///< Logarithm of a serving task's tail without fillers; smoothed.
+    double own = 0; ///< A serving task's headroom without fillers; smoothed.
 };
 
 /// What the leader knows of one lifetime of a worker.
 struct PoolWorker
 {
     WorkerFacts facts;
-    std::string node;           ///< Whose agent speaks for it; empty: none does now.
-    bool hasFacts = false;      ///< False for one that is known from bound runs only.
-    bool silent = false;        ///< Does not answer its agent.
-    Instant leaseEnd;           ///< Nothing runs there after this without a new grant.
-    Instant suspectUntil;       ///< Not used for new runs before, after refusals or failures.
-    Resources reserved;         ///< By all placed runs; fillers without their processor share.
-    std::int64_t fillers = 0;   ///< Thousandths of a core that fillers could use.
-    std::int64_t serving = 0;   ///< Reserved by tasks that serve.
+    std::string node;         ///< Whose agent speaks for it; empty: none does now.
+    bool hasFacts = false;    ///< False for one that is known from bound runs only.
+    bool silent = false;      ///< Does not answer its agent.
+    Instant leaseEnd;         ///< Nothing runs there after this without a new grant.
+    Instant suspectUntil;     ///< Not used for new runs before, after refusals or failures.
+    Resources reserved;       ///< By all placed runs; fillers without their processor share.
+    std::int64_t fillers = 0; ///< Thousandths of a core that fillers could use.
+    std::int64_t serving = 0; ///< Reserved by tasks that serve.
     std::map<TaskRef, PlacedRun> runs;
     FillerActivity activity; ///< Of the fillers that its last report showed.
     Instant activityAt;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -123,46 +123,45 @@
 void FleetLeader::receiveFromAgent(Session &session, const FleetMessage &message)
 {
     const Instant now = BootClock::now();
-    std::visit(
-        Overloaded{
-            [&](const RenewLease &renew) {
-                m_dispatcher.leaseGranted(session.node, now);
-                session.send(LeaseGranted{renew.sentAt});
-            },
-            [&](const WorkerReport &report) {
-                session.lifetime = report.facts.lifetime;
-                m_dispatcher.workerReported(session.node, report.facts, now);
-                logEvent(LogLevel::Info, "worker-reported",
-                         {{"node", session.node},
-                          {"worker", report.facts.lifetime.worker},
-                          {"born", report.facts.lifetime.born},
-                          {"draining", report.facts.draining}});
-            },
-            [&](const Inventory &inventory) {
-                m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
-                                               session.openedAt);
-                session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
-            },
-            [&](const RunTable &table) {
-                m_dispatcher.rowsReported(table.lifetime, table.rows, now);
-            },
-            [&](const StartRefused &refused) {
-                m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run, now);
-                logEvent(LogLevel::Info, "start-refused",
-                         {{"task", refused.task.text()},
-                          {"run", refused.run},
-                          {"worker", refused.lifetime.worker},
-                          {"reason", refused.reason}});
-            },
-            [&](const LifetimeEnded &ended) {
-                m_dispatcher.lifetimeEnded(ended.lifetime, ended.silent, now);
-                logEvent(LogLevel::Info, "worker-ended",
-                         {{"worker", ended.lifetime.worker},
-                          {"born", ended.lifetime.born},
-                          {"silent", ended.silent}});
-            },
-            [](const auto &) {}},
-        message);
+    std::visit(Overloaded{[&](const RenewLease &renew) {
+                              m_dispatcher.leaseGranted(session.node, now);
+                              session.send(LeaseGranted{renew.sentAt});
+                          },
+                          [&](const WorkerReport &report) {
+                              session.lifetime = report.facts.lifetime;
+                              m_dispatcher.workerReported(session.node, report.facts, now);
+                              logEvent(LogLevel::Info, "worker-reported",
+                                       {{"node", session.node},
+                                        {"worker", report.facts.lifetime.worker},
+                                        {"born", report.facts.lifetime.born},
+                                        {"draining", report.facts.draining}});
+                          },
+                          [&](const Inventory &inventory) {
+                              m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
+                                                             session.openedAt);
+                              session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
+                          },
+                          [&](const RunTable &table) {
+                              m_dispatcher.rowsReported(table.lifetime, table.rows, now);
+                          },
+                          [&](const StartRefused &refused) {
+                              m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run,
+                                                        now);
+                              logEvent(LogLevel::Info, "start-refused",
+                                       {{"task", refused.task.text()},
+                                        {"run", refused.run},
+                                        {"worker", refused.lifetime.worker},
+                                        {"reason", refused.reason}});
+                          },
+                          [&](const LifetimeEnded &ended) {
+                              m_dispatcher.lifetimeEnded(ended.lifetime, ended.silent, now);
+                              logEvent(LogLevel::Info, "worker-ended",
+                                       {{"worker", ended.lifetime.worker},
+                                        {"born", ended.lifetime.born},
+                                        {"silent", ended.silent}});
+                          },
+                          [](const auto &) {}},
+               message);
 }
 
 void FleetLeader::endsListed(SessionId id, const RunsEnded &ended)
@@ -284,7 +283,9 @@
     if (call.kind == CallKind::Cancel)
         return cancel(call, match->rest, logged);
     if (match->rest.empty())
-        return logged({call.id, CallResult::Pending, {},
+        return logged({call.id,
+                       CallResult::Pending,
+                       {},
                        static_cast<std::int64_t>(m_book.pendingIn(match->queue->name))});
     logged(stateOf(call, match->rest));
 }
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -54,7 +54,7 @@
 Json pack(const RunTraits &traits)
 {
     return list(pack(traits.task), traits.run, traits.image, traits.tailTargetMs,
-                 traits.fillsLeftover, traits.milliCores);
+                traits.fillsLeftover, traits.milliCores);
 }
 
 void unpack(const Json &json, RunTraits &traits)
@@ -114,7 +114,7 @@
     return Json::array();
 }
 
-void unpack(const Json &, AskLeader &) {}
+void unpack(const Json &, AskLeader &) { }
 
 Json pack(const LeaderIs &message)
 {
@@ -216,7 +216,7 @@
 {
     const WorkerFacts &facts = message.facts;
     return list(pack(facts.lifetime), facts.service, facts.zone, facts.machine, facts.capacity,
-                 facts.labels, facts.draining, facts.drainLeftMs);
+                facts.labels, facts.draining, facts.drainLeftMs);
 }
 
 void unpack(const Json &json, WorkerReport &message)
@@ -313,7 +313,7 @@
 Json pack(const StartOrder &message)
 {
     return list(pack(message.lifetime), pack(message.traits), message.payload, message.checkpoint,
-                 message.approval);
+                message.approval);
 }
 
 void unpack(const Json &json, StartOrder &message)
@@ -340,7 +340,7 @@
 Json pack(const FleetCall &message)
 {
     return list(message.id, message.kind, message.host, message.path,
-                 message.plan ? Json(*message.plan) : Json(), message.document, message.request);
+                message.plan ? Json(*message.plan) : Json(), message.document, message.request);
 }
 
 void unpack(const Json &json, FleetCall &message)
--- a/Guavashift/Fleet/LeaseClock.cpp
+++ b/Guavashift/Fleet/LeaseClock.cpp
@@ -11,9 +11,8 @@
 
 LeaseClock::LeaseClock(Duration longestLease, Instant now)
     : m_latestEnd(now
-                  + std::chrono::duration_cast<Duration>(
-                      std::chrono::duration<double, std::nano>(
-                          static_cast<double>(longestLease.count()) / slowestClock)))
+                  + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(
+                      static_cast<double>(longestLease.count()) / slowestClock)))
 {
 }
 
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -8,8 +8,6 @@
 
 /// Of a pair of which nothing was learned yet.
 const double unknownHarm = HarmTable().harm({}, {});
-/// Tails are whole milliseconds; less than this cannot be told from nothing.
-constexpr double leastTailMs = 0.5;
 constexpr Duration forgetAfter = std::chrono::seconds(5);
 
 } // namespace
@@ -57,9 +55,9 @@
 {
     const auto [position, added] = m_watched.try_emplace(reading.task);
     Watched &watched = position->second;
-    double own = std::log(std::max(reading.tailMs, leastTailMs));
+    double own = headroom(reading.targetMs, reading.tailMs);
     for (const auto &[filler, activity] : used)
-        own -= harmOf(reading.image, filler) * activity;
+        own += harmOf(reading.image, filler) * activity;
     watched.own = added ? own : watched.own + m_settings.newest * (own - watched.own);
     watched.readAt = now;
     const bool isOver = reading.targetMs > 0 && reading.tailMs > reading.targetMs;
@@ -72,10 +70,9 @@
                         Paces &paces) const
 {
     const Watched &watched = m_watched.at(reading.task);
-    if (reading.targetMs <= 0
-        || watched.own > std::log(m_settings.hopeless * reading.targetMs))
+    if (reading.targetMs <= 0 || watched.own < 1 / m_settings.hopeless)
         return;
-    double excess = watched.own - std::log(m_settings.limit * reading.targetMs);
+    double excess = 1 / m_settings.limit - watched.own;
     std::vector<std::pair<double, std::string>> byHarm;
     for (const auto &[filler, activity] : wanted) {
         const double harm = harmOf(reading.image, filler);
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -11,7 +11,8 @@
 {
     /// Part of its target that a serving task's tail may be driven to.
     double limit = 0.85;
-    /// A task whose own part is above this part of its target is over it whatever fillers do.
+    /// A task whose tail would be above this part of its target without fillers is over it
+    /// whatever they do.
     double hopeless = 1.3;
     /// Weight of the newest reading of a task's own part.
     double newest = 0.5;
@@ -59,7 +60,7 @@
 private:
     struct Watched
     {
-        double own = 0; ///< Logarithm of the tail without fillers.
+        double own = 0; ///< Headroom without fillers; smoothed.
         Instant overSince;
         bool isOver = false;
         Instant excusedUntil;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -65,13 +65,13 @@
     const std::filesystem::path path(m_fleet.dataFolder);
     const bool isNew = !std::filesystem::exists(path / "identity");
     const bool isFirst = isNew && m_fleet.firstStart && isSeed();
-    Result<DataFolder> folder =
-        isFirst ? DataFolder::openAs(path, clusterName, m_fleet.ip, firstIncarnation)
-                : DataFolder::open(path, clusterName, m_fleet.ip, m_random());
+    Result<DataFolder> folder = isFirst
+        ? DataFolder::openAs(path, clusterName, m_fleet.ip, firstIncarnation)
+        : DataFolder::open(path, clusterName, m_fleet.ip, m_random());
     if (!folder)
         return tl::unexpected(folder.error());
-    m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(),
-              FailureDomain{m_fleet.zone}, false};
+    m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(), FailureDomain{m_fleet.zone},
+              false};
     PersistentState state;
     Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(path, state);
     if (!store)
@@ -188,9 +188,9 @@
         } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry);
         // Nothing to commit: done as soon as all that was proposed before is.
         const bool isEmpty = batch.commands.empty();
-        const Result<LogIndex> index =
-            isEmpty && leads() ? Result<LogIndex>(m_replica->log().lastIndex())
-                               : m_replica->propose(BootClock::now(), batch.encode());
+        const Result<LogIndex> index = isEmpty && leads()
+            ? Result<LogIndex>(m_replica->log().lastIndex())
+            : m_replica->propose(BootClock::now(), batch.encode());
         for (Waiter &waiter : waiters) {
             if (!index)
                 waiter.done(false, {});
@@ -345,8 +345,7 @@
     settleWaiters(entry.index, entry.term, outcomes);
 }
 
-void ReplicaDriver::settleWaiters(LogIndex index, Term term,
-                                  std::span<const StageOutcome> outcomes)
+void ReplicaDriver::settleWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes)
 {
     while (!m_waiters.empty() && m_waiters.begin()->first <= index) {
         const Waiter waiter = std::move(m_waiters.begin()->second);
@@ -354,9 +353,9 @@
         // Another leader's entry took the place: what was proposed here was not committed here.
         const bool committed = waiter.count == 0
             || (waiter.term == term && waiter.first + waiter.count <= outcomes.size());
-        waiter.done(committed, committed && waiter.count > 0
-                                   ? outcomes.subspan(waiter.first, waiter.count)
-                                   : std::span<const StageOutcome>());
+        waiter.done(committed,
+                    committed && waiter.count > 0 ? outcomes.subspan(waiter.first, waiter.count)
+                                                  : std::span<const StageOutcome>());
     }
 }
 
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -39,8 +39,7 @@
     };
 
     ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
-                  const FleetSettings &fleet, JobBook &book, Observer observer,
-                  std::uint64_t seed);
+                  const FleetSettings &fleet, JobBook &book, Observer observer, std::uint64_t seed);
     ~ReplicaDriver();
 
     /// Opens the data folder and begins to take part.
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> resultNames{
-    "done",        "fenced-off", "too-old", "too-late",       "no-room",   "no-approval",
-    "unhealthy",   "wrong",      "other-lifetime", "no-program", "no-answer"};
+    "done",      "fenced-off", "too-old",        "too-late",   "no-room",  "no-approval",
+    "unhealthy", "wrong",      "other-lifetime", "no-program", "no-answer"};
 
 } // namespace
 
@@ -260,10 +260,9 @@
             continue;
         m_listedUpTo = each.number;
         ended.ends.push_back(each);
-        logEvent(LogLevel::Info, "run-listed",
-                 {{"task", each.end.task.text()},
-                  {"run", each.end.run},
-                  {"end", nameOf(each.end.end)}});
+        logEvent(
+            LogLevel::Info, "run-listed",
+            {{"task", each.end.task.text()}, {"run", each.end.run}, {"end", nameOf(each.end.end)}});
     }
     if (!ended.ends.empty())
         m_link.send(ended);
@@ -325,8 +324,8 @@
 
 void WorkerNode::refuse(const StartOrder &order, std::string_view reason)
 {
-    m_link.send(StartRefused{order.lifetime, order.traits.task, order.traits.run,
-                             std::string(reason)});
+    m_link.send(
+        StartRefused{order.lifetime, order.traits.task, order.traits.run, std::string(reason)});
 }
 
 void WorkerNode::startRun(const StartOrder &order)
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -28,8 +28,8 @@
     std::int32_t leastPaceChange = 8;
 };
 
-/// The agent beside one worker: its reports, orders, lease and pacing. What it knows it learns again
-/// from the worker after a restart. On an event loop's thread.
+/// The agent beside one worker: its reports, orders, lease and pacing. What it knows it learns
+/// again from the worker after a restart. On an event loop's thread.
 class WorkerNode final
 {
 public:
--- a/Guavashift/Http/AsyncHttpClient.cpp
+++ b/Guavashift/Http/AsyncHttpClient.cpp
@@ -157,8 +157,8 @@
                 transfer->callback(std::move(transfer->response));
             } else {
                 const bool refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
-                transfer->callback(tl::unexpected(refused ? HttpCallFailure::Refused
-                                                          : HttpCallFailure::Silent));
+                transfer->callback(
+                    tl::unexpected(refused ? HttpCallFailure::Refused : HttpCallFailure::Silent));
             }
         }
     }
--- a/Guavashift/Stages/JobBookStorage.cpp
+++ b/Guavashift/Stages/JobBookStorage.cpp
@@ -58,8 +58,8 @@
 {
     Json approval;
     if (terms.approval)
-        approval = Json::array({terms.approval->decisionMs, terms.approval->perWorkerMs,
-                                terms.approval->validityMs});
+        approval = Json::array(
+            {terms.approval->decisionMs, terms.approval->perWorkerMs, terms.approval->validityMs});
     return Json::array({terms.name, terms.host, terms.pathPrefix, terms.service, terms.timeoutMs,
                         terms.targetLatencyMs, terms.priority, terms.maxAttempts, terms.stretch,
                         std::move(approval)});
@@ -88,7 +88,8 @@
     for (const auto &[number, occurrence] : job.occurrences)
         occurrences.push_back(Json::array({number, saveOccurrence(occurrence)}));
     return Json::array({id, job.queue, job.plan, job.status, job.acceptedAt, job.endedAt,
-                        saveTerms(job.terms), job.begun, std::move(occurrences), job.occurrencesDone});
+                        saveTerms(job.terms), job.begun, std::move(occurrences),
+                        job.occurrencesDone});
 }
 
 StageJob loadJob(const Json &json)
@@ -121,8 +122,8 @@
     for (const auto &[id, job] : m_jobs)
         jobs.push_back(saveJob(id, job));
     std::string bytes;
-    Json::to_cbor(
-        Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs)}), bytes);
+    Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs)}),
+                  bytes);
     return bytes;
 }
 
--- a/Guavashift/Stages/JobPlan.cpp
+++ b/Guavashift/Stages/JobPlan.cpp
@@ -35,10 +35,10 @@
     const std::uint32_t flags = (step.checkpoints ? 1U : 0U) | (step.gang ? 2U : 0U)
         | (step.sameRack ? 4U : 0U) | (step.speculative ? 8U : 0U) | (step.longRunning ? 16U : 0U)
         | (step.fillsLeftover ? 32U : 0U);
-    json = Json::array({step.tasks, step.size.milliCores, step.size.memoryMb,
-                        step.size.accelerators, step.estimateMs, step.after, flags,
-                        step.requiredLabel, step.dataRack, step.maxPerWorker, step.image,
-                        step.tailTargetMs, step.maxUnavailable});
+    json =
+        Json::array({step.tasks, step.size.milliCores, step.size.memoryMb, step.size.accelerators,
+                     step.estimateMs, step.after, flags, step.requiredLabel, step.dataRack,
+                     step.maxPerWorker, step.image, step.tailTargetMs, step.maxUnavailable});
 }
 
 void from_json(const Json &json, StepPlan &step) // NOLINT
@@ -85,8 +85,7 @@
 
 void to_json(Json &json, const JobPlan &plan) // NOLINT
 {
-    json = Json::array(
-        {plan.payload, plan.steps, plan.occurrences, plan.firstAt, plan.intervalMs});
+    json = Json::array({plan.payload, plan.steps, plan.occurrences, plan.firstAt, plan.intervalMs});
 }
 
 void from_json(const Json &json, JobPlan &plan) // NOLINT
--- a/Guavashift/Stages/JobPlan.h
+++ b/Guavashift/Stages/JobPlan.h
@@ -35,7 +35,7 @@
 
     bool operator==(const StepPlan &) const = default;
 };
-void to_json(Json &json, const StepPlan &step); // NOLINT
+void to_json(Json &json, const StepPlan &step);   // NOLINT
 void from_json(const Json &json, StepPlan &step); // NOLINT
 
 /// What a caller hands in.
@@ -58,7 +58,7 @@
     /// Whether every `after` names an earlier step and every step has tasks.
     [[nodiscard]] Findings check() const;
 };
-void to_json(Json &json, const JobPlan &plan); // NOLINT
+void to_json(Json &json, const JobPlan &plan);   // NOLINT
 void from_json(const Json &json, JobPlan &plan); // NOLINT
 
 /// One task: the `task`-th of a step in one occurrence of a job.
--- a/Guavashift/Stages/QueueTable.cpp
+++ b/Guavashift/Stages/QueueTable.cpp
@@ -16,11 +16,10 @@
         m_byHost[m_queues[i].host].push_back(i);
     }
     for (auto &[host, positions] : m_byHost) {
-        std::stable_sort(positions.begin(), positions.end(),
-                         [this](std::size_t left, std::size_t right) {
-                             return m_queues[left].pathPrefix.size()
-                                 > m_queues[right].pathPrefix.size();
-                         });
+        std::stable_sort(
+            positions.begin(), positions.end(), [this](std::size_t left, std::size_t right) {
+                return m_queues[left].pathPrefix.size() > m_queues[right].pathPrefix.size();
+            });
     }
 }
 
--- a/Guavashift/Stages/StageCommands.cpp
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -20,22 +20,23 @@
 Json encodeCommand(const StageCommand &command)
 {
     return std::visit(
-        Overloaded{
-            [](const ReplaceConfiguration &replace) {
-                return Json::array({Kind::Configuration, replace.document});
-            },
-            [](const AcceptJob &accept) {
-                return Json::array({Kind::Accept, accept.job, accept.queue, accept.plan});
-            },
-            [](const CancelJob &cancel) { return Json::array({Kind::Cancel, cancel.job}); },
-            [](const StartRun &start) {
-                return Json::array({Kind::Start, encodeTask(start.task), start.run,
-                                    start.lifetime.worker, start.lifetime.born});
-            },
-            [](const EndRun &end) {
-                return Json::array(
-                    {Kind::End, encodeTask(end.task), end.run, end.end, end.checkpoint});
-            }},
+        Overloaded{[](const ReplaceConfiguration &replace) {
+                       return Json::array({Kind::Configuration, replace.document});
+                   },
+                   [](const AcceptJob &accept) {
+                       return Json::array({Kind::Accept, accept.job, accept.queue, accept.plan});
+                   },
+                   [](const CancelJob &cancel) {
+                       return Json::array({Kind::Cancel, cancel.job});
+                   },
+                   [](const StartRun &start) {
+                       return Json::array({Kind::Start, encodeTask(start.task), start.run,
+                                           start.lifetime.worker, start.lifetime.born});
+                   },
+                   [](const EndRun &end) {
+                       return Json::array(
+                           {Kind::End, encodeTask(end.task), end.run, end.end, end.checkpoint});
+                   }},
         command);
 }
 
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -41,8 +41,7 @@
     std::string checkpoint;
 };
 
-using StageCommand =
-    std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun>;
+using StageCommand = std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun>;
 
 /// Commands that were proposed together, with the leader's wall-clock time.
 struct StageBatch
