--- a/Build/cluster.sh
+++ b/Build/cluster.sh
@@ -11,7 +11,7 @@
 start() {
     local name=$1
     shift
-    "$@" 2>> "$work/$name.log" >> "$work/$name.out" &
+    "$@" >> "$work/$name.log" 2>&1 &
     pids[$name]=$!
 }
 
--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -4,13 +4,6 @@
 
 namespace guavashift {
 
-namespace {
-
-/// Longest sleep without a timer; short enough that a stop is noticed without a wake-up.
-constexpr Duration longestWait = std::chrono::milliseconds(500);
-
-} // namespace
-
 /// Only wakes the reactor; the work itself stands in the queue.
 class EventLoop::Waker final : public ACE_Event_Handler
 {
@@ -79,9 +72,9 @@
     }
 }
 
-void EventLoop::runOnce()
+void EventLoop::runOnce(Duration longest)
 {
-    const Duration wait = untilNextTimer();
+    const Duration wait = untilNextTimer(longest);
     ACE_Time_Value timeout(0, std::chrono::duration_cast<std::chrono::microseconds>(wait).count());
     m_reactor->handle_events(timeout);
     runPosted();
@@ -122,12 +115,12 @@
     }
 }
 
-Duration EventLoop::untilNextTimer() const
+Duration EventLoop::untilNextTimer(Duration longest) const
 {
     if (m_timers.empty())
-        return longestWait;
+        return longest;
     const Duration wait = m_timers.begin()->first.first - BootClock::now();
-    return std::clamp(wait, Duration::zero(), longestWait);
+    return std::clamp(wait, Duration::zero(), longest);
 }
 
 } // namespace guavashift
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -47,8 +47,8 @@
 
     /// Runs until stop().
     void run();
-    /// One round: waits for events, carries out what is due.
-    void runOnce();
+    /// One round: waits for events, at most `longest`, and carries out what is due.
+    void runOnce(Duration longest = std::chrono::milliseconds(500));
     /// Callable from any thread.
     void stop();
 
@@ -59,11 +59,12 @@
 
     void runPosted();
     void runTimers();
-    [[nodiscard]] Duration untilNextTimer() const;
+    [[nodiscard]] Duration untilNextTimer(Duration longest) const;
 
     EventLoopSettings m_settings;
-    std::unique_ptr<ACE_Reactor> m_reactor;
+    // Notifications that the reactor still holds at its end refer to the waker.
     std::unique_ptr<Waker> m_waker;
+    std::unique_ptr<ACE_Reactor> m_reactor;
     std::mutex m_mutex;
     std::deque<Work> m_posted;
     bool m_stopping = false;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -35,10 +35,8 @@
 {
 }
 
-ReplicaDriver::~ReplicaDriver()
-{
-    abandonWaiters();
-}
+// Those who wait are gone before the driver, so they are not told.
+ReplicaDriver::~ReplicaDriver() = default;
 
 bool ReplicaDriver::isSeed() const
 {
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -316,7 +316,8 @@
     }
 }
 
-void WorkerNode::drop(const RunKey &key, std::string_view reason)
+// The key is taken by value: callers name it by the element that is erased here.
+void WorkerNode::drop(RunKey key, std::string_view reason) // NOLINT(performance-unnecessary-value-param)
 {
     m_runs.erase(key);
     if (m_facts)
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -86,7 +86,7 @@
     void stopRun(const StopOrder &order);
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
-    void drop(const RunKey &key, std::string_view reason);
+    void drop(RunKey key, std::string_view reason);
     void endLifetime(bool silent);
     void applyPace();
     void logLoad() const;
--- /dev/null
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -0,0 +1,275 @@
+#include <Guavashift/Dispatch/Dispatch.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+
+using namespace guavashift;
+
+namespace {
+
+tl::expected<QueueTable, Findings> readAny(std::string_view)
+{
+    QueueSettings batch;
+    batch.name = "batch";
+    batch.host = "h";
+    batch.pathPrefix = "/b/";
+    batch.service = "orders";
+    batch.timeoutMs = 1000;
+    batch.targetLatencyMs = 1000;
+    batch.stretch = 2;
+    batch.maxAttempts = 3;
+    return QueueTable(1, {batch}, {{"orders", {}}});
+}
+
+Instant at(int milliseconds)
+{
+    return Instant(std::chrono::seconds(1000) + std::chrono::milliseconds(milliseconds));
+}
+
+WorkerFacts worker(const std::string &id, std::int64_t born = 1)
+{
+    WorkerFacts facts;
+    facts.lifetime = {id, born};
+    facts.service = "orders";
+    facts.capacity = {64'000, 100'000, 0};
+    facts.labels = {"a", "rack"};
+    return facts;
+}
+
+JobPlan plan(std::uint32_t tasks, std::int64_t milliCores, std::int64_t estimateMs = 1000)
+{
+    JobPlan plan;
+    plan.steps.resize(1);
+    plan.steps[0].tasks = tasks;
+    plan.steps[0].size = {milliCores, 100, 0};
+    plan.steps[0].estimateMs = estimateMs;
+    return plan;
+}
+
+} // namespace
+
+/// The leader's decisions, driven like a leader does: each command is applied as if committed.
+class DispatcherTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherTest);
+    CPPUNIT_TEST(bindsBeforeItOrders);
+    CPPUNIT_TEST(staysWithinCapacity);
+    CPPUNIT_TEST(startsAGangWholeOrNotAtAll);
+    CPPUNIT_TEST(waitsForTheLeaseOfASilentWorker);
+    CPPUNIT_TEST(newLeaderWaitsForOldLeases);
+    CPPUNIT_TEST(inventorySettlesOnlyWhatWasBoundBefore);
+    CPPUNIT_TEST(usesNoDrainingWorker);
+    CPPUNIT_TEST(servesFirstWhatCanBeInTime);
+    CPPUNIT_TEST(keepsHarmfulFillersFromFullServers);
+    CPPUNIT_TEST(cancellingStopsRuns);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_book = std::make_unique<JobBook>(JobBookSettings{}, readAny);
+        m_book->apply(0, ReplaceConfiguration{"x"});
+        m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_book);
+        m_dispatcher->start(at(0));
+    }
+
+    void bindsBeforeItOrders()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(1), 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+        commit(commands, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
+    }
+
+    void staysWithinCapacity()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(5, 20'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(2));
+        end({"j", 0, 0, 0}, 1, RunEnd::Done, 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(4));
+    }
+
+    void startsAGangWholeOrNotAtAll()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan gang = plan(4, 20'000);
+        gang.steps[0].gang = true;
+        accept("j", gang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(1));
+        m_dispatcher->workerReported("n2", worker("w2"), at(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, decideAndCommit(3));
+    }
+
+    void waitsForTheLeaseOfASilentWorker()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        decideAndCommit(1);
+        m_dispatcher->nodeLost("n1");
+        m_dispatcher->workerReported("n2", worker("w2"), at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(4500));
+        m_dispatcher->leaseGranted("n2", at(4500));
+        // The lease with its margin is over: the run has ended, and the task starts elsewhere.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5001));
+        CPPUNIT_ASSERT_EQUAL(2U, m_book->find({"j", 0, 0, 0})->run);
+    }
+
+    void newLeaderWaitsForOldLeases()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        decideAndCommit(1);
+        Dispatcher next({}, *m_book);
+        next.start(at(100));
+        CPPUNIT_ASSERT(next.decide(at(4900), 0).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.decide(at(5100), 0).size());
+    }
+
+    void inventorySettlesOnlyWhatWasBoundBefore()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        decideAndCommit(10);
+        const Lifetime lifetime = worker("w1").lifetime;
+        // Bound after the session began: its order is on the way.
+        m_dispatcher->inventoryReported(lifetime, {}, at(5));
+        CPPUNIT_ASSERT(m_dispatcher->decide(at(11), 11).empty());
+        // Bound before: it never arrived and never will.
+        m_dispatcher->inventoryReported(lifetime, {}, at(20));
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(21), 21);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        CPPUNIT_ASSERT(RunEnd::NotStarted == std::get<EndRun>(commands[0]).end);
+    }
+
+    void usesNoDrainingWorker()
+    {
+        WorkerFacts facts = worker("w1");
+        facts.draining = true;
+        m_dispatcher->workerReported("n1", facts, at(0));
+        accept("j", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(1));
+    }
+
+    void servesFirstWhatCanBeInTime()
+    {
+        // First in, first out and earliest objective first would both run the hopeless job.
+        accept("old", plan(1, 60'000, 1000));
+        accept("new", plan(1, 60'000, 1000), 9000);
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(1), 9001);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), std::get<StartRun>(commands[0]).task.job);
+    }
+
+    void keepsHarmfulFillersFromFullServers()
+    {
+        // Least loaded by processors would choose w1; its serving task has no headroom.
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan serving = plan(1, 10'000);
+        serving.steps[0].longRunning = true;
+        serving.steps[0].tailTargetMs = 50;
+        serving.steps[0].image = "server";
+        accept("s", serving);
+        decideAndCommit(1);
+        m_dispatcher->rowsReported(worker("w1").lifetime,
+                                   std::vector<RunRow>{{{"s", 0, 0, 0}, 1, {}, 100, 45.0}},
+                                   at(2));
+        JobPlan filler = plan(1, 8000);
+        filler.steps[0].fillsLeftover = true;
+        filler.steps[0].image = "press";
+        accept("f", filler);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(3));
+        WorkerFacts small = worker("w2");
+        small.capacity.milliCores = 32'000;
+        m_dispatcher->workerReported("n2", small, at(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5));
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), m_book->find({"f", 0, 0, 0})->lifetime.worker);
+    }
+
+    void cancellingStopsRuns()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        decideAndCommit(1);
+        m_dispatcher->takeOrders();
+        commit({CancelJob{"j"}}, 2);
+        const auto orders = m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT(std::holds_alternative<StopOrder>(orders[0].second));
+    }
+
+private:
+    void accept(const std::string &job, const JobPlan &plan, WallMs time = 0)
+    {
+        const StageCommand command = AcceptJob{job, "batch", plan};
+        const StageOutcome outcome = m_book->apply(time, command);
+        m_dispatcher->applied(command, outcome, at(0));
+    }
+
+    void commit(const std::vector<StageCommand> &commands, int milliseconds)
+    {
+        for (const StageCommand &command : commands) {
+            const StageOutcome outcome = m_book->apply(0, command);
+            m_dispatcher->applied(command, outcome, at(milliseconds));
+        }
+    }
+
+    std::size_t decideAndCommit(int milliseconds)
+    {
+        const std::vector<StageCommand> commands =
+            m_dispatcher->decide(at(milliseconds), milliseconds);
+        commit(commands, milliseconds);
+        return commands.size();
+    }
+
+    void end(const TaskRef &ref, std::uint32_t run, RunEnd how, int milliseconds)
+    {
+        m_dispatcher->endReported({ref, run, how, {}});
+        commit(m_dispatcher->decide(at(milliseconds), milliseconds), milliseconds);
+    }
+
+    std::unique_ptr<JobBook> m_book;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
+
+/// What is learned of pairs of images.
+class HarmTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HarmTableTest);
+    CPPUNIT_TEST(tellsHarmfulFromHarmless);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tellsHarmfulFromHarmless()
+    {
+        HarmTable table;
+        const double unknown = table.harm("server", "press");
+        // Both come and go at different times; only one of them costs headroom.
+        for (int i = 0; i < 40; ++i) {
+            const double press = i % 2 == 0 ? 0.1 : 0;
+            const double feather = i % 3 == 0 ? 0.2 : 0;
+            const double pressBefore = i % 2 == 0 ? 0 : 0.1;
+            const double featherBefore = i % 3 == 1 ? 0.2 : 0;
+            const double noise = (i % 5 - 2) * 0.05;
+            table.observe("server", {{"press", pressBefore}, {"feather", featherBefore}},
+                          {{"press", press}, {"feather", feather}},
+                          7 * (press - pressBefore) + noise);
+        }
+        table.solve();
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(7, table.harm("server", "press"), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, table.harm("server", "feather"), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(unknown, table.harm("server", "other"), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, table.total("server", {{"press", 0.1}}), 0.1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HarmTableTest);
--- /dev/null
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -0,0 +1,126 @@
+#include <UnitTests/Fleet/FakeWorker.h>
+
+namespace guavashift {
+
+FakeWorker::FakeWorker(EventLoop &loop, std::string id, std::int64_t born)
+    : m_loop(loop)
+    , m_id(std::move(id))
+    , m_born(born)
+    , m_startedAt(BootClock::now() - std::chrono::seconds(10))
+{
+}
+
+WorkerFacts FakeWorker::facts() const
+{
+    WorkerFacts facts;
+    facts.lifetime = {m_id, m_born};
+    facts.service = "orders";
+    facts.capacity = {16'000, 32'000, 0};
+    facts.labels = {"a", "r1"};
+    return facts;
+}
+
+std::int64_t FakeWorker::clockMs() const
+{
+    return toMs(BootClock::now() - m_startedAt);
+}
+
+WorkerReply FakeWorker::reply(WorkerCallResult result) const
+{
+    WorkerReply reply;
+    reply.result = result;
+    reply.born = m_born;
+    reply.clockMs = clockMs();
+    return reply;
+}
+
+bool FakeWorker::admit(std::uint64_t fence)
+{
+    expire();
+    if (fence < m_fence)
+        return false;
+    m_fence = fence;
+    return true;
+}
+
+void FakeWorker::expire()
+{
+    if (clockMs() <= m_untilMs)
+        return;
+    while (!m_running.empty())
+        end(m_running.begin()->first, RunEnd::Lapsed);
+}
+
+void FakeWorker::end(const Key &key, RunEnd how)
+{
+    const Key ended = key;
+    m_running.erase(ended);
+    if (how == RunEnd::Done)
+        m_done.insert(ended.first);
+    m_listed.push_back({++m_ends, {ended.first, ended.second, how, {}}});
+}
+
+void FakeWorker::hold(const HoldRequest &request, Callback callback)
+{
+    if (!admit(request.fence))
+        return callback(reply(WorkerCallResult::FencedOff));
+    m_untilMs = std::max(m_untilMs, request.untilMs);
+    std::erase_if(m_listed,
+                  [&](const ListedEnd &each) { return each.number <= request.seenUpTo; });
+    // Ends are looked for after a short wait instead of being waited for.
+    constexpr Duration shortWait = std::chrono::milliseconds(5);
+    m_loop.after(shortWait, [this, callback, caller = m_callers] {
+        if (caller != m_callers)
+            return;
+        for (const auto &[key, endsAt] : std::map<Key, Instant>(m_running)) {
+            if (BootClock::now() >= endsAt)
+                end(key, RunEnd::Done);
+        }
+        WorkerReply answer = reply(WorkerCallResult::Done);
+        for (const auto &[key, endsAt] : m_running)
+            answer.running.push_back({key.first, key.second, {}, 100, 0});
+        answer.ended = m_listed;
+        callback(answer);
+    });
+}
+
+void FakeWorker::start(const StartRequest &request, Callback callback)
+{
+    if (m_swallow > 0) {
+        --m_swallow;
+        return callback(WorkerReply{});
+    }
+    const Key key{request.order.traits.task, request.order.traits.run};
+    if (!admit(request.fence))
+        return callback(reply(WorkerCallResult::FencedOff));
+    if (key.second <= m_highest[key.first])
+        return callback(reply(WorkerCallResult::TooOld));
+    if (request.untilMs <= clockMs())
+        return callback(reply(WorkerCallResult::TooLate));
+    m_untilMs = std::max(m_untilMs, request.untilMs);
+    for (const auto &[other, endsAt] : m_running)
+        m_brokeRules = m_brokeRules || other.first == key.first;
+    m_brokeRules = m_brokeRules || m_done.contains(key.first);
+    m_highest[key.first] = key.second;
+    ++m_starts[key.first];
+    m_running.emplace(key, BootClock::now() + m_taskTime);
+    callback(reply(WorkerCallResult::Done));
+}
+
+void FakeWorker::stop(const StopRequest &request, Callback callback)
+{
+    if (!admit(request.fence))
+        return callback(reply(WorkerCallResult::FencedOff));
+    const Key key{request.order.task, request.order.run};
+    m_highest[key.first] = std::max(m_highest[key.first], key.second);
+    if (m_running.contains(key))
+        end(key, RunEnd::Stopped);
+    callback(reply(WorkerCallResult::Done));
+}
+
+void FakeWorker::pace(const PaceRequest &request, Callback callback)
+{
+    callback(reply(admit(request.fence) ? WorkerCallResult::Done : WorkerCallResult::FencedOff));
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <Guavashift/Channel/Channel.h>
+#include <Guavashift/Fleet/Fleet.h>
+
+namespace guavashift {
+
+/// A worker in memory that keeps the rules of a real one: fencing tokens, run numbers, leases on its
+/// own clock, ends listed until they are acknowledged. Tasks take as long as the test says.
+class FakeWorker final : public WorkerPort
+{
+public:
+    FakeWorker(EventLoop &loop, std::string id, std::int64_t born);
+
+    /// The next starts get no answer and are not carried out.
+    void swallowStarts(int count) { m_swallow = count; }
+    /// Answers to calls made so far are dropped: their caller is gone.
+    void hangUp() { ++m_callers; }
+    void setTaskTime(Duration time) { m_taskTime = time; }
+    [[nodiscard]] WorkerFacts facts() const;
+    [[nodiscard]] std::size_t running() const { return m_running.size(); }
+    /// Starts that were carried out, by task.
+    [[nodiscard]] const std::map<TaskRef, int> &starts() const { return m_starts; }
+    /// Whether a task ever ran twice at the same time or after it was done.
+    [[nodiscard]] bool brokeRules() const { return m_brokeRules; }
+
+    void hold(const HoldRequest &request, Callback callback) override;
+    void start(const StartRequest &request, Callback callback) override;
+    void stop(const StopRequest &request, Callback callback) override;
+    void pace(const PaceRequest &request, Callback callback) override;
+
+private:
+    using Key = std::pair<TaskRef, std::uint32_t>;
+
+    [[nodiscard]] std::int64_t clockMs() const;
+    [[nodiscard]] WorkerReply reply(WorkerCallResult result) const;
+    bool admit(std::uint64_t fence);
+    void end(const Key &key, RunEnd how);
+    void expire();
+
+    EventLoop &m_loop;
+    std::string m_id;
+    std::int64_t m_born;
+    Instant m_startedAt;
+    Duration m_taskTime = std::chrono::milliseconds(50);
+    int m_swallow = 0;
+    std::uint64_t m_fence = 0;
+    std::int64_t m_untilMs = 0;
+    std::uint64_t m_ends = 0;
+    std::map<Key, Instant> m_running;
+    std::map<TaskRef, std::uint32_t> m_highest;
+    std::vector<ListedEnd> m_listed;
+    std::map<TaskRef, int> m_starts;
+    std::set<TaskRef> m_done;
+    bool m_brokeRules = false;
+    int m_callers = 0;
+};
+
+} // namespace guavashift
--- /dev/null
+++ b/UnitTests/Stages/JobBookTest.cpp
@@ -0,0 +1,220 @@
+#include <Guavashift/Stages/Stages.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace guavashift;
+
+namespace {
+
+/// Reads documents that are just a version.
+tl::expected<QueueTable, Findings> readVersion(std::string_view text)
+{
+    if (text.empty() || text.find_first_not_of("0123456789") != std::string_view::npos)
+        return tl::unexpected(Findings{{"", "not a number"}});
+    QueueSettings queue;
+    queue.name = "counter";
+    queue.host = "desk.example";
+    queue.pathPrefix = "/counter/";
+    queue.service = "orders";
+    queue.timeoutMs = 1000;
+    queue.maxAttempts = 2;
+    return QueueTable(std::stoull(std::string(text)), {queue}, {{"orders", {}}});
+}
+
+JobPlan twoSteps()
+{
+    JobPlan plan;
+    plan.payload = "work";
+    plan.steps.resize(2);
+    plan.steps[0].tasks = 2;
+    plan.steps[1].after = {0};
+    return plan;
+}
+
+TaskRef task(std::uint32_t step, std::uint32_t number, std::uint32_t occurrence = 0)
+{
+    return {"j", occurrence, step, number};
+}
+
+const Lifetime here{"w1", 7};
+
+} // namespace
+
+/// The rules on order and number of runs, which hold whatever a leader proposes.
+class JobBookTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JobBookTest);
+    CPPUNIT_TEST(runsStepsInOrder);
+    CPPUNIT_TEST(bindsNoTaskTwice);
+    CPPUNIT_TEST(takesOneEndForEachRun);
+    CPPUNIT_TEST(failsAfterTheLastAttempt);
+    CPPUNIT_TEST(lapsesAreNoAttempts);
+    CPPUNIT_TEST(oneEndStandsForAGang);
+    CPPUNIT_TEST(startsLastingTasksAgainHoweverTheyEnd);
+    CPPUNIT_TEST(countsOccurrences);
+    CPPUNIT_TEST(keepsTheHighestConfiguration);
+    CPPUNIT_TEST(forgetsEndedJobsInTime);
+    CPPUNIT_TEST(savesAndLoadsAlike);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_book = std::make_unique<JobBook>(JobBookSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(m_book->apply(0, ReplaceConfiguration{"3"}).applied);
+    }
+
+    void runsStepsInOrder()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(!start(task(1, 0), 1));
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && start(task(0, 1), 1));
+        CPPUNIT_ASSERT(end(task(0, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(!start(task(1, 0), 1));
+        CPPUNIT_ASSERT(end(task(0, 1), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(start(task(1, 0), 1));
+        CPPUNIT_ASSERT(end(task(1, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(StageJobStatus::Completed == m_book->find("j")->status);
+    }
+
+    void bindsNoTaskTwice()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1));
+        CPPUNIT_ASSERT(!start(task(0, 0), 2));
+        CPPUNIT_ASSERT(end(task(0, 0), 1, RunEnd::Lapsed));
+        CPPUNIT_ASSERT(!start(task(0, 0), 1));
+        CPPUNIT_ASSERT(start(task(0, 0), 2));
+        CPPUNIT_ASSERT(end(task(0, 0), 2, RunEnd::Done));
+        CPPUNIT_ASSERT(!start(task(0, 0), 3));
+    }
+
+    void takesOneEndForEachRun()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1));
+        CPPUNIT_ASSERT(!end(task(0, 0), 2, RunEnd::Done));
+        CPPUNIT_ASSERT(end(task(0, 0), 1, RunEnd::Stopped));
+        CPPUNIT_ASSERT(!end(task(0, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(TaskStage::Waiting == m_book->find(task(0, 0))->stage);
+    }
+
+    void failsAfterTheLastAttempt()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && end(task(0, 0), 1, RunEnd::Failed));
+        CPPUNIT_ASSERT(m_book->find("j")->isActive());
+        CPPUNIT_ASSERT(start(task(0, 0), 2) && end(task(0, 0), 2, RunEnd::Failed));
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_book->find("j")->status);
+        CPPUNIT_ASSERT(!start(task(0, 1), 1));
+    }
+
+    void lapsesAreNoAttempts()
+    {
+        accept(twoSteps());
+        for (std::uint32_t run = 1; run < 6; ++run)
+            CPPUNIT_ASSERT(start(task(0, 0), run) && end(task(0, 0), run, RunEnd::Lapsed));
+        CPPUNIT_ASSERT(m_book->find("j")->isActive());
+    }
+
+    void oneEndStandsForAGang()
+    {
+        JobPlan plan = twoSteps();
+        plan.steps[0].gang = true;
+        accept(plan);
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && start(task(0, 1), 1));
+        CPPUNIT_ASSERT(end(task(0, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(!end(task(0, 1), 1, RunEnd::Broken));
+        CPPUNIT_ASSERT(start(task(1, 0), 1));
+        CPPUNIT_ASSERT_EQUAL(1U, m_book->find("j")->bound);
+    }
+
+    void startsLastingTasksAgainHoweverTheyEnd()
+    {
+        JobPlan plan;
+        plan.steps.resize(1);
+        plan.steps[0].longRunning = true;
+        accept(plan);
+        for (std::uint32_t run = 1; run < 6; ++run)
+            CPPUNIT_ASSERT(start(task(0, 0), run) && end(task(0, 0), run, RunEnd::Failed));
+        CPPUNIT_ASSERT(m_book->find("j")->isActive());
+        CPPUNIT_ASSERT(m_book->apply(1, CancelJob{"j"}).applied);
+        CPPUNIT_ASSERT(!start(task(0, 0), 6));
+    }
+
+    void countsOccurrences()
+    {
+        JobPlan plan;
+        plan.steps.resize(1);
+        plan.occurrences = 2;
+        plan.firstAt = 100;
+        plan.intervalMs = 50;
+        accept(plan);
+        CPPUNIT_ASSERT_EQUAL(WallMs{150}, plan.dueAt(1));
+        CPPUNIT_ASSERT(start(task(0, 0, 1), 1) && end(task(0, 0, 1), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(!start(task(0, 0, 1), 2));
+        CPPUNIT_ASSERT(!start(task(0, 0, 2), 1));
+        CPPUNIT_ASSERT(start(task(0, 0, 0), 1) && end(task(0, 0, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(StageJobStatus::Completed == m_book->find("j")->status);
+    }
+
+    void keepsTheHighestConfiguration()
+    {
+        CPPUNIT_ASSERT(!m_book->apply(1, ReplaceConfiguration{"3"}).applied);
+        CPPUNIT_ASSERT(!m_book->apply(1, ReplaceConfiguration{"2"}).applied);
+        CPPUNIT_ASSERT(!m_book->apply(1, ReplaceConfiguration{"none"}).applied);
+        CPPUNIT_ASSERT(m_book->apply(1, ReplaceConfiguration{"9"}).applied);
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), m_book->document());
+    }
+
+    void forgetsEndedJobsInTime()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_book->pendingIn("counter"));
+        CPPUNIT_ASSERT(m_book->apply(10, CancelJob{"j"}).applied);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_book->pendingIn("counter"));
+        m_book->apply(1000, ReplaceConfiguration{"4"});
+        CPPUNIT_ASSERT(m_book->find("j") != nullptr);
+        m_book->apply(1011, ReplaceConfiguration{"5"});
+        CPPUNIT_ASSERT(m_book->find("j") == nullptr);
+    }
+
+    void savesAndLoadsAlike()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && start(task(0, 1), 1));
+        CPPUNIT_ASSERT(end(task(0, 1), 1, RunEnd::Stopped, "saved"));
+        JobBook copy(JobBookSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_book->save()));
+        CPPUNIT_ASSERT_EQUAL(m_book->save(), copy.save());
+        CPPUNIT_ASSERT_EQUAL(m_book->digest(), copy.digest());
+        CPPUNIT_ASSERT_EQUAL(std::string("saved"), copy.find(task(0, 1))->checkpoint);
+        CPPUNIT_ASSERT_EQUAL(1U, copy.find("j")->bound);
+        CPPUNIT_ASSERT(!copy.load("nothing of ours"));
+    }
+
+private:
+    void accept(const JobPlan &plan)
+    {
+        CPPUNIT_ASSERT(m_book->apply(0, AcceptJob{"j", "counter", plan}).applied);
+    }
+
+    bool start(const TaskRef &ref, std::uint32_t run)
+    {
+        // Through the log's format, as in a real replica.
+        const StageBatch batch =
+            StageBatch::decode(StageBatch{0, {StartRun{ref, run, here}}}.encode());
+        return m_book->apply(0, batch.commands.front()).applied;
+    }
+
+    bool end(const TaskRef &ref, std::uint32_t run, RunEnd how, const std::string &saved = {})
+    {
+        const StageBatch batch =
+            StageBatch::decode(StageBatch{0, {EndRun{ref, run, how, saved}}}.encode());
+        return m_book->apply(0, batch.commands.front()).applied;
+    }
+
+    std::unique_ptr<JobBook> m_book;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobBookTest);
