--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -142,7 +142,6 @@
         if (sent <= 0)
             return lose("broken while sending");
         m_outputDone += static_cast<std::size_t>(sent);
-        m_bytesSent += static_cast<std::uint64_t>(sent);
         m_lastOutput = BootClock::now();
     }
     m_output.clear();
--- a/Guavashift/Channel/FrameConnection.h
+++ b/Guavashift/Channel/FrameConnection.h
@@ -47,7 +47,6 @@
     /// Closes without calling onClosed.
     void close();
     [[nodiscard]] bool isOpen() const { return m_handle != ACE_INVALID_HANDLE; }
-    [[nodiscard]] std::uint64_t bytesSent() const { return m_bytesSent; }
 
     // ACE_Event_Handler
     ACE_HANDLE get_handle() const override { return m_handle; } // NOLINT
@@ -77,7 +76,6 @@
     Instant m_lastOutput;
     Instant m_started;
     EventLoop::TimerId m_watchTimer = 0;
-    std::uint64_t m_bytesSent = 0;
     /// Cleared by the destructor, so that a callback that drops this object is noticed.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -291,12 +291,6 @@
         evacuate(*worker, boundBefore);
 }
 
-void Dispatcher::workerSilent(const Lifetime &lifetime, bool silent)
-{
-    if (PoolWorker *worker = m_pool.find(lifetime))
-        worker->silent = silent;
-}
-
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, bool silent, Instant)
 {
     PoolWorker *worker = m_pool.find(lifetime);
@@ -381,64 +375,74 @@
 
 void Dispatcher::applied(const StageCommand &command, const StageOutcome &outcome, Instant now)
 {
-    std::visit(
-        Overloaded{[](const ReplaceConfiguration &) {},
-                   [&](const AcceptJob &accept) {
-                       if (!outcome.applied)
-                           return;
-                       const StageJob &job = *m_book.find(accept.job);
-                       offerReadySteps(accept.job, job);
-                       scheduleOccurrences(accept.job, job);
-                   },
-                   [&](const CancelJob &cancel) { withdraw(cancel.job); },
-                   [&](const StartRun &start) {
-                       const auto placed = m_placed.find(start.task);
-                       if (placed == m_placed.end())
-                           return;
-                       if (!outcome.applied)
-                           return proposalLost(command);
-                       PoolWorker &worker = *m_pool.find(start.lifetime);
-                       PlacedRun &run = worker.runs.at(start.task);
-                       run.committed = true;
-                       run.boundAt = now;
-                       const StageJob &job = *m_book.find(start.task.job);
-                       const StepPlan &step = job.plan.steps[start.task.step];
-                       // Without an agent it is settled by the next agent's inventory or the lease.
-                       if (!worker.node.empty())
-                           m_orders.emplace_back(
-                               worker.node,
-                               StartOrder{start.lifetime,
-                                          {start.task, start.run, step.image, step.tailTargetMs,
-                                           step.fillsLeftover, step.size.milliCores},
-                                          job.plan.payload,
-                                          m_book.find(start.task)->checkpoint,
-                                          {}});
-                   },
-                   [&](const EndRun &end) {
-                       m_endsProposed.erase({end.task, end.run});
-                       if (!outcome.applied)
-                           return;
-                       const auto placed = m_placed.find(end.task);
-                       if (placed != m_placed.end()) {
-                           const Lifetime lifetime = placed->second;
-                           noteEnd(end, lifetime, now);
-                           m_pool.release(lifetime, end.task);
-                           m_placed.erase(placed);
-                           if (!m_pool.find(lifetime)->hasFacts)
-                               m_pool.removeIfIdle(lifetime);
-                       }
-                       const StageJob *job = m_book.find(end.task.job);
-                       if (job == nullptr)
-                           return;
-                       if (!job->isActive())
-                           return withdraw(end.task.job);
-                       const StageTask *task = m_book.find(end.task);
-                       if (task != nullptr && task->stage == TaskStage::Waiting)
-                           offer(end.task);
-                       else
-                           offerReadySteps(end.task.job, *job);
-                   }},
-        command);
+    std::visit(Overloaded{[](const ReplaceConfiguration &) {},
+                          [&](const AcceptJob &accept) {
+                              if (outcome.applied)
+                                  jobAccepted(accept.job);
+                          },
+                          [&](const CancelJob &cancel) { withdraw(cancel.job); },
+                          [&](const StartRun &start) {
+                              if (outcome.applied)
+                                  runBound(start, now);
+                              else
+                                  proposalLost(command);
+                          },
+                          [&](const EndRun &end) {
+                              m_endsProposed.erase({end.task, end.run});
+                              if (outcome.applied)
+                                  runEnded(end, now);
+                          }},
+               command);
+}
+
+void Dispatcher::jobAccepted(const std::string &id)
+{
+    const StageJob &job = *m_book.find(id);
+    offerReadySteps(id, job);
+    scheduleOccurrences(id, job);
+}
+
+void Dispatcher::runBound(const StartRun &start, Instant now)
+{
+    if (!m_placed.contains(start.task))
+        return;
+    PoolWorker &worker = *m_pool.find(start.lifetime);
+    PlacedRun &run = worker.runs.at(start.task);
+    run.committed = true;
+    run.boundAt = now;
+    // Without an agent it is settled by the next agent's inventory or by the lease.
+    if (worker.node.empty())
+        return;
+    const StageJob &job = *m_book.find(start.task.job);
+    m_orders.emplace_back(worker.node,
+                          StartOrder{start.lifetime,
+                                     traitsOf(start.task, start.run),
+                                     job.plan.payload,
+                                     m_book.find(start.task)->checkpoint,
+                                     {}});
+}
+
+void Dispatcher::runEnded(const EndRun &end, Instant now)
+{
+    const auto placed = m_placed.find(end.task);
+    if (placed != m_placed.end()) {
+        const Lifetime lifetime = placed->second;
+        noteEnd(end, lifetime, now);
+        m_pool.release(lifetime, end.task);
+        m_placed.erase(placed);
+        if (!m_pool.find(lifetime)->hasFacts)
+            m_pool.removeIfIdle(lifetime);
+    }
+    const StageJob *job = m_book.find(end.task.job);
+    if (job == nullptr)
+        return;
+    if (!job->isActive())
+        return withdraw(end.task.job);
+    const StageTask *task = m_book.find(end.task);
+    if (task != nullptr && task->stage == TaskStage::Waiting)
+        offer(end.task);
+    else
+        offerReadySteps(end.task.job, *job);
 }
 
 void Dispatcher::proposalLost(const StageCommand &command)
@@ -485,6 +489,12 @@
     return std::exchange(m_orders, {});
 }
 
+RunTraits Dispatcher::traitsOf(const TaskRef &task, std::uint32_t run) const
+{
+    const StepPlan &step = m_book.find(task.job)->plan.steps[task.step];
+    return {task, run, step.image, step.tailTargetMs, step.fillsLeftover, step.size.milliCores};
+}
+
 std::vector<RunTraits> Dispatcher::traitsOf(const Lifetime &lifetime) const
 {
     std::vector<RunTraits> traits;
@@ -493,11 +503,8 @@
         return traits;
     for (const auto &[task, run] : found->second.runs) {
         const StageJob *job = m_book.find(task.job);
-        if (job == nullptr || job->plan.steps.empty())
-            continue;
-        const StepPlan &step = job->plan.steps[task.step];
-        traits.push_back({task, run.run, step.image, step.tailTargetMs, step.fillsLeftover,
-                          step.size.milliCores});
+        if (job != nullptr && !job->plan.steps.empty())
+            traits.push_back(traitsOf(task, run.run));
     }
     return traits;
 }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -88,7 +88,6 @@
     void lifetimeEnded(const Lifetime &lifetime, bool silent, Instant now);
     void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
                       Instant now);
-    void workerSilent(const Lifetime &lifetime, bool silent);
     void endReported(const EndRun &end);
 
     /// A command was committed and applied to the book.
@@ -106,8 +105,6 @@
 
     /// What the agent needs to know of the runs it found.
     [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
-    [[nodiscard]] const WorkerPool &pool() const { return m_pool; }
-    [[nodiscard]] std::size_t readyTasks() const { return m_ready.size(); }
 
 private:
     [[nodiscard]] ReadyTask readyTask(const StageJob &job, const TaskRef &ref) const;
@@ -116,6 +113,10 @@
     void offerStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
                    std::uint32_t step);
     void offerReadySteps(const std::string &id, const StageJob &job);
+    void jobAccepted(const std::string &id);
+    void runBound(const StartRun &start, Instant now);
+    void runEnded(const EndRun &end, Instant now);
+    [[nodiscard]] RunTraits traitsOf(const TaskRef &task, std::uint32_t run) const;
     void withdraw(const std::string &id);
     void scheduleOccurrences(const std::string &id, const StageJob &job);
     void beginDueOccurrences(WallMs wallNow);
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -70,6 +70,12 @@
     return m_listener.open(m_settings.channelAddress());
 }
 
+void CoreNode::setSeeds(const std::vector<std::string> &seeds)
+{
+    m_driver.setSeeds(seeds);
+    m_link.setSeeds(seeds);
+}
+
 void CoreNode::drain()
 {
     m_driver.handOver();
--- a/Guavashift/Fleet/CoreNode.h
+++ b/Guavashift/Fleet/CoreNode.h
@@ -14,6 +14,8 @@
              QueueTableReader reader, std::uint64_t seed);
 
     Result<void> start();
+    /// The settings name other control processes now.
+    void setSeeds(const std::vector<std::string> &seeds);
     /// Hands leadership over; call before the planned end.
     void drain();
 
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -26,13 +26,14 @@
                 const ChannelSettings &channel, std::uint64_t seed);
 
     Result<void> start();
+    /// The settings name other control processes now.
+    void setSeeds(const std::vector<std::string> &seeds) { m_link.setSeeds(seeds); }
 
     /// `deadline` is what the caller waits at most; zero if it did not say.
     void call(FleetCall call, Duration deadline, Answer answer);
 
     /// Whether calls can be answered now.
     [[nodiscard]] bool isReady() const { return m_link.isOpen(); }
-    [[nodiscard]] std::size_t pending() const { return m_pending.size(); }
 
 private:
     struct Pending
--- a/Guavashift/Fleet/LeaderLink.h
+++ b/Guavashift/Fleet/LeaderLink.h
@@ -37,6 +37,8 @@
     /// Looks for a leader from now on, or ends the session and looks no more.
     void setWanted(bool wanted);
     void send(const FleetMessage &message);
+    /// Other control processes to ask from now on, beside those that the leader names.
+    void setSeeds(const std::vector<std::string> &seeds) { m_fleet.seeds = seeds; }
     [[nodiscard]] bool isOpen() const { return m_isOpen; }
     /// When the session's connection was last found to be alive is watched by the channel.
     [[nodiscard]] const Directory &directory() const { return m_directory; }
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -61,6 +61,8 @@
     [[nodiscard]] std::string leaderAddress() const;
     /// Channels of all replicas that are known.
     [[nodiscard]] std::vector<std::string> addresses() const;
+    /// Other control processes to ask from now on, beside the members.
+    void setSeeds(const std::vector<std::string> &seeds) { m_fleet.seeds = seeds; }
     /// Asks another voter to take over.
     void handOver();
 
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -37,6 +37,8 @@
                const ChannelSettings &channel, WorkerPort &port, std::uint64_t seed);
 
     Result<void> start();
+    /// The settings name other control processes now.
+    void setSeeds(const std::vector<std::string> &seeds) { m_link.setSeeds(seeds); }
 
     /// The worker's word on itself. An older one than the last is passed over.
     void workerReported(const WorkerFacts &facts, std::uint64_t sequence);
--- a/Guavashift/Http/AsyncHttpServer.cpp
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -82,7 +82,6 @@
     }
 
     void startClosing() { m_closing = true; }
-    [[nodiscard]] std::size_t waiting() const { return m_waiting; }
 
 private:
     static MHD_Result onAccess(void *cls, MHD_Connection *connection, const char *url,
@@ -128,18 +127,15 @@
         // The next call asks for the answer; the one after a resume finds it.
         if (!exchange->handed) {
             exchange->handed = true;
-            ++m_waiting;
-            m_handler(std::move(exchange->request),
-                      [this, exchange, connection](HttpResponse response) {
-                          const std::lock_guard lock(exchange->mutex);
-                          if (exchange->answered)
-                              return;
-                          --m_waiting;
-                          exchange->answered = true;
-                          exchange->response = std::move(response);
-                          if (exchange->suspended)
-                              MHD_resume_connection(connection);
-                      });
+            m_handler(std::move(exchange->request), [exchange, connection](HttpResponse response) {
+                const std::lock_guard lock(exchange->mutex);
+                if (exchange->answered)
+                    return;
+                exchange->answered = true;
+                exchange->response = std::move(response);
+                if (exchange->suspended)
+                    MHD_resume_connection(connection);
+            });
         }
         {
             const std::lock_guard lock(exchange->mutex);
@@ -170,7 +166,6 @@
     Handler m_handler;
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<bool> m_closing = false;
-    std::atomic<std::size_t> m_waiting = 0;
 };
 
 AsyncHttpServer::AsyncHttpServer(const HttpServerSettings &settings, Handler handler)
@@ -195,9 +190,4 @@
     m_implementation->startClosing();
 }
 
-std::size_t AsyncHttpServer::waiting() const
-{
-    return m_implementation->waiting();
-}
-
 } // namespace guavashift
--- a/Guavashift/Http/AsyncHttpServer.h
+++ b/Guavashift/Http/AsyncHttpServer.h
@@ -24,8 +24,6 @@
     void stop();
     /// Answers carry "Connection: close" from now on, so that callers go elsewhere.
     void startClosing();
-    /// Requests whose answer has not been handed over.
-    [[nodiscard]] std::size_t waiting() const;
 
 private:
     class Implementation;
