Keep workers whose lease ran out while their agent is there; hand over a slow disk

Ruled out: lost proposals (a lost lead ends all sessions) and lost orders (the inventory settles). Change: such a worker only loses its runs and is used again after the next grant; a leader whose sync takes 100 ms hands over. Test: usesAWorkerAgainOnceItsLeaseIsRenewed, which failed before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -471,8 +471,14 @@
         if (now > worker.leaseEnd)
             expired.push_back(lifetime);
     }
-    for (const Lifetime &lifetime : expired)
-        lifetimeEnded(lifetime, false, now);
+    for (const Lifetime &lifetime : expired) {
+        // While its agent is there the worker is only without a lease: the next grant makes it
+        // usable again, and nobody would report it anew.
+        if (m_pool.find(lifetime)->node.empty())
+            lifetimeEnded(lifetime, false, now);
+        else
+            endAllRuns(lifetime, RunEnd::Lapsed);
+    }
 }
 
 std::vector<StageCommand> Dispatcher::decide(Instant now, WallMs wallNow)
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -135,7 +135,8 @@
                         const TaskRef &ref, Instant now) const
 {
     if (!worker.hasFacts || worker.node.empty() || worker.silent || worker.facts.draining
-        || worker.facts.service != queue.service || now < worker.suspectUntil)
+        || worker.facts.service != queue.service || now < worker.suspectUntil
+        || now >= worker.leaseEnd)
         return false;
     if (!step.requiredLabel.empty() && !worker.facts.hasLabel(step.requiredLabel))
         return false;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -271,8 +271,15 @@
                        effect);
         }
     }
-    if (needsSync && !m_stopped)
-        check(m_store->sync());
+    if (!needsSync || m_stopped)
+        return;
+    const Instant started = BootClock::now();
+    check(m_store->sync());
+    const Duration took = BootClock::now() - started;
+    if (took < m_settings.slowSync || !leads())
+        return;
+    logEvent(LogLevel::Warning, "disk-slow", {{"sync_ms", toMs(took)}});
+    handOver();
 }
 
 void ReplicaDriver::sendMessages(const std::vector<Effect> &effects, bool afterSync)
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -20,6 +20,8 @@
     Duration reconnectPause = std::chrono::milliseconds(200);
     /// How often timers of the replica are looked at.
     Duration tick = std::chrono::milliseconds(25);
+    /// A leader whose disk takes longer to sync hands over: it could not keep its lease.
+    Duration slowSync = std::chrono::milliseconds(100);
     /// Digests are compared at multiples of this index.
     LogIndex digestInterval = 64;
 };
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(newLeaderWaitsForOldLeases);
     CPPUNIT_TEST(inventorySettlesOnlyWhatWasBoundBefore);
     CPPUNIT_TEST(forgetsOrdersOfALostSession);
+    CPPUNIT_TEST(usesAWorkerAgainOnceItsLeaseIsRenewed);
     CPPUNIT_TEST(usesNoDrainingWorker);
     CPPUNIT_TEST(servesFirstWhatCanBeInTime);
     CPPUNIT_TEST(keepsHarmfulFillersFromFullServers);
@@ -161,6 +162,19 @@
         CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
     }
 
+    /// Found by a played day with a slow disk: workers whose leases had run out were forgotten while
+    /// their agents' sessions went on, and nothing was placed on them any more.
+    void usesAWorkerAgainOnceItsLeaseIsRenewed()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        decideAndCommit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(5001));
+        m_dispatcher->leaseGranted("n1", at(5002));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5003));
+    }
+
     void usesNoDrainingWorker()
     {
         WorkerFacts facts = worker("w1");
