--- a/Guavashift/Consensus/DataFolder.cpp
+++ b/Guavashift/Consensus/DataFolder.cpp
@@ -29,9 +29,8 @@
     return openAs(path, clusterId, vm, hexOf(randomNumber));
 }
 
-Result<DataFolder> DataFolder::openAs(const std::filesystem::path &path,
-                                      std::string_view clusterId, std::string_view vm,
-                                      std::string_view incarnation)
+Result<DataFolder> DataFolder::openAs(const std::filesystem::path &path, std::string_view clusterId,
+                                      std::string_view vm, std::string_view incarnation)
 {
     std::error_code error;
     if (std::filesystem::create_directories(path, error); error)
@@ -44,8 +43,7 @@
         // State without an identity is somebody else's, or damaged.
         if (std::filesystem::exists(path / "log") || std::filesystem::exists(path / "snapshot"))
             return fail(ErrorCode::Io, path.string() + ": holds state but no identity");
-        const Identity identity{std::string(clusterId), std::string(vm),
-                                std::string(incarnation)};
+        const Identity identity{std::string(clusterId), std::string(vm), std::string(incarnation)};
         if (Result<void> stored = replaceFile(path / identityName, Json(identity).dump()); !stored)
             return tl::unexpected(stored.error());
         return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <Guavashift/Consensus/DataFolder.h>
+#include <Guavashift/Consensus/MembershipPlanner.h>
 #include <Guavashift/Control/JoinLoop.h>
 #include <Guavashift/Control/LeaderDuties.h>
-#include <Guavashift/Consensus/MembershipPlanner.h>
 #include <Guavashift/Control/PeerLink.h>
 #include <Guavashift/Control/Protocol.h>
 #include <Guavashift/Telemetry/Telemetry.h>
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -136,7 +136,7 @@
 void CoreNode::call(FleetCall call, Duration patience, FleetLeader::Answer answer)
 {
     if (m_driver.leads())
-        return m_leader.handle(call, std::move(answer));
+        return m_leader.handle(call, answer);
     if (!m_link.isOpen())
         return answer({call.id, CallResult::Unavailable, "no leader is known", 1});
     call.id = m_nextCall++;
--- a/UnitTests/Control/MembershipPlannerTest.cpp
+++ b/UnitTests/Control/MembershipPlannerTest.cpp
@@ -1,6 +1,6 @@
+#include <Guavashift/Consensus/MembershipPlanner.h>
 #include <Guavashift/Control/LeaseTable.h>
 #include <Guavashift/Control/LeasedConfiguration.h>
-#include <Guavashift/Consensus/MembershipPlanner.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -162,8 +162,8 @@
         CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
     }
 
-    /// Found by a played day with a slow disk: workers whose leases had run out were forgotten while
-    /// their agents' sessions went on, and nothing was placed on them any more.
+    /// Found by a played day with a slow disk: workers whose leases had run out were forgotten
+    /// while their agents' sessions went on, and nothing was placed on them any more.
     void usesAWorkerAgainOnceItsLeaseIsRenewed()
     {
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
