--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -26,7 +26,7 @@
     /// Fillers may want this part of a worker's processors more than is left over.
     double fillerOvercommit = 0.25;
     /// Part of its target that a serving task's tail may be driven to by fillers.
-    double tailLimit = 0.75;
+    double tailLimit = 0.82;
     /// A filler that would run below this part of its speed waits for a better place.
     double leastFillerSpeed = 0.5;
     /// A filler predicted to run below this part of its speed is moved, if it can go on elsewhere.
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -10,7 +10,7 @@
 struct PacerSettings
 {
     /// Part of its target that a serving task's tail may be driven to.
-    double limit = 0.75;
+    double limit = 0.82;
     /// A task whose tail would be above this part of its target without fillers is over it
     /// whatever they do.
     double hopeless = 1.3;
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -317,8 +317,8 @@
 }
 
 // The key is taken by value: callers name it by the element that is erased here.
-void WorkerNode::drop(RunKey key,
-                      std::string_view reason) // NOLINT(performance-unnecessary-value-param)
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
+void WorkerNode::drop(RunKey key, std::string_view reason)
 {
     m_runs.erase(key);
     if (m_facts)
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -34,7 +34,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    CPPUNIT_ASSERT_EQUAL(0,
+                         ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
     socklen_t length = sizeof(address);
     ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &length);
     ::close(handle);
@@ -259,7 +260,7 @@
         return plan;
     }
 
-    FleetAnswer send(FleetCall call)
+    FleetAnswer send(const FleetCall &call)
     {
         std::optional<FleetAnswer> answer;
         if (call.kind == CallKind::ReplaceConfiguration) {
