--- /dev/null
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -0,0 +1,120 @@
+#include <Guavashift/Dispatch/Dispatcher.h>
+
+// The part of Dispatcher that follows what was committed.
+
+namespace guavashift {
+
+void Dispatcher::noteEnd(const EndRun &end, const Lifetime &lifetime, Instant now)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr || worker->node.empty())
+        return;
+    Record &record = m_records[worker->node];
+    if (end.end == RunEnd::Done) {
+        record = {};
+        return;
+    }
+    if (end.end != RunEnd::Failed)
+        return;
+    record.failedJobs.insert(end.task.job);
+    if (record.failedJobs.size() < m_settings.failuresToDoubt)
+        return;
+    constexpr int mostDoublings = 3;
+    record.pause = record.pause == Duration::zero()
+        ? m_settings.failurePause
+        : std::min(record.pause * 2, m_settings.failurePause * (1 << mostDoublings));
+    worker->suspectUntil = now + record.pause;
+}
+
+void Dispatcher::applied(const StageCommand &command, const StageOutcome &outcome, Instant now)
+{
+    std::visit(Overloaded{[](const ReplaceConfiguration &) {},
+                          [&](const AcceptJob &accept) {
+                              if (outcome.applied)
+                                  jobAccepted(accept.job);
+                          },
+                          [&](const CancelJob &cancel) { withdraw(cancel.job); },
+                          [&](const StartRun &start) {
+                              if (outcome.applied)
+                                  runBound(start, now);
+                              else
+                                  proposalLost(command);
+                          },
+                          [&](const EndRun &end) {
+                              m_endsProposed.erase({end.task, end.run});
+                              if (outcome.applied)
+                                  runEnded(end, now);
+                          }},
+               command);
+}
+
+void Dispatcher::jobAccepted(const std::string &id)
+{
+    const StageJob &job = *m_book.find(id);
+    offerReadySteps(id, job);
+    scheduleOccurrences(id, job);
+}
+
+void Dispatcher::runBound(const StartRun &start, Instant now)
+{
+    if (!m_placed.contains(start.task))
+        return;
+    PoolWorker &worker = *m_pool.find(start.lifetime);
+    PlacedRun &run = worker.runs.at(start.task);
+    run.committed = true;
+    run.boundAt = now;
+    // Without an agent it is settled by the next agent's inventory or by the lease.
+    if (worker.node.empty())
+        return;
+    const StageJob &job = *m_book.find(start.task.job);
+    m_orders.emplace_back(worker.node,
+                          StartOrder{start.lifetime,
+                                     traitsOf(start.task, start.run),
+                                     job.plan.payload,
+                                     m_book.find(start.task)->checkpoint,
+                                     {}});
+}
+
+void Dispatcher::runEnded(const EndRun &end, Instant now)
+{
+    const auto placed = m_placed.find(end.task);
+    if (placed != m_placed.end()) {
+        const Lifetime lifetime = placed->second;
+        noteEnd(end, lifetime, now);
+        m_pool.release(lifetime, end.task);
+        m_placed.erase(placed);
+        if (!m_pool.find(lifetime)->hasFacts)
+            m_pool.removeIfIdle(lifetime);
+    }
+    const StageJob *job = m_book.find(end.task.job);
+    if (job == nullptr)
+        return;
+    if (!job->isActive())
+        return withdraw(end.task.job);
+    const StageTask *task = m_book.find(end.task);
+    if (task != nullptr && task->stage == TaskStage::Waiting)
+        offer(end.task);
+    else
+        offerReadySteps(end.task.job, *job);
+}
+
+void Dispatcher::proposalLost(const StageCommand &command)
+{
+    std::visit(Overloaded{[&](const StartRun &start) {
+                              const auto placed = m_placed.find(start.task);
+                              if (placed == m_placed.end())
+                                  return;
+                              m_pool.release(placed->second, start.task);
+                              m_placed.erase(placed);
+                              const StageTask *task = m_book.find(start.task);
+                              if (task == nullptr || task->stage == TaskStage::Waiting)
+                                  offer(start.task);
+                          },
+                          [&](const EndRun &end) {
+                              m_endsProposed.erase({end.task, end.run});
+                          },
+                          [](const auto &) {}},
+               command);
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -1,7 +1,6 @@
 #include <Guavashift/Fleet/WorkerNode.h>
 
 #include <array>
-#include <cmath>
 
 namespace guavashift {
 
@@ -424,84 +423,4 @@
                 });
 }
 
-void WorkerNode::applyPace()
-{
-    if (!m_facts || m_facts->capacity.milliCores <= 0)
-        return;
-    const auto capacity = static_cast<double>(m_facts->capacity.milliCores);
-    const Instant now = BootClock::now();
-    std::vector<ServingReading> serving;
-    std::vector<FillerReading> fillers;
-    for (const auto &[key, run] : m_runs) {
-        if (run.stage != Stage::Running)
-            continue;
-        if (run.traits.tailTargetMs > 0)
-            serving.push_back({key.first, run.traits.image, run.row.figure,
-                               static_cast<double>(run.traits.tailTargetMs)});
-        if (run.traits.fillsLeftover)
-            fillers.push_back({run.traits.image,
-                               static_cast<double>(run.traits.milliCores) / capacity,
-                               activityOf(run, now) / capacity});
-    }
-    if (fillers.empty())
-        return;
-    const Pacer::Paces paces = m_pacer.update(serving, fillers, now);
-    for (auto &[key, run] : m_runs) {
-        if (run.stage == Stage::Running && run.traits.fillsLeftover)
-            sendPace(key, run, paces.at(run.traits.image));
-    }
-}
-
-void WorkerNode::logLoad() const
-{
-    for (const auto &[key, run] : m_runs)
-        logEvent(LogLevel::Debug, "run-row",
-                 {{"worker", m_facts->lifetime.worker},
-                  {"milli_cores", m_facts->capacity.milliCores},
-                  {"task", key.first.text()},
-                  {"image", run.traits.image},
-                  {"target_ms", run.traits.tailTargetMs},
-                  {"fills", run.traits.fillsLeftover},
-                  {"wanted", run.traits.milliCores},
-                  {"pace", run.pace},
-                  {"percent", run.row.percent},
-                  {"figure", run.row.figure}});
-}
-
-double WorkerNode::activityOf(const Run &run, Instant now) const
-{
-    // The worker's figure is rough, so what follows from the paces of the last half second is
-    // taken, unless the figure says that there was not that much to be had.
-    constexpr Duration window = std::chrono::milliseconds(500);
-    constexpr double hundred = 100;
-    constexpr double farBelow = 0.5;
-    const Duration since = now - run.pacedAt - m_settings.bounds.paceDelay;
-    const double newShare = std::clamp(
-        static_cast<double>(since.count()) / static_cast<double>(window.count()), 0.0, 1.0);
-    const double pace = newShare * std::max(run.pace, 0) / hundred
-        + (1 - newShare) * std::max(run.paceBefore, 0) / hundred;
-    const double expected = pace * static_cast<double>(run.traits.milliCores);
-    return run.row.figure < farBelow * expected ? run.row.figure : expected;
-}
-
-void WorkerNode::sendPace(const RunKey &key, Run &run, double part)
-{
-    constexpr double wholePace = 100;
-    const auto pace = static_cast<std::int32_t>(std::lround(part * wholePace));
-    // Small changes are not worth a call, but rest and full speed are.
-    const bool isEnd = pace == 0 || pace == static_cast<std::int32_t>(wholePace);
-    if (pace == run.pace || (!isEnd && std::abs(pace - run.pace) < m_worker.leastPaceChange))
-        return;
-    run.paceBefore = run.pace;
-    run.pacedAt = BootClock::now();
-    run.pace = pace;
-    m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
-                [this, key = key](const WorkerReply &reply) {
-                    const auto found = m_runs.find(key);
-                    // Whether it acts is unknown: it is told again.
-                    if (found != m_runs.end() && reply.result != WorkerCallResult::Done)
-                        found->second.pace = unknownPace;
-                });
-}
-
 } // namespace guavashift
