Keep serving tasks of one image together

Change: a serving task goes where its image already serves, then to workers without other serving images. Test seen failing without it.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -45,6 +45,11 @@
     Duration harmInterval = std::chrono::milliseconds(500);
     /// Changes of a harm below this are not told.
     double harmStep = 0.15;
+    /// What company of its own image is worth to a serving task, in parts of an empty worker:
+    /// fillers are harmless to few images, so few should share a worker. More than the room counts.
+    double likeCompany = 2;
+    /// What each other serving image there costs it; an empty worker goes before a mixed one.
+    double otherCompany = 2;
     /// How much slower a task is away from its data; limit of the deployment.
     double remoteFactor = 1.5;
 };
@@ -134,6 +139,7 @@
     [[nodiscard]] bool mayRun(const PoolWorker &worker, const QueueSettings &queue,
                               const StepPlan &step, const TaskRef &ref, Instant now) const;
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
+    [[nodiscard]] double companyOf(const PoolWorker &worker, const StepPlan &step) const;
     void learnHarm(PoolWorker &worker, std::span<const RunRow> rows, Instant now);
     [[nodiscard]] double speedOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double currentSpeed(const PoolWorker &worker, const PlacedRun &run) const;
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -253,6 +253,22 @@
     }
 }
 
+double Dispatcher::companyOf(const PoolWorker &worker, const StepPlan &step) const
+{
+    std::set<std::string_view> others;
+    bool hasLike = false;
+    for (const auto &[task, run] : worker.runs) {
+        if (!run.serves)
+            continue;
+        if (run.image == step.image)
+            hasLike = true;
+        else
+            others.insert(run.image);
+    }
+    return (hasLike ? m_settings.likeCompany : 0.0)
+        - m_settings.otherCompany * static_cast<double>(others.size());
+}
+
 double Dispatcher::scoreOf(const PoolWorker &worker, const StepPlan &step) const
 {
     const double cores =
@@ -264,6 +280,8 @@
             + std::min(static_cast<double>(leftover(worker)) / cores, 0.5)
         : std::min(static_cast<double>(worker.room().milliCores) / cores,
                    static_cast<double>(worker.room().memoryMb) / memory);
+    if (step.tailTargetMs > 0)
+        score += companyOf(worker, step);
     // Away from its data a task takes longer by a known factor.
     if (!step.dataRack.empty() && !worker.facts.hasLabel(step.dataRack))
         score -= m_settings.remoteFactor;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(usesNoDrainingWorker);
     CPPUNIT_TEST(servesFirstWhatCanBeInTime);
     CPPUNIT_TEST(keepsHarmfulFillersFromFullServers);
+    CPPUNIT_TEST(keepsServingImagesApart);
     CPPUNIT_TEST(cancellingStopsRuns);
     CPPUNIT_TEST_SUITE_END();
 
@@ -219,6 +220,34 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), m_book->find({"f", 0, 0, 0})->lifetime.worker);
     }
 
+    void keepsServingImagesApart()
+    {
+        // Least loaded would mix both images on both workers, and each filler would meet both.
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        m_dispatcher->workerReported("n2", worker("w2"), at(0));
+        for (const std::string image : {"counter", "portal"}) {
+            JobPlan serving = plan(4, 10'000);
+            serving.steps[0].longRunning = true;
+            serving.steps[0].tailTargetMs = 50;
+            serving.steps[0].image = image;
+            accept(image, serving);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, decideAndCommit(1));
+        }
+        for (const std::string image : {"counter", "portal"}) {
+            std::set<std::string> workers;
+            for (std::uint32_t t = 0; t < 4; ++t)
+                workers.insert(m_book->find({image, 0, 0, t})->lifetime.worker);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, workers.size());
+        }
+        // One that finds no room beside its like still starts.
+        JobPlan more = plan(2, 20'000);
+        more.steps[0].longRunning = true;
+        more.steps[0].tailTargetMs = 50;
+        more.steps[0].image = "counter";
+        accept("more", more);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(2));
+    }
+
     void cancellingStopsRuns()
     {
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
