Read tails as they are now, not as workers smooth them

Cause: a worker's tail figure keeps 45 % of itself every 250 ms, so an outburst hides the tail for seconds. Rest was judged by the smoothed figure: it seemed not to help, and fillers went on beside tails of 400 to 60,000 ms. Harm was learned from the smoothed figures too. Ruled out: late reaction (looks every 200 ms see every figure), a rough cpu figure (it is exact to 4 % for one 250 ms tick; what looked rough were ticks compared with half seconds). Change: TailFilter takes the memory out of the figure; the pacer rests two ticks after a tail is over, and until an outburst no longer hides it; harms are learned from the same figures, weighed by headroom. Tests of both fail without it.

--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -34,7 +34,7 @@
             const double room = headroom(run.tailTargetMs, row.figure);
             if (follows && run.rowAt != Instant() && run.row.figure > 0)
                 m_harms.observe(run.image, worker.activity, activity,
-                                headroom(run.tailTargetMs, run.row.figure) - room);
+                                headroom(run.tailTargetMs, run.row.figure), room);
             const double own = room + m_harms.total(run.image, activity);
             run.own = run.rowAt == Instant() ? own : run.own + newest * (own - run.own);
         }
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -11,6 +11,8 @@
 constexpr int descentRounds = 15;
 /// Changes of activity below this carry more noise than news.
 constexpr double leastChange = 0.004;
+/// Below it tails say nothing exact any more.
+constexpr double leastHeadroom = 0.5;
 
 } // namespace
 
@@ -33,8 +35,10 @@
 }
 
 void HarmTable::observe(const std::string &serving, const FillerActivity &before,
-                        const FillerActivity &now, double loss)
+                        const FillerActivity &now, double headroomBefore, double headroomNow)
 {
+    const double scale = std::max({headroomBefore, headroomNow, leastHeadroom});
+    const double loss = (headroomBefore - headroomNow) / scale;
     FillerActivity changes = now;
     for (const auto &[filler, activity] : before)
         changes[filler] -= activity;
@@ -42,7 +46,7 @@
     std::vector<std::pair<std::size_t, double>> changed;
     for (const auto &[filler, difference] : changes) {
         if (std::abs(difference) >= leastChange)
-            changed.emplace_back(positionOf(sums, filler), difference);
+            changed.emplace_back(positionOf(sums, filler), difference / scale);
     }
     for (const auto &[i, left] : changed) {
         sums.responses[i] += left * loss;
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -14,14 +14,15 @@
     /// Taken for a pair of images of which nothing has been seen: loss of headroom if the filler
     /// used the whole worker.
     double prior = 2;
-    /// Weight of the prior, in squared activity.
-    double priorWeight = 0.02;
+    /// Weight of the prior, in squared activity over squared headroom.
+    double priorWeight = 0.004;
     /// Harms above this are not believed.
     double most = 25;
     /// Part of what was learned that is kept from one solution to the next.
     double kept = 0.997;
-    /// Spread of one observation, for the margin added where little has been seen.
-    double spread = 0.4;
+    /// Spread of one observation, as a part of the headroom, for the margin added where little has
+    /// been seen.
+    double spread = 0.18;
     /// How many spreads the margin is.
     double margin = 0.3;
     /// Harms below this cannot be told from none and count as none.
@@ -48,9 +49,10 @@
 public:
     explicit HarmTable(const HarmSettings &settings = {});
 
-    /// A headroom was lost by as much as `loss` while the activity beside it changed so.
+    /// The headroom of a serving task went from one value to another while the activity beside it
+    /// changed so. Tails spread in proportion, so large headrooms say less.
     void observe(const std::string &serving, const FillerActivity &before,
-                 const FillerActivity &now, double loss);
+                 const FillerActivity &now, double headroomBefore, double headroomNow);
 
     /// Works out all harms anew from what was observed.
     void solve();
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -1,5 +1,6 @@
 #include <Guavashift/Fleet/Pacer.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace guavashift {
@@ -53,14 +54,17 @@
 
 void Pacer::watch(const ServingReading &reading, const FillerActivity &used, Instant now)
 {
-    const auto [position, added] = m_watched.try_emplace(reading.task);
-    Watched &watched = position->second;
-    double own = headroom(reading.targetMs, reading.tailMs);
-    for (const auto &[filler, activity] : used)
-        own += harmOf(reading.image, filler) * activity;
-    watched.own = added ? own : watched.own + m_settings.newest * (own - watched.own);
+    Watched &watched = m_watched[reading.task];
+    const bool added = watched.readAt == Instant();
     watched.readAt = now;
-    const bool isOver = reading.targetMs > 0 && reading.tailMs > reading.targetMs;
+    watched.isHidden = !reading.tailMs;
+    if (reading.tailMs) {
+        double own = headroom(reading.targetMs, *reading.tailMs);
+        for (const auto &[filler, activity] : used)
+            own += harmOf(reading.image, filler) * activity;
+        watched.own = added ? own : watched.own + m_settings.newest * (own - watched.own);
+    }
+    const bool isOver = watched.isHidden || *reading.tailMs > reading.targetMs;
     if (isOver && !watched.isOver)
         watched.overSince = now;
     watched.isOver = isOver;
@@ -95,21 +99,15 @@
 
 void Pacer::restIfOver(std::span<const ServingReading> serving, Paces &paces, Instant now)
 {
-    if (m_resting && now >= m_restUntil) {
-        m_resting = false;
-        for (auto &[task, watched] : m_watched) {
-            // Rest did not help it: it is over by its own doing.
-            if (watched.isOver)
-                watched.excusedUntil = now + m_settings.excuse;
-        }
-    }
+    if (m_resting)
+        endRest(now);
     for (const ServingReading &reading : serving) {
         const Watched &watched = m_watched.at(reading.task);
         if (m_resting || !watched.isOver || now < watched.excusedUntil
             || now - watched.overSince < m_settings.overLimit)
             continue;
         m_resting = true;
-        m_restUntil = now + m_settings.rest;
+        m_restSince = now;
     }
     if (m_resting) {
         for (auto &[image, pace] : paces)
@@ -117,4 +115,20 @@
     }
 }
 
+void Pacer::endRest(Instant now)
+{
+    const Duration rested = now - m_restSince;
+    const bool isAnyHidden = std::any_of(m_watched.begin(), m_watched.end(), [&](const auto &each) {
+        return each.second.isHidden && now >= each.second.excusedUntil;
+    });
+    if (rested < m_settings.rest || (isAnyHidden && rested < m_settings.longestRest))
+        return;
+    m_resting = false;
+    for (auto &[task, watched] : m_watched) {
+        // Rest did not help it: it is over by its own doing.
+        if (watched.isOver)
+            watched.excusedUntil = now + m_settings.excuse;
+    }
+}
+
 } // namespace guavashift
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Dispatch/Dispatch.h>
 
+#include <optional>
 #include <span>
 
 namespace guavashift {
@@ -15,11 +16,13 @@
     /// whatever they do.
     double hopeless = 1.3;
     /// Weight of the newest reading of a task's own part.
-    double newest = 0.5;
-    /// After this long over target, whatever was learned, all fillers rest.
-    Duration overLimit = std::chrono::milliseconds(1200);
-    /// How long they rest. Tails are figures of the last half second.
-    Duration rest = std::chrono::milliseconds(900);
+    double newest = 0.4;
+    /// After this long over target, whatever was learned, all fillers rest: two readings.
+    Duration overLimit = std::chrono::milliseconds(450);
+    /// How long they rest at least: until a new pace acts, and two readings more.
+    Duration rest = std::chrono::milliseconds(700);
+    /// Where an outburst hides the tail, they rest until it is seen, but not longer than this.
+    Duration longestRest = std::chrono::milliseconds(3000);
     /// How long a task that rest did not help is taken to be over by its own doing.
     Duration excuse = std::chrono::milliseconds(2500);
 };
@@ -29,7 +32,7 @@
 {
     TaskRef task;
     std::string image;
-    double tailMs = 0;
+    std::optional<double> tailMs; ///< Nothing: not known, after an outburst.
     double targetMs = 0;
 };
 
@@ -63,6 +66,7 @@
         double own = 0; ///< Headroom without fillers; smoothed.
         Instant overSince;
         bool isOver = false;
+        bool isHidden = false;
         Instant excusedUntil;
         Instant readAt;
     };
@@ -72,11 +76,12 @@
     void slowDownFor(const ServingReading &reading, const FillerActivity &wanted,
                      Paces &paces) const;
     void restIfOver(std::span<const ServingReading> serving, Paces &paces, Instant now);
+    void endRest(Instant now);
 
     PacerSettings m_settings;
     std::map<std::pair<std::string, std::string>, double> m_harms;
     std::map<TaskRef, Watched> m_watched;
-    Instant m_restUntil;
+    Instant m_restSince;
     bool m_resting = false;
 };
 
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -113,8 +113,8 @@
             if (run.stage != Stage::Running)
                 continue;
             table.rows.push_back(run.row);
-            if (run.traits.fillsLeftover)
-                table.rows.back().figure = activityOf(run, BootClock::now());
+            if (run.traits.tailTargetMs > 0)
+                table.rows.back().figure = run.tail.tailMs().value_or(0);
         }
         m_link.send(table);
         logLoad();
@@ -282,6 +282,8 @@
             run.traits.task = row.task, run.traits.run = row.run;
         run.stage = Stage::Running;
         run.row = row;
+        if (run.traits.tailTargetMs > 0)
+            run.tail.read(row.figure, BootClock::now());
         run.seenAt = std::max(run.seenAt, sent);
     }
     settleUnclear(request, running);
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -4,6 +4,7 @@
 #include <Guavashift/Fleet/LeaseClock.h>
 #include <Guavashift/Fleet/Pacer.h>
 #include <Guavashift/Fleet/Relay.h>
+#include <Guavashift/Fleet/TailFilter.h>
 #include <Guavashift/Fleet/WorkerPort.h>
 
 #include <set>
@@ -58,9 +59,8 @@
         Instant stopSentAt;
         Instant seenAt; ///< Known to run at this time at least.
         RunRow row;
+        TailFilter tail;
         std::int32_t pace = 100; ///< As the worker was told last.
-        std::int32_t paceBefore = 100;
-        Instant pacedAt;
     };
 
     /// After a call for a new pace that got no clear answer.
@@ -92,7 +92,6 @@
     void endLifetime(bool silent);
     void applyPace();
     void logLoad() const;
-    [[nodiscard]] double activityOf(const Run &run, Instant now) const;
     void sendPace(const RunKey &key, Run &run, double part);
     [[nodiscard]] bool isCurrent(const Lifetime &lifetime) const;
     [[nodiscard]] std::uint64_t fence() const { return m_sessionFence + m_fenceStep; }
--- a/Guavashift/Fleet/WorkerNodePace.cpp
+++ b/Guavashift/Fleet/WorkerNodePace.cpp
@@ -17,13 +17,14 @@
     for (const auto &[key, run] : m_runs) {
         if (run.stage != Stage::Running)
             continue;
-        if (run.traits.tailTargetMs > 0)
-            serving.push_back({key.first, run.traits.image, run.row.figure,
+        // A task that has just started shows no tail yet.
+        if (run.traits.tailTargetMs > 0 && run.row.figure > 0)
+            serving.push_back({key.first, run.traits.image, run.tail.tailMs(),
                                static_cast<double>(run.traits.tailTargetMs)});
         if (run.traits.fillsLeftover)
             fillers.push_back({run.traits.image,
                                static_cast<double>(run.traits.milliCores) / capacity,
-                               activityOf(run, now) / capacity});
+                               run.row.figure / capacity});
     }
     if (fillers.empty())
         return;
@@ -50,22 +51,6 @@
                   {"figure", run.row.figure}});
 }
 
-double WorkerNode::activityOf(const Run &run, Instant now) const
-{
-    // The worker's figure is rough, so what follows from the paces of the last half second is
-    // taken, unless the figure says that there was not that much to be had.
-    constexpr Duration window = std::chrono::milliseconds(500);
-    constexpr double hundred = 100;
-    constexpr double farBelow = 0.5;
-    const Duration since = now - run.pacedAt - m_settings.bounds.paceDelay;
-    const double newShare = std::clamp(
-        static_cast<double>(since.count()) / static_cast<double>(window.count()), 0.0, 1.0);
-    const double pace = newShare * std::max(run.pace, 0) / hundred
-        + (1 - newShare) * std::max(run.paceBefore, 0) / hundred;
-    const double expected = pace * static_cast<double>(run.traits.milliCores);
-    return run.row.figure < farBelow * expected ? run.row.figure : expected;
-}
-
 void WorkerNode::sendPace(const RunKey &key, Run &run, double part)
 {
     constexpr double wholePace = 100;
@@ -74,8 +59,6 @@
     const bool isEnd = pace == 0 || pace == static_cast<std::int32_t>(wholePace);
     if (pace == run.pace || (!isEnd && std::abs(pace - run.pace) < m_worker.leastPaceChange))
         return;
-    run.paceBefore = run.pace;
-    run.pacedAt = BootClock::now();
     run.pace = pace;
     m_port.pace({fence(), m_facts->lifetime.worker, key.first, key.second, pace},
                 [this, key = key](const WorkerReply &reply) {
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -316,8 +316,8 @@
             const double featherBefore = i % 3 == 1 ? 0.2 : 0;
             const double noise = (i % 5 - 2) * 0.05;
             table.observe("server", {{"press", pressBefore}, {"feather", featherBefore}},
-                          {{"press", press}, {"feather", feather}},
-                          7 * (press - pressBefore) + noise);
+                          {{"press", press}, {"feather", feather}}, 3,
+                          3 - 7 * (press - pressBefore) + noise);
         }
         table.solve();
         CPPUNIT_ASSERT_DOUBLES_EQUAL(7, table.harm("server", "press"), 1);
--- a/UnitTests/Fleet/PartsTest.cpp
+++ b/UnitTests/Fleet/PartsTest.cpp
@@ -50,6 +50,58 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseClockTest);
 
+/// What a worker's tail figures say of now.
+class TailFilterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TailFilterTest);
+    CPPUNIT_TEST(seesAStepAtOnce);
+    CPPUNIT_TEST(seesThatAnOutburstIsOver);
+    CPPUNIT_TEST(allowsForMissedTicks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void seesAStepAtOnce()
+    {
+        TailFilter filter;
+        filter.read(20, at(0));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20, *filter.tailMs(), 0.1);
+        // The figure after a step to 100: 45 % of the one before is still in it.
+        filter.read(64, at(250));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, *filter.tailMs(), 1);
+        filter.read(64, at(450));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, *filter.tailMs(), 1);
+        filter.read(84, at(500));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, *filter.tailMs(), 1);
+    }
+
+    void seesThatAnOutburstIsOver()
+    {
+        TailFilter filter;
+        filter.read(60'000, at(0));
+        filter.read(27'011, at(250));
+        CPPUNIT_ASSERT(!filter.tailMs());
+        double shown = 27'011;
+        for (int i = 2; i < 10; ++i) {
+            shown = 0.45 * shown + 0.55 * 20;
+            filter.read(shown, at(250 * i));
+        }
+        CPPUNIT_ASSERT(filter.tailMs());
+        CPPUNIT_ASSERT(shown > 50);
+        CPPUNIT_ASSERT(*filter.tailMs() < 30);
+    }
+
+    void allowsForMissedTicks()
+    {
+        TailFilter filter;
+        filter.read(20, at(0));
+        // Two ticks at 100: 20 % of the one before is still in it.
+        filter.read(83.8, at(500));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, *filter.tailMs(), 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TailFilterTest);
+
 /// Paces by learned harm, with rest as the last resort.
 class PacerTest : public CppUnit::TestFixture
 {
@@ -57,6 +109,7 @@
     CPPUNIT_TEST(slowsTheHarmfulFirst);
     CPPUNIT_TEST(restsWhateverWasLearned);
     CPPUNIT_TEST(goesOnWhenRestDoesNotHelp);
+    CPPUNIT_TEST(restsUntilAnOutburstIsOver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +141,20 @@
         pacer.update(tail(60), fillers, at(1300));
         CPPUNIT_ASSERT_EQUAL(1.0, pacer.update(tail(60), fillers, at(2300)).at("feather"));
     }
+
+    void restsUntilAnOutburstIsOver()
+    {
+        Pacer pacer;
+        pacer.learn(std::vector<HarmRow>{{"server", "feather", 0}});
+        const std::vector<FillerReading> fillers{{"feather", 0.5, 0.5}};
+        std::vector<ServingReading> hidden = tail(60);
+        hidden[0].tailMs.reset();
+        pacer.update(hidden, fillers, at(0));
+        CPPUNIT_ASSERT_EQUAL(0.0, pacer.update(hidden, fillers, at(500)).at("feather"));
+        // What is left of the outburst still hides the tail: going on now would renew it.
+        CPPUNIT_ASSERT_EQUAL(0.0, pacer.update(hidden, fillers, at(1500)).at("feather"));
+        CPPUNIT_ASSERT_EQUAL(1.0, pacer.update(tail(20), fillers, at(1750)).at("feather"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PacerTest);
