Let harmless fillers work while one serving task is over target

Cause: whenever one serving task was over its target, often by a change of its own load, all fillers of the worker rested, those without harm to it too. Change: first only fillers that may harm the task rest; all do when it is still over after 1.5 s. Learned harms are logged when told.

--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -78,6 +78,12 @@
         });
         if (isKnown)
             continue;
+        for (const HarmRow &row : rows)
+            logEvent(LogLevel::Debug, "harm-told",
+                     {{"worker", lifetime.worker},
+                      {"serving", row.serving},
+                      {"filler", row.filler},
+                      {"harm", row.harm}});
         worker.harmsTold = rows;
         told.emplace_back(worker.node, std::move(rows));
     }
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -101,17 +101,35 @@
 {
     if (m_resting)
         endRest(now);
+    beginRest(serving, now);
+    if (!m_resting)
+        return;
+    for (auto &[filler, pace] : paces) {
+        const bool mayHarm =
+            std::any_of(m_restFor.begin(), m_restFor.end(),
+                        [&](const std::string &image) { return harmOf(image, filler) > 0; });
+        if (m_allRest || mayHarm)
+            pace = 0;
+    }
+}
+
+void Pacer::beginRest(std::span<const ServingReading> serving, Instant now)
+{
     for (const ServingReading &reading : serving) {
         const Watched &watched = m_watched.at(reading.task);
-        if (m_resting || !watched.isOver || now < watched.excusedUntil
-            || now - watched.overSince < m_settings.overLimit)
+        const Duration over = now - watched.overSince;
+        if (!watched.isOver || now < watched.excusedUntil || over < m_settings.overLimit)
             continue;
-        m_resting = true;
-        m_restSince = now;
-    }
-    if (m_resting) {
-        for (auto &[image, pace] : paces)
-            pace = 0;
+        if (!m_resting) {
+            m_resting = true;
+            m_restSince = now;
+        }
+        m_restFor.insert(reading.image);
+        // What was learned may be wrong.
+        if (over >= m_settings.longOver && !m_allRest) {
+            m_allRest = true;
+            m_restSince = now;
+        }
     }
 }
 
@@ -124,6 +142,9 @@
     if (rested < m_settings.rest || (isAnyHidden && rested < m_settings.longestRest))
         return;
     m_resting = false;
+    m_restFor.clear();
+    if (!std::exchange(m_allRest, false))
+        return;
     for (auto &[task, watched] : m_watched) {
         // Rest did not help it: it is over by its own doing.
         if (watched.isOver)
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -3,6 +3,7 @@
 #include <Guavashift/Dispatch/Dispatch.h>
 
 #include <optional>
+#include <set>
 #include <span>
 
 namespace guavashift {
@@ -17,8 +18,10 @@
     double hopeless = 1.3;
     /// Weight of the newest reading of a task's own part.
     double newest = 0.4;
-    /// After this long over target, whatever was learned, all fillers rest: two readings.
+    /// After this long over target all fillers that may harm the task rest: two readings.
     Duration overLimit = std::chrono::milliseconds(450);
+    /// After this long all rest, whatever was learned.
+    Duration longOver = std::chrono::milliseconds(1500);
     /// How long they rest at least: until a new pace acts, and two readings more.
     Duration rest = std::chrono::milliseconds(700);
     /// Where an outburst hides the tail, they rest until it is seen, but not longer than this.
@@ -76,6 +79,7 @@
     void slowDownFor(const ServingReading &reading, const FillerActivity &wanted,
                      Paces &paces) const;
     void restIfOver(std::span<const ServingReading> serving, Paces &paces, Instant now);
+    void beginRest(std::span<const ServingReading> serving, Instant now);
     void endRest(Instant now);
 
     PacerSettings m_settings;
@@ -83,6 +87,8 @@
     std::map<TaskRef, Watched> m_watched;
     Instant m_restSince;
     bool m_resting = false;
+    bool m_allRest = false;
+    std::set<std::string> m_restFor; ///< Images of the serving tasks that rest is for.
 };
 
 } // namespace guavashift
