Keep learned harms and pacing over a change of leader

Cause: a new leader knew no harms and told agents its guess for all pairs; between two sessions nobody looked at the workers, so paces stayed as they were while loads changed. Change: agents hand what they were told to a new leader, which takes it as a prior of more weight; only what was seen is told; agents go on looking and pacing under their last token and lease. A filler starts only where 0.8 of its speed is promised (0.5 before). Tests fail without each.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -28,7 +28,7 @@
     /// Part of its target that a serving task's tail may be driven to by fillers.
     double tailLimit = 0.82;
     /// A filler that would run below this part of its speed waits for a better place.
-    double leastFillerSpeed = 0.5;
+    double leastFillerSpeed = 0.8;
     /// A filler predicted to run below this part of its speed is moved, if it can go on elsewhere.
     double slowFillerSpeed = 0.35;
     /// What another worker must promise for a move to be worth it.
@@ -105,6 +105,8 @@
     /// Orders for agents that have gathered, each with the agent's node.
     std::vector<std::pair<std::string, AgentOrder>> takeOrders();
 
+    /// What an agent was told of harms by the leader before.
+    void harmsReported(std::span<const HarmRow> rows);
     /// Harms that agents do not know yet, each with the agent's node.
     std::vector<std::pair<std::string, std::vector<HarmRow>>> takeHarms(Instant now);
 
--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -45,6 +45,14 @@
     worker.activityAt = now;
 }
 
+void Dispatcher::harmsReported(std::span<const HarmRow> rows)
+{
+    for (const HarmRow &row : rows) {
+        if (!m_harms.isKnown(row.serving, row.filler))
+            m_harms.adopt(row.serving, row.filler, row.harm);
+    }
+}
+
 std::vector<std::pair<std::string, std::vector<HarmRow>>> Dispatcher::takeHarms(Instant now)
 {
     std::vector<std::pair<std::string, std::vector<HarmRow>>> told;
@@ -65,8 +73,10 @@
         }
         std::vector<HarmRow> rows;
         for (const std::string &each : serving) {
-            for (const std::string &filler : fillers)
-                rows.push_back({each, filler, m_harms.harm(each, filler)});
+            for (const std::string &filler : fillers) {
+                if (m_harms.isKnown(each, filler))
+                    rows.push_back({each, filler, m_harms.harm(each, filler)});
+            }
         }
         PoolWorker &worker = *m_pool.find(lifetime);
         const bool isKnown = std::all_of(rows.begin(), rows.end(), [&](const HarmRow &row) {
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -56,6 +56,20 @@
     sums.changed = sums.changed || !changed.empty();
 }
 
+void HarmTable::adopt(const std::string &serving, const std::string &filler, double harm)
+{
+    Sums &sums = m_byServing[serving];
+    sums.adopted[filler] = harm;
+    sums.harms.try_emplace(filler, harm);
+}
+
+std::pair<double, double> HarmTable::priorOf(const Sums &sums, std::string_view filler) const
+{
+    const auto adopted = sums.adopted.find(filler);
+    return adopted == sums.adopted.end() ? std::pair(m_settings.prior, m_settings.priorWeight)
+                                         : std::pair(adopted->second, m_settings.adoptedWeight);
+}
+
 void HarmTable::solve()
 {
     for (auto &[serving, sums] : m_byServing) {
@@ -67,22 +81,27 @@
 void HarmTable::solve(Sums &sums) const
 {
     const std::size_t count = sums.fillers.size();
-    std::vector<double> harms(count, m_settings.prior);
+    std::vector<double> harms;
+    std::vector<double> weights;
+    for (const std::string &filler : sums.fillers) {
+        const auto [prior, weight] = priorOf(sums, filler);
+        harms.push_back(prior);
+        weights.push_back(weight);
+    }
+    const std::vector<double> priors = harms;
     // Ridge regression towards the prior; harms are never negative.
     for (int round = 0; round < descentRounds; ++round) {
         for (std::size_t i = 0; i < count; ++i) {
-            double rest = sums.responses[i] + m_settings.priorWeight * m_settings.prior;
+            double rest = sums.responses[i] + weights[i] * priors[i];
             for (std::size_t j = 0; j < count; ++j) {
                 if (j != i)
                     rest -= sums.products[i][j] * harms[j];
             }
-            harms[i] = std::clamp(rest / (sums.products[i][i] + m_settings.priorWeight), 0.0,
-                                  m_settings.most);
+            harms[i] = std::clamp(rest / (sums.products[i][i] + weights[i]), 0.0, m_settings.most);
         }
     }
     for (std::size_t i = 0; i < count; ++i) {
-        const double uncertainty =
-            m_settings.spread / std::sqrt(sums.products[i][i] + m_settings.priorWeight);
+        const double uncertainty = m_settings.spread / std::sqrt(sums.products[i][i] + weights[i]);
         const double bound = harms[i] + m_settings.margin * uncertainty;
         sums.harms[sums.fillers[i]] = bound < m_settings.negligible ? 0 : bound;
         sums.responses[i] *= m_settings.kept;
@@ -102,6 +121,12 @@
     return found == sums->second.harms.end() ? unknown : found->second;
 }
 
+bool HarmTable::isKnown(std::string_view serving, std::string_view filler) const
+{
+    const auto sums = m_byServing.find(serving);
+    return sums != m_byServing.end() && sums->second.harms.contains(filler);
+}
+
 double HarmTable::total(std::string_view serving, const FillerActivity &activity) const
 {
     double sum = 0;
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -16,6 +16,8 @@
     double prior = 2;
     /// Weight of the prior, in squared activity over squared headroom.
     double priorWeight = 0.004;
+    /// Weight of what an earlier table had learned, likewise.
+    double adoptedWeight = 0.02;
     /// Harms above this are not believed.
     double most = 25;
     /// Part of what was learned that is kept from one solution to the next.
@@ -54,26 +56,36 @@
     void observe(const std::string &serving, const FillerActivity &before,
                  const FillerActivity &now, double headroomBefore, double headroomNow);
 
+    /// Takes over what an earlier table had learned of a pair, until more is seen of it.
+    void adopt(const std::string &serving, const std::string &filler, double harm);
+
     /// Works out all harms anew from what was observed.
     void solve();
 
     [[nodiscard]] double harm(std::string_view serving, std::string_view filler) const;
+    /// Whether anything was seen of the pair, here or before.
+    [[nodiscard]] bool isKnown(std::string_view serving, std::string_view filler) const;
     /// By how much headroom is lowered by that activity.
     [[nodiscard]] double total(std::string_view serving, const FillerActivity &activity) const;
 
 private:
+    using Harms = std::map<std::string, double, std::less<>>;
+
     /// Sums of products for the regression of one serving image.
     struct Sums
     {
         std::vector<std::string> fillers;
         std::vector<std::vector<double>> products; ///< Of activity changes, by pair of fillers.
         std::vector<double> responses;             ///< Activity change times loss.
-        std::map<std::string, double, std::less<>> harms;
+        Harms adopted;
+        Harms harms;
         bool changed = false;
     };
 
     static std::size_t positionOf(Sums &sums, const std::string &filler);
     void solve(Sums &sums) const;
+    [[nodiscard]] std::pair<double, double> priorOf(const Sums &sums,
+                                                    std::string_view filler) const;
 
     HarmSettings m_settings;
     std::map<std::string, Sums, std::less<>> m_byServing;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -148,6 +148,7 @@
                           [&](const RunTable &table) {
                               m_dispatcher.rowsReported(table.lifetime, table.rows, now);
                           },
+                          [&](const HarmReport &harms) { m_dispatcher.harmsReported(harms.rows); },
                           [&](const StartRefused &refused) {
                               m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run,
                                                         now);
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -24,6 +24,14 @@
         m_harms[{row.serving, row.filler}] = row.harm;
 }
 
+std::vector<HarmRow> Pacer::learned() const
+{
+    std::vector<HarmRow> rows;
+    for (const auto &[images, harm] : m_harms)
+        rows.push_back({images.first, images.second, harm});
+    return rows;
+}
+
 double Pacer::harmOf(const std::string &serving, const std::string &filler) const
 {
     const auto found = m_harms.find({serving, filler});
--- a/Guavashift/Fleet/Pacer.h
+++ b/Guavashift/Fleet/Pacer.h
@@ -58,6 +58,8 @@
     explicit Pacer(const PacerSettings &settings = {});
 
     void learn(std::span<const HarmRow> rows);
+    /// All that was learned.
+    [[nodiscard]] std::vector<HarmRow> learned() const;
 
     /// Parts of full speed by image, from what was read at `now`.
     Paces update(std::span<const ServingReading> serving, std::span<const FillerReading> fillers,
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -59,8 +59,12 @@
     m_leaseLength = std::chrono::milliseconds(welcome.leaseMs);
     m_inventoryDue = true;
     m_listedUpTo = m_committedUpTo;
+    // Found silent while there was nobody to tell.
+    m_silent = false;
     if (m_facts)
         m_link.send(WorkerReport{*m_facts});
+    // A new leader has learned nothing yet.
+    m_link.send(HarmReport{m_pacer.learned()});
     renewLease();
     look(Duration::zero());
 }
@@ -195,7 +199,8 @@
 
 void WorkerNode::look(Duration wait)
 {
-    if (!m_facts || !m_link.isOpen())
+    // Between two sessions fillers are still paced, under the token and lease of the first.
+    if (!m_facts || m_sessionFence == 0)
         return;
     const Instant now = BootClock::now();
     HoldRequest request;
@@ -226,6 +231,8 @@
         // Another session has spoken to the worker; a new one gets a higher token.
         if (request.fence == fence())
             m_link.renew("fenced off by the worker");
+        else if (m_looksOpen == 0)
+            scheduleLook(m_worker.retryPause);
         return;
     default:
         // Without a word until its lease has run out, nothing of it runs any more.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -301,6 +301,7 @@
 {
     CPPUNIT_TEST_SUITE(HarmTableTest);
     CPPUNIT_TEST(tellsHarmfulFromHarmless);
+    CPPUNIT_TEST(goesOnFromWhatWasLearnedBefore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -325,6 +326,23 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(unknown, table.harm("server", "other"), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, table.total("server", {{"press", 0.1}}), 0.1);
     }
+
+    void goesOnFromWhatWasLearnedBefore()
+    {
+        HarmTable table;
+        CPPUNIT_ASSERT(!table.isKnown("server", "press"));
+        table.adopt("server", "press", 8);
+        CPPUNIT_ASSERT(table.isKnown("server", "press"));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(8, table.harm("server", "press"), 0.01);
+        // A little noise does not undo it, what is seen clearly does.
+        table.observe("server", {}, {{"press", 0.02}}, 3, 3.1);
+        table.solve();
+        CPPUNIT_ASSERT(table.harm("server", "press") > 6);
+        for (int i = 0; i < 40; ++i)
+            table.observe("server", {{"press", i % 2 * 0.2}}, {{"press", (1 - i % 2) * 0.2}}, 3, 3);
+        table.solve();
+        CPPUNIT_ASSERT(table.harm("server", "press") < 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HarmTableTest);
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -62,6 +62,7 @@
 
 void FakeWorker::hold(const HoldRequest &request, Callback callback)
 {
+    ++m_looks;
     if (!admit(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     m_untilMs = std::max(m_untilMs, request.untilMs);
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -19,6 +19,8 @@
     void setTaskTime(Duration time) { m_taskTime = time; }
     [[nodiscard]] WorkerFacts facts() const;
     [[nodiscard]] std::size_t running() const { return m_running.size(); }
+    /// How often it was looked at.
+    [[nodiscard]] int looks() const { return m_looks; }
     /// Starts that were carried out, by task.
     [[nodiscard]] const std::map<TaskRef, int> &starts() const { return m_starts; }
     /// Whether a task ever ran twice at the same time or after it was done.
@@ -54,6 +56,7 @@
     std::set<TaskRef> m_done;
     bool m_brokeRules = false;
     int m_callers = 0;
+    int m_looks = 0;
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(goesOnAfterTheLeaderIsGone);
     CPPUNIT_TEST(remembersAllAfterTheWholeCoreRestarts);
     CPPUNIT_TEST(tasksOutliveTheirAgent);
+    CPPUNIT_TEST(watchesItsWorkerWithoutALeader);
     CPPUNIT_TEST(cancelledJobsStop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,20 @@
         CPPUNIT_ASSERT_EQUAL(5, startsInAll());
     }
 
+    /// Fillers that nobody paces drive serving tasks over their targets.
+    void watchesItsWorkerWithoutALeader()
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        submit("j", planOf(2));
+        until([this] { return running() == 2; });
+        for (auto &core : m_cores)
+            core.reset();
+        until([this] { return !m_gateway->node->isReady(); });
+        const int before = m_workers[0]->looks();
+        until([&] { return m_workers[0]->looks() > before + 2; });
+    }
+
     void cancelledJobsStop()
     {
         for (const auto &worker : m_workers)
