Tell agents the harms of fillers before these start

Cause: a filler starts at full speed, and its harm was told up to 500 ms later, though it was known. Change: an agent is told all that is known of its serving images.

--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -64,19 +64,15 @@
         if (known.node.empty())
             continue;
         std::set<std::string> serving;
-        std::set<std::string> fillers;
         for (const auto &[task, run] : known.runs) {
             if (run.serves)
                 serving.insert(run.image);
-            if (run.fillsLeftover)
-                fillers.insert(run.image);
         }
+        // Also of fillers that are not there yet: they start at full speed.
         std::vector<HarmRow> rows;
         for (const std::string &each : serving) {
-            for (const std::string &filler : fillers) {
-                if (m_harms.isKnown(each, filler))
-                    rows.push_back({each, filler, m_harms.harm(each, filler)});
-            }
+            for (const auto &[filler, harm] : m_harms.harmsTo(each))
+                rows.push_back({each, filler, harm});
         }
         PoolWorker &worker = *m_pool.find(lifetime);
         const bool isKnown = std::all_of(rows.begin(), rows.end(), [&](const HarmRow &row) {
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -121,10 +121,16 @@
     return found == sums->second.harms.end() ? unknown : found->second;
 }
 
-bool HarmTable::isKnown(std::string_view serving, std::string_view filler) const
+const HarmTable::Harms &HarmTable::harmsTo(std::string_view serving) const
 {
+    static const Harms none;
     const auto sums = m_byServing.find(serving);
-    return sums != m_byServing.end() && sums->second.harms.contains(filler);
+    return sums == m_byServing.end() ? none : sums->second.harms;
+}
+
+bool HarmTable::isKnown(std::string_view serving, std::string_view filler) const
+{
+    return harmsTo(serving).contains(filler);
 }
 
 double HarmTable::total(std::string_view serving, const FillerActivity &activity) const
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -63,14 +63,16 @@
     void solve();
 
     [[nodiscard]] double harm(std::string_view serving, std::string_view filler) const;
+    using Harms = std::map<std::string, double, std::less<>>;
+
+    /// Of all fillers of which anything was seen beside that serving image, here or before.
+    [[nodiscard]] const Harms &harmsTo(std::string_view serving) const;
     /// Whether anything was seen of the pair, here or before.
     [[nodiscard]] bool isKnown(std::string_view serving, std::string_view filler) const;
     /// By how much headroom is lowered by that activity.
     [[nodiscard]] double total(std::string_view serving, const FillerActivity &activity) const;
 
 private:
-    using Harms = std::map<std::string, double, std::less<>>;
-
     /// Sums of products for the regression of one serving image.
     struct Sums
     {
