Work out once a worker what fillers may still take there

Change: what fillers may take of each serving image's headroom is kept with the worker until its runs, readings or the harms change; after a round of placing the next waits 5 us for each look, 60 ms at most.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -35,6 +35,11 @@
     double movedFillerSpeed = 0.8;
     /// A run is left where it is for this long after it was bound.
     Duration settleTime = std::chrono::milliseconds(1200);
+    /// Pause after a round of placing, for each worker that a waiting step looked at: some three
+    /// times what the look costs on the smallest machine.
+    Duration pausePerLook = std::chrono::microseconds(5);
+    /// The longest such pause.
+    Duration longestPlacingPause = std::chrono::milliseconds(60);
     /// How often it is logged what steps wait for.
     Duration waitLogInterval = std::chrono::seconds(1);
     /// How often slowed fillers are looked at.
@@ -143,6 +148,7 @@
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double companyOf(const PoolWorker &worker, const StepPlan &step) const;
     void learnHarm(PoolWorker &worker, std::span<const RunRow> rows, Instant now);
+    [[nodiscard]] const std::vector<SpareHeadroom> &spareOf(const PoolWorker &worker) const;
     [[nodiscard]] double speedOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double currentSpeed(const PoolWorker &worker, const PlacedRun &run) const;
     [[nodiscard]] std::int64_t leftover(const PoolWorker &worker) const;
@@ -167,6 +173,7 @@
     Instant m_nextHarms;
     Instant m_nextMoves;
     Instant m_nextWaitLog;
+    Instant m_nextPlacing;
     std::map<std::string, Record> m_records; ///< By node.
     std::vector<StageCommand> m_commands;
     std::vector<std::pair<std::string, AgentOrder>> m_orders;
--- a/Guavashift/Dispatch/DispatcherHarm.cpp
+++ b/Guavashift/Dispatch/DispatcherHarm.cpp
@@ -43,6 +43,7 @@
     }
     worker.activity = std::move(activity);
     worker.activityAt = now;
+    worker.spareVersion = 0;
 }
 
 void Dispatcher::harmsReported(std::span<const HarmRow> rows)
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -32,12 +32,16 @@
 
 void Dispatcher::placeReady(Instant now, WallMs wallNow)
 {
+    if (now < m_nextPlacing)
+        return;
+    std::size_t looks = m_ready.size();
     // A shape that found no room once this round finds none for its like either.
     std::set<std::pair<std::string, std::uint32_t>> stuck;
     for (const ReadyTask &each : servingOrder(wallNow)) {
         const std::pair<std::string, std::uint32_t> shape{each.task.job, each.task.step};
         if (stuck.contains(shape) || !m_readyByTask.contains(each.task))
             continue;
+        looks += m_pool.workers().size();
         const StageJob &job = *m_book.find(each.task.job);
         const bool placed =
             job.plan.steps[each.task.step].gang ? placeGang(each, now) : placeTask(each, now);
@@ -48,6 +52,10 @@
     }
     if (now >= m_nextWaitLog)
         m_nextWaitLog = now + m_settings.waitLogInterval;
+    // Many waiting steps on many workers must not keep the leader from all else.
+    m_nextPlacing = now
+        + std::min(m_settings.pausePerLook * static_cast<std::int64_t>(looks),
+                   m_settings.longestPlacingPause);
 }
 
 void Dispatcher::logWaiting(const StageJob &job, const ReadyTask &ready) const
@@ -163,8 +171,12 @@
         && speedOf(worker, step) >= m_settings.leastFillerSpeed;
 }
 
-double Dispatcher::speedOf(const PoolWorker &worker, const StepPlan &step) const
+const std::vector<SpareHeadroom> &Dispatcher::spareOf(const PoolWorker &worker) const
 {
+    if (worker.spareVersion == m_harms.version())
+        return worker.spare;
+    worker.spareVersion = m_harms.version();
+    worker.spare.clear();
     const double capacity = static_cast<double>(worker.facts.capacity.milliCores);
     // What all fillers there would use at full speed.
     FillerActivity wanted;
@@ -172,15 +184,29 @@
         if (run.fillsLeftover)
             wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
     }
-    const double more = static_cast<double>(step.size.milliCores) / capacity;
-    double speed = 1;
     for (const auto &[task, run] : worker.runs) {
         if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
             continue;
         const double left = run.own - 1 / m_settings.tailLimit - m_harms.total(run.image, wanted);
-        const double need = m_harms.harm(run.image, step.image) * more;
+        const auto known = std::find_if(worker.spare.begin(), worker.spare.end(),
+                                        [&](const auto &each) { return each.image == run.image; });
+        if (known == worker.spare.end())
+            worker.spare.push_back({run.image, left});
+        else
+            known->left = std::min(known->left, left);
+    }
+    return worker.spare;
+}
+
+double Dispatcher::speedOf(const PoolWorker &worker, const StepPlan &step) const
+{
+    const double more = static_cast<double>(step.size.milliCores)
+        / static_cast<double>(worker.facts.capacity.milliCores);
+    double speed = 1;
+    for (const SpareHeadroom &spare : spareOf(worker)) {
+        const double need = m_harms.harm(spare.image, step.image) * more;
         if (need > 0)
-            speed = std::min(speed, left / need);
+            speed = std::min(speed, spare.left / need);
     }
     return speed;
 }
--- a/Guavashift/Dispatch/HarmTable.cpp
+++ b/Guavashift/Dispatch/HarmTable.cpp
@@ -61,6 +61,7 @@
     Sums &sums = m_byServing[serving];
     sums.adopted[filler] = harm;
     sums.harms.try_emplace(filler, harm);
+    ++m_version;
 }
 
 std::pair<double, double> HarmTable::priorOf(const Sums &sums, std::string_view filler) const
@@ -73,8 +74,10 @@
 void HarmTable::solve()
 {
     for (auto &[serving, sums] : m_byServing) {
-        if (std::exchange(sums.changed, false))
-            solve(sums);
+        if (!std::exchange(sums.changed, false))
+            continue;
+        solve(sums);
+        ++m_version;
     }
 }
 
--- a/Guavashift/Dispatch/HarmTable.h
+++ b/Guavashift/Dispatch/HarmTable.h
@@ -65,6 +65,8 @@
     [[nodiscard]] double harm(std::string_view serving, std::string_view filler) const;
     using Harms = std::map<std::string, double, std::less<>>;
 
+    /// Changes whenever a harm may have changed; never 0.
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// Of all fillers of which anything was seen beside that serving image, here or before.
     [[nodiscard]] const Harms &harmsTo(std::string_view serving) const;
     /// Whether anything was seen of the pair, here or before.
@@ -91,6 +93,7 @@
 
     HarmSettings m_settings;
     std::map<std::string, Sums, std::less<>> m_byServing;
+    std::uint64_t m_version = 1;
 };
 
 } // namespace guavashift
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -38,6 +38,7 @@
 void WorkerPool::place(const Lifetime &lifetime, PlacedRun run)
 {
     PoolWorker &worker = add(lifetime);
+    worker.spareVersion = 0;
     worker.reserved += reservationOf(run);
     if (run.fillsLeftover)
         worker.fillers += run.size.milliCores;
@@ -57,6 +58,7 @@
     if (found == worker->runs.end())
         return;
     const PlacedRun &run = found->second;
+    worker->spareVersion = 0;
     worker->reserved -= reservationOf(run);
     if (run.fillsLeftover)
         worker->fillers -= run.size.milliCores;
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -25,6 +25,13 @@
     double own = 0; ///< A serving task's headroom without fillers; smoothed.
 };
 
+/// Headroom that fillers may still take from the serving tasks of one image on one worker.
+struct SpareHeadroom
+{
+    std::string image;
+    double left = 0;
+};
+
 /// What the leader knows of one lifetime of a worker.
 struct PoolWorker
 {
@@ -41,6 +48,10 @@
     FillerActivity activity; ///< Of the fillers that its last report showed.
     Instant activityAt;
     std::vector<HarmRow> harmsTold; ///< To its agent, last.
+    /// Worked out when asked for, since every waiting step asks every worker.
+    mutable std::vector<SpareHeadroom> spare;
+    /// Of the harms that `spare` was worked out from; 0: it must be worked out anew.
+    mutable std::uint64_t spareVersion = 0;
 
     [[nodiscard]] Resources room() const { return facts.capacity - reserved; }
 };
