End the pool of hedged copies before what they use

Found by reading while the segmentation fault of a stopping leader was looked for: the slower copy of a hedged request still ran when its forwarder was gone.

--- a/Guavashift/Entry/EntryRole.h
+++ b/Guavashift/Entry/EntryRole.h
@@ -38,8 +38,9 @@
     std::unique_ptr<RoutingTable> m_routing;
     std::unique_ptr<CommandBatcher> m_commands;
     std::unique_ptr<AgentClients> m_agents;
-    std::unique_ptr<TaskPool> m_pool;
     std::unique_ptr<RequestForwarder> m_forwarder;
+    // Ends before the forwarder: the slower copy of a hedged request may still be under way.
+    std::unique_ptr<TaskPool> m_pool;
     std::unique_ptr<AdminApi> m_adminApi;
     std::unique_ptr<HttpServer> m_server;
 
