--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -35,8 +35,8 @@
     double movedFillerSpeed = 0.8;
     /// A run is left where it is for this long after it was bound.
     Duration settleTime = std::chrono::milliseconds(1200);
-    /// Pause after a round of placing, for each worker that a waiting step looked at: some three
-    /// times what the look costs on the smallest machine.
+    /// Pause after a round of placing, for each worker that a waiting step looked at. With 71
+    /// workers the leader then has most of its machine for all else, see docs/MEASUREMENTS.md.
     Duration pausePerLook = std::chrono::microseconds(5);
     /// The longest such pause.
     Duration longestPlacingPause = std::chrono::milliseconds(60);
