Take connections out of the reactor before they are freed

Cause: a stopping RPC server closed its connections and freed them, while its reactor still knew them; the reactor's end then called freed handlers. The kernel's log placed the fault of the stopping leader in the reactor's unbind_all, in four of four. Change: connections are removed from the reactor first. Rpc tests pass.

--- a/Guavashift/Rpc/RpcServer.cpp
+++ b/Guavashift/Rpc/RpcServer.cpp
@@ -71,8 +71,14 @@
         m_reactor.remove_handler(this,
                                  ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
         m_acceptor.close();
-        for (const auto &connection : m_connections)
+        for (const auto &connection : m_connections) {
+            // The reactor outlives the connections and calls all that it still knows.
+            if (!connection->isClosed())
+                m_reactor.remove_handler(connection.get(),
+                                         ACE_Event_Handler::ALL_EVENTS_MASK
+                                             | ACE_Event_Handler::DONT_CALL);
             connection->close();
+        }
         m_connections.clear();
     }
 
