--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -188,8 +188,9 @@
         if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
             continue;
         const double left = run.own - 1 / m_settings.tailLimit - m_harms.total(run.image, wanted);
+        const std::string &image = run.image;
         const auto known = std::find_if(worker.spare.begin(), worker.spare.end(),
-                                        [&](const auto &each) { return each.image == run.image; });
+                                        [&](const auto &each) { return each.image == image; });
         if (known == worker.spare.end())
             worker.spare.push_back({run.image, left});
         else
--- a/Guavashift/Fleet/Pacer.cpp
+++ b/Guavashift/Fleet/Pacer.cpp
@@ -112,11 +112,12 @@
     beginRest(serving, now);
     if (!m_resting)
         return;
+    const auto mayHarm = [this](const std::string &filler) {
+        return std::any_of(m_restFor.begin(), m_restFor.end(),
+                           [&](const std::string &image) { return harmOf(image, filler) > 0; });
+    };
     for (auto &[filler, pace] : paces) {
-        const bool mayHarm =
-            std::any_of(m_restFor.begin(), m_restFor.end(),
-                        [&](const std::string &image) { return harmOf(image, filler) > 0; });
-        if (m_allRest || mayHarm)
+        if (m_allRest || mayHarm(filler))
             pace = 0;
     }
 }
