--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -119,6 +119,8 @@
     void acceptEntries(const AppendRequest &request);
     void rememberRound(Instant now, PeerProgress &peer);
     void contact(Instant now, PeerProgress &peer, std::uint64_t round);
+    /// The peer whose answer it is; null for an answer that means nothing to this replica now.
+    PeerProgress *answeringPeer(Instant now, const ReplicaId &from, Term term, std::uint64_t round);
     [[nodiscard]] Instant quorumContact(Instant now) const;
     void checkQuorum(Instant now);
     void finishSnapshot(Instant now, const ReplicaId &from, const SnapshotChunk &chunk);
--- a/Guavashift/Consensus/ReplicaReplication.cpp
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -224,17 +224,26 @@
         m_effects.emplace_back(std::move(append));
 }
 
-void Replica::handle(Instant now, const ReplicaId &from, const AppendReply &reply)
+PeerProgress *Replica::answeringPeer(Instant now, const ReplicaId &from, Term term,
+                                     std::uint64_t round)
 {
-    if (reply.term > m_hardState.term) {
-        becomeFollower(now, reply.term, {});
-        return;
+    if (term > m_hardState.term) {
+        becomeFollower(now, term, {});
+        return nullptr;
     }
     const auto found = m_peers.find(from);
-    if (!isLeader() || reply.term != m_hardState.term || found == m_peers.end())
+    if (!isLeader() || term != m_hardState.term || found == m_peers.end())
+        return nullptr;
+    contact(now, found->second, round);
+    return &found->second;
+}
+
+void Replica::handle(Instant now, const ReplicaId &from, const AppendReply &reply)
+{
+    PeerProgress *answering = answeringPeer(now, from, reply.term, reply.round);
+    if (answering == nullptr)
         return;
-    PeerProgress &peer = found->second;
-    contact(now, peer, reply.round);
+    PeerProgress &peer = *answering;
     if (!reply.success) {
         // A snapshot on its way makes up for what is missing.
         if (peer.snapshotIndex != 0)
@@ -318,15 +327,10 @@
 
 void Replica::handle(Instant now, const ReplicaId &from, const SnapshotReply &reply)
 {
-    if (reply.term > m_hardState.term) {
-        becomeFollower(now, reply.term, {});
-        return;
-    }
-    const auto found = m_peers.find(from);
-    if (!isLeader() || reply.term != m_hardState.term || found == m_peers.end())
+    PeerProgress *answering = answeringPeer(now, from, reply.term, reply.round);
+    if (answering == nullptr)
         return;
-    PeerProgress &peer = found->second;
-    contact(now, peer, reply.round);
+    PeerProgress &peer = *answering;
     peer.inFlight = false;
     if (reply.installed) {
         peer.matchIndex = std::max(peer.matchIndex, reply.lastIndex);
