Share what both HTTP servers do with libmicrohttpd

Repeated code: address, header callback, body pieces and answers stood in both servers. They stand in MicrohttpdParts now, which is not part of the public header. Behaviour unchanged; tests of Platform, Entry, Agent and Fleet pass.

--- a/Guavashift/Http/AsyncHttpServer.cpp
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -1,29 +1,13 @@
 #include <Guavashift/Http/AsyncHttpServer.h>
+#include <Guavashift/Http/MicrohttpdParts.h>
 
-#include <arpa/inet.h>
 #include <atomic>
-#include <microhttpd.h>
 #include <mutex>
-#include <netinet/in.h>
 
 namespace guavashift {
 
 namespace {
 
-constexpr unsigned listenBacklog = 1024;
-
-MHD_Result addHeader(void *cls, MHD_ValueKind, const char *key, const char *value)
-{
-    static_cast<HttpHeaders *>(cls)->add(key, value == nullptr ? "" : value);
-    return MHD_YES;
-}
-
-/// Leaves escapes as they are: paths are passed on unchanged.
-std::size_t keepEscapes(void *, MHD_Connection *, char *text)
-{
-    return std::char_traits<char>::length(text);
-}
-
 /// One request from its headers to its answer.
 struct Exchange
 {
@@ -53,23 +37,19 @@
 
     Result<void> start()
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(m_settings.port);
-        if (inet_pton(AF_INET, m_settings.ip.c_str(), &address.sin_addr) != 1)
-            return fail(ErrorCode::InvalidArgument, m_settings.ip + " is not an IP number");
-        const auto timeoutSeconds = static_cast<unsigned>(toMs(m_settings.idleTimeout) / 1000);
+        const Result<sockaddr_in> address = listenAddress(m_settings);
+        if (!address)
+            return tl::unexpected(address.error());
         m_daemon = MHD_start_daemon(
             MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, m_settings.port,
-            nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR, &address,
+            nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR, &*address,
             MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
-            timeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
-            MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-            MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
+            idleSeconds(m_settings), MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
+            MHD_OPTION_LISTEN_BACKLOG_SIZE, httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+            1U, MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
             &Implementation::onCompleted, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
-            return fail(ErrorCode::Io,
-                        fmt::format("cannot listen on {}:{}", m_settings.ip, m_settings.port));
+            return tl::unexpected(cannotListen(m_settings));
         return {};
     }
 
@@ -113,14 +93,9 @@
         }
         const ExchangePointer exchange = *static_cast<ExchangePointer *>(*context);
         // Further calls bring the body in pieces.
-        if (*uploadSize > 0) {
-            if (exchange->request.body.size() + *uploadSize > m_settings.maxBodyBytes)
-                exchange->tooLarge = true;
-            else
-                exchange->request.body.append(uploadData, *uploadSize);
-            *uploadSize = 0;
+        if (takeBody(exchange->request, exchange->tooLarge, m_settings.maxBodyBytes, uploadData,
+                     uploadSize))
             return MHD_YES;
-        }
         if (exchange->tooLarge)
             return respond(connection,
                            HttpResponse::json(413, {{"error", "the body is too large"}}));
@@ -148,18 +123,9 @@
         return respond(connection, exchange->response);
     }
 
-    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response)
+    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response) const
     {
-        MHD_Response *native = MHD_create_response_from_buffer(
-            response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
-        for (const HttpHeader &header : response.headers.all())
-            MHD_add_response_header(native, header.name.c_str(), header.value.c_str());
-        if (m_closing)
-            MHD_add_response_header(native, "Connection", "close");
-        const MHD_Result result =
-            MHD_queue_response(connection, static_cast<unsigned>(response.status), native);
-        MHD_destroy_response(native);
-        return result;
+        return sendResponse(connection, response, m_closing);
     }
 
     HttpServerSettings m_settings;
--- a/Guavashift/Http/HttpServer.cpp
+++ b/Guavashift/Http/HttpServer.cpp
@@ -1,12 +1,10 @@
 #include <Guavashift/Http/HttpServer.h>
+#include <Guavashift/Http/MicrohttpdParts.h>
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <charconv>
 #include <condition_variable>
-#include <microhttpd.h>
 #include <mutex>
-#include <netinet/in.h>
 #include <unistd.h>
 
 namespace guavashift {
@@ -14,7 +12,6 @@
 namespace {
 
 constexpr std::size_t threadStackBytes = 256 << 10;
-constexpr unsigned listenBacklog = 1024;
 /// Longest wait for answers on their way when the server stops.
 constexpr Duration answerTimeout = std::chrono::seconds(5);
 
@@ -25,12 +22,6 @@
     bool tooLarge = false;
 };
 
-MHD_Result addHeader(void *cls, MHD_ValueKind, const char *key, const char *value)
-{
-    static_cast<HttpHeaders *>(cls)->add(key, value == nullptr ? "" : value);
-    return MHD_YES;
-}
-
 MHD_Result addQuery(void *cls, MHD_ValueKind, const char *key, const char *value)
 {
     auto &query = *static_cast<std::string *>(cls);
@@ -44,12 +35,6 @@
     return MHD_YES;
 }
 
-/// Leaves escapes as they are: paths and queries are passed on unchanged.
-std::size_t keepEscapes(void *, MHD_Connection *, char *text)
-{
-    return std::char_traits<char>::length(text);
-}
-
 } // namespace
 
 class HttpServer::Implementation final
@@ -65,25 +50,22 @@
 
     Result<void> start()
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(m_settings.port);
-        if (inet_pton(AF_INET, m_settings.ip.c_str(), &address.sin_addr) != 1)
-            return fail(ErrorCode::InvalidArgument, m_settings.ip + " is not an IP number");
-        const unsigned timeoutSeconds = static_cast<unsigned>(toMs(m_settings.idleTimeout) / 1000);
+        const Result<sockaddr_in> address = listenAddress(m_settings);
+        if (!address)
+            return tl::unexpected(address.error());
         m_daemon = MHD_start_daemon(
             MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL
                 | MHD_USE_ITC | MHD_USE_TURBO,
             m_settings.port, nullptr, nullptr, &Implementation::onAccess, this,
-            MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections,
-            MHD_OPTION_CONNECTION_TIMEOUT, timeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-            m_settings.maxHeaderBytes, MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes,
-            MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-            MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-            &Implementation::onCompleted, this, MHD_OPTION_END);
+            MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections,
+            MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds(m_settings),
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
+            MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+            httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_UNESCAPE_CALLBACK,
+            &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted, this,
+            MHD_OPTION_END);
         if (m_daemon == nullptr)
-            return fail(ErrorCode::Io,
-                        fmt::format("cannot listen on {}:{}", m_settings.ip, m_settings.port));
+            return tl::unexpected(cannotListen(m_settings));
         return {};
     }
 
@@ -160,14 +142,9 @@
         }
         auto &transfer = *static_cast<Transfer *>(*context);
         // Further calls bring the body in pieces.
-        if (*uploadSize > 0) {
-            if (transfer.request.body.size() + *uploadSize > m_settings.maxBodyBytes)
-                transfer.tooLarge = true;
-            else
-                transfer.request.body.append(uploadData, *uploadSize);
-            *uploadSize = 0;
+        if (takeBody(transfer.request, transfer.tooLarge, m_settings.maxBodyBytes, uploadData,
+                     uploadSize))
             return MHD_YES;
-        }
         // The last call asks for the answer.
         return respond(connection,
                        transfer.tooLarge ? refuseTooLarge() : m_handler(transfer.request));
@@ -190,18 +167,9 @@
         return response;
     }
 
-    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response)
+    MHD_Result respond(MHD_Connection *connection, const HttpResponse &response) const
     {
-        MHD_Response *native = MHD_create_response_from_buffer(
-            response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
-        for (const HttpHeader &header : response.headers.all())
-            MHD_add_response_header(native, header.name.c_str(), header.value.c_str());
-        if (m_closing)
-            MHD_add_response_header(native, "Connection", "close");
-        const MHD_Result result =
-            MHD_queue_response(connection, static_cast<unsigned>(response.status), native);
-        MHD_destroy_response(native);
-        return result;
+        return sendResponse(connection, response, m_closing);
     }
 
     HttpServerSettings m_settings;
--- /dev/null
+++ b/Guavashift/Http/MicrohttpdParts.cpp
@@ -0,0 +1,66 @@
+#include <Guavashift/Http/MicrohttpdParts.h>
+
+#include <arpa/inet.h>
+#include <utility>
+
+namespace guavashift {
+
+Result<sockaddr_in> listenAddress(const HttpServerSettings &settings)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(settings.port);
+    if (inet_pton(AF_INET, settings.ip.c_str(), &address.sin_addr) != 1)
+        return fail(ErrorCode::InvalidArgument, settings.ip + " is not an IP number");
+    return address;
+}
+
+Error cannotListen(const HttpServerSettings &settings)
+{
+    return {ErrorCode::Io, fmt::format("cannot listen on {}:{}", settings.ip, settings.port)};
+}
+
+unsigned idleSeconds(const HttpServerSettings &settings)
+{
+    return static_cast<unsigned>(toMs(settings.idleTimeout) / 1000);
+}
+
+MHD_Result addHeader(void *headers, MHD_ValueKind, const char *key, const char *value)
+{
+    static_cast<HttpHeaders *>(headers)->add(key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+std::size_t keepEscapes(void *, MHD_Connection *, char *text)
+{
+    return std::char_traits<char>::length(text);
+}
+
+bool takeBody(HttpRequest &request, bool &tooLarge, std::size_t limit, const char *data,
+              std::size_t *size)
+{
+    const std::size_t bytes = std::exchange(*size, 0);
+    if (bytes == 0)
+        return false;
+    if (request.body.size() + bytes > limit)
+        tooLarge = true;
+    else
+        request.body.append(data, bytes);
+    return true;
+}
+
+MHD_Result sendResponse(MHD_Connection *connection, const HttpResponse &response, bool closing)
+{
+    MHD_Response *native = MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    for (const HttpHeader &header : response.headers.all())
+        MHD_add_response_header(native, header.name.c_str(), header.value.c_str());
+    if (closing)
+        MHD_add_response_header(native, "Connection", "close");
+    const MHD_Result result =
+        MHD_queue_response(connection, static_cast<unsigned>(response.status), native);
+    MHD_destroy_response(native);
+    return result;
+}
+
+} // namespace guavashift
