--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -155,7 +155,7 @@
 
 void Dispatcher::beginDueOccurrences(WallMs wallNow)
 {
-    while (!m_due.empty() && m_due.begin()->first <= wallNow + m_settings.earlyMs) {
+    while (!m_due.empty() && m_due.begin()->first <= wallNow) {
         const auto [id, occurrence] = m_due.begin()->second;
         m_due.erase(m_due.begin());
         const StageJob *job = m_book.find(id);
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -13,8 +13,6 @@
     Duration workerLease = std::chrono::milliseconds(4500);
     /// Added before a lease counts as over: late timers, clocks that run 2 % slow.
     Duration leaseMargin = std::chrono::milliseconds(400);
-    /// How much earlier than due a scheduled occurrence may start; limit of the deployment.
-    std::int64_t earlyMs = 0;
     /// A worker that refused a start is passed over this long.
     Duration refusalPause = std::chrono::milliseconds(500);
     /// A worker on which different jobs failed is passed over this long; doubles up to the most.
--- a/Guavashift/Fleet/FleetSettings.h
+++ b/Guavashift/Fleet/FleetSettings.h
@@ -11,17 +11,11 @@
 struct FleetBounds
 {
     Duration longestWorkerLease = std::chrono::milliseconds(6000);
-    Duration stopGrace = std::chrono::milliseconds(400);  ///< For one task.
-    Duration processGrace = std::chrono::seconds(6);      ///< Between SIGTERM and SIGKILL.
-    Duration gangWait = std::chrono::milliseconds(3000);  ///< A member waits for the others.
-    Duration endedKept = std::chrono::seconds(120);       ///< State of ended jobs.
-    Duration early = std::chrono::milliseconds(250);      ///< For scheduled occurrences.
-    Duration catchUp = std::chrono::seconds(4);           ///< For a replaced core machine.
-    Duration thawSlack = std::chrono::milliseconds(300);  ///< Lateness after a freeze.
-    Duration paceDelay = std::chrono::milliseconds(100);  ///< Until a new pace acts.
-    Duration interferenceLimit = std::chrono::seconds(4); ///< Over the tail target on end.
-    double remoteFactor = 1.5;                            ///< Slowdown away from the data.
-    std::uint32_t lossesBorne = 1;                        ///< Disks lost at once.
+    Duration processGrace = std::chrono::seconds(6);     ///< Between SIGTERM and SIGKILL.
+    Duration endedKept = std::chrono::seconds(120);      ///< State of ended jobs.
+    Duration thawSlack = std::chrono::milliseconds(300); ///< Lateness after a freeze.
+    double remoteFactor = 1.5;                           ///< Slowdown away from the data.
+    std::uint32_t lossesBorne = 1;                       ///< Disks lost at once.
 };
 
 /// What every process of a fleet is told at start.
