--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -177,13 +177,7 @@
         return worker.spare;
     worker.spareVersion = m_harms.version();
     worker.spare.clear();
-    const double capacity = static_cast<double>(worker.facts.capacity.milliCores);
-    // What all fillers there would use at full speed.
-    FillerActivity wanted;
-    for (const auto &[task, run] : worker.runs) {
-        if (run.fillsLeftover)
-            wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
-    }
+    const FillerActivity wanted = worker.wantedByFillers();
     for (const auto &[task, run] : worker.runs) {
         if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
             continue;
@@ -222,12 +216,7 @@
 
 double Dispatcher::currentSpeed(const PoolWorker &worker, const PlacedRun &filler) const
 {
-    const double capacity = static_cast<double>(worker.facts.capacity.milliCores);
-    FillerActivity wanted;
-    for (const auto &[task, run] : worker.runs) {
-        if (run.fillsLeftover)
-            wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
-    }
+    const FillerActivity wanted = worker.wantedByFillers();
     double speed = 1;
     for (const auto &[task, run] : worker.runs) {
         if (!run.serves || run.tailTargetMs <= 0 || run.rowAt == Instant())
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -15,6 +15,17 @@
 
 } // namespace
 
+FillerActivity PoolWorker::wantedByFillers() const
+{
+    const double capacity = static_cast<double>(facts.capacity.milliCores);
+    FillerActivity wanted;
+    for (const auto &[task, run] : runs) {
+        if (run.fillsLeftover)
+            wanted[run.image] += static_cast<double>(run.size.milliCores) / capacity;
+    }
+    return wanted;
+}
+
 PoolWorker *WorkerPool::find(const Lifetime &lifetime)
 {
     const auto found = m_workers.find(lifetime);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -53,6 +53,8 @@
     /// Of the harms that `spare` was worked out from; 0: it must be worked out anew.
     mutable std::uint64_t spareVersion = 0;
 
+    /// What all fillers there would use at full speed.
+    [[nodiscard]] FillerActivity wantedByFillers() const;
     [[nodiscard]] Resources room() const { return facts.capacity - reserved; }
 };
 
