Log what each commit of the leader waited for

Change: the leader logs for each entry how many commands share it, how long the oldest was queued, the sync of its own disk, and the time to its commit. No decision changes.

--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -166,7 +166,7 @@
 
 void ReplicaDriver::propose(std::vector<StageCommand> commands, Done done)
 {
-    m_proposals.push_back({std::move(commands), std::move(done)});
+    m_proposals.push_back({std::move(commands), std::move(done), BootClock::now()});
 }
 
 void ReplicaDriver::proposePending()
@@ -177,6 +177,7 @@
         StageBatch batch;
         batch.time = wallNow();
         std::vector<Waiter> waiters;
+        const Instant oldest = proposals[next].proposedAt;
         do {
             Proposal &proposal = proposals[next++];
             waiters.push_back({m_replica->term(), batch.commands.size(), proposal.commands.size(),
@@ -189,6 +190,9 @@
         const Result<LogIndex> index = isEmpty && leads()
             ? Result<LogIndex>(m_replica->log().lastIndex())
             : m_replica->propose(BootClock::now(), batch.encode());
+        if (index && !isEmpty)
+            m_entryTimes[*index] = {batch.commands.size(), oldest, BootClock::now(),
+                                    Duration::zero()};
         for (Waiter &waiter : waiters) {
             if (!index)
                 waiter.done(false, {});
@@ -276,6 +280,10 @@
     const Instant started = BootClock::now();
     check(m_store->sync());
     const Duration took = BootClock::now() - started;
+    for (auto &[index, times] : m_entryTimes) {
+        if (times.sync == Duration::zero())
+            times.sync = took;
+    }
     if (took < m_settings.slowSync || !leads())
         return;
     logEvent(LogLevel::Warning, "disk-slow", {{"sync_ms", toMs(took)}});
@@ -347,9 +355,25 @@
             m_digests.erase(m_digests.begin());
         m_replica->updateDigest({entry.index, m_book.digest()});
     }
+    logCommitted(entry.index);
     settleWaiters(entry.index, entry.term, outcomes);
 }
 
+void ReplicaDriver::logCommitted(LogIndex index)
+{
+    const auto found = m_entryTimes.find(index);
+    if (found == m_entryTimes.end())
+        return;
+    const EntryTimes times = found->second;
+    m_entryTimes.erase(found);
+    logEvent(LogLevel::Info, "entry-committed",
+             {{"index", index},
+              {"commands", times.commands},
+              {"queued_ms", toMs(times.appendedAt - times.proposedAt)},
+              {"sync_ms", toMs(times.sync)},
+              {"commit_ms", toMs(BootClock::now() - times.appendedAt)}});
+}
+
 void ReplicaDriver::settleWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes)
 {
     while (!m_waiters.empty() && m_waiters.begin()->first <= index) {
@@ -366,6 +390,7 @@
 
 void ReplicaDriver::abandonWaiters()
 {
+    m_entryTimes.clear();
     std::multimap<LogIndex, Waiter> waiters = std::exchange(m_waiters, {});
     for (auto &[index, waiter] : waiters)
         waiter.done(false, {});
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -79,6 +79,16 @@
     {
         std::vector<StageCommand> commands;
         Done done;
+        Instant proposedAt;
+    };
+
+    /// What an own entry waited for until it was committed.
+    struct EntryTimes
+    {
+        std::size_t commands = 0;
+        Instant proposedAt; ///< Of the oldest command.
+        Instant appendedAt;
+        Duration sync = Duration::zero(); ///< Of the own disk.
     };
 
     struct Waiter
@@ -100,6 +110,7 @@
     void sendMessages(const std::vector<Effect> &effects, bool afterSync);
     void sendTo(const std::string &address, const FleetMessage &message);
     void apply(const LogEntry &entry);
+    void logCommitted(LogIndex index);
     void settleWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes);
     void install(const SnapshotPointer &snapshot);
     void compare(const StateDigest &digest);
@@ -125,6 +136,7 @@
     std::map<ReplicaId, std::string> m_toldAddresses;
     std::vector<Proposal> m_proposals;
     std::multimap<LogIndex, Waiter> m_waiters;
+    std::map<LogIndex, EntryTimes> m_entryTimes;
     std::map<LogIndex, std::uint64_t> m_digests;
     std::size_t m_bytesSinceSnapshot = 0;
     MembershipPlanner m_planner;
