Let all input that is ready share one round of the event loop

Cause: the reactor dispatches one socket event a call, and each call was followed by the end of the round. There the leader writes and syncs what was proposed, so each frame of each agent cost one sync of 6 ms on the loop's thread, and followers' answers waited in the same line.

Ruled out: the processor (the leader used 0.02 of 0.32 cores); room (the time passed between a run's end at its agent and the end's commit, not between a ready step and its binding).

Change: a round takes all events that are ready, at most 512 or 10 ms.

The test inputThatIsReadySharesOneRound failed before (40 rounds for 40 frames) and passes now.

Conclusion: the commits were the bottleneck; nothing else was changed.

--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -74,15 +74,28 @@
 
 void EventLoop::runOnce(Duration longest)
 {
-    const Duration wait = untilNextTimer(longest);
-    ACE_Time_Value timeout(0, std::chrono::duration_cast<std::chrono::microseconds>(wait).count());
-    m_reactor->handle_events(timeout);
+    takeEvents(untilNextTimer(longest));
     runPosted();
     runTimers();
     for (const Work &work : m_roundEnds)
         work();
 }
 
+void EventLoop::takeEvents(Duration longest)
+{
+    ACE_Time_Value timeout(0,
+                           std::chrono::duration_cast<std::chrono::microseconds>(longest).count());
+    int dispatched = m_reactor->handle_events(timeout);
+    // The reactor dispatches one event a call.
+    const Instant begun = BootClock::now();
+    for (std::size_t taken = 1; dispatched > 0 && taken < m_settings.maxEventsPerRound; ++taken) {
+        if (BootClock::now() - begun >= m_settings.longestRound)
+            return;
+        ACE_Time_Value none;
+        dispatched = m_reactor->handle_events(none);
+    }
+}
+
 void EventLoop::stop()
 {
     {
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -17,6 +17,10 @@
 {
     /// Handles that the loop can watch. Opening fails above what the process may have.
     std::size_t maxHandles = 1024;
+    /// Events that one round takes at most, so that busy peers cannot keep it from its end.
+    std::size_t maxEventsPerRound = 512;
+    /// Nor does a round take further events once it has lasted this long.
+    Duration longestRound = std::chrono::milliseconds(10);
 };
 
 /// One thread that waits for sockets, timers and work posted by other threads. Everything that a
@@ -42,7 +46,8 @@
     TimerId after(Duration delay, Work work);
     void cancel(TimerId timer);
 
-    /// Called after each round of events, before waiting again.
+    /// Called after each round of events, before waiting again. A round takes all events that are
+    /// ready, within the limits of the settings, so what `work` costs is shared by them.
     void addRoundEnd(Work work) { m_roundEnds.push_back(std::move(work)); }
 
     /// Runs until stop().
@@ -57,6 +62,7 @@
 private:
     class Waker;
 
+    void takeEvents(Duration longest);
     void runPosted();
     void runTimers();
     [[nodiscard]] Duration untilNextTimer(Duration longest) const;
--- /dev/null
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -0,0 +1,108 @@
+#include <Guavashift/Channel/Channel.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sys/socket.h>
+
+using namespace guavashift;
+
+namespace {
+
+constexpr std::size_t clients = 40;
+
+/// Both ends of a connection within this process.
+struct Pair
+{
+    Pair(EventLoop &loop, const ChannelSettings &settings)
+        : near(loop, settings)
+        , far(loop, settings)
+    {
+        int handles[2]; // NOLINT
+        CPPUNIT_ASSERT_EQUAL(0, ::socketpair(AF_UNIX, SOCK_STREAM, 0, handles));
+        near.adopt(handles[0]);
+        far.adopt(handles[1]);
+    }
+
+    FrameConnection near;
+    FrameConnection far;
+};
+
+} // namespace
+
+/// Rounds of the loop: what shares one, and that none of them lasts too long.
+class EventLoopTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventLoopTest);
+    CPPUNIT_TEST(inputThatIsReadySharesOneRound);
+    CPPUNIT_TEST(endlessInputDoesNotKeepTheRoundFromEnding);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<EventLoop>(EventLoopSettings{256});
+        CPPUNIT_ASSERT(m_loop->open());
+        m_loop->addRoundEnd([this] { ++m_rounds; });
+    }
+
+    void tearDown() override
+    {
+        m_pairs.clear();
+        m_loop.reset();
+    }
+
+    /// Guards against a leader that writes and syncs its log once for each agent's frame.
+    void inputThatIsReadySharesOneRound()
+    {
+        connectAll();
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        while (m_frames < clients)
+            m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(1, m_rounds);
+    }
+
+    /// Guards against timers and commits that starve while agents keep sending.
+    void endlessInputDoesNotKeepTheRoundFromEnding()
+    {
+        connectAll();
+        m_echo = true;
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        bool timerRan = false;
+        m_loop->after(Duration::zero(), [&] { timerRan = true; });
+        m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(1, m_rounds);
+        CPPUNIT_ASSERT(timerRan);
+    }
+
+private:
+    void connectAll()
+    {
+        for (std::size_t i = 0; i < clients; ++i) {
+            m_pairs.push_back(std::make_unique<Pair>(*m_loop, ChannelSettings{}));
+            Pair &pair = *m_pairs.back();
+            pair.near.setHandlers(
+                [this, &pair](std::string_view frame) {
+                    ++m_frames;
+                    if (m_echo)
+                        pair.near.send(frame);
+                },
+                {});
+            pair.far.setHandlers(
+                [this, &pair](std::string_view frame) {
+                    if (m_echo)
+                        pair.far.send(frame);
+                },
+                {});
+        }
+    }
+
+    std::unique_ptr<EventLoop> m_loop;
+    std::vector<std::unique_ptr<Pair>> m_pairs;
+    int m_rounds = 0;
+    std::size_t m_frames = 0;
+    bool m_echo = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLoopTest);
