Keep log lines whole when their reader is slow or a signal comes

Cause: the writer's thread gave up what was left of its bytes whenever write() returned no more than 0, so also at EINTR and at EAGAIN on a full pipe. What it had written so far ended within a line, and the next line began there.

Change: the writer is a class of its own with its descriptor given to it. It tries again after EINTR, keeps what a full descriptor did not take, bounded together with the lines that wait, and drops whole lines only. Callers never wait, and the end of a process waits for a reader for a bounded time.

Test: LineWriterTest, on a pipe of one page that is drained slowly, and with signals that end calls early.

--- a/Guavashift/Core/Log.cpp
+++ b/Guavashift/Core/Log.cpp
@@ -1,13 +1,8 @@
+#include <Guavashift/Core/LineWriter.h>
 #include <Guavashift/Core/Log.h>
-#include <Guavashift/Core/Time.h>
 
 #include <atomic>
-#include <condition_variable>
-#include <cstdio>
-#include <mutex>
-#include <thread>
 #include <unistd.h>
-#include <utility>
 
 namespace guavashift {
 
@@ -50,114 +45,32 @@
     line += '"';
 }
 
-/// Bytes of lines that may wait to be written; further lines are dropped and counted.
-constexpr std::size_t maxWaitingBytes = 1 << 20;
-/// Lines that gather for this long are written together.
-constexpr Duration gatherTime = std::chrono::milliseconds(20);
-
-/// Writes lines to standard output on a thread of its own, so that no caller waits for a reader.
-class LineWriter final
+std::string lineStart(LogLevel level, std::string_view event)
 {
-public:
-    static LineWriter &instance()
-    {
-        static LineWriter writer;
-        return writer;
-    }
-
-    LineWriter()
-        : m_thread([this] { run(); })
-    {
-    }
-
-    ~LineWriter()
-    {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_stopping = true;
-        }
-        m_wakeUp.notify_all();
-        m_thread.join();
-    }
-
-    LineWriter(const LineWriter &) = delete;
-    LineWriter &operator=(const LineWriter &) = delete;
-
-    void write(std::string_view line)
-    {
-        bool wake = false;
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_waiting.size() + line.size() > maxWaitingBytes) {
-                ++m_dropped;
-                return;
-            }
-            wake = m_waiting.empty();
-            m_waiting += line;
-        }
-        if (wake)
-            m_wakeUp.notify_one();
-    }
-
-    /// Writes what waits on the caller's thread, for a process that is about to end.
-    void flush()
-    {
-        const std::lock_guard lock(m_mutex);
-        writeAll(std::exchange(m_waiting, {}));
-    }
-
-    [[nodiscard]] std::uint64_t dropped()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_dropped;
-    }
-
-private:
-    void run()
-    {
-        std::unique_lock lock(m_mutex);
-        for (;;) {
-            m_wakeUp.wait(lock, [this] { return m_stopping || !m_waiting.empty(); });
-            if (!m_stopping)
-                m_wakeUp.wait_for(lock, gatherTime, [this] { return m_stopping; });
-            const std::string lines = std::exchange(m_waiting, {});
-            const bool ends = m_stopping;
-            lock.unlock();
-            writeAll(lines);
-            lock.lock();
-            if (ends)
-                return;
-        }
-    }
+    return fmt::format("time={} level={} event={}", wallNow(), nameOf(level), event);
+}
 
-    static void writeAll(std::string_view bytes)
-    {
-        while (!bytes.empty()) {
-            const ssize_t written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
-            if (written <= 0)
-                return; // Nobody can be told that logs cannot be written.
-            bytes.remove_prefix(static_cast<std::size_t>(written));
-        }
-    }
+std::string dropNotice(std::uint64_t dropped)
+{
+    return fmt::format("{} count={}\n", lineStart(LogLevel::Warning, "log-lines-dropped"), dropped);
+}
 
-    std::mutex m_mutex;
-    std::condition_variable m_wakeUp;
-    std::string m_waiting;
-    std::uint64_t m_dropped = 0;
-    bool m_stopping = false;
-    std::thread m_thread;
-};
+LineWriter &output()
+{
+    static LineWriter writer(STDOUT_FILENO, {}, dropNotice);
+    return writer;
+}
 
 } // namespace
 
 void flushLog()
 {
-    LineWriter::instance().flush();
+    output().flush();
 }
 
 std::uint64_t droppedLogLines()
 {
-    return LineWriter::instance().dropped();
+    return output().dropped();
 }
 
 void setLogLevel(LogLevel level)
@@ -169,7 +82,7 @@
 {
     if (level < minimumLevel.load())
         return;
-    std::string line = fmt::format("time={} level={} event={}", wallNow(), nameOf(level), event);
+    std::string line = lineStart(level, event);
     for (const LogField &field : fields) {
         line += ' ';
         line += field.key;
@@ -177,7 +90,7 @@
         appendValue(line, field.value);
     }
     line += '\n';
-    LineWriter::instance().write(line);
+    output().write(line);
 }
 
 } // namespace guavashift
--- a/Guavashift/Core/Log.h
+++ b/Guavashift/Core/Log.h
@@ -27,10 +27,11 @@
 void setLogLevel(LogLevel level);
 
 /// Writes one line "time=... level=... event=... key=value ..." to standard output. Values with
-/// spaces or quotes are quoted. Never waits: lines that cannot be kept are dropped and counted.
+/// spaces or quotes are quoted. Never waits: lines that cannot be kept are dropped and counted, and
+/// a line "event=log-lines-dropped count=..." stands in their place.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
-/// Writes what still waits, before the process ends abnormally.
+/// Writes what still waits, as far as it is read, before the process ends abnormally.
 void flushLog();
 
 /// Lines dropped since the start because their reader was too slow.
--- /dev/null
+++ b/UnitTests/Core/LineWriterTest.cpp
@@ -0,0 +1,220 @@
+#include <Guavashift/Core/LineWriter.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <charconv>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace guavashift;
+
+namespace {
+
+constexpr std::string_view noticeStart = "dropped ";
+constexpr int pipeBytes = 4096;
+constexpr int pollMs = 100;
+
+std::string lineOf(std::uint64_t number)
+{
+    constexpr std::uint64_t lengths = 137;
+    return fmt::format("line {} {}.\n", number, std::string(number % lengths, 'x'));
+}
+
+std::string noticeOf(std::uint64_t dropped)
+{
+    return fmt::format("{}{}\n", noticeStart, dropped);
+}
+
+/// A pipe of one page.
+class Pipe final
+{
+public:
+    explicit Pipe(int writeFlags)
+    {
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe2(m_ends.data(), O_CLOEXEC));
+        CPPUNIT_ASSERT(::fcntl(m_ends[1], F_SETPIPE_SZ, pipeBytes) >= pipeBytes);
+        CPPUNIT_ASSERT_EQUAL(0, ::fcntl(m_ends[1], F_SETFL, writeFlags));
+    }
+    ~Pipe()
+    {
+        ::close(m_ends[0]);
+        ::close(m_ends[1]);
+    }
+    Pipe(const Pipe &) = delete;
+    Pipe &operator=(const Pipe &) = delete;
+
+    [[nodiscard]] int writeEnd() const { return m_ends[1]; }
+
+    /// Reads at most one small piece; nothing if none came in time.
+    bool readInto(std::string &text) const
+    {
+        pollfd poll{m_ends[0], POLLIN, 0};
+        if (::poll(&poll, 1, pollMs) <= 0)
+            return false;
+        std::array<char, 1000> piece{};
+        const ssize_t count = ::read(m_ends[0], piece.data(), piece.size());
+        if (count > 0)
+            text.append(piece.data(), static_cast<std::size_t>(count));
+        return count > 0;
+    }
+
+private:
+    std::array<int, 2> m_ends{-1, -1};
+};
+
+std::atomic<int> signalsSeen{0};
+
+void countSignal(int /*number*/)
+{
+    ++signalsSeen;
+}
+
+/// What a reader found.
+struct Found
+{
+    std::uint64_t lines = 0;
+    std::uint64_t toldDropped = 0;
+};
+
+/// Checks that every line stands whole and in order, with each gap told.
+Found check(std::string_view text)
+{
+    Found found;
+    std::uint64_t next = 0;
+    CPPUNIT_ASSERT(text.empty() || text.back() == '\n');
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n') + 1;
+        const std::string line(text.substr(0, end));
+        text.remove_prefix(end);
+        if (line.starts_with(noticeStart)) {
+            std::uint64_t count = 0;
+            std::from_chars(line.data() + noticeStart.size(), line.data() + line.size(), count);
+            CPPUNIT_ASSERT_EQUAL(noticeOf(count), line);
+            found.toldDropped += count;
+            next += count;
+            continue;
+        }
+        CPPUNIT_ASSERT_EQUAL(lineOf(next), line);
+        ++next;
+        ++found.lines;
+    }
+    return found;
+}
+
+} // namespace
+
+/// Found by a played day: lines stood torn into each other.
+class LineWriterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LineWriterTest);
+    CPPUNIT_TEST(keepsLinesWholeOnAFullPipe);
+    CPPUNIT_TEST(dropsWholeLinesAndTellsTheirNumber);
+    CPPUNIT_TEST(goesOnAfterSignals);
+    CPPUNIT_TEST(neverWaitsForAReader);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void keepsLinesWholeOnAFullPipe()
+    {
+        constexpr std::uint64_t lines = 2000;
+        const Pipe pipe(O_NONBLOCK);
+        std::string text;
+        LineWriter writer(pipe.writeEnd(), {}, noticeOf);
+        for (std::uint64_t i = 0; i < lines; ++i)
+            writer.write(lineOf(i));
+        readAll(pipe, text);
+        const Found found = check(text);
+        CPPUNIT_ASSERT_EQUAL(lines, found.lines);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, writer.dropped());
+    }
+
+    void dropsWholeLinesAndTellsTheirNumber()
+    {
+        constexpr std::uint64_t lines = 4000;
+        const Pipe pipe(O_NONBLOCK);
+        std::string text;
+        LineWriterSettings settings;
+        settings.maxWaitingBytes = 20'000;
+        LineWriter writer(pipe.writeEnd(), settings, noticeOf);
+        for (std::uint64_t i = 0; i < lines; ++i) {
+            writer.write(lineOf(i));
+            // The reader takes less than is written.
+            if (i % 20 == 0)
+                pipe.readInto(text);
+        }
+        readAll(pipe, text);
+        CPPUNIT_ASSERT(writer.dropped() > 0);
+        // The place of the last gap is told by the next line.
+        writer.write(lineOf(lines));
+        readAll(pipe, text);
+        const Found found = check(text);
+        CPPUNIT_ASSERT_EQUAL(writer.dropped(), found.toldDropped);
+        CPPUNIT_ASSERT_EQUAL(lines + 1, found.lines + found.toldDropped);
+    }
+
+    void goesOnAfterSignals()
+    {
+        constexpr std::uint64_t lines = 3000;
+        struct sigaction action
+        {
+        };
+        struct sigaction before
+        {
+        };
+        action.sa_handler = countSignal; // Without SA_RESTART: calls end early.
+        CPPUNIT_ASSERT_EQUAL(0, ::sigaction(SIGUSR1, &action, &before));
+        const Pipe pipe(0);
+        std::string text;
+        {
+            LineWriter writer(pipe.writeEnd(), {}, noticeOf);
+            // Only the writer's thread takes the signals.
+            sigset_t signals;
+            sigemptyset(&signals);
+            sigaddset(&signals, SIGUSR1);
+            ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+            for (std::uint64_t i = 0; i < lines; ++i)
+                writer.write(lineOf(i));
+            do {
+                ::kill(::getpid(), SIGUSR1);
+                std::this_thread::sleep_for(std::chrono::microseconds(200));
+                ::kill(::getpid(), SIGUSR1);
+            } while (pipe.readInto(text));
+            ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+        }
+        ::sigaction(SIGUSR1, &before, nullptr);
+        CPPUNIT_ASSERT(signalsSeen > 0);
+        CPPUNIT_ASSERT_EQUAL(lines, check(text).lines);
+    }
+
+    void neverWaitsForAReader()
+    {
+        const Pipe pipe(O_NONBLOCK);
+        LineWriterSettings settings;
+        settings.maxWaitingBytes = 20'000;
+        const auto begin = std::chrono::steady_clock::now();
+        {
+            LineWriter writer(pipe.writeEnd(), settings, noticeOf);
+            for (std::uint64_t i = 0; i < 1000; ++i)
+                writer.write(lineOf(i));
+            writer.flush();
+            CPPUNIT_ASSERT(writer.dropped() > 0);
+        }
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+    }
+
+private:
+    /// Slowly, until nothing more comes.
+    static void readAll(const Pipe &pipe, std::string &text)
+    {
+        while (pipe.readInto(text))
+            std::this_thread::sleep_for(std::chrono::microseconds(200));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LineWriterTest);
