--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -346,9 +346,9 @@
 {
     logEvent(LogLevel::Info, "call-answered",
              {{"request", call.request},
-              {"kind", static_cast<int>(call.kind)},
+              {"kind", nameOf(call.kind)},
               {"path", call.path},
-              {"result", static_cast<int>(answer.result)},
+              {"result", nameOf(answer.result)},
               {"configuration", m_book.queues().version()},
               {"reason", call.kind == CallKind::ReadConfiguration ? std::string() : answer.text}});
 }
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -1,11 +1,27 @@
 #include <Guavashift/Fleet/FleetMessages.h>
 
+#include <array>
+#include <span>
 #include <tuple>
 
 namespace guavashift {
 
 namespace {
 
+constexpr std::array<std::string_view, 5> kindNames{"submit", "ask", "cancel",
+                                                    "replace-configuration", "read-configuration"};
+constexpr std::array<std::string_view, 9> resultNames{"done",     "state",       "pending",
+                                                      "document", "no-queue",    "no-job",
+                                                      "invalid",  "unavailable", "unknown"};
+
+/// Another version of the program may send what has no name here.
+template <typename Value>
+std::string_view nameIn(std::span<const std::string_view> names, Value value)
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < names.size() ? names[index] : "other";
+}
+
 /// `Value` is a `Wanted`, to be read or to be written.
 template <typename Value, typename Wanted>
 concept Is = std::same_as<std::remove_const_t<Value>, Wanted>;
@@ -256,6 +272,16 @@
 
 } // namespace
 
+std::string_view nameOf(CallKind kind)
+{
+    return nameIn(kindNames, kind);
+}
+
+std::string_view nameOf(CallResult result)
+{
+    return nameIn(resultNames, result);
+}
+
 std::string encodeFrame(const FleetMessage &message)
 {
     Json body = std::visit([](const auto &each) { return pack(each); }, message);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -133,6 +133,9 @@
 
 enum class CallKind : std::uint8_t { Submit, Ask, Cancel, ReplaceConfiguration, ReadConfiguration };
 
+/// As it stands in logs.
+std::string_view nameOf(CallKind kind);
+
 /// What was learned of the pairs of images on a worker.
 struct HarmReport
 {
@@ -163,6 +166,9 @@
     Unknown,     ///< Whether it was done is not known.
 };
 
+/// As it stands in logs.
+std::string_view nameOf(CallResult result);
+
 struct FleetAnswer
 {
     std::uint64_t id = 0;
--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -33,6 +33,12 @@
     Pending &pending = m_pending[id];
     pending.call = std::move(call);
     pending.answer = std::move(answer);
+    pending.receivedAt = BootClock::now();
+    logEvent(LogLevel::Info, "call-received",
+             {{"request", pending.call.request},
+              {"kind", nameOf(pending.call.kind)},
+              {"path", pending.call.path},
+              {"deadline_ms", toMs(deadline)}});
     Duration limit = m_gateway.answerTimeout;
     if (deadline > m_gateway.deadlineMargin)
         limit = std::min(limit, deadline - m_gateway.deadlineMargin);
@@ -40,8 +46,7 @@
         finish(id, {id, CallResult::Unknown, "no answer in time", 0});
     });
     if (m_link.isOpen()) {
-        pending.passedOn = true;
-        m_link.send(pending.call);
+        pass(pending);
         return;
     }
     pending.patienceTimer = m_loop.after(std::min(m_gateway.patience, limit), [this, id] {
@@ -56,10 +61,15 @@
 
 void GatewayNode::opened()
 {
-    for (auto &[id, pending] : m_pending) {
-        pending.passedOn = true;
-        m_link.send(pending.call);
-    }
+    for (auto &[id, pending] : m_pending)
+        pass(pending);
+}
+
+void GatewayNode::pass(Pending &pending)
+{
+    pending.passedOn = true;
+    ++pending.sent;
+    m_link.send(pending.call);
 }
 
 void GatewayNode::received(const FleetMessage &message)
@@ -87,6 +97,12 @@
         if (timer != 0)
             m_loop.cancel(timer);
     }
+    logEvent(LogLevel::Info, "call-finished",
+             {{"request", pending.call.request},
+              {"result", nameOf(answer.result)},
+              {"passed_on", pending.passedOn},
+              {"sent", pending.sent},
+              {"waited_ms", toMs(BootClock::now() - pending.receivedAt)}});
     if (answer.result == CallResult::Unavailable || answer.result == CallResult::Unknown)
         logEvent(LogLevel::Warning, "call-unanswered",
                  {{"request", pending.call.request},
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -40,12 +40,15 @@
     {
         FleetCall call;
         Answer answer;
+        Instant receivedAt;
+        std::uint32_t sent = 0; ///< To leaders, so far.
         bool passedOn = false;
         EventLoop::TimerId patienceTimer = 0;
         EventLoop::TimerId deadlineTimer = 0;
     };
 
     void opened();
+    void pass(Pending &pending);
     void received(const FleetMessage &message);
     void finish(std::uint64_t id, FleetAnswer answer);
 
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -1,4 +1,5 @@
 #include <UnitTests/Fleet/FakeWorker.h>
+#include <UnitTests/Support/LogCapture.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(tasksOutliveTheirAgent);
     CPPUNIT_TEST(watchesItsWorkerWithoutALeader);
     CPPUNIT_TEST(cancelledJobsStop);
+    CPPUNIT_TEST(requestsAreFollowedById);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +231,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("cancelled"), stateOf("j"));
     }
 
+    void requestsAreFollowedById()
+    {
+        const test::LogCapture log;
+        FleetCall call;
+        call.kind = CallKind::Submit;
+        call.host = "desk.example";
+        call.path = "/counter/j";
+        call.plan = planOf(1);
+        call.request = "r-17";
+        CPPUNIT_ASSERT(CallResult::Done == send(call).result);
+        // At the entry, at the leader, and at the entry again.
+        for (const std::string_view line :
+             {"event=call-received request=r-17 kind=submit path=/counter/j deadline_ms=2000\n",
+              "event=call-answered request=r-17 kind=submit path=/counter/j result=done ",
+              "event=call-finished request=r-17 result=done passed_on=true sent=1 waited_ms="})
+            CPPUNIT_ASSERT_MESSAGE(std::string(line), log.text().find(line) != std::string::npos);
+    }
+
 private:
     [[nodiscard]] FleetSettings settingsOf(int number) const
     {
