Let no request end without an answer when its HTTP server stops

Control processes and agents end through the same server.

Cause: AsyncHttpServer::stop() called MHD_stop_daemon() although requests still waited; libmicrohttpd then ends the process ("Fatal error ... called while we have suspended connections"). Answers being written were cut off, and what was read by then was handed to a loop that had ended.

Ruled out: responders that are called after the end; they now share the request with the server and no longer touch a connection that may be gone.

Change: requests read after the stop began get 503 with Retry-After at once; what nobody has answered gets 504, since whether it was done is not known; the server ends once all answers are written, at the latest after a limit. startRefusing() does the first alone, for owners that still answer what they hold.

--- a/Guavashift/Http/AsyncHttpServer.cpp
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -2,26 +2,75 @@
 #include <Guavashift/Http/MicrohttpdParts.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
+#include <set>
 
 namespace guavashift {
 
 namespace {
 
-/// One request from its headers to its answer.
-struct Exchange
+/// How long callers are told to wait before they try again.
+constexpr std::string_view retryAfterSeconds = "1";
+
+/// One request from its headers to its answer. The responder shares it, so that it outlives both
+/// the connection and the server.
+class Exchange final
 {
+public:
+    /// Answers unless it has been answered before.
+    void answer(HttpResponse response)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_answered)
+            return;
+        m_answered = true;
+        m_response = std::move(response);
+        // A suspended connection stays until it is resumed, which happens here only.
+        if (m_suspended != nullptr)
+            MHD_resume_connection(m_suspended);
+    }
+
+    /// The answer; if there is none yet, the connection rests until it is given.
+    const HttpResponse *takeOrSuspend(MHD_Connection *connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_answered)
+            return &m_response;
+        m_suspended = connection;
+        MHD_suspend_connection(connection);
+        return nullptr;
+    }
+
+    // Of the server's thread only.
     HttpRequest request;
     bool tooLarge = false;
+    /// The handler has it. Set under the server's lock.
     bool handed = false;
-    std::mutex mutex;
-    bool answered = false;
-    bool suspended = false;
-    HttpResponse response;
+
+private:
+    std::mutex m_mutex;
+    bool m_answered = false;
+    MHD_Connection *m_suspended = nullptr;
+    HttpResponse m_response;
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
+HttpResponse stopsBeforeDone()
+{
+    HttpResponse response =
+        HttpResponse::json(503, {{"error", "this process stops; the request was not carried out"}});
+    response.headers.add("Retry-After", std::string(retryAfterSeconds));
+    return response;
+}
+
+HttpResponse stopsWithoutAnswer()
+{
+    return HttpResponse::json(
+        504, {{"error", "this process stops; whether the request was carried out is not known"}});
+}
+
 } // namespace
 
 class AsyncHttpServer::Implementation final
@@ -33,7 +82,7 @@
     {
     }
 
-    ~Implementation() { stop(); }
+    ~Implementation() { stop(answerWriteLimit); }
 
     Result<void> start()
     {
@@ -53,16 +102,40 @@
         return {};
     }
 
-    void stop()
+    void stop(Duration limit)
     {
         if (m_daemon == nullptr)
             return;
+        startRefusing();
+        // Nothing is handed on any more, so that no connection is suspended after these.
+        const std::vector<ExchangePointer> handed = handedExchanges();
+        for (const ExchangePointer &exchange : handed)
+            exchange->answer(stopsWithoutAnswer());
+        {
+            std::unique_lock lock(m_mutex);
+            if (!m_completed.wait_for(lock, limit, [this] { return m_open.empty(); }))
+                logEvent(LogLevel::Warning, "answers-cut-off",
+                         {{"requests", m_open.size()}, {"waited_ms", toMs(limit)}});
+        }
         MHD_stop_daemon(m_daemon);
         m_daemon = nullptr;
     }
 
+    void startRefusing()
+    {
+        m_closing = true;
+        const std::lock_guard lock(m_mutex);
+        m_refusing = true;
+    }
+
     void startClosing() { m_closing = true; }
 
+    [[nodiscard]] std::uint16_t port() const
+    {
+        const MHD_DaemonInfo *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT);
+        return info == nullptr ? m_settings.port : info->port;
+    }
+
 private:
     static MHD_Result onAccess(void *cls, MHD_Connection *connection, const char *url,
                                const char *method, const char *, const char *uploadData,
@@ -72,10 +145,37 @@
                                                           uploadSize, context);
     }
 
-    static void onCompleted(void *, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    static void onCompleted(void *cls, MHD_Connection *, void **context, MHD_RequestTerminationCode)
     {
-        delete static_cast<ExchangePointer *>(*context);
+        if (*context == nullptr)
+            return;
+        const std::unique_ptr<ExchangePointer> exchange(static_cast<ExchangePointer *>(*context));
         *context = nullptr;
+        static_cast<Implementation *>(cls)->completed(*exchange);
+    }
+
+    void completed(const ExchangePointer &exchange)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_open.erase(exchange);
+        m_completed.notify_all();
+    }
+
+    [[nodiscard]] std::vector<ExchangePointer> handedExchanges()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<ExchangePointer> handed;
+        std::copy_if(m_open.begin(), m_open.end(), std::back_inserter(handed),
+                     [](const ExchangePointer &exchange) { return exchange->handed; });
+        return handed;
+    }
+
+    /// Whether the request may be handed on; not once the server refuses.
+    bool admit(Exchange &exchange)
+    {
+        const std::lock_guard lock(m_mutex);
+        exchange.handed = !m_refusing;
+        return exchange.handed;
     }
 
     MHD_Result access(MHD_Connection *connection, const char *url, const char *method,
@@ -88,6 +188,10 @@
             exchange->request.path = url;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
                                       &exchange->request.headers);
+            {
+                const std::lock_guard lock(m_mutex);
+                m_open.insert(exchange);
+            }
             *context = new ExchangePointer(std::move(exchange));
             return MHD_YES;
         }
@@ -101,26 +205,13 @@
                            HttpResponse::json(413, {{"error", "the body is too large"}}));
         // The next call asks for the answer; the one after a resume finds it.
         if (!exchange->handed) {
-            exchange->handed = true;
-            m_handler(std::move(exchange->request), [exchange, connection](HttpResponse response) {
-                const std::lock_guard lock(exchange->mutex);
-                if (exchange->answered)
-                    return;
-                exchange->answered = true;
-                exchange->response = std::move(response);
-                if (exchange->suspended)
-                    MHD_resume_connection(connection);
-            });
-        }
-        {
-            const std::lock_guard lock(exchange->mutex);
-            if (!exchange->answered) {
-                exchange->suspended = true;
-                MHD_suspend_connection(connection);
-                return MHD_YES;
-            }
+            if (!admit(*exchange))
+                return respond(connection, stopsBeforeDone());
+            m_handler(std::move(exchange->request),
+                      [exchange](HttpResponse response) { exchange->answer(std::move(response)); });
         }
-        return respond(connection, exchange->response);
+        const HttpResponse *answer = exchange->takeOrSuspend(connection);
+        return answer == nullptr ? MHD_YES : respond(connection, *answer);
     }
 
     MHD_Result respond(MHD_Connection *connection, const HttpResponse &response) const
@@ -132,6 +223,10 @@
     Handler m_handler;
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<bool> m_closing = false;
+    std::mutex m_mutex;
+    std::condition_variable m_completed;
+    bool m_refusing = false;
+    std::set<ExchangePointer> m_open; ///< Requests whose answer is not written to its end.
 };
 
 AsyncHttpServer::AsyncHttpServer(const HttpServerSettings &settings, Handler handler)
@@ -146,9 +241,9 @@
     return m_implementation->start();
 }
 
-void AsyncHttpServer::stop()
+void AsyncHttpServer::stop(Duration limit)
 {
-    m_implementation->stop();
+    m_implementation->stop(limit);
 }
 
 void AsyncHttpServer::startClosing()
@@ -156,4 +251,14 @@
     m_implementation->startClosing();
 }
 
+void AsyncHttpServer::startRefusing()
+{
+    m_implementation->startRefusing();
+}
+
+std::uint16_t AsyncHttpServer::port() const
+{
+    return m_implementation->port();
+}
+
 } // namespace guavashift
