Find a node's worker by an index

Cause: each grant, report and lost session asked all workers whose agent it came from, so one renewal by all agents cost the square of their number.

Change: the pool keeps which lifetimes an agent speaks for.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -199,10 +199,13 @@
 {
     // One machine carries one worker: an earlier lifetime there has ended.
     std::vector<Lifetime> ended;
-    for (const auto &[lifetime, worker] : m_pool.workers()) {
-        const bool sameName = lifetime.worker == facts.lifetime.worker;
-        if ((worker.node == node || sameName) && lifetime != facts.lifetime
-            && lifetime.born <= facts.lifetime.born)
+    std::vector<Lifetime> known = m_pool.lifetimesOf(facts.lifetime.worker);
+    for (Lifetime &lifetime : m_pool.spokenForBy(node)) {
+        if (lifetime.worker != facts.lifetime.worker)
+            known.push_back(std::move(lifetime));
+    }
+    for (const Lifetime &lifetime : known) {
+        if (lifetime != facts.lifetime && lifetime.born <= facts.lifetime.born)
             ended.push_back(lifetime);
     }
     for (const Lifetime &lifetime : ended)
@@ -210,7 +213,7 @@
     PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
     worker.facts = facts;
-    worker.node = node;
+    m_pool.setNode(worker, node);
     worker.hasFacts = true;
     worker.harmsTold.clear();
     worker.leaseEnd =
@@ -233,20 +236,16 @@
 
 void Dispatcher::leaseGranted(const std::string &node, Instant now)
 {
-    for (const auto &[lifetime, known] : m_pool.workers()) {
-        if (known.node == node)
-            m_pool.find(lifetime)->leaseEnd = now + m_settings.workerLease + m_settings.leaseMargin;
-    }
+    for (const Lifetime &lifetime : m_pool.spokenForBy(node))
+        m_pool.find(lifetime)->leaseEnd = now + m_settings.workerLease + m_settings.leaseMargin;
 }
 
 void Dispatcher::nodeLost(const std::string &node)
 {
     // The next session's inventory settles what these were for.
     std::erase_if(m_orders, [&](const auto &order) { return order.first == node; });
-    for (const auto &[lifetime, known] : m_pool.workers()) {
-        if (known.node == node)
-            m_pool.find(lifetime)->node.clear();
-    }
+    for (const Lifetime &lifetime : m_pool.spokenForBy(node))
+        m_pool.setNode(*m_pool.find(lifetime), {});
 }
 
 void Dispatcher::rowsReported(const Lifetime &lifetime, std::span<const RunRow> rows, Instant now)
@@ -301,7 +300,7 @@
         worker->silent = true;
     else {
         worker->hasFacts = false;
-        worker->node.clear();
+        m_pool.setNode(*worker, {});
         m_pool.removeIfIdle(lifetime);
     }
 }
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -1,5 +1,7 @@
 #include <Guavashift/Dispatch/WorkerPool.h>
 
+#include <limits>
+
 namespace guavashift {
 
 namespace {
@@ -39,11 +41,50 @@
     return worker;
 }
 
+void WorkerPool::clear()
+{
+    m_workers.clear();
+    m_byNode.clear();
+}
+
+void WorkerPool::setNode(PoolWorker &worker, const std::string &node)
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    if (const auto before = m_byNode.find(worker.node); before != m_byNode.end()) {
+        before->second.erase(lifetime);
+        if (before->second.empty())
+            m_byNode.erase(before);
+    }
+    worker.node = node;
+    if (!node.empty())
+        m_byNode[node].insert(lifetime);
+}
+
+std::vector<Lifetime> WorkerPool::spokenForBy(const std::string &node) const
+{
+    const auto found = m_byNode.find(node);
+    if (found == m_byNode.end())
+        return {};
+    return {found->second.begin(), found->second.end()};
+}
+
+std::vector<Lifetime> WorkerPool::lifetimesOf(const std::string &worker) const
+{
+    std::vector<Lifetime> lifetimes;
+    const Lifetime first{worker, std::numeric_limits<std::int64_t>::min()};
+    for (auto at = m_workers.lower_bound(first);
+         at != m_workers.end() && at->first.worker == worker; ++at)
+        lifetimes.push_back(at->first);
+    return lifetimes;
+}
+
 void WorkerPool::removeIfIdle(const Lifetime &lifetime)
 {
     const auto found = m_workers.find(lifetime);
-    if (found != m_workers.end() && found->second.runs.empty())
-        m_workers.erase(found);
+    if (found == m_workers.end() || !found->second.runs.empty())
+        return;
+    setNode(found->second, {});
+    m_workers.erase(found);
 }
 
 void WorkerPool::place(const Lifetime &lifetime, PlacedRun run)
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -4,6 +4,7 @@
 #include <Guavashift/Dispatch/WorkerFacts.h>
 
 #include <map>
+#include <set>
 
 namespace guavashift {
 
@@ -67,7 +68,14 @@
     [[nodiscard]] const Workers &workers() const { return m_workers; }
     [[nodiscard]] PoolWorker *find(const Lifetime &lifetime);
     PoolWorker &add(const Lifetime &lifetime);
-    void clear() { m_workers.clear(); }
+    void clear();
+
+    /// The agent on `node` speaks for the worker from now on; empty: none does.
+    void setNode(PoolWorker &worker, const std::string &node);
+    /// Lifetimes for which the agent on `node` speaks.
+    [[nodiscard]] std::vector<Lifetime> spokenForBy(const std::string &node) const;
+    /// Lifetimes of the worker with that name.
+    [[nodiscard]] std::vector<Lifetime> lifetimesOf(const std::string &worker) const;
 
     /// Forgets a lifetime on which nothing is placed any more.
     void removeIfIdle(const Lifetime &lifetime);
@@ -77,6 +85,7 @@
 
 private:
     Workers m_workers;
+    std::map<std::string, std::set<Lifetime>> m_byNode;
 };
 
 } // namespace guavashift
