Let agents wait for a commit before they look again

Cause: a worker answers a look at once while it lists ends above the number that the look acknowledges, and the agent looked again without a pause until the commit of these ends came back.

Ruled out: ends that are lost with a session. The next session is told of all ends above the last commit again; tellsTheNextLeaderOfEndsAgain keeps it so (it passed before).

Change: while all listed ends only wait for their commit, the next look follows the commit, or 50 ms if none comes. What a commit lets the agent acknowledge is acknowledged at once. The fake worker now waits for ends as long as a look asks it to.

pausesWhileEndsWaitForTheirCommit failed before. acknowledgesEndsOnceTheyAreCommitted failed with the pause alone.

--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -93,10 +93,7 @@
                           },
                           [this](const StartOrder &order) { startRun(order); },
                           [this](const StopOrder &order) { stopRun(order); },
-                          [this](const EndsCommitted &committed) {
-                              if (isCurrent(committed.lifetime))
-                                  m_committedUpTo = std::max(m_committedUpTo, committed.upTo);
-                          },
+                          [this](const EndsCommitted &committed) { endsCommitted(committed); },
                           [this](const HarmReport &report) { m_pacer.learn(report.rows); },
                           [this](const KnownRuns &known) {
                               for (const RunTraits &traits : known.runs) {
@@ -109,6 +106,19 @@
                message);
 }
 
+void WorkerNode::endsCommitted(const EndsCommitted &committed)
+{
+    if (!isCurrent(committed.lifetime) || committed.upTo <= m_committedUpTo)
+        return;
+    m_committedUpTo = committed.upTo;
+    // A look that is open was answered at once, and the next one follows it without a pause.
+    if (m_looksOpen > 0)
+        return;
+    if (m_lookTimer != 0)
+        m_loop.cancel(std::exchange(m_lookTimer, 0));
+    scheduleLook(Duration::zero());
+}
+
 void WorkerNode::sendTable()
 {
     if (m_link.isOpen() && m_facts && !m_inventoryDue && !m_silent) {
@@ -257,7 +267,14 @@
     learnRunning(request, sent, reply);
     applyPace();
     if (m_looksOpen == 0)
-        scheduleLook(Duration::zero());
+        scheduleLook(pauseAfter(request));
+}
+
+Duration WorkerNode::pauseAfter(const HoldRequest &request) const
+{
+    // The worker answers at once while it lists ends: another look would say the same.
+    const bool onlyWaits = m_listedUpTo > m_committedUpTo && request.seenUpTo >= m_committedUpTo;
+    return onlyWaits ? m_worker.commitWait : Duration::zero();
 }
 
 void WorkerNode::learnEnds(const WorkerReply &reply)
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -17,6 +17,9 @@
     Duration holdWait = std::chrono::milliseconds(1000);
     /// The same where fillers must be paced, so that tails are seen in time.
     Duration paceWait = std::chrono::milliseconds(200);
+    /// Longest pause between two looks while listed ends only wait for their commit: until then
+    /// the worker answers each look at once.
+    Duration commitWait = std::chrono::milliseconds(50);
     /// How often the lease is renewed with the leader.
     Duration renewInterval = std::chrono::milliseconds(500);
     /// How often the leader is told of all runs.
@@ -72,6 +75,7 @@
     void opened(const Welcome &welcome);
     void lost();
     void received(const FleetMessage &message);
+    void endsCommitted(const EndsCommitted &committed);
     void renewLease();
     void renewRegularly();
     void sendTable();
@@ -79,6 +83,8 @@
     // Worker.
     void look(Duration wait);
     void scheduleLook(Duration delay);
+    /// Pause before the look that follows one with `request`.
+    [[nodiscard]] Duration pauseAfter(const HoldRequest &request) const;
     void looked(const HoldRequest &request, Instant sent, const WorkerReply &reply);
     void learnRunning(const HoldRequest &request, Instant sent, const WorkerReply &reply);
     void learnEnds(const WorkerReply &reply);
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -60,22 +60,42 @@
     m_listed.push_back({++m_ends, {ended.first, ended.second, how, {}}});
 }
 
+void FakeWorker::finishAll()
+{
+    while (!m_running.empty())
+        end(m_running.begin()->first, RunEnd::Done);
+}
+
 void FakeWorker::hold(const HoldRequest &request, Callback callback)
 {
     ++m_looks;
+    const Instant now = BootClock::now();
+    if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_lookedAt != Instant()) {
+        const Duration since = now - m_lookedAt;
+        m_shortestIdleLook = std::min(m_shortestIdleLook.value_or(since), since);
+    }
+    m_lookedAt = now;
+    m_seenUpTo = request.seenUpTo;
     if (!admit(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     m_untilMs = std::max(m_untilMs, request.untilMs);
     std::erase_if(m_listed, [&](const ListedEnd &each) { return each.number <= request.seenUpTo; });
-    // Ends are looked for after a short wait instead of being waited for.
+    answerLook(now + request.wait, callback);
+}
+
+void FakeWorker::answerLook(Instant waitsUntil, const Callback &callback)
+{
+    // Ends are looked for again and again instead of being waited for.
     constexpr Duration shortWait = std::chrono::milliseconds(5);
-    m_loop.after(shortWait, [this, callback, caller = m_callers] {
+    m_loop.after(shortWait, [this, waitsUntil, callback, caller = m_callers] {
         if (caller != m_callers)
             return;
         for (const auto &[key, endsAt] : std::map<Key, Instant>(m_running)) {
             if (BootClock::now() >= endsAt)
                 end(key, RunEnd::Done);
         }
+        if (m_listed.empty() && BootClock::now() < waitsUntil)
+            return answerLook(waitsUntil, callback);
         WorkerReply answer = reply(WorkerCallResult::Done);
         for (const auto &[key, endsAt] : m_running)
             answer.running.push_back({key.first, key.second, {}, 100, 0});
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -17,10 +17,17 @@
     /// Answers to calls made so far are dropped: their caller is gone.
     void hangUp() { ++m_callers; }
     void setTaskTime(Duration time) { m_taskTime = time; }
+    /// All that runs ends as done now.
+    void finishAll();
     [[nodiscard]] WorkerFacts facts() const;
     [[nodiscard]] std::size_t running() const { return m_running.size(); }
     /// How often it was looked at.
     [[nodiscard]] int looks() const { return m_looks; }
+    /// The shortest time between two looks of which the second acknowledged nothing more and was
+    /// answered at once.
+    [[nodiscard]] std::optional<Duration> shortestIdleLook() const { return m_shortestIdleLook; }
+    /// Ends that have not been acknowledged yet.
+    [[nodiscard]] std::size_t listed() const { return m_listed.size(); }
     /// Starts that were carried out, by task.
     [[nodiscard]] const std::map<TaskRef, int> &starts() const { return m_starts; }
     /// Whether a task ever ran twice at the same time or after it was done.
@@ -37,6 +44,8 @@
     [[nodiscard]] std::int64_t clockMs() const;
     [[nodiscard]] WorkerReply reply(WorkerCallResult result) const;
     bool admit(std::uint64_t fence);
+    /// Answers a look once an end is listed or its wait is over.
+    void answerLook(Instant waitsUntil, const Callback &callback);
     void end(const Key &key, RunEnd how);
     void expire();
 
@@ -57,6 +66,9 @@
     bool m_brokeRules = false;
     int m_callers = 0;
     int m_looks = 0;
+    Instant m_lookedAt;
+    std::uint64_t m_seenUpTo = 0;
+    std::optional<Duration> m_shortestIdleLook;
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -72,6 +72,9 @@
     CPPUNIT_TEST(watchesItsWorkerWithoutALeader);
     CPPUNIT_TEST(cancelledJobsStop);
     CPPUNIT_TEST(requestsAreFollowedById);
+    CPPUNIT_TEST(pausesWhileEndsWaitForTheirCommit);
+    CPPUNIT_TEST(acknowledgesEndsOnceTheyAreCommitted);
+    CPPUNIT_TEST(tellsTheNextLeaderOfEndsAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,11 +192,7 @@
             worker->setTaskTime(std::chrono::hours(1));
         submit("j", planOf(4));
         until([this] { return running() == 4; });
-        for (int i = 0; i < 2; ++i) {
-            m_workers[static_cast<std::size_t>(i)]->hangUp();
-            m_agents[static_cast<std::size_t>(i)].reset();
-            startAgent(i);
-        }
+        restartAgents();
         for (const auto &worker : m_workers)
             worker->setTaskTime(std::chrono::milliseconds(10));
         submit("k", planOf(1));
@@ -249,7 +248,64 @@
             CPPUNIT_ASSERT_MESSAGE(std::string(line), log.text().find(line) != std::string::npos);
     }
 
+    /// Found by a played day: agents looked at their workers every 4 ms until a commit came back.
+    void pausesWhileEndsWaitForTheirCommit()
+    {
+        endWithoutALeader();
+        const int before = m_workers[0]->looks();
+        until([&] { return m_workers[0]->looks() > before + 5; });
+        CPPUNIT_ASSERT(m_workers[0]->shortestIdleLook());
+        CPPUNIT_ASSERT(*m_workers[0]->shortestIdleLook() >= WorkerNodeSettings{}.commitWait);
+    }
+
+    /// Ends that are acknowledged late do not count as taken note of.
+    void acknowledgesEndsOnceTheyAreCommitted()
+    {
+        m_workerSettings.commitWait = std::chrono::hours(1);
+        restartAgents();
+        submit("j", planOf(4));
+        until([this] { return stateOf("j") == "completed"; });
+        until([this] { return m_workers[0]->listed() + m_workers[1]->listed() == 0; });
+        CPPUNIT_ASSERT_EQUAL(4, startsInAll());
+    }
+
+    /// An end whose commit was lost with its leader must not stay listed, nor its task run again.
+    void tellsTheNextLeaderOfEndsAgain()
+    {
+        endWithoutALeader();
+        for (int i = 0; i < cores; ++i)
+            startCore(i, false);
+        until([this] { return m_gateway->node->isReady() && stateOf("j") == "completed"; });
+        until([this] { return m_workers[0]->listed() + m_workers[1]->listed() == 0; });
+        CPPUNIT_ASSERT_EQUAL(2, startsInAll());
+    }
+
 private:
+    /// Leaves both workers with an end that no leader can commit.
+    void endWithoutALeader()
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        JobPlan plan = planOf(2);
+        plan.steps[0].maxPerWorker = 1;
+        submit("j", plan);
+        until([this] { return m_workers[0]->running() == 1 && m_workers[1]->running() == 1; });
+        for (auto &core : m_cores)
+            core.reset();
+        until([this] { return !m_gateway->node->isReady(); });
+        for (const auto &worker : m_workers)
+            worker->finishAll();
+    }
+
+    void restartAgents()
+    {
+        for (int i = 0; i < 2; ++i) {
+            m_workers[static_cast<std::size_t>(i)]->hangUp();
+            m_agents[static_cast<std::size_t>(i)].reset();
+            startAgent(i);
+        }
+    }
+
     [[nodiscard]] FleetSettings settingsOf(int number) const
     {
         FleetSettings settings;
@@ -278,7 +334,7 @@
         const auto place = static_cast<std::size_t>(number);
         FakeWorker &worker = *m_workers[place];
         m_agents[place] = std::make_unique<Hosted<WorkerNode>>([&](EventLoop &loop) {
-            return std::make_unique<WorkerNode>(loop, WorkerNodeSettings{}, settingsOf(20 + number),
+            return std::make_unique<WorkerNode>(loop, m_workerSettings, settingsOf(20 + number),
                                                 ChannelSettings{}, worker,
                                                 static_cast<std::uint64_t>(number) + 99);
         });
@@ -365,6 +421,7 @@
     std::filesystem::path m_folder;
     std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
     std::unique_ptr<Hosted<GatewayNode>> m_gateway;
+    WorkerNodeSettings m_workerSettings;
     std::vector<std::unique_ptr<FakeWorker>> m_workers;
     std::vector<std::unique_ptr<Hosted<WorkerNode>>> m_agents;
 };
