End runs whose order can no longer be sent

A run that was committed while no agent spoke for its worker stayed bound for as long as the worker lived: its task never ran, its job never ended.

Cause: orders go out with the commit of the binding. Between two sessions of the worker's agent there is nobody to send the order to, and the inventory of the next session settles only what was bound before that session began. A session that is welcomed before the commit and reports its worker after it falls between the two.

Ruled out: orders that were queued for a lost session; these were bound before the next session begins, so its inventory settles them.

Change: such a run ends as not started when its binding is committed.

settlesRunsWhoseOrderWasNeverSent failed before.

--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -63,9 +63,9 @@
     PlacedRun &run = worker.runs.at(start.task);
     run.committed = true;
     run.boundAt = now;
-    // Without an agent it is settled by the next agent's inventory or by the lease.
+    // Orders go out with the commit or never: a later agent is not told of this run.
     if (worker.node.empty())
-        return;
+        return queueEnd(run, RunEnd::NotStarted);
     const StageJob &job = *m_book.find(start.task.job);
     m_orders.emplace_back(worker.node,
                           StartOrder{start.lifetime,
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(keepsServingImagesApart);
     CPPUNIT_TEST(pausesAfterManyLooks);
     CPPUNIT_TEST(cancellingStopsRuns);
+    CPPUNIT_TEST(settlesRunsWhoseOrderWasNeverSent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -274,6 +275,24 @@
         CPPUNIT_ASSERT(std::holds_alternative<StopOrder>(orders[0].second));
     }
 
+    /// A run that was committed between two sessions of its worker's agent stayed bound for ever.
+    void settlesRunsWhoseOrderWasNeverSent()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(1), 1);
+        m_dispatcher->nodeLost("n1");
+        commit(commands, 3);
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+        // The next session began before the commit, and its agent spoke after it.
+        m_dispatcher->workerReported("n1", worker("w1"), at(4));
+        m_dispatcher->inventoryReported(worker("w1").lifetime, {}, at(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
+        CPPUNIT_ASSERT_EQUAL(2U, m_book->find({"j", 0, 0, 0})->run);
+    }
+
 private:
     void accept(const std::string &job, const JobPlan &plan, WallMs time = 0)
     {
