Start lasting tasks before jobs that must hurry

A task that lasts and lost its worker had to wait until no job of its priority that could still be in time or late wanted room.

Cause: placing serves first what can be in time. A lasting job's objective counts from its acceptance, so soon after it each of its tasks looked like one that comes too late whenever it is started.

Change: a task that lasts is never too late.

startsLastingTasksBeforeJobsThatAreInTime failed before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -111,6 +111,7 @@
     ready.objective = std::max(job.acceptedAt, due) + allowed;
     ready.lateEnd = ready.objective + (lateFactor - 1) * allowed;
     ready.remainingMs = remainingMs(job.plan, ref.step);
+    ready.lasts = job.plan.steps[ref.step].longRunning;
     return ready;
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -64,6 +64,7 @@
     WallMs objective = 0;         ///< When the job should be complete.
     WallMs lateEnd = 0;           ///< When its completion is worth nothing any more.
     std::int64_t remainingMs = 0; ///< Of work from this task to the job's end, by estimate.
+    bool lasts = false;           ///< Has no end: it is never too late for it to start.
     TaskRef task;
 
     auto operator<=>(const ReadyTask &) const = default;
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -11,7 +11,7 @@
     // First what can still be in time, then what can still be late, then the rest: once there is
     // more work than room, running the latest first would make everything late.
     const auto hopeOf = [&](const ReadyTask &ready) {
-        if (wallNow + ready.remainingMs <= ready.objective)
+        if (ready.lasts || wallNow + ready.remainingMs <= ready.objective)
             return 0;
         return wallNow + ready.remainingMs <= ready.lateEnd ? 1 : 2;
     };
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(pausesAfterManyLooks);
     CPPUNIT_TEST(cancellingStopsRuns);
     CPPUNIT_TEST(settlesRunsWhoseOrderWasNeverSent);
+    CPPUNIT_TEST(startsLastingTasksBeforeJobsThatAreInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -293,6 +294,22 @@
         CPPUNIT_ASSERT_EQUAL(2U, m_book->find({"j", 0, 0, 0})->run);
     }
 
+    /// A lasting task whose worker was lost waited behind all jobs that could still be in time,
+    /// since its own objective had passed long ago.
+    void startsLastingTasksBeforeJobsThatAreInTime()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan lasting = plan(1, 60'000);
+        lasting.steps[0].longRunning = true;
+        accept("lasting", lasting);
+        decideAndCommit(1);
+        m_dispatcher->leaseGranted("n1", at(60'000));
+        accept("proof", plan(1, 60'000), 60'000);
+        end({"lasting", 0, 0, 0}, 1, RunEnd::Failed, 60'001);
+        decideAndCommit(60'100);
+        CPPUNIT_ASSERT(TaskStage::Bound == m_book->find({"lasting", 0, 0, 0})->stage);
+    }
+
 private:
     void accept(const std::string &job, const JobPlan &plan, WallMs time = 0)
     {
