Move no more lasting tasks than their job lets be away

A job names how many tasks of a lasting step may be away at a time (max_unavailable). It was read and stored, and nothing asked for it.

Cause: slowed fillers are stopped to go on elsewhere whatever else of their step is away. Only fillers that last and have checkpoints are concerned.

Ruled out: draining workers. They end by themselves, so their tasks leave at once as before.

Change: a task of such a step is moved only while fewer others than that are away: not bound, told to stop, on a silent worker, or not at full work yet.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -137,6 +137,10 @@
     void evacuate(PoolWorker &worker, Instant now);
     void logWaiting(const StageJob &job, const ReadyTask &ready) const;
     void moveSlowed(Instant now);
+    /// Whether the task may be stopped for the system's own ends without more of its step being
+    /// away than its job allows.
+    [[nodiscard]] bool mayTakeDown(const StageJob &job, const TaskRef &ref) const;
+    [[nodiscard]] bool isAtWork(const TaskRef &ref) const;
     void placeReady(Instant now, WallMs wallNow);
     [[nodiscard]] std::vector<ReadyTask> servingOrder(WallMs wallNow) const;
     bool placeTask(const ReadyTask &ready, Instant now);
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -251,7 +251,8 @@
                 continue;
             const StageJob *job = m_book.find(task.job);
             if (job == nullptr || !job->isActive() || !job->plan.steps[task.step].checkpoints
-                || currentSpeed(worker, run) >= m_settings.slowFillerSpeed)
+                || currentSpeed(worker, run) >= m_settings.slowFillerSpeed
+                || !mayTakeDown(*job, task))
                 continue;
             const PoolWorker *better = chooseWorker(*job, task, now);
             if (better == nullptr || better == &worker
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(cancellingStopsRuns);
     CPPUNIT_TEST(settlesRunsWhoseOrderWasNeverSent);
     CPPUNIT_TEST(startsLastingTasksBeforeJobsThatAreInTime);
+    CPPUNIT_TEST(movesNoMoreLastingTasksThanMayBeAway);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -310,7 +311,62 @@
         CPPUNIT_ASSERT(TaskStage::Bound == m_book->find({"lasting", 0, 0, 0})->stage);
     }
 
+    /// Moves may not take down more tasks of a lasting step than its job allows.
+    void movesNoMoreLastingTasksThanMayBeAway()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan fillers = plan(2, 8000);
+        fillers.steps[0].longRunning = true;
+        fillers.steps[0].fillsLeftover = true;
+        fillers.steps[0].checkpoints = true;
+        fillers.steps[0].maxUnavailable = 1;
+        fillers.steps[0].image = "press";
+        accept("f", fillers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        JobPlan serving = plan(1, 10'000);
+        serving.steps[0].longRunning = true;
+        serving.steps[0].tailTargetMs = 50;
+        serving.steps[0].image = "server";
+        accept("s", serving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(2));
+        m_dispatcher->takeOrders();
+        // Both fillers are harmful here and welcome elsewhere.
+        m_dispatcher->workerReported("n2", worker("w2"), at(3));
+        int now = 2000;
+        for (int i = 0; i < 4; ++i, now += 600) {
+            m_dispatcher->leaseGranted("n1", at(now));
+            m_dispatcher->leaseGranted("n2", at(now));
+            m_dispatcher->rowsReported(worker("w1").lifetime,
+                                       std::vector<RunRow>{{{"s", 0, 0, 0}, 1, {}, 100, 45.0},
+                                                           {{"f", 0, 0, 0}, 1, "c", 100, 0},
+                                                           {{"f", 0, 0, 1}, 1, "c", 100, 0}},
+                                       at(now));
+            decideAndCommit(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopsOrdered());
+        // Away until it is at work again elsewhere, not only until it is bound.
+        end({"f", 0, 0, 0}, 1, RunEnd::Stopped, now);
+        decideAndCommit(now += 600);
+        decideAndCommit(now += 600);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, stopsOrdered());
+        m_dispatcher->rowsReported(worker("w2").lifetime,
+                                   std::vector<RunRow>{{{"f", 0, 0, 0}, 2, "c", 100, 8000}},
+                                   at(now));
+        decideAndCommit(now += 600);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopsOrdered());
+    }
+
 private:
+    /// Stops that were ordered since orders were taken last.
+    std::size_t stopsOrdered()
+    {
+        const auto orders = m_dispatcher->takeOrders();
+        return static_cast<std::size_t>(
+            std::count_if(orders.begin(), orders.end(), [](const auto &order) {
+                return std::holds_alternative<StopOrder>(order.second);
+            }));
+    }
+
     void accept(const std::string &job, const JobPlan &plan, WallMs time = 0)
     {
         const StageCommand command = AcceptJob{job, "batch", plan};
