Say what each binding of a run waited for

Change: run-bound carries ready_ms, from the task being ready to the decision, and commit_ms, from the decision to the commit; "unknown" where an earlier leader decided. A task keeps since when it was ready when its placing is taken back, as that of a gang without room for all members is.

Test: FleetTest::bindingsSayWhatTheyWaitedFor, which failed against the leader as it was; two new tests of DispatcherTest on the times themselves, whose call the code as it was does not have.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -46,6 +46,7 @@
 void Dispatcher::start(Instant now)
 {
     stop();
+    m_now = now;
     for (const auto &[id, job] : m_book.jobs()) {
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -115,12 +116,13 @@
     return ready;
 }
 
-void Dispatcher::offer(const TaskRef &ref)
+void Dispatcher::offer(const TaskRef &ref, std::optional<Instant> since)
 {
     const StageJob *job = m_book.find(ref.job);
     if (job == nullptr || !job->isActive() || m_placed.contains(ref) || m_readyByTask.contains(ref))
         return;
-    const ReadyTask ready = readyTask(*job, ref);
+    ReadyTask ready = readyTask(*job, ref);
+    ready.offeredAt = since.value_or(m_now);
     m_ready.insert(ready);
     m_readyByTask.emplace(ref, ready);
 }
@@ -370,6 +372,7 @@
 
 std::vector<StageCommand> Dispatcher::decide(Instant now, WallMs wallNow)
 {
+    m_now = now;
     expireLeases(now);
     beginDueOccurrences(wallNow);
     placeReady(now, wallNow);
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -66,10 +66,18 @@
     std::int64_t remainingMs = 0; ///< Of work from this task to the job's end, by estimate.
     bool lasts = false;           ///< Has no end: it is never too late for it to start.
     TaskRef task;
+    Instant offeredAt;
 
     auto operator<=>(const ReadyTask &) const = default;
 };
 
+/// When a run's task was ready, and when the run was decided on.
+struct BindingTimes
+{
+    Instant offeredAt;
+    Instant decidedAt;
+};
+
 using AgentOrder = std::variant<StartOrder, StopOrder>;
 
 /// The leader's decisions on staged jobs: which task runs next, where, and which runs must stop.
@@ -114,13 +122,17 @@
     /// Harms that agents do not know yet, each with the agent's node.
     std::vector<std::pair<std::string, std::vector<HarmRow>>> takeHarms(Instant now);
 
+    /// Nothing for runs that this leader has not decided on.
+    [[nodiscard]] std::optional<BindingTimes> timesOf(const StartRun &start) const;
+
     /// What the agent needs to know of the runs it found.
     [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
 
 private:
     [[nodiscard]] ReadyTask readyTask(const StageJob &job, const TaskRef &ref) const;
     [[nodiscard]] PlacedRun placedRun(const TaskRef &ref, std::uint32_t run) const;
-    void offer(const TaskRef &ref);
+    /// `since`: it was ready before.
+    void offer(const TaskRef &ref, std::optional<Instant> since = std::nullopt);
     void offerStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
                    std::uint32_t step);
     void offerReadySteps(const std::string &id, const StageJob &job);
@@ -167,6 +179,7 @@
 
     DispatchSettings m_settings;
     const JobBook &m_book;
+    Instant m_now; ///< As it came in last.
     WorkerPool m_pool;
     std::set<ReadyTask> m_ready;
     std::map<TaskRef, ReadyTask> m_readyByTask;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -28,6 +28,7 @@
 
 void Dispatcher::applied(const StageCommand &command, const StageOutcome &outcome, Instant now)
 {
+    m_now = now;
     std::visit(Overloaded{[](const ReplaceConfiguration &) {},
                           [&](const AcceptJob &accept) {
                               if (outcome.applied)
@@ -48,6 +49,18 @@
                command);
 }
 
+std::optional<BindingTimes> Dispatcher::timesOf(const StartRun &start) const
+{
+    const auto worker = m_pool.workers().find(start.lifetime);
+    if (worker == m_pool.workers().end())
+        return std::nullopt;
+    const auto run = worker->second.runs.find(start.task);
+    if (run == worker->second.runs.end() || run->second.run != start.run
+        || run->second.decidedAt == Instant())
+        return std::nullopt;
+    return BindingTimes{run->second.offeredAt, run->second.decidedAt};
+}
+
 void Dispatcher::jobAccepted(const std::string &id)
 {
     const StageJob &job = *m_book.find(id);
@@ -104,11 +117,13 @@
                               const auto placed = m_placed.find(start.task);
                               if (placed == m_placed.end())
                                   return;
+                              const std::optional<BindingTimes> times = timesOf(start);
                               m_pool.release(placed->second, start.task);
                               m_placed.erase(placed);
                               const StageTask *task = m_book.find(start.task);
                               if (task == nullptr || task->stage == TaskStage::Waiting)
-                                  offer(start.task);
+                                  offer(start.task,
+                                        times ? std::optional(times->offeredAt) : std::nullopt);
                           },
                           [&](const EndRun &end) {
                               m_endsProposed.erase({end.task, end.run});
--- a/Guavashift/Dispatch/DispatcherPlacing.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacing.cpp
@@ -131,7 +131,9 @@
 {
     PlacedRun placed = placedRun(ref, run);
     placed.boundAt = now;
+    placed.decidedAt = now;
     const auto ready = m_readyByTask.find(ref);
+    placed.offeredAt = ready->second.offeredAt;
     m_ready.erase(ready->second);
     m_readyByTask.erase(ready);
     m_placed.emplace(ref, worker.facts.lifetime);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -19,6 +19,8 @@
     bool committed = false;
     bool stopAsked = false;
     Instant boundAt;
+    Instant offeredAt; ///< The task was ready; 0 where an earlier leader bound it.
+    Instant decidedAt;
     std::string image;
     double tailTargetMs = 0;
     RunRow row; ///< As the worker showed it last.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -201,15 +201,13 @@
 {
     if (!m_active)
         return;
-    m_dispatcher.applied(command, outcome, BootClock::now());
-    std::visit(Overloaded{[&](const StartRun &start) {
-                              logEvent(LogLevel::Info, "run-bound",
-                                       {{"task", start.task.text()},
-                                        {"run", start.run},
-                                        {"worker", start.lifetime.worker},
-                                        {"applied", outcome.applied},
-                                        {"reason", outcome.reason}});
-                          },
+    const Instant now = BootClock::now();
+    std::optional<BindingTimes> times;
+    // Asked before the dispatcher forgets a run that was not applied.
+    if (const auto *start = std::get_if<StartRun>(&command))
+        times = m_dispatcher.timesOf(*start);
+    m_dispatcher.applied(command, outcome, now);
+    std::visit(Overloaded{[&](const StartRun &start) { logBinding(start, outcome, times, now); },
                           [&](const EndRun &end) {
                               logEvent(LogLevel::Info, "run-ended",
                                        {{"task", end.task.text()},
@@ -221,6 +219,23 @@
                command);
 }
 
+void FleetLeader::logBinding(const StartRun &start, const StageOutcome &outcome,
+                             const std::optional<BindingTimes> &times, Instant now) const
+{
+    // Earlier leaders' times are not known.
+    const std::string ready =
+        times ? std::to_string(toMs(times->decidedAt - times->offeredAt)) : "unknown";
+    const std::string commit = times ? std::to_string(toMs(now - times->decidedAt)) : "unknown";
+    logEvent(LogLevel::Info, "run-bound",
+             {{"task", start.task.text()},
+              {"run", start.run},
+              {"worker", start.lifetime.worker},
+              {"ready_ms", ready},
+              {"commit_ms", commit},
+              {"applied", outcome.applied},
+              {"reason", outcome.reason}});
+}
+
 void FleetLeader::endRound()
 {
     if (!m_active)
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -45,6 +45,8 @@
 
     void receiveFromAgent(Session &session, const FleetMessage &message);
     void endsListed(SessionId id, const RunsEnded &ended);
+    void logBinding(const StartRun &start, const StageOutcome &outcome,
+                    const std::optional<BindingTimes> &times, Instant now) const;
     void sendDirectory();
     void flushOrders();
     void propose(const std::vector<StageCommand> &commands);
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -70,6 +70,8 @@
     CPPUNIT_TEST(settlesRunsWhoseOrderWasNeverSent);
     CPPUNIT_TEST(startsLastingTasksBeforeJobsThatAreInTime);
     CPPUNIT_TEST(movesNoMoreLastingTasksThanMayBeAway);
+    CPPUNIT_TEST(knowsSinceWhenATaskWasReady);
+    CPPUNIT_TEST(knowsSinceWhenAGangWasReady);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -356,6 +358,51 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopsOrdered());
     }
 
+    void knowsSinceWhenATaskWasReady()
+    {
+        JobPlan twice = plan(1, 1000);
+        twice.steps.push_back(twice.steps[0]);
+        twice.steps[1].after = {0};
+        // Nothing has room before a worker comes.
+        accept("j", twice);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(5));
+        m_dispatcher->workerReported("n1", worker("w1"), at(200));
+        const StartRun first = onlyStart(m_dispatcher->decide(at(300), 300));
+        const std::optional<BindingTimes> times = m_dispatcher->timesOf(first);
+        CPPUNIT_ASSERT(times.has_value());
+        CPPUNIT_ASSERT(at(0) == times->offeredAt && at(300) == times->decidedAt);
+        commit({first}, 340);
+        CPPUNIT_ASSERT(at(300) == m_dispatcher->timesOf(first)->decidedAt);
+        // The next step is ready once the end of the first is committed.
+        m_dispatcher->endReported({first.task, first.run, RunEnd::Done, {}});
+        commit(m_dispatcher->decide(at(900), 900), 950);
+        CPPUNIT_ASSERT(!m_dispatcher->timesOf(first).has_value());
+        const StartRun second = onlyStart(m_dispatcher->decide(at(1000), 1000));
+        CPPUNIT_ASSERT(at(950) == m_dispatcher->timesOf(second)->offeredAt);
+        // Another leader has not seen when it was ready.
+        commit({second}, 1001);
+        m_dispatcher->stop();
+        m_dispatcher->start(at(2000));
+        CPPUNIT_ASSERT(!m_dispatcher->timesOf(second).has_value());
+    }
+
+    /// Trying to place one binds members and takes them back.
+    void knowsSinceWhenAGangWasReady()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan gang = plan(4, 20'000);
+        gang.steps[0].gang = true;
+        accept("j", gang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(100));
+        m_dispatcher->workerReported("n2", worker("w2"), at(200));
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(300), 300);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, commands.size());
+        for (const StageCommand &command : commands) {
+            const auto times = m_dispatcher->timesOf(std::get<StartRun>(command));
+            CPPUNIT_ASSERT(at(0) == times->offeredAt && at(300) == times->decidedAt);
+        }
+    }
+
 private:
     /// Stops that were ordered since orders were taken last.
     std::size_t stopsOrdered()
@@ -367,6 +414,12 @@
             }));
     }
 
+    static StartRun onlyStart(const std::vector<StageCommand> &commands)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commands.size());
+        return std::get<StartRun>(commands[0]);
+    }
+
     void accept(const std::string &job, const JobPlan &plan, WallMs time = 0)
     {
         const StageCommand command = AcceptJob{job, "batch", plan};
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <filesystem>
 #include <netinet/in.h>
+#include <regex>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -75,6 +76,7 @@
     CPPUNIT_TEST(pausesWhileEndsWaitForTheirCommit);
     CPPUNIT_TEST(acknowledgesEndsOnceTheyAreCommitted);
     CPPUNIT_TEST(tellsTheNextLeaderOfEndsAgain);
+    CPPUNIT_TEST(bindingsSayWhatTheyWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +282,17 @@
         CPPUNIT_ASSERT_EQUAL(2, startsInAll());
     }
 
+    void bindingsSayWhatTheyWaitedFor()
+    {
+        const test::LogCapture log;
+        submit("j", planOf(1));
+        until([this] { return stateOf("j") == "completed"; });
+        const std::regex bound(
+            "event=run-bound task=j\\.0\\.0\\.0 run=1 worker=w[01] ready_ms=\\d+ "
+            "commit_ms=\\d+ applied=true");
+        CPPUNIT_ASSERT(std::regex_search(log.text(), bound));
+    }
+
 private:
     /// Leaves both workers with an end that no leader can commit.
     void endWithoutALeader()
