Drain entries in phases, so that every caller gets an answer

Cause: the entry served until 1.5 s before the end of its grace and then ended its loop, whatever still waited for the leader; what was read afterwards was handed to a loop that no longer ran.

GatewayNode decides (refuseNewCalls, waitingCalls, endCalls), the program keeps the times.

--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -2,6 +2,13 @@
 
 namespace guavashift {
 
+namespace {
+
+/// How long callers are told to wait before they send a refused call again.
+constexpr std::int64_t retryAfterSeconds = 1;
+
+} // namespace
+
 GatewayNode::GatewayNode(EventLoop &loop, const GatewaySettings &gateway,
                          const FleetSettings &settings, const ChannelSettings &channel,
                          std::uint64_t seed)
@@ -39,12 +46,12 @@
               {"kind", nameOf(pending.call.kind)},
               {"path", pending.call.path},
               {"deadline_ms", toMs(deadline)}});
+    if (m_refusing)
+        return giveUp(id, "this process stops");
     Duration limit = m_gateway.answerTimeout;
     if (deadline > m_gateway.deadlineMargin)
         limit = std::min(limit, deadline - m_gateway.deadlineMargin);
-    pending.deadlineTimer = m_loop.after(limit, [this, id] {
-        finish(id, {id, CallResult::Unknown, "no answer in time", 0});
-    });
+    pending.deadlineTimer = m_loop.after(limit, [this, id] { giveUp(id, "no answer in time"); });
     if (m_link.isOpen()) {
         pass(pending);
         return;
@@ -55,7 +62,7 @@
             return;
         found->second.patienceTimer = 0;
         if (!found->second.passedOn)
-            finish(id, {id, CallResult::Unavailable, "no leader is known", 1});
+            giveUp(id, "no leader is known");
     });
 }
 
@@ -86,6 +93,24 @@
     finish(answer->id, *answer);
 }
 
+void GatewayNode::endCalls(std::string_view reason)
+{
+    refuseNewCalls();
+    while (!m_pending.empty())
+        giveUp(m_pending.begin()->first, reason);
+}
+
+void GatewayNode::giveUp(std::uint64_t id, std::string_view reason)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+        return;
+    if (found->second.passedOn)
+        finish(id, {id, CallResult::Unknown, std::string(reason), 0});
+    else
+        finish(id, {id, CallResult::Unavailable, std::string(reason), retryAfterSeconds});
+}
+
 void GatewayNode::finish(std::uint64_t id, FleetAnswer answer)
 {
     const auto found = m_pending.find(id);
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -32,6 +32,13 @@
     /// `deadline` is what the caller waits at most; zero if it did not say.
     void call(FleetCall call, Duration deadline, Answer answer);
 
+    /// New calls are refused as not done from now on; those that wait go on waiting.
+    void refuseNewCalls() { m_refusing = true; }
+    [[nodiscard]] std::size_t waitingCalls() const { return m_pending.size(); }
+    /// Answers all calls that wait, and refuses new ones. Calls that were never passed on are
+    /// refused as not done; whether the others were done is not known.
+    void endCalls(std::string_view reason);
+
     /// Whether calls can be answered now.
     [[nodiscard]] bool isReady() const { return m_link.isOpen(); }
 
@@ -50,6 +57,8 @@
     void opened();
     void pass(Pending &pending);
     void received(const FleetMessage &message);
+    /// Answers a call that the leader did not answer, as far as is known.
+    void giveUp(std::uint64_t id, std::string_view reason);
     void finish(std::uint64_t id, FleetAnswer answer);
 
     EventLoop &m_loop;
@@ -59,6 +68,7 @@
     std::string m_address;
     std::map<std::uint64_t, Pending> m_pending;
     std::uint64_t m_nextCall = 1;
+    bool m_refusing = false;
 };
 
 } // namespace guavashift
--- /dev/null
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -0,0 +1,57 @@
+#include <UnitTests/Fleet/FakeLeader.h>
+
+#include <cppunit/TestAssert.h>
+
+namespace guavashift {
+
+FakeLeader::FakeLeader(EventLoop &loop, const std::string &address)
+    : m_loop(loop)
+    , m_listener(loop, [this](ACE_HANDLE handle) { accept(handle); })
+{
+    CPPUNIT_ASSERT(m_listener.open(address));
+}
+
+void FakeLeader::accept(ACE_HANDLE handle)
+{
+    const std::uint64_t id = m_nextConnection++;
+    auto connection = std::make_unique<FrameConnection>(m_loop, ChannelSettings{});
+    connection->setHandlers([this, id](std::string_view frame) { received(id, frame); },
+                            [this, id](std::string_view) { m_connections.erase(id); });
+    FrameConnection &adopted = *connection;
+    m_connections.emplace(id, std::move(connection));
+    adopted.adopt(handle);
+}
+
+void FakeLeader::received(std::uint64_t connection, std::string_view frame)
+{
+    const std::optional<FleetMessage> message = decodeFrame(frame);
+    CPPUNIT_ASSERT(message);
+    std::visit(Overloaded{[&](const AskLeader &) {
+                              send(connection, LeaderIs{true, {}});
+                          },
+                          [&](const Hello &) {
+                              send(connection, Welcome{1, 1000});
+                          },
+                          [&](const FleetCall &call) {
+                              m_calls.push_back({connection, call.id});
+                              if (m_result)
+                                  send(connection, FleetAnswer{call.id, *m_result, "fake", 1});
+                          },
+                          [](const auto &) {}},
+               *message);
+}
+
+void FakeLeader::answerAll(CallResult result)
+{
+    for (const Received &each : m_calls)
+        send(each.connection, FleetAnswer{each.call, result, "fake", 1});
+}
+
+void FakeLeader::send(std::uint64_t connection, const FleetMessage &message)
+{
+    const auto found = m_connections.find(connection);
+    if (found != m_connections.end())
+        found->second->send(encodeFrame(message));
+}
+
+} // namespace guavashift
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -1,13 +1,11 @@
 #include <UnitTests/Fleet/FakeWorker.h>
+#include <UnitTests/Fleet/FreePort.h>
 #include <UnitTests/Support/LogCapture.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <arpa/inet.h>
 #include <filesystem>
-#include <netinet/in.h>
 #include <regex>
-#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace guavashift;
@@ -29,21 +27,6 @@
     return QueueTable(std::stoull(std::string(text)), {queue}, {{"orders", {}}});
 }
 
-/// A port that is free on the first loopback address, so that runs side by side do not meet.
-std::uint16_t freePort()
-{
-    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CPPUNIT_ASSERT_EQUAL(0,
-                         ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    socklen_t length = sizeof(address);
-    ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &length);
-    ::close(handle);
-    return ntohs(address.sin_port);
-}
-
 /// A node with a loop of its own, so that it can be ended and started anew.
 template <typename Node> struct Hosted
 {
--- /dev/null
+++ b/UnitTests/Fleet/FreePort.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace guavashift {
+
+/// A port that is free on the first loopback address, so that runs side by side do not meet.
+std::uint16_t freePort();
+
+} // namespace guavashift
