Refuse calls as not done only if that is certain

Cause found by reading: GatewayNode handed on a leader's refusal ("I may not answer now") also for a call that it had passed on before. The leader of the first pass may have proposed it, and the proposal may be committed after the second pass was refused.

Ruled out: FleetLeader refuses before it proposes anything for the pass at hand, so a refusal of the only pass holds; CoreNode passes an operator's call on once at most.

Change: a refusal is handed on only if it comes from the only receiver of the only pass. Otherwise, and when the leader could not decide, the call is passed on again after a pause, to the same leader or the next, and at its limit its answer is that nothing is known (504). No limit is longer than before.

refusalOfALaterPassIsNotHandedOn, callsThatOnlyLaterPassesRefuseEndAsUnknown and callsWithoutDecisionArePassedOnAgain failed before; refusalOfTheOnlyPassIsHandedOn passed before and keeps truthful refusals quick.

--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -26,6 +26,9 @@
     void receive(SessionId session, const FleetMessage &message);
     void closed(SessionId session);
 
+    /// Answers a call, at once or when it is committed. Calls are refused as `Unavailable` before
+    /// anything is proposed for them. An earlier pass of the same call, here or at a predecessor,
+    /// may be proposed and not yet committed then; whoever passed it on has to know of that.
     void handle(const FleetCall &call, const Answer &answer);
 
     void applied(const StageCommand &command, const StageOutcome &outcome);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -162,7 +162,7 @@
     NoQueue,     ///< No queue has that place.
     NoJob,       ///< There is no such job.
     Invalid,     ///< `text` says what is wrong.
-    Unavailable, ///< Certainly not done; may be sent again later.
+    Unavailable, ///< This request was certainly not done; may be sent again later.
     Unknown,     ///< Whether it was done is not known.
 };
 
--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -52,10 +52,8 @@
     if (deadline > m_gateway.deadlineMargin)
         limit = std::min(limit, deadline - m_gateway.deadlineMargin);
     pending.deadlineTimer = m_loop.after(limit, [this, id] { giveUp(id, "no answer in time"); });
-    if (m_link.isOpen()) {
-        pass(pending);
-        return;
-    }
+    if (m_link.isOpen())
+        return passOn(pending);
     pending.patienceTimer = m_loop.after(std::min(m_gateway.patience, limit), [this, id] {
         const auto found = m_pending.find(id);
         if (found == m_pending.end())
@@ -69,16 +67,34 @@
 void GatewayNode::opened()
 {
     for (auto &[id, pending] : m_pending)
-        pass(pending);
+        passOn(pending);
 }
 
-void GatewayNode::pass(Pending &pending)
+void GatewayNode::passOn(Pending &pending)
 {
+    if (pending.repeatTimer != 0)
+        m_loop.cancel(std::exchange(pending.repeatTimer, 0));
+    pending.passedOnAgain = pending.passedOn;
     pending.passedOn = true;
     ++pending.sent;
     m_link.send(pending.call);
 }
 
+void GatewayNode::passOnLater(std::uint64_t id, Pending &pending)
+{
+    if (pending.repeatTimer != 0)
+        return;
+    pending.repeatTimer = m_loop.after(m_gateway.repeatPause, [this, id] {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            return;
+        found->second.repeatTimer = 0;
+        // Without a session the next one brings it.
+        if (m_link.isOpen())
+            passOn(found->second);
+    });
+}
+
 void GatewayNode::received(const FleetMessage &message)
 {
     const auto *answer = std::get_if<FleetAnswer>(&message);
@@ -87,9 +103,11 @@
     const auto found = m_pending.find(answer->id);
     if (found == m_pending.end())
         return;
-    // Whether it was done is asked of the next leader.
-    if (answer->result == CallResult::Unknown)
-        return;
+    // Whether it was done is asked again, of this leader or of the next.
+    Pending &pending = found->second;
+    const bool isRefused = answer->result == CallResult::Unavailable;
+    if (answer->result == CallResult::Unknown || (isRefused && pending.passedOnAgain))
+        return passOnLater(answer->id, pending);
     finish(answer->id, *answer);
 }
 
@@ -118,7 +136,8 @@
         return;
     const Pending pending = std::move(found->second);
     m_pending.erase(found);
-    for (const EventLoop::TimerId timer : {pending.patienceTimer, pending.deadlineTimer}) {
+    for (const EventLoop::TimerId timer :
+         {pending.patienceTimer, pending.deadlineTimer, pending.repeatTimer}) {
         if (timer != 0)
             m_loop.cancel(timer);
     }
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -13,10 +13,22 @@
     Duration deadlineMargin = std::chrono::milliseconds(100);
     /// Longest wait for an answer once a call was passed on.
     Duration answerTimeout = std::chrono::milliseconds(2500);
+    /// Pause before a call that the leader could not decide on is passed on to it again.
+    Duration repeatPause = std::chrono::milliseconds(150);
 };
 
 /// Passes callers' requests on to the leader, which alone answers. Holds no truth. A call that was
 /// passed on and not answered is passed on again to the next leader: all calls may be repeated.
+///
+/// A call is refused as not done (`Unavailable`) only if it was never passed on, or passed on once
+/// and refused by its only receiver, which refuses before it proposes anything. Once it was passed
+/// on again, a refusal tells nothing of the earlier passes, whose proposal may still be committed;
+/// such a call waits for a decision and ends as `Unknown` at its limit.
+///
+/// That holds for one request. It says nothing of earlier requests for the same job, also through
+/// other entries: after an answer of `Unknown`, or none, the job may be accepted although a later
+/// request for it is refused. A caller learns the truth by sending it again until it is accepted,
+/// or by cancelling it.
 class GatewayNode final
 {
 public:
@@ -50,13 +62,16 @@
         Instant receivedAt;
         std::uint32_t sent = 0; ///< To leaders, so far.
         bool passedOn = false;
+        bool passedOnAgain = false;
         EventLoop::TimerId patienceTimer = 0;
         EventLoop::TimerId deadlineTimer = 0;
+        EventLoop::TimerId repeatTimer = 0;
     };
 
     void opened();
-    void pass(Pending &pending);
     void received(const FleetMessage &message);
+    void passOn(Pending &pending);
+    void passOnLater(std::uint64_t id, Pending &pending);
     /// Answers a call that the leader did not answer, as far as is known.
     void giveUp(std::uint64_t id, std::string_view reason);
     void finish(std::uint64_t id, FleetAnswer answer);
--- a/UnitTests/Fleet/GatewayNodeTest.cpp
+++ b/UnitTests/Fleet/GatewayNodeTest.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(callsWithoutALeaderEndAsNotDone);
     CPPUNIT_TEST(callsThatWerePassedOnEndAsUnknown);
     CPPUNIT_TEST(refusesNewCallsAndWaitsForTheOthers);
+    CPPUNIT_TEST(refusalOfTheOnlyPassIsHandedOn);
+    CPPUNIT_TEST(refusalOfALaterPassIsNotHandedOn);
+    CPPUNIT_TEST(callsThatOnlyLaterPassesRefuseEndAsUnknown);
+    CPPUNIT_TEST(callsWithoutDecisionArePassedOnAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +85,64 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->calls());
     }
 
+    /// Guards against calls that wait in vain although they were certainly not done.
+    void refusalOfTheOnlyPassIsHandedOn()
+    {
+        startLeader();
+        m_leader->setResult(CallResult::Unavailable);
+        call();
+        until([this] { return m_gateway->waitingCalls() == 0; });
+        assertAnswers({CallResult::Unavailable});
+    }
+
+    /// Guards against jobs that run though their caller was told that they never will: the leader
+    /// of the first pass had proposed them.
+    void refusalOfALaterPassIsNotHandedOn()
+    {
+        startLeader();
+        call();
+        until([this] { return m_leader->calls() == 1; });
+        m_leader->setResult(CallResult::Unavailable);
+        m_leader->hangUp();
+        until([this] { return m_leader->calls() > 2; });
+        assertAnswers({});
+        m_leader->setResult(CallResult::Done);
+        until([this] { return m_gateway->waitingCalls() == 0; });
+        assertAnswers({CallResult::Done});
+    }
+
+    /// Guards against the same at the end of the caller's time.
+    void callsThatOnlyLaterPassesRefuseEndAsUnknown()
+    {
+        startLeader();
+        call(std::chrono::milliseconds(700));
+        until([this] { return m_leader->calls() == 1; });
+        m_leader->setResult(CallResult::Unavailable);
+        m_leader->hangUp();
+        until([this] { return m_gateway->waitingCalls() == 0; });
+        CPPUNIT_ASSERT(m_leader->calls() > 1);
+        assertAnswers({CallResult::Unknown});
+    }
+
+    /// Guards against calls that wait in vain for another leader when the one that could not decide
+    /// goes on leading.
+    void callsWithoutDecisionArePassedOnAgain()
+    {
+        startLeader();
+        m_leader->setResult(CallResult::Unknown);
+        call();
+        until([this] { return m_leader->calls() > 1; });
+        assertAnswers({});
+        // The first pass may have been done.
+        m_leader->setResult(CallResult::Unavailable);
+        const std::size_t before = m_leader->calls();
+        until([&] { return m_leader->calls() > before + 1; });
+        assertAnswers({});
+        m_leader->setResult(CallResult::Done);
+        until([this] { return m_gateway->waitingCalls() == 0; });
+        assertAnswers({CallResult::Done});
+    }
+
 private:
     void startLeader()
     {
@@ -88,13 +150,13 @@
         until([this] { return m_gateway->isReady(); });
     }
 
-    void call()
+    void call(Duration deadline = Duration::zero())
     {
         FleetCall call;
         call.kind = CallKind::Submit;
         call.host = "desk.example";
         call.path = "/counter/j";
-        m_gateway->call(std::move(call), Duration::zero(),
+        m_gateway->call(std::move(call), deadline,
                         [this](const FleetAnswer &answer) { m_answers.push_back(answer.result); });
     }
 
