--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -59,7 +59,7 @@
         if (found == m_pending.end())
             return;
         found->second.patienceTimer = 0;
-        if (!found->second.passedOn)
+        if (found->second.sent == 0)
             giveUp(id, "no leader is known");
     });
 }
@@ -74,8 +74,6 @@
 {
     if (pending.repeatTimer != 0)
         m_loop.cancel(std::exchange(pending.repeatTimer, 0));
-    pending.passedOnAgain = pending.passedOn;
-    pending.passedOn = true;
     ++pending.sent;
     m_link.send(pending.call);
 }
@@ -106,7 +104,7 @@
     // Whether it was done is asked again, of this leader or of the next.
     Pending &pending = found->second;
     const bool isRefused = answer->result == CallResult::Unavailable;
-    if (answer->result == CallResult::Unknown || (isRefused && pending.passedOnAgain))
+    if (answer->result == CallResult::Unknown || (isRefused && pending.sent > 1))
         return passOnLater(answer->id, pending);
     finish(answer->id, *answer);
 }
@@ -123,7 +121,7 @@
     const auto found = m_pending.find(id);
     if (found == m_pending.end())
         return;
-    if (found->second.passedOn)
+    if (found->second.sent > 0)
         finish(id, {id, CallResult::Unknown, std::string(reason), 0});
     else
         finish(id, {id, CallResult::Unavailable, std::string(reason), retryAfterSeconds});
@@ -144,14 +142,14 @@
     logEvent(LogLevel::Info, "call-finished",
              {{"request", pending.call.request},
               {"result", nameOf(answer.result)},
-              {"passed_on", pending.passedOn},
+              {"passed_on", pending.sent > 0},
               {"sent", pending.sent},
               {"waited_ms", toMs(BootClock::now() - pending.receivedAt)}});
     if (answer.result == CallResult::Unavailable || answer.result == CallResult::Unknown)
         logEvent(LogLevel::Warning, "call-unanswered",
                  {{"request", pending.call.request},
                   {"path", pending.call.path},
-                  {"passed_on", pending.passedOn},
+                  {"passed_on", pending.sent > 0},
                   {"reason", answer.text}});
     pending.answer(std::move(answer));
 }
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -60,9 +60,7 @@
         FleetCall call;
         Answer answer;
         Instant receivedAt;
-        std::uint32_t sent = 0; ///< To leaders, so far.
-        bool passedOn = false;
-        bool passedOnAgain = false;
+        std::uint32_t sent = 0; ///< How often it was passed on to a leader.
         EventLoop::TimerId patienceTimer = 0;
         EventLoop::TimerId deadlineTimer = 0;
         EventLoop::TimerId repeatTimer = 0;
