Settle starts without an answer when no token is left

A start that got no answer is settled by a look under a higher token. After 255 of them in one session there was no higher one, and such runs stayed bound until the session happened to end.

Cause: the agent then only marked the start as unclear.

Change: the agent asks for a new session, whose tokens are higher. How many a session has is a setting, so that a test can use them up.

settlesStartsWithoutAnswerByANewSession failed before.

--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -400,10 +400,12 @@
     case WorkerCallResult::NoAnswer:
         // It may still happen, unless the worker has seen a higher token by then.
         run.stage = Stage::Unclear;
-        if (run.fence >= m_sessionFence && m_fenceStep + 1 < fenceSpan) {
-            m_fenceStep = std::max(m_fenceStep, run.fence - m_sessionFence + 1);
-            look(Duration::zero());
-        }
+        if (run.fence < fence())
+            return look(Duration::zero());
+        if (m_fenceStep >= m_worker.fenceSteps)
+            return m_link.renew("no higher token is left");
+        ++m_fenceStep;
+        look(Duration::zero());
         return;
     default:
         drop(key, nameOf(reply.result));
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -26,6 +26,8 @@
     Duration tableInterval = std::chrono::milliseconds(500);
     /// Pause after a look that failed.
     Duration retryPause = std::chrono::milliseconds(150);
+    /// How often the token may be raised in one session, for starts that got no answer.
+    std::uint64_t fenceSteps = fenceSpan - 1;
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Changes of a pace by less, in hundredths, are not passed on.
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(runsAJobOfTwoSteps);
     CPPUNIT_TEST(resentJobsAreOneJob);
     CPPUNIT_TEST(settlesStartsWithoutAnswer);
+    CPPUNIT_TEST(settlesStartsWithoutAnswerByANewSession);
     CPPUNIT_TEST(goesOnAfterTheLeaderIsGone);
     CPPUNIT_TEST(remembersAllAfterTheWholeCoreRestarts);
     CPPUNIT_TEST(tasksOutliveTheirAgent);
@@ -135,6 +136,18 @@
         CPPUNIT_ASSERT_EQUAL(8, startsInAll());
     }
 
+    /// Once a session had no higher token left, starts without an answer stayed bound for ever.
+    void settlesStartsWithoutAnswerByANewSession()
+    {
+        m_workerSettings.fenceSteps = 0;
+        restartAgents();
+        for (const auto &worker : m_workers)
+            worker->swallowStarts(3);
+        submit("j", planOf(8));
+        until([this] { return stateOf("j") == "completed"; });
+        CPPUNIT_ASSERT_EQUAL(8, startsInAll());
+    }
+
     void goesOnAfterTheLeaderIsGone()
     {
         submit("before", planOf(1));
