Start nothing on a worker that does not answer its agent

A worker may start anew under its name. Its calls name the worker, not the lifetime, so a start that was meant for the lifetime before is carried out in the new one. The agent then learns of the new lifetime, the leader counts all runs of the old one as lapsed and starts them elsewhere, and until the first inventory of the new lifetime the task runs twice.

Cause: starts were sent on although the agent's look had just been broken off, which is how a restart shows first.

Ruled out, by reading: starts of an earlier agent process that arrive late (the session's first look carries a higher token, and the inventory comes from that look or a later one); orders kept for a lost session; ends told while a commit is lost (they are told again); leases of an earlier leader (the next one waits for them from its own start).

Change: after a look without an answer the agent refuses starts until a look is answered; the leader places them elsewhere at once. This narrows the gap and does not close it: a start that is under way when the worker restarts within its 0.7 s is not covered.

startsNothingOnAWorkerThatDoesNotAnswer failed before.

--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -231,6 +231,7 @@
     const Instant now = BootClock::now();
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
+    m_answers = reply.result != WorkerCallResult::NoAnswer;
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
@@ -364,6 +365,9 @@
         return refuse(order, "another lifetime");
     if (m_facts->draining)
         return refuse(order, "draining");
+    // It may have started anew under its name, and would carry out what was meant for its past.
+    if (!m_answers)
+        return refuse(order, "no answer");
     const std::int64_t until = m_lease.untilMs(BootClock::now());
     if (until == 0)
         return refuse(order, "no lease");
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -118,6 +118,7 @@
     std::optional<WorkerFacts> m_facts;
     std::uint64_t m_sequence = 0;
     bool m_silent = false;
+    bool m_answers = true; ///< The last look was answered.
     LeaseClock m_lease;
     std::uint64_t m_listedUpTo = 0;    ///< Ends told to the leader in this session.
     std::uint64_t m_committedUpTo = 0; ///< Ends that need not be listed any more.
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -94,6 +94,8 @@
             if (BootClock::now() >= endsAt)
                 end(key, RunEnd::Done);
         }
+        if (m_ignoresLooks)
+            return callback(WorkerReply{});
         if (m_listed.empty() && BootClock::now() < waitsUntil)
             return answerLook(waitsUntil, callback);
         WorkerReply answer = reply(WorkerCallResult::Done);
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -17,6 +17,8 @@
     /// Answers to calls made so far are dropped: their caller is gone.
     void hangUp() { ++m_callers; }
     void setTaskTime(Duration time) { m_taskTime = time; }
+    /// Whether looks get no answer. Starts are still carried out.
+    void ignoreLooks(bool ignore) { m_ignoresLooks = ignore; }
     /// All that runs ends as done now.
     void finishAll();
     [[nodiscard]] WorkerFacts facts() const;
@@ -55,6 +57,7 @@
     Instant m_startedAt;
     Duration m_taskTime = std::chrono::milliseconds(50);
     int m_swallow = 0;
+    bool m_ignoresLooks = false;
     std::uint64_t m_fence = 0;
     std::int64_t m_untilMs = 0;
     std::uint64_t m_ends = 0;
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(resentJobsAreOneJob);
     CPPUNIT_TEST(settlesStartsWithoutAnswer);
     CPPUNIT_TEST(settlesStartsWithoutAnswerByANewSession);
+    CPPUNIT_TEST(startsNothingOnAWorkerThatDoesNotAnswer);
     CPPUNIT_TEST(goesOnAfterTheLeaderIsGone);
     CPPUNIT_TEST(remembersAllAfterTheWholeCoreRestarts);
     CPPUNIT_TEST(tasksOutliveTheirAgent);
@@ -148,6 +149,25 @@
         CPPUNIT_ASSERT_EQUAL(8, startsInAll());
     }
 
+    /// A worker that starts anew under its name breaks off its agent's look. Until the next look
+    /// says which lifetime answers, a start could run in one and be counted as lost with the other.
+    void startsNothingOnAWorkerThatDoesNotAnswer()
+    {
+        m_workers[0]->ignoreLooks(true);
+        const int before = m_workers[0]->looks();
+        until([&] { return m_workers[0]->looks() > before + 1; });
+        submit("j", planOf(8));
+        until([this] { return stateOf("j") == "completed"; });
+        CPPUNIT_ASSERT(m_workers[0]->starts().empty());
+        m_workers[0]->ignoreLooks(false);
+        JobPlan plan = planOf(2);
+        plan.steps[0].maxPerWorker = 1;
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        submit("k", plan);
+        until([this] { return m_workers[0]->running() == 1; });
+    }
+
     void goesOnAfterTheLeaderIsGone()
     {
         submit("before", planOf(1));
