Serve the metrics of the fleet's processes

Seen: the fleet's logs were all there was; how large commits are, how long they and the disk's syncs take, and how long tasks wait to be bound had to be counted out of lines.

Change: FleetMetrics counts and times, with prometheus-cpp, the leader's commits, syncs, bindings and answers, the entry's answers and waiting calls, the agent's looks, starts and committed ends, and dropped log lines. Metrics becomes a library of its own, so that the fleet needs no tracing.

--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -36,12 +36,12 @@
 } // namespace
 
 CoreNode::CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
-                   QueueTableReader reader, std::uint64_t seed)
+                   QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed)
     : m_loop(loop)
     , m_settings(settings)
     , m_channel(channel)
     , m_book(bookSettings(settings.bounds), std::move(reader))
-    , m_driver(loop, driverSettings(settings, channel), settings, m_book,
+    , m_driver(loop, driverSettings(settings, channel), settings, m_book, metrics,
                {[this](const StageCommand &command, const StageOutcome &outcome) {
                     m_leader.applied(command, outcome);
                 },
@@ -52,7 +52,7 @@
                     m_link.setWanted(!leads);
                 }},
                seed)
-    , m_leader(settings, dispatchSettings(settings.bounds), m_book, m_driver)
+    , m_leader(settings, dispatchSettings(settings.bounds), m_book, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
              {[](const Welcome &) {}, [] {},
               [this](const FleetMessage &message) { forwardedAnswer(message); }},
--- a/Guavashift/Fleet/CoreNode.h
+++ b/Guavashift/Fleet/CoreNode.h
@@ -11,7 +11,7 @@
 {
 public:
     CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
-             QueueTableReader reader, std::uint64_t seed);
+             QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed);
 
     Result<void> start();
     /// The settings name other control processes now.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -40,10 +40,11 @@
 } // namespace
 
 FleetLeader::FleetLeader(const FleetSettings &fleet, const DispatchSettings &dispatch,
-                         JobBook &book, ReplicaDriver &driver)
+                         JobBook &book, ReplicaDriver &driver, FleetMetrics &metrics)
     : m_fleet(fleet)
     , m_book(book)
     , m_driver(driver)
+    , m_metrics(metrics)
     , m_dispatcher(dispatch, book)
     , m_workerLease(dispatch.workerLease)
 {
@@ -206,6 +207,8 @@
     // Asked before the dispatcher forgets a run that was not applied.
     if (const auto *start = std::get_if<StartRun>(&command))
         times = m_dispatcher.timesOf(*start);
+    if (times && outcome.applied)
+        m_metrics.bound(now - times->offeredAt);
     m_dispatcher.applied(command, outcome, now);
     std::visit(Overloaded{[&](const StartRun &start) { logBinding(start, outcome, times, now); },
                           [&](const EndRun &end) {
@@ -289,6 +292,7 @@
 {
     const auto logged = [this, call, answer](FleetAnswer result) {
         result.id = call.id;
+        m_metrics.answered(call.kind, result.result);
         logAnswer(call, result);
         answer(std::move(result));
     };
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -14,7 +14,7 @@
     using SessionId = std::uint64_t;
 
     FleetLeader(const FleetSettings &fleet, const DispatchSettings &dispatch, JobBook &book,
-                ReplicaDriver &driver);
+                ReplicaDriver &driver, FleetMetrics &metrics);
 
     /// This replica leads now; or leads no more.
     void activate();
@@ -62,6 +62,7 @@
     FleetSettings m_fleet;
     JobBook &m_book;
     ReplicaDriver &m_driver;
+    FleetMetrics &m_metrics;
     Dispatcher m_dispatcher;
     Duration m_workerLease;
     bool m_active = false;
--- /dev/null
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -0,0 +1,90 @@
+#include <Guavashift/Fleet/FleetMetrics.h>
+
+namespace guavashift {
+
+namespace {
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+FleetMetrics::FleetMetrics()
+    : m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
+                                 "From an entry's append to its commit, on the leader"))
+    , m_commitCommands(
+          m_metrics.sizes("guavashift_fleet_commit_commands", "Commands that one commit carries"))
+    , m_sync(m_metrics.latency("guavashift_fleet_sync_seconds",
+                               "Sync of the leader's disk for one commit"))
+    , m_readyToBound(m_metrics.latency("guavashift_fleet_ready_to_bound_seconds",
+                                       "From a task being ready to its binding's commit"))
+    , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
+    , m_looks(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
+    , m_endCommit(m_metrics.latency("guavashift_fleet_agent_end_commit_seconds",
+                                    "From a run's end being listed to the word of its commit"))
+    , m_linesDropped(m_metrics.counter("guavashift_fleet_log_lines_dropped_total",
+                                       "Log lines dropped because their reader was too slow"))
+{
+}
+
+void FleetMetrics::committed(std::size_t commands, Duration commit, Duration sync)
+{
+    m_commitCommands.Observe(static_cast<double>(commands));
+    m_commit.Observe(seconds(commit));
+    m_sync.Observe(seconds(sync));
+}
+
+void FleetMetrics::bound(Duration sinceReady)
+{
+    m_readyToBound.Observe(seconds(sinceReady));
+}
+
+void FleetMetrics::answered(CallKind kind, CallResult result)
+{
+    m_metrics
+        .counter("guavashift_fleet_calls_total", "Calls that this process answered as the leader",
+                 {{"kind", std::string(nameOf(kind))}, {"result", std::string(nameOf(result))}})
+        .Increment();
+}
+
+void FleetMetrics::finished(CallResult result, Duration waited)
+{
+    m_metrics
+        .latency("guavashift_fleet_entry_answer_seconds", "From a call's arrival to its answer",
+                 {{"result", std::string(nameOf(result))}})
+        .Observe(seconds(waited));
+}
+
+void FleetMetrics::setWaiting(std::size_t calls)
+{
+    m_waiting.Set(static_cast<double>(calls));
+}
+
+void FleetMetrics::looked()
+{
+    m_looks.Increment();
+}
+
+void FleetMetrics::startAnswered(WorkerCallResult result)
+{
+    m_metrics
+        .counter("guavashift_fleet_agent_starts_total", "Starts that the worker answered or not",
+                 {{"result", std::string(nameOf(result))}})
+        .Increment();
+}
+
+void FleetMetrics::endCommitted(Duration sinceListed)
+{
+    m_endCommit.Observe(seconds(sinceListed));
+}
+
+std::string FleetMetrics::exposition()
+{
+    const std::uint64_t dropped = droppedLogLines();
+    m_linesDropped.Increment(static_cast<double>(dropped - m_linesDroppedTold.exchange(dropped)));
+    return m_metrics.exposition();
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -11,9 +11,10 @@
 
 GatewayNode::GatewayNode(EventLoop &loop, const GatewaySettings &gateway,
                          const FleetSettings &settings, const ChannelSettings &channel,
-                         std::uint64_t seed)
+                         FleetMetrics &metrics, std::uint64_t seed)
     : m_loop(loop)
     , m_gateway(gateway)
+    , m_metrics(metrics)
     , m_link(loop, {channel}, settings, NodeRole::Gateway,
              {[this](const Welcome &) { opened(); }, [] {},
               [this](const FleetMessage &message) { received(message); }},
@@ -41,6 +42,7 @@
     pending.call = std::move(call);
     pending.answer = std::move(answer);
     pending.receivedAt = BootClock::now();
+    m_metrics.setWaiting(m_pending.size());
     logEvent(LogLevel::Info, "call-received",
              {{"request", pending.call.request},
               {"kind", nameOf(pending.call.kind)},
@@ -139,12 +141,15 @@
         if (timer != 0)
             m_loop.cancel(timer);
     }
+    const Duration waited = BootClock::now() - pending.receivedAt;
+    m_metrics.finished(answer.result, waited);
+    m_metrics.setWaiting(m_pending.size());
     logEvent(LogLevel::Info, "call-finished",
              {{"request", pending.call.request},
               {"result", nameOf(answer.result)},
               {"passed_on", pending.sent > 0},
               {"sent", pending.sent},
-              {"waited_ms", toMs(BootClock::now() - pending.receivedAt)}});
+              {"waited_ms", toMs(waited)}});
     if (answer.result == CallResult::Unavailable || answer.result == CallResult::Unknown)
         logEvent(LogLevel::Warning, "call-unanswered",
                  {{"request", pending.call.request},
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/Relay.h>
 
@@ -35,7 +36,7 @@
     using Answer = std::function<void(FleetAnswer)>;
 
     GatewayNode(EventLoop &loop, const GatewaySettings &gateway, const FleetSettings &settings,
-                const ChannelSettings &channel, std::uint64_t seed);
+                const ChannelSettings &channel, FleetMetrics &metrics, std::uint64_t seed);
 
     Result<void> start();
     /// The settings name other control processes now.
@@ -76,6 +77,7 @@
 
     EventLoop &m_loop;
     GatewaySettings m_gateway;
+    FleetMetrics &m_metrics;
     LeaderLink m_link;
     Relay m_relay;
     std::string m_address;
--- /dev/null
+++ b/Guavashift/Fleet/MetricsServer.cpp
@@ -0,0 +1,25 @@
+#include <Guavashift/Fleet/MetricsServer.h>
+
+namespace guavashift {
+
+MetricsServer::MetricsServer(const HttpServerSettings &settings, FleetMetrics &metrics)
+    : m_server(settings, [&metrics](const HttpRequest &request, const HttpResponder &respond) {
+        if (request.path == "/metrics")
+            respond(HttpResponse::text(200, metrics.exposition()));
+        else
+            respond(HttpResponse::text(404, "the metrics are at /metrics\n"));
+    })
+{
+}
+
+Result<void> MetricsServer::start()
+{
+    return m_server.start();
+}
+
+void MetricsServer::stop()
+{
+    m_server.stop();
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -23,12 +23,13 @@
 } // namespace
 
 ReplicaDriver::ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
-                             const FleetSettings &fleet, JobBook &book, Observer observer,
-                             std::uint64_t seed)
+                             const FleetSettings &fleet, JobBook &book, FleetMetrics &metrics,
+                             Observer observer, std::uint64_t seed)
     : m_loop(loop)
     , m_settings(settings)
     , m_fleet(fleet)
     , m_book(book)
+    , m_metrics(metrics)
     , m_observer(std::move(observer))
     , m_random(seed)
     , m_planner(settings.membership)
@@ -366,12 +367,14 @@
         return;
     const EntryTimes times = found->second;
     m_entryTimes.erase(found);
+    const Duration commit = BootClock::now() - times.appendedAt;
+    m_metrics.committed(times.commands, commit, times.sync);
     logEvent(LogLevel::Info, "entry-committed",
              {{"index", index},
               {"commands", times.commands},
               {"queued_ms", toMs(times.appendedAt - times.proposedAt)},
               {"sync_ms", toMs(times.sync)},
-              {"commit_ms", toMs(BootClock::now() - times.appendedAt)}});
+              {"commit_ms", toMs(commit)}});
 }
 
 void ReplicaDriver::settleWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes)
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -3,6 +3,7 @@
 #include <Guavashift/Channel/Channel.h>
 #include <Guavashift/Consensus/MembershipPlanner.h>
 #include <Guavashift/Fleet/FleetMessages.h>
+#include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/FleetSettings.h>
 
 namespace guavashift {
@@ -41,7 +42,8 @@
     };
 
     ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
-                  const FleetSettings &fleet, JobBook &book, Observer observer, std::uint64_t seed);
+                  const FleetSettings &fleet, JobBook &book, FleetMetrics &metrics,
+                  Observer observer, std::uint64_t seed);
     ~ReplicaDriver();
 
     /// Opens the data folder and begins to take part.
@@ -124,6 +126,7 @@
     ReplicaDriverSettings m_settings;
     FleetSettings m_fleet;
     JobBook &m_book;
+    FleetMetrics &m_metrics;
     Observer m_observer;
     std::mt19937_64 m_random;
     Member m_self;
--- a/Guavashift/Fleet/WorkerNode.cpp
+++ b/Guavashift/Fleet/WorkerNode.cpp
@@ -19,11 +19,12 @@
 
 WorkerNode::WorkerNode(EventLoop &loop, const WorkerNodeSettings &worker,
                        const FleetSettings &settings, const ChannelSettings &channel,
-                       WorkerPort &port, std::uint64_t seed)
+                       WorkerPort &port, FleetMetrics &metrics, std::uint64_t seed)
     : m_loop(loop)
     , m_worker(worker)
     , m_settings(settings)
     , m_port(port)
+    , m_metrics(metrics)
     , m_link(loop, {channel}, settings, NodeRole::Agent,
              {[this](const Welcome &welcome) { opened(welcome); }, [this] { lost(); },
               [this](const FleetMessage &message) { received(message); }},
@@ -111,6 +112,11 @@
     if (!isCurrent(committed.lifetime) || committed.upTo <= m_committedUpTo)
         return;
     m_committedUpTo = committed.upTo;
+    const Instant now = BootClock::now();
+    while (!m_listedAt.empty() && m_listedAt.begin()->first <= committed.upTo) {
+        m_metrics.endCommitted(now - m_listedAt.begin()->second);
+        m_listedAt.erase(m_listedAt.begin());
+    }
     // A look that is open was answered at once, and the next one follows it without a pause.
     if (m_looksOpen > 0)
         return;
@@ -152,6 +158,7 @@
             endLifetime(false);
         m_facts = facts;
         m_listedUpTo = m_committedUpTo = 0;
+        m_listedAt.clear();
         m_inventoryDue = m_link.isOpen();
         m_silent = false;
         logEvent(LogLevel::Info, "worker-found",
@@ -220,6 +227,7 @@
     request.untilMs = m_lease.untilMs(now);
     request.wait = wait;
     ++m_looksOpen;
+    m_metrics.looked();
     m_port.hold(request, [this, request, now](const WorkerReply &reply) {
         --m_looksOpen;
         looked(request, now, reply);
@@ -286,6 +294,8 @@
         if (each.number <= m_listedUpTo)
             continue;
         m_listedUpTo = each.number;
+        // One that is listed again in a new session still counts from the first time.
+        m_listedAt.try_emplace(each.number, BootClock::now());
         ended.ends.push_back(each);
         logEvent(
             LogLevel::Info, "run-listed",
@@ -386,6 +396,7 @@
 void WorkerNode::started(const RunKey &key, std::uint64_t sentUnder, const WorkerReply &reply)
 {
     const auto found = m_runs.find(key);
+    m_metrics.startAnswered(reply.result);
     logEvent(LogLevel::Info, "start-answered",
              {{"task", key.first.text()}, {"run", key.second}, {"result", nameOf(reply.result)}});
     if (found == m_runs.end() || found->second.stage != Stage::Starting
--- a/Guavashift/Fleet/WorkerNode.h
+++ b/Guavashift/Fleet/WorkerNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/LeaseClock.h>
 #include <Guavashift/Fleet/Pacer.h>
@@ -40,7 +41,8 @@
 {
 public:
     WorkerNode(EventLoop &loop, const WorkerNodeSettings &worker, const FleetSettings &settings,
-               const ChannelSettings &channel, WorkerPort &port, std::uint64_t seed);
+               const ChannelSettings &channel, WorkerPort &port, FleetMetrics &metrics,
+               std::uint64_t seed);
 
     Result<void> start();
     /// The settings name other control processes now.
@@ -108,6 +110,7 @@
     WorkerNodeSettings m_worker;
     FleetSettings m_settings;
     WorkerPort &m_port;
+    FleetMetrics &m_metrics;
     LeaderLink m_link;
     Relay m_relay;
     std::uint64_t m_sessionFence = 0;
@@ -120,8 +123,9 @@
     bool m_silent = false;
     bool m_answers = true; ///< The last look was answered.
     LeaseClock m_lease;
-    std::uint64_t m_listedUpTo = 0;    ///< Ends told to the leader in this session.
-    std::uint64_t m_committedUpTo = 0; ///< Ends that need not be listed any more.
+    std::uint64_t m_listedUpTo = 0;              ///< Ends told to the leader in this session.
+    std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
+    std::map<std::uint64_t, Instant> m_listedAt; ///< Ends that are not committed, by number.
     std::map<RunKey, Run> m_runs;
     Pacer m_pacer;
     std::uint64_t m_lookNumber = 0;
--- a/Guavashift/Telemetry/Metrics.cpp
+++ b/Guavashift/Metrics/Metrics.cpp
@@ -1,4 +1,4 @@
-#include <Guavashift/Telemetry/Metrics.h>
+#include <Guavashift/Metrics/Metrics.h>
 
 #include <prometheus/text_serializer.h>
 
@@ -9,6 +9,9 @@
 const prometheus::Histogram::BucketBoundaries latencyBuckets{
     0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8, 16};
 
+const prometheus::Histogram::BucketBoundaries sizeBuckets{1,  2,   4,   8,   16,  32,
+                                                          64, 128, 256, 512, 1024};
+
 } // namespace
 
 Metrics::Metrics()
@@ -39,6 +42,16 @@
         .Add(labels, latencyBuckets);
 }
 
+prometheus::Histogram &Metrics::sizes(const std::string &name, const std::string &help,
+                                      const prometheus::Labels &labels)
+{
+    return prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Register(*m_registry)
+        .Add(labels, sizeBuckets);
+}
+
 std::string Metrics::exposition() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/Guavashift/Telemetry/Metrics.h
+++ b/Guavashift/Metrics/Metrics.h
@@ -24,6 +24,10 @@
     prometheus::Histogram &latency(const std::string &name, const std::string &help,
                                    const prometheus::Labels &labels = {});
 
+    /// Histogram of counts from 1 to 1024.
+    prometheus::Histogram &sizes(const std::string &name, const std::string &help,
+                                 const prometheus::Labels &labels = {});
+
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string exposition() const;
 
--- a/Guavashift/Telemetry/Telemetry.h
+++ b/Guavashift/Telemetry/Telemetry.h
@@ -2,7 +2,7 @@
 
 // Public header of the Telemetry library: metrics and trace spans.
 
-#include <Guavashift/Telemetry/Metrics.h>
+#include <Guavashift/Metrics/Metrics.h>
 #include <Guavashift/Telemetry/Span.h>
 #include <Guavashift/Telemetry/TraceContext.h>
 
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -1,5 +1,5 @@
 #include <UnitTests/Fleet/FakeWorker.h>
-#include <UnitTests/Fleet/FreePort.h>
+#include <UnitTests/Support/FreePort.h>
 #include <UnitTests/Support/LogCapture.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -62,19 +62,20 @@
     CPPUNIT_TEST(acknowledgesEndsOnceTheyAreCommitted);
     CPPUNIT_TEST(tellsTheNextLeaderOfEndsAgain);
     CPPUNIT_TEST(bindingsSayWhatTheyWaitedFor);
+    CPPUNIT_TEST(countsWhatItDoes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
-        m_port = freePort();
+        m_port = test::freePort();
         m_folder = std::filesystem::temp_directory_path()
             / fmt::format("guavashift-fleet-{}-{}", ::getpid(), m_port);
         for (int i = 0; i < cores; ++i)
             startCore(i, true);
         m_gateway = std::make_unique<Hosted<GatewayNode>>([this](EventLoop &loop) {
             return std::make_unique<GatewayNode>(loop, GatewaySettings{}, settingsOf(10),
-                                                 ChannelSettings{}, 5);
+                                                 ChannelSettings{}, m_metrics, 5);
         });
         for (int i = 0; i < 2; ++i) {
             m_workers.push_back(
@@ -309,6 +310,24 @@
         CPPUNIT_ASSERT(std::regex_search(log.text(), bound));
     }
 
+    void countsWhatItDoes()
+    {
+        submit("j", planOf(3));
+        until([this] { return stateOf("j") == "completed"; });
+        // The agents hear last of the commits.
+        until([this] { return counts("guavashift_fleet_agent_end_commit_seconds_count 3"); });
+        for (const std::string_view line :
+             {"guavashift_fleet_calls_total{kind=\"submit\",result=\"done\"} 1",
+              "guavashift_fleet_entry_answer_seconds_count{result=\"done\"} 1",
+              "guavashift_fleet_entry_waiting 0", "guavashift_fleet_ready_to_bound_seconds_count 3",
+              "guavashift_fleet_agent_starts_total{result=\"done\"} 3"})
+            CPPUNIT_ASSERT_MESSAGE(std::string(line), counts(line));
+        for (const std::string_view line :
+             {"guavashift_fleet_commit_seconds_count 0", "guavashift_fleet_sync_seconds_count 0",
+              "guavashift_fleet_agent_looks_total 0"})
+            CPPUNIT_ASSERT_MESSAGE(std::string(line), !counts(line));
+    }
+
 private:
     /// Leaves both workers with an end that no leader can commit.
     void endWithoutALeader()
@@ -335,6 +354,12 @@
         }
     }
 
+    /// Whether the line stands in the metrics.
+    [[nodiscard]] bool counts(std::string_view line)
+    {
+        return m_metrics.exposition().find(fmt::format("\n{}\n", line)) != std::string::npos;
+    }
+
     [[nodiscard]] FleetSettings settingsOf(int number) const
     {
         FleetSettings settings;
@@ -354,6 +379,7 @@
         m_cores[static_cast<std::size_t>(number)] =
             std::make_unique<Hosted<CoreNode>>([&](EventLoop &loop) {
                 return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, readVersion,
+                                                  m_metrics,
                                                   static_cast<std::uint64_t>(number) + 77);
             });
     }
@@ -364,7 +390,7 @@
         FakeWorker &worker = *m_workers[place];
         m_agents[place] = std::make_unique<Hosted<WorkerNode>>([&](EventLoop &loop) {
             return std::make_unique<WorkerNode>(loop, m_workerSettings, settingsOf(20 + number),
-                                                ChannelSettings{}, worker,
+                                                ChannelSettings{}, worker, m_metrics,
                                                 static_cast<std::uint64_t>(number) + 99);
         });
         m_agents[place]->node->workerReported(worker.facts(), 1);
@@ -448,6 +474,7 @@
 
     std::uint16_t m_port = 0;
     std::filesystem::path m_folder;
+    FleetMetrics m_metrics; ///< Of all nodes together.
     std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
     std::unique_ptr<Hosted<GatewayNode>> m_gateway;
     WorkerNodeSettings m_workerSettings;
--- a/UnitTests/Fleet/GatewayNodeTest.cpp
+++ b/UnitTests/Fleet/GatewayNodeTest.cpp
@@ -1,5 +1,5 @@
 #include <UnitTests/Fleet/FakeLeader.h>
-#include <UnitTests/Fleet/FreePort.h>
+#include <UnitTests/Support/FreePort.h>
 
 #include <Guavashift/Fleet/GatewayNode.h>
 
@@ -28,11 +28,11 @@
         FleetSettings settings;
         settings.node = "entry";
         settings.ip = "127.0.0.11";
-        settings.channelPort = freePort();
+        settings.channelPort = test::freePort();
         m_leaderAddress = fmt::format("127.0.0.1:{}", settings.channelPort);
         settings.seeds = {m_leaderAddress};
         m_gateway = std::make_unique<GatewayNode>(*m_loop, GatewaySettings{}, settings,
-                                                  ChannelSettings{}, 5);
+                                                  ChannelSettings{}, m_metrics, 5);
         CPPUNIT_ASSERT(m_gateway->start());
     }
 
@@ -180,6 +180,7 @@
     std::unique_ptr<EventLoop> m_loop;
     std::string m_leaderAddress;
     std::unique_ptr<FakeLeader> m_leader;
+    FleetMetrics m_metrics;
     std::unique_ptr<GatewayNode> m_gateway;
     std::vector<CallResult> m_answers;
 };
--- a/UnitTests/Platform/RoutesTest.cpp
+++ b/UnitTests/Platform/RoutesTest.cpp
@@ -21,8 +21,8 @@
         CPPUNIT_ASSERT(m_loop->open());
         GatewaySettings settings;
         settings.patience = std::chrono::milliseconds(1);
-        m_gateway =
-            std::make_unique<GatewayNode>(*m_loop, settings, FleetSettings{}, ChannelSettings{}, 5);
+        m_gateway = std::make_unique<GatewayNode>(*m_loop, settings, FleetSettings{},
+                                                  ChannelSettings{}, m_metrics, 5);
     }
 
     void tearDown() override
@@ -78,6 +78,7 @@
     }
 
     std::unique_ptr<EventLoop> m_loop;
+    FleetMetrics m_metrics;
     std::unique_ptr<GatewayNode> m_gateway;
     RequestIds m_ids{0xABCDEF0123456789};
 };
--- a/UnitTests/Fleet/FreePort.cpp
+++ b/UnitTests/Support/FreePort.cpp
@@ -1,4 +1,4 @@
-#include <UnitTests/Fleet/FreePort.h>
+#include <UnitTests/Support/FreePort.h>
 
 #include <arpa/inet.h>
 #include <cppunit/TestAssert.h>
@@ -6,7 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace guavashift {
+namespace guavashift::test {
 
 std::uint16_t freePort()
 {
@@ -22,4 +22,4 @@
     return ntohs(address.sin_port);
 }
 
-} // namespace guavashift
+} // namespace guavashift::test
