Give the room of a whole gang back

Cause: the first end of a gang settles all its members in the shared state, so the ends of the others change nothing there, and the dispatcher followed only ends that changed something. Their room stayed taken until the worker restarted; once such a worker was gone, its lapsed lease proposed the same end again in each round.

Change: an end that the state had settled before releases the run as well.

The test endedGangGivesAllItsRoomBack failed before and passes now.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -139,6 +139,9 @@
     void jobAccepted(const std::string &id);
     void runBound(const StartRun &start, Instant now);
     void runEnded(const EndRun &end, Instant now);
+    /// The run has ended, and the state had settled it before: as a gang's first end does for all.
+    void releaseSettled(const EndRun &end);
+    void release(std::map<TaskRef, Lifetime>::iterator placed);
     [[nodiscard]] RunTraits traitsOf(const TaskRef &task, std::uint32_t run) const;
     void withdraw(const std::string &id);
     void scheduleOccurrences(const std::string &id, const StageJob &job);
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -45,6 +45,8 @@
                               m_endsProposed.erase({end.task, end.run});
                               if (outcome.applied)
                                   runEnded(end, now);
+                              else
+                                  releaseSettled(end);
                           }},
                command);
 }
@@ -88,16 +90,35 @@
                                      {}});
 }
 
+void Dispatcher::releaseSettled(const EndRun &end)
+{
+    const auto placed = m_placed.find(end.task);
+    if (placed == m_placed.end())
+        return;
+    const Lifetime lifetime = placed->second;
+    if (m_pool.find(lifetime)->runs.at(end.task).run != end.run)
+        return;
+    const StageTask *task = m_book.find(end.task);
+    if (task != nullptr && task->stage == TaskStage::Bound)
+        return;
+    release(placed);
+}
+
+void Dispatcher::release(std::map<TaskRef, Lifetime>::iterator placed)
+{
+    const Lifetime lifetime = placed->second;
+    m_pool.release(lifetime, placed->first);
+    m_placed.erase(placed);
+    if (!m_pool.find(lifetime)->hasFacts)
+        m_pool.removeIfIdle(lifetime);
+}
+
 void Dispatcher::runEnded(const EndRun &end, Instant now)
 {
     const auto placed = m_placed.find(end.task);
     if (placed != m_placed.end()) {
-        const Lifetime lifetime = placed->second;
-        noteEnd(end, lifetime, now);
-        m_pool.release(lifetime, end.task);
-        m_placed.erase(placed);
-        if (!m_pool.find(lifetime)->hasFacts)
-            m_pool.removeIfIdle(lifetime);
+        noteEnd(end, placed->second, now);
+        release(placed);
     }
     const StageJob *job = m_book.find(end.task.job);
     if (job == nullptr)
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(settlesRunsWhoseOrderWasNeverSent);
     CPPUNIT_TEST(startsLastingTasksBeforeJobsThatAreInTime);
     CPPUNIT_TEST(movesNoMoreLastingTasksThanMayBeAway);
+    CPPUNIT_TEST(endedGangGivesAllItsRoomBack);
     CPPUNIT_TEST(knowsSinceWhenATaskWasReady);
     CPPUNIT_TEST(knowsSinceWhenAGangWasReady);
     CPPUNIT_TEST_SUITE_END();
@@ -313,6 +314,25 @@
         CPPUNIT_ASSERT(TaskStage::Bound == m_book->find({"lasting", 0, 0, 0})->stage);
     }
 
+    /// The first end of a gang stands for all, so the ends of the others changed nothing and their
+    /// room stayed taken until their workers restarted.
+    void endedGangGivesAllItsRoomBack()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan gang = plan(2, 30'000);
+        gang.steps[0].gang = true;
+        gang.steps.push_back(plan(1, 1000).steps[0]);
+        gang.steps[1].after = {0};
+        accept("j", gang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        end({"j", 0, 0, 0}, 1, RunEnd::Done, 100);
+        end({"j", 0, 0, 1}, 1, RunEnd::Done, 200);
+        accept("wide", plan(1, 60'000));
+        decideAndCommit(300);
+        decideAndCommit(400);
+        CPPUNIT_ASSERT(TaskStage::Bound == m_book->find({"wide", 0, 0, 0})->stage);
+    }
+
     /// Moves may not take down more tasks of a lasting step than its job allows.
     void movesNoMoreLastingTasksThanMayBeAway()
     {
