Decide once a round instead of once a message of ends

Cause: each frame of ends from an agent had the leader decide anew: leases and moves were looked at for each frame, and the first frame's placing used up the pause that follows one, so room that the other frames gave back waited for it.

Change: such a frame only proposes its ends; the round's end decides, before the same round's commit.

Conclusion: no decision changes but its time. The tests of dispatch (22) and fleet (38) pass.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -377,7 +377,7 @@
     beginDueOccurrences(wallNow);
     placeReady(now, wallNow);
     moveSlowed(now);
-    return std::exchange(m_commands, {});
+    return takeCommands();
 }
 
 std::vector<std::pair<std::string, AgentOrder>> Dispatcher::takeOrders()
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -112,6 +112,8 @@
     /// A proposed start was not committed.
     void proposalLost(const StageCommand &command);
 
+    /// Commands that follow from what was reported, without new decisions.
+    std::vector<StageCommand> takeCommands() { return std::exchange(m_commands, {}); }
     /// Commands to propose now.
     std::vector<StageCommand> decide(Instant now, WallMs wallNow);
     /// Orders for agents that have gathered, each with the agent's node.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -177,7 +177,8 @@
         m_dispatcher.endReported(each.end);
         upTo = std::max(upTo, each.number);
     }
-    propose(m_dispatcher.decide(BootClock::now(), wallNow()));
+    // What follows from these ends is decided once for the round, not once a message.
+    propose(m_dispatcher.takeCommands());
     // Nothing more to commit, but all before must be committed first.
     m_driver.propose({}, [this, id, lifetime = ended.lifetime, upTo](bool committed, auto) {
         const auto session = m_sessions.find(id);
