--- a/PerformanceTest/Dispatch/Main.cpp
+++ b/PerformanceTest/Dispatch/Main.cpp
@@ -225,6 +225,7 @@
 void report(const char *name, const char *unit, int times, Measure measure)
 {
     std::vector<double> taken;
+    taken.reserve(static_cast<std::size_t>(times));
     for (int i = 0; i < times; ++i)
         taken.push_back(measure());
     std::sort(taken.begin(), taken.end());
