--- /dev/null
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -0,0 +1,63 @@
+#include <Guavashift/Fleet/ReplicaDriver.h>
+
+// The part of ReplicaDriver that knows the other replicas: who takes part, and where they are.
+
+namespace guavashift {
+
+void ReplicaDriver::planMembership()
+{
+    const Instant now = BootClock::now();
+    if (!m_replica->hasLease(now))
+        return;
+    const std::optional<Membership> next = m_planner.plan(
+        m_replica->membership(), m_self.id, m_replica->commitIndex(), now,
+        [this](const ReplicaId &id) {
+            return ReplicaHealth{m_replica->matchIndex(id), m_replica->lastContact(id)};
+        });
+    if (next && m_replica->proposeMembership(now, *next))
+        logEvent(LogLevel::Info, "membership-proposed",
+                 {{"members", next->members.size()}, {"voters", next->voterCount()}});
+}
+
+void ReplicaDriver::askToJoin()
+{
+    const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
+    if (isMember && !m_replica->leader().isEmpty())
+        return;
+    for (const std::string &address : addresses()) {
+        if (address != m_self.address)
+            sendTo(address, JoinRequest{m_self});
+    }
+}
+
+std::string ReplicaDriver::leaderAddress() const
+{
+    if (!m_replica || m_replica->leader().isEmpty())
+        return {};
+    if (m_replica->leader() == m_self.id)
+        return m_self.address;
+    if (const auto told = m_toldAddresses.find(m_replica->leader()); told != m_toldAddresses.end())
+        return told->second;
+    const Member *member = m_replica->membership().find(m_replica->leader());
+    return member == nullptr ? std::string() : member->address;
+}
+
+std::vector<std::string> ReplicaDriver::addresses() const
+{
+    std::vector<std::string> addresses;
+    for (const Member &member : m_replica->membership().members)
+        addresses.push_back(member.address);
+    for (const std::string &seed : m_fleet.seeds) {
+        if (std::find(addresses.begin(), addresses.end(), seed) == addresses.end())
+            addresses.push_back(seed);
+    }
+    return addresses;
+}
+
+void ReplicaDriver::handOver()
+{
+    if (leads())
+        (void)m_replica->transferLeadership(BootClock::now());
+}
+
+} // namespace guavashift
