--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -48,15 +48,7 @@
     }
 
     /// Guards against a leader that writes and syncs its log once for each agent's frame.
-    void inputThatIsReadySharesOneRound()
-    {
-        connectAll();
-        for (const auto &pair : m_pairs)
-            pair->far.send("frame");
-        while (m_frames < clients)
-            m_loop->runOnce(std::chrono::milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(1, m_rounds);
-    }
+    void inputThatIsReadySharesOneRound() { assertOneRoundForAllFrames(); }
 
     /// Guards against rounds of one event each where the machine withholds the processor.
     void slowInputStillSharesRounds()
@@ -65,12 +57,7 @@
         settings.longestRound = Duration::zero();
         m_loop.reset();
         open(settings);
-        connectAll();
-        for (const auto &pair : m_pairs)
-            pair->far.send("frame");
-        while (m_frames < clients)
-            m_loop->runOnce(std::chrono::milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(1, m_rounds);
+        assertOneRoundForAllFrames();
     }
 
     /// Guards against timers and commits that starve while agents keep sending.
@@ -95,6 +82,16 @@
         m_loop->addRoundEnd([this] { ++m_rounds; });
     }
 
+    void assertOneRoundForAllFrames()
+    {
+        connectAll();
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        while (m_frames < clients)
+            m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(1, m_rounds);
+    }
+
     void connectAll()
     {
         for (std::size_t i = 0; i < clients; ++i) {
