--- a/UnitTests/Support/TestMain.cpp
+++ b/UnitTests/Support/TestMain.cpp
@@ -8,8 +8,11 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <csignal>
 #include <iostream>
+#include <string>
+#include <vector>
 
-/// Runs all registered tests, or those whose names contain the first argument.
+/// Runs all registered tests, or those whose names contain the first argument. An argument "-NAME"
+/// leaves out the tests whose names contain NAME.
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -21,12 +24,22 @@
     controller.addListener(&progress);
     CppUnit::TestRunner runner;
     CppUnit::Test *all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
-    const std::string filter = argc > 1 ? argv[1] : "";
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto isSelected = [&](const std::string &name) {
+        for (std::size_t i = 0; i < arguments.size(); ++i) {
+            const bool leavesOut = arguments[i].starts_with('-');
+            if (leavesOut && name.find(arguments[i].substr(1)) != std::string::npos)
+                return false;
+            if (!leavesOut && i == 0 && name.find(arguments[i]) == std::string::npos)
+                return false;
+        }
+        return true;
+    };
     for (int i = 0; i < all->getChildTestCount(); ++i) {
         CppUnit::Test *suite = all->getChildTestAt(i);
         for (int j = 0; j < suite->getChildTestCount(); ++j) {
             CppUnit::Test *test = suite->getChildTestAt(j);
-            if (test->getName().find(filter) != std::string::npos)
+            if (isSelected(test->getName()))
                 test->run(&controller);
         }
     }
