Test that a failed long-running task gets back its room

Ruled out: for a run that ends on a worker that stays usable. The capacity is released and the task queued by the same commit, and among tasks of one priority a long-running task that is past its objective is placed first. Change: a test with 16 workers of 64 cores, 77 % of them reserved, and a steady stream of tasks of 1.6 cores for 0.7 s.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(endedGangReleasesAllItsCapacity);
     CPPUNIT_TEST(recordsWhenATaskBecameReady);
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
+    CPPUNIT_TEST(restartsLongRunningTaskInTheRoomItHad);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -426,7 +427,85 @@
         }
     }
 
+    /// A long-running task whose run fails gets the capacity that this run had, before any of the
+    /// short tasks that keep coming.
+    void restartsLongRunningTaskInTheRoomItHad()
+    {
+        ShortTasks shortTasks;
+        const int failsAt = prepareFullWorkers(shortTasks);
+        const TaskRef lasting{"lasting", 0, 0, 0};
+        m_dispatcher->endReported({lasting, 1, RunEnd::Failed, {}});
+        const std::optional<int> boundAt = runUntilBound(lasting, shortTasks, failsAt, 1000);
+        CPPUNIT_ASSERT(boundAt.has_value());
+        CPPUNIT_ASSERT(*boundAt - failsAt <= 2 * shortTasks.commitMs);
+    }
+
 private:
+    /// A steady stream of jobs with short tasks, and its runs that have not ended.
+    struct ShortTasks
+    {
+        int intervalMs = 156; ///< Between two jobs.
+        int runMs = 640;
+        int commitMs = 60; ///< From the end of a run to its commit.
+        int jobs = 0;
+        std::multimap<int, EndRun> ends; ///< By the time of their commit.
+    };
+
+    static constexpr int fullWorkers = 16;
+
+    /// Makes 16 workers of 64 cores, of which long-running tasks reserve three quarters, and lets
+    /// short tasks run there for two seconds. One more long-running task, of 13 cores, fits on
+    /// every worker only without the short tasks. Returns the time reached.
+    int prepareFullWorkers(ShortTasks &shortTasks)
+    {
+        JobPlan lasting = plan(1, 13'000);
+        lasting.steps[0].longRunning = true;
+        JobPlan others = plan(3, 16'500);
+        others.steps[0].longRunning = true;
+        // One worker after the other, so that each gets its share.
+        for (int i = 0; i < fullWorkers; ++i) {
+            m_dispatcher->workerReported(fmt::format("n{}", i), worker(fmt::format("w{}", i)),
+                                         at(0));
+            accept(fmt::format("others{}", i), others);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(i + 1));
+        }
+        accept("lasting", lasting);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(100));
+        constexpr int warmUpMs = 2000;
+        runUntilBound({"none", 0, 0, 0}, shortTasks, 100, warmUpMs);
+        return 100 + warmUpMs;
+    }
+
+    /// Runs the stream of short tasks until a new run of the task is bound, `lengthMs` at most.
+    /// Returns the time of the binding.
+    std::optional<int> runUntilBound(const TaskRef &ref, ShortTasks &shortTasks, int from,
+                                     int lengthMs)
+    {
+        constexpr int stepMs = 5;
+        for (int now = from; now < from + lengthMs; now += stepMs) {
+            for (int i = 0; i < fullWorkers; ++i)
+                m_dispatcher->leaseGranted(fmt::format("n{}", i), at(now));
+            if (now / shortTasks.intervalMs >= shortTasks.jobs)
+                accept(fmt::format("short{}", shortTasks.jobs++), plan(10, 1600, 640), now);
+            while (!shortTasks.ends.empty() && shortTasks.ends.begin()->first <= now) {
+                m_dispatcher->endReported(shortTasks.ends.begin()->second);
+                shortTasks.ends.erase(shortTasks.ends.begin());
+            }
+            const std::vector<StageCommand> commands = m_dispatcher->decide(at(now), now);
+            commit(commands, now);
+            for (const StageCommand &command : commands) {
+                const auto *start = std::get_if<StartRun>(&command);
+                if (start != nullptr && start->task.job.starts_with("short"))
+                    shortTasks.ends.emplace(now + shortTasks.runMs + shortTasks.commitMs,
+                                            EndRun{start->task, start->run, RunEnd::Done, {}});
+            }
+            const StageTask *task = m_jobTable->find(ref);
+            if (task != nullptr && task->stage == TaskStage::Bound && task->run > 1)
+                return now;
+        }
+        return std::nullopt;
+    }
+
     /// Number of stops ordered since orders were last taken.
     std::size_t stopsOrdered()
     {
