Test that short tasks do not keep a long-running task waiting

Tasks are spread over the workers with the most free capacity, and nothing is held back for a large task that waits. A worker then never gets as free as the large task needs, for as long as short tasks come, even if there is much more free than they use.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(recordsWhenATaskBecameReady);
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
     CPPUNIT_TEST(restartsLongRunningTaskInTheRoomItHad);
+    CPPUNIT_TEST(placesLongRunningTaskAmongSteadyShortTasks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -440,6 +441,21 @@
         CPPUNIT_ASSERT(*boundAt - failsAt <= 2 * shortTasks.commitMs);
     }
 
+    /// Short tasks are spread over all workers, so that a long-running task whose worker is gone
+    /// waited until no short tasks came any more, though they used a third of the free capacity.
+    void placesLongRunningTaskAmongSteadyShortTasks()
+    {
+        ShortTasks shortTasks;
+        const int leavesAt = prepareFullWorkers(shortTasks);
+        const TaskRef lasting{"lasting", 0, 0, 0};
+        m_dispatcher->lifetimeEnded(m_jobTable->find(lasting)->lifetime, false, at(leavesAt));
+        const std::optional<int> boundAt = runUntilBound(lasting, shortTasks, leavesAt, 12'000);
+        const std::string waited = boundAt ? fmt::format("placed after {} ms", *boundAt - leavesAt)
+                                           : std::string("not placed in 12 s");
+        constexpr int longestWaitMs = 3000;
+        CPPUNIT_ASSERT_MESSAGE(waited, boundAt && *boundAt - leavesAt <= longestWaitMs);
+    }
+
 private:
     /// A steady stream of jobs with short tasks, and its runs that have not ended.
     struct ShortTasks
