Test that ends lost with a full entry are not reported as committed

While leadership is being handed over, nothing can be appended. ReplicaDriver::proposePending() then fails an empty proposal only if it shares a batch with commands. If 1,024 commands filled the batch before it, it is answered as committed at once, and the leader sends EndsCommitted for ends that no log holds. Their worker forgets them, and the next leader settles these runs as not started.

--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -42,6 +42,60 @@
     std::unique_ptr<Node> node;
 };
 
+/// A session with the leader in which the test itself acts as the agent, of a worker with the label
+/// "manual". For use on the event loop's thread only.
+class ManualAgent final
+{
+public:
+    ManualAgent(EventLoop &loop, const std::string &leader)
+        : m_connection(loop, ChannelSettings{})
+    {
+        m_connection.setHandlers([this](std::string_view frame) { received(frame); }, {});
+        m_connection.connect(leader);
+        send(OpenSession{NodeRole::Agent, "manual-node", {}});
+        WorkerFacts facts;
+        facts.lifetime = m_lifetime;
+        facts.service = "orders";
+        facts.capacity = {64'000, 256'000, 0};
+        facts.labels = {"manual"};
+        send(WorkerReport{facts});
+        send(Inventory{m_lifetime, {}});
+    }
+
+    /// Reports ends of runs as done.
+    void reportEnds(const std::vector<StartOrder> &runs)
+    {
+        RunsEnded ended{m_lifetime, {}};
+        for (const StartOrder &run : runs)
+            ended.ends.push_back({++m_ends, {run.traits.task, run.traits.run, RunEnd::Done, {}}});
+        send(ended);
+    }
+
+    [[nodiscard]] const std::vector<StartOrder> &starts() const { return m_starts; }
+    /// Highest number of an end that the leader reported as committed.
+    [[nodiscard]] std::uint64_t committedUpTo() const { return m_committedUpTo; }
+
+private:
+    void send(const FleetMessage &message) { m_connection.send(encodeFrame(message)); }
+
+    void received(std::string_view frame)
+    {
+        const std::optional<FleetMessage> message = decodeFrame(frame);
+        CPPUNIT_ASSERT(message);
+        std::visit(
+            Overloaded{[&](const StartOrder &order) { m_starts.push_back(order); },
+                       [&](const EndsCommitted &committed) { m_committedUpTo = committed.upTo; },
+                       [](const auto &) {}},
+            *message);
+    }
+
+    const Lifetime m_lifetime{"manual", 3000};
+    FrameConnection m_connection;
+    std::vector<StartOrder> m_starts;
+    std::uint64_t m_ends = 0;
+    std::uint64_t m_committedUpTo = 0;
+};
+
 } // namespace
 
 /// Real nodes on loopback addresses in one thread, with workers in memory.
@@ -62,6 +116,7 @@
     CPPUNIT_TEST(pausesPollsWhileEndsAwaitCommit);
     CPPUNIT_TEST(acknowledgesCommittedEndsAtOnce);
     CPPUNIT_TEST(reportsEndsAgainToNextLeader);
+    CPPUNIT_TEST(reportsNoLostEndsOfFullEntryAsCommitted);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
@@ -306,6 +361,19 @@
         CPPUNIT_ASSERT_EQUAL(2, totalStarts());
     }
 
+    /// Guards against ends that are reported as committed although the leader could not append them
+    /// during a transfer of leadership. Their workers forget them, and done tasks run again. Here
+    /// the ends fill one entry, so that the empty proposal which follows them gets no part in it.
+    void reportsNoLostEndsOfFullEntryAsCommitted()
+    {
+        constexpr std::uint32_t commandsOfFullEntry = 1024;
+        const std::unique_ptr<ManualAgent> agent = startOnManualAgent(commandsOfFullEntry);
+        CoreNode &leader = beginTransfer();
+        agent->reportEnds(agent->starts());
+        untilWithoutFollowers([&] { return !leader.leads(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, agent->committedUpTo());
+    }
+
     void logsTimesOfBinding()
     {
         const test::LogCapture log;
@@ -352,6 +420,50 @@
             worker->finishAll();
     }
 
+    /// Starts an agent that the test acts for, and a job whose tasks all run there.
+    std::unique_ptr<ManualAgent> startOnManualAgent(std::uint32_t tasks)
+    {
+        int leader = 0;
+        while (!m_cores[static_cast<std::size_t>(leader)]->node->leads())
+            ++leader;
+        auto agent =
+            std::make_unique<ManualAgent>(m_gateway->loop, settingsOf(leader).channelAddress());
+        JobPlan plan = planOf(tasks);
+        plan.steps[0].size = {1, 1, 0};
+        plan.steps[0].requiredLabel = "manual";
+        submit("j", plan);
+        until([&] { return agent->starts().size() == tasks; });
+        return agent;
+    }
+
+    /// Begins a transfer of leadership. It stays pending as long as the followers' loops do not
+    /// run, until the leader gives up its office.
+    CoreNode &beginTransfer()
+    {
+        for (auto &core : m_cores) {
+            if (core->node->leads()) {
+                core->node->drain();
+                return *core->node;
+            }
+        }
+        CPPUNIT_FAIL("no control process leads");
+    }
+
+    /// Runs the loops of the leader and of the entry until the condition holds.
+    void untilWithoutFollowers(const std::function<bool()> &condition)
+    {
+        std::array<std::unique_ptr<Hosted<CoreNode>>, cores> followers;
+        for (std::size_t i = 0; i < followers.size(); ++i) {
+            if (!m_cores[i]->node->leads())
+                followers[i] = std::move(m_cores[i]);
+        }
+        until(condition);
+        for (std::size_t i = 0; i < followers.size(); ++i) {
+            if (followers[i])
+                m_cores[i] = std::move(followers[i]);
+        }
+    }
+
     void restartAgents()
     {
         for (int i = 0; i < 2; ++i) {
