Test that a later report does not acknowledge an end that was lost

EndsCommitted acknowledges all ends up to a number. While leadership is being handed over, the command for an end fails; a later report in the same session that needs no command, such as the end of a run that is settled, makes an empty proposal alone, which is answered as committed at once, for both.

--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -70,8 +70,11 @@
             ended.ends.push_back({++m_ends, {run.traits.task, run.traits.run, RunEnd::Done, {}}});
         send(ended);
     }
+    /// Asks for the leader's address. The answer shows that everything sent before was read.
+    void askForLeader() { send(LeaderQuery{}); }
 
     [[nodiscard]] const std::vector<StartOrder> &starts() const { return m_starts; }
+    [[nodiscard]] int leaderAnswers() const { return m_leaderAnswers; }
     /// Highest number of an end that the leader reported as committed.
     [[nodiscard]] std::uint64_t committedUpTo() const { return m_committedUpTo; }
 
@@ -84,6 +87,7 @@
         CPPUNIT_ASSERT(message);
         std::visit(
             Overloaded{[&](const StartOrder &order) { m_starts.push_back(order); },
+                       [&](const LeaderReply &) { ++m_leaderAnswers; },
                        [&](const EndsCommitted &committed) { m_committedUpTo = committed.upTo; },
                        [](const auto &) {}},
             *message);
@@ -92,6 +96,7 @@
     const Lifetime m_lifetime{"manual", 3000};
     FrameConnection m_connection;
     std::vector<StartOrder> m_starts;
+    int m_leaderAnswers = 0;
     std::uint64_t m_ends = 0;
     std::uint64_t m_committedUpTo = 0;
 };
@@ -117,6 +122,7 @@
     CPPUNIT_TEST(acknowledgesCommittedEndsAtOnce);
     CPPUNIT_TEST(reportsEndsAgainToNextLeader);
     CPPUNIT_TEST(reportsNoLostEndsOfFullEntryAsCommitted);
+    CPPUNIT_TEST(reportsNoEndLostEarlierAsCommitted);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
@@ -374,6 +380,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, agent->committedUpTo());
     }
 
+    /// The same with an end that was lost in an earlier round of the leader's loop: a later report
+    /// in the same session, with an end that needs no command, acknowledged both.
+    void reportsNoEndLostEarlierAsCommitted()
+    {
+        const std::unique_ptr<ManualAgent> agent = startOnManualAgent(1);
+        CoreNode &leader = beginTransfer();
+        agent->reportEnds(agent->starts());
+        agent->askForLeader();
+        untilWithoutFollowers([&] { return agent->leaderAnswers() == 1; });
+        CPPUNIT_ASSERT(leader.leads());
+        StartOrder settled = agent->starts().front();
+        ++settled.traits.run;
+        agent->reportEnds({settled});
+        untilWithoutFollowers([&] { return !leader.leads(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, agent->committedUpTo());
+    }
+
     void logsTimesOfBinding()
     {
         const test::LogCapture log;
