Test that tasks of a silent worker start again

Each poll carries a lease end, answered or not, and moves LeaseClock::latestEnd() on. As long as the leader renews the lease of the agent, that time is never reached, so the agent never reports the worker as unreachable, and the leader keeps its tasks bound.

--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -69,6 +69,8 @@
 void FakeWorker::poll(const PollRequest &request, Callback callback)
 {
     ++m_polls;
+    if (m_isSilent)
+        return leaveUnanswered(callback);
     const Instant now = BootClock::now();
     if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_polledAt != Instant()) {
         const Duration since = now - m_polledAt;
@@ -106,8 +108,16 @@
     });
 }
 
+void FakeWorker::leaveUnanswered(const Callback &callback)
+{
+    constexpr Duration callTimeout = std::chrono::milliseconds(50);
+    m_loop.after(callTimeout, [callback] { callback(WorkerReply{}); });
+}
+
 void FakeWorker::start(const StartRequest &request, Callback callback)
 {
+    if (m_isSilent)
+        return leaveUnanswered(callback);
     if (m_startsToDrop > 0) {
         --m_startsToDrop;
         return callback(WorkerReply{});
@@ -131,6 +141,8 @@
 
 void FakeWorker::stop(const StopRequest &request, Callback callback)
 {
+    if (m_isSilent)
+        return leaveUnanswered(callback);
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     const Key key{request.order.task, request.order.run};
@@ -142,6 +154,8 @@
 
 void FakeWorker::throttle(const ThrottleRequest &request, Callback callback)
 {
+    if (m_isSilent)
+        return leaveUnanswered(callback);
     callback(
         reply(acceptFence(request.fence) ? WorkerCallResult::Done : WorkerCallResult::FencedOff));
 }
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(reportsEndsAgainToNextLeader);
     CPPUNIT_TEST(reportsNoLostEndsOfFullEntryAsCommitted);
     CPPUNIT_TEST(reportsNoEndLostEarlierAsCommitted);
+    CPPUNIT_TEST(restartsTasksOfSilentWorker);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
@@ -397,6 +398,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, agent->committedUpTo());
     }
 
+    /// Guards against tasks that stay bound to a worker that answers nothing any more, while its
+    /// agent has a session: each unanswered poll moved the time after which nothing runs there.
+    void restartsTasksOfSilentWorker()
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        submit("j", planOf(1));
+        until([this] { return running() == 1; });
+        m_workers[m_workers[0]->running() == 1 ? 0 : 1]->setSilent();
+        until([this] { return totalStarts() == 2; });
+    }
+
     void logsTimesOfBinding()
     {
         const test::LogCapture log;
