Test that jobs end that have no attempt left

Cause: a task that failed fewer times than allowed waits. If a configuration then lowers the number of attempts to that count, JobTable refuses each further start, and nothing ends the job. The dispatcher queues the task again at once, so each placement round proposes it, which costs a log entry and a sync per round. Ruled out: long-running tasks, which have no such limit.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-tl::expected<QueueTable, Findings> readAny(std::string_view)
+/// Reads any document as a table with one queue. A longer one is newer. "once" allows one attempt.
+tl::expected<QueueTable, Findings> readAny(std::string_view document)
 {
     QueueSettings batch;
     batch.name = "batch";
@@ -16,8 +17,8 @@
     batch.timeoutMs = 1000;
     batch.targetLatencyMs = 1000;
     batch.stretch = 2;
-    batch.maxAttempts = 3;
-    return QueueTable(1, {batch}, {{"orders", {}}});
+    batch.maxAttempts = document == "once" ? 1 : 3;
+    return QueueTable(document.size(), {batch}, {{"orders", {}}});
 }
 
 Instant at(int milliseconds)
@@ -73,6 +74,7 @@
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
     CPPUNIT_TEST(restartsLongRunningTaskInTheRoomItHad);
     CPPUNIT_TEST(placesLongRunningTaskAmongSteadyShortTasks);
+    CPPUNIT_TEST(endsJobsWithoutAnAttemptLeft);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -456,6 +458,23 @@
         CPPUNIT_ASSERT_MESSAGE(waited, boundAt && *boundAt - leavesAt <= longestWaitMs);
     }
 
+    /// A configuration that lowers the number of attempts left tasks waiting that may not start any
+    /// more: their jobs never ended, and the leader proposed them again in each round.
+    void endsJobsWithoutAnAttemptLeft()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        end({"j", 0, 0, 0}, 1, RunEnd::Failed, 2);
+        commit({ReplaceConfiguration{"once"}}, 3);
+        std::size_t proposed = 0;
+        constexpr int rounds = 20;
+        for (int i = 0; i < rounds; ++i)
+            proposed += decideAndCommit(100 * (i + 1));
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} commands in {} rounds", proposed, rounds),
+                               StageJobStatus::Failed == m_jobTable->find("j")->status);
+    }
+
 private:
     /// A steady stream of jobs with short tasks, and its runs that have not ended.
     struct ShortTasks
