Share the fixture of FleetTest and let control processes run in threads

Cause: all nodes of FleetTest run in one thread, round by round, so a slow leader delays its followers as much as itself. A test of a busy leader needs the same fleet with a thread for each control process.

A fixture may run the loops of control processes in threads of their own; configurations are therefore sent by posted work.

--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -1,47 +1,14 @@
-#include <UnitTests/Fleet/FakeWorker.h>
-#include <UnitTests/Support/FreePort.h>
+#include <UnitTests/Fleet/FleetFixture.h>
 #include <UnitTests/Support/LogCapture.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <filesystem>
 #include <regex>
-#include <unistd.h>
 
 using namespace guavashift;
 
 namespace {
 
-constexpr int cores = 3;
-
-/// Reads the configuration documents of these tests, which hold only a version, as a table with one
-/// queue.
-tl::expected<QueueTable, Findings> readVersion(std::string_view text)
-{
-    QueueSettings queue;
-    queue.name = "counter";
-    queue.host = "desk.example";
-    queue.pathPrefix = "/counter/";
-    queue.service = "orders";
-    queue.timeoutMs = 1000;
-    queue.maxAttempts = 3;
-    return QueueTable(std::stoull(std::string(text)), {queue}, {{"orders", {}}});
-}
-
-/// A node with its own event loop, so that it can be stopped and restarted.
-template <typename Node> struct Hosted
-{
-    template <typename Make> explicit Hosted(Make make)
-    {
-        CPPUNIT_ASSERT(loop.open());
-        node = make(loop);
-        CPPUNIT_ASSERT(node->start());
-    }
-
-    EventLoop loop{EventLoopSettings{256}};
-    std::unique_ptr<Node> node;
-};
-
 /// A session with the leader in which the test itself acts as the agent, of a worker with the label
 /// "manual". For use on the event loop's thread only.
 class ManualAgent final
@@ -104,7 +71,7 @@
 } // namespace
 
 /// Real nodes on loopback addresses in one thread, with workers in memory.
-class FleetTest : public CppUnit::TestFixture
+class FleetTest : public FleetFixture
 {
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(runsJobWithTwoSteps);
@@ -129,40 +96,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        m_port = test::freePort();
-        m_folder = std::filesystem::temp_directory_path()
-            / fmt::format("guavashift-fleet-{}-{}", ::getpid(), m_port);
-        for (int i = 0; i < cores; ++i)
-            startCore(i, true);
-        m_gateway = std::make_unique<Hosted<GatewayNode>>([this](EventLoop &loop) {
-            return std::make_unique<GatewayNode>(loop, GatewaySettings{}, settingsOf(10),
-                                                 ChannelSettings{}, m_metrics, 5);
-        });
-        for (int i = 0; i < 2; ++i) {
-            m_workers.push_back(
-                std::make_unique<FakeWorker>(m_gateway->loop, fmt::format("w{}", i), 1000 + i));
-            m_agents.emplace_back();
-            startAgent(i);
-        }
-        until([this] { return m_gateway->node->isReady(); });
-        FleetCall call;
-        call.kind = CallKind::ReplaceConfiguration;
-        call.document = "1";
-        until([&] { return send(call).result == CallResult::Done; });
-    }
-
-    void tearDown() override
-    {
-        m_agents.clear();
-        m_workers.clear();
-        m_gateway.reset();
-        for (auto &core : m_cores)
-            core.reset();
-        std::filesystem::remove_all(m_folder);
-    }
-
     void runsJobWithTwoSteps()
     {
         JobPlan plan = planOf(4);
@@ -514,128 +447,6 @@
     {
         return m_metrics.exposition().find(fmt::format("\n{}\n", line)) != std::string::npos;
     }
-
-    [[nodiscard]] FleetSettings settingsOf(int number) const
-    {
-        FleetSettings settings;
-        settings.node = fmt::format("node{}", number);
-        settings.ip = fmt::format("127.0.0.{}", number + 1);
-        settings.channelPort = m_port;
-        for (int i = 0; i < cores; ++i)
-            settings.seeds.push_back(fmt::format("127.0.0.{}:{}", i + 1, m_port));
-        settings.dataFolder = (m_folder / settings.node).string();
-        return settings;
-    }
-
-    void startCore(int number, bool first)
-    {
-        FleetSettings settings = settingsOf(number);
-        settings.firstStart = first;
-        m_cores[static_cast<std::size_t>(number)] =
-            std::make_unique<Hosted<CoreNode>>([&](EventLoop &loop) {
-                return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, readVersion,
-                                                  m_metrics,
-                                                  static_cast<std::uint64_t>(number) + 77);
-            });
-    }
-
-    void startAgent(int number)
-    {
-        const auto place = static_cast<std::size_t>(number);
-        FakeWorker &worker = *m_workers[place];
-        m_agents[place] = std::make_unique<Hosted<AgentNode>>([&](EventLoop &loop) {
-            return std::make_unique<AgentNode>(loop, m_agentSettings, settingsOf(20 + number),
-                                               ChannelSettings{}, worker, m_metrics,
-                                               static_cast<std::uint64_t>(number) + 99);
-        });
-        m_agents[place]->node->workerReported(worker.facts(), 1);
-    }
-
-    static JobPlan planOf(std::uint32_t tasks)
-    {
-        JobPlan plan;
-        plan.payload = "work";
-        plan.steps.resize(1);
-        plan.steps[0].tasks = tasks;
-        plan.steps[0].size = {1000, 100, 0};
-        return plan;
-    }
-
-    FleetAnswer send(const FleetCall &call)
-    {
-        std::optional<FleetAnswer> answer;
-        if (call.kind == CallKind::ReplaceConfiguration) {
-            m_cores[0]->node->call(call, std::chrono::seconds(2),
-                                   [&](FleetAnswer result) { answer = std::move(result); });
-        } else {
-            m_gateway->node->call(call, std::chrono::seconds(2),
-                                  [&](FleetAnswer result) { answer = std::move(result); });
-        }
-        until([&] { return answer.has_value(); });
-        return *answer;
-    }
-
-    void submit(const std::string &job, const JobPlan &plan)
-    {
-        FleetCall call;
-        call.kind = CallKind::Submit;
-        call.host = "desk.example";
-        call.path = "/counter/" + job;
-        call.plan = plan;
-        CPPUNIT_ASSERT(CallResult::Done == send(call).result);
-    }
-
-    std::string stateOf(const std::string &job)
-    {
-        FleetCall call;
-        call.host = "desk.example";
-        call.path = "/counter/" + job;
-        return send(call).text;
-    }
-
-    [[nodiscard]] std::size_t running() const
-    {
-        return m_workers[0]->running() + m_workers[1]->running();
-    }
-
-    [[nodiscard]] int totalStarts() const
-    {
-        int starts = 0;
-        for (const auto &worker : m_workers) {
-            for (const auto &[task, count] : worker->starts())
-                starts += count;
-        }
-        return starts;
-    }
-
-    /// Runs all event loops until the condition holds. Fails after 30 s, far more than any test
-    /// needs.
-    void until(const std::function<bool()> &condition)
-    {
-        const Instant deadline = BootClock::now() + std::chrono::seconds(30);
-        while (!condition()) {
-            CPPUNIT_ASSERT_MESSAGE("the condition never held", BootClock::now() < deadline);
-            constexpr Duration slice = std::chrono::milliseconds(1);
-            for (auto &core : m_cores) {
-                if (core)
-                    core->loop.runOnce(slice);
-            }
-            m_gateway->loop.runOnce(slice);
-            for (auto &agent : m_agents) {
-                if (agent)
-                    agent->loop.runOnce(slice);
-            }
-        }
-    }
-
-    std::uint16_t m_port = 0;
-    std::filesystem::path m_folder;
-    FleetMetrics m_metrics; ///< Shared by all nodes.
-    std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
-    std::unique_ptr<Hosted<GatewayNode>> m_gateway;
-    AgentNodeSettings m_agentSettings;
-    std::vector<std::unique_ptr<FakeWorker>> m_workers;
-    std::vector<std::unique_ptr<Hosted<AgentNode>>> m_agents;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
