--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -60,10 +60,10 @@
     m_listed.push_back({++m_ends, {ended.first, ended.second, result, {}}});
 }
 
-void FakeWorker::finishAll()
+void FakeWorker::finishAll(RunEnd result)
 {
     while (!m_running.empty())
-        end(m_running.begin()->first, RunEnd::Done);
+        end(m_running.begin()->first, result);
 }
 
 void FakeWorker::poll(const PollRequest &request, Callback callback)
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -21,8 +21,8 @@
     void ignorePolls(bool ignore) { m_ignoresPolls = ignore; }
     /// Makes all calls from now on get no answer. None is carried out.
     void setSilent() { m_isSilent = true; }
-    /// Ends all runs as done.
-    void finishAll();
+    /// Ends all runs with this result.
+    void finishAll(RunEnd result = RunEnd::Done);
     [[nodiscard]] WorkerFacts facts() const;
     [[nodiscard]] std::size_t running() const { return m_running.size(); }
     /// Number of polls received.
