Log why a replica's role changed

Cause: role-changed said that a leader lost its office, not why, so a leader that was too slow, a lost quorum and a planned transfer looked alike.

Change: RoleChanged carries a reason and the age of the last contact: with a quorum for a replica that leads or led until then, with a leader for the others. The election and the checks of the quorum decide as before; the golden files are unchanged. role-changed of the fleet and of the product's daemon prints both, and guavashift_fleet_leadership_changes_total counts changes.

--- a/Guavashift/Consensus/Effects.h
+++ b/Guavashift/Consensus/Effects.h
@@ -2,6 +2,8 @@
 
 #include <Guavashift/Consensus/Messages.h>
 
+#include <optional>
+
 namespace guavashift {
 
 /// Store the hard state; sync it before sending any message marked `afterSync`.
@@ -49,12 +51,33 @@
 
 enum class ReplicaRole { Follower, PreCandidate, Candidate, Leader };
 
+/// Why a replica's role, term or known leader changed.
+enum class RoleChangeReason {
+    LeaderSilent,     ///< The election timeout passed without contact with a leader.
+    PreVoteWon,       ///< A quorum would vote for this replica, so it starts an election.
+    TransferReceived, ///< The leader asked this replica to start an election.
+    Elected,
+    HigherTerm,      ///< A message of a higher term arrived.
+    FollowsLeader,   ///< A leader of this term or a higher one made contact.
+    QuorumLost,      ///< The leader had no contact with a quorum for the longest election timeout.
+    TransferTimeout, ///< The leader's transfer of leadership took too long.
+    NoLongerVoter    ///< The leader committed a membership in which it is not a voter.
+};
+/// Name of the reason in logs.
+std::string_view nameOf(RoleChangeReason reason);
+
 /// Report that this replica's role, term or known leader changed.
 struct RoleChanged
 {
     ReplicaRole role = ReplicaRole::Follower;
     Term term = 0;
     ReplicaId leader;
+    RoleChangeReason reason = RoleChangeReason::FollowsLeader;
+    /// Time since the contact with a quorum or since the election, whichever is later. Only for a
+    /// replica that leads or led until this change.
+    std::optional<Duration> quorumContactAge;
+    /// Time since the last contact with another leader or, without one, since the start.
+    Duration leaderContactAge = Duration::zero();
 };
 
 using Effect = std::variant<SaveHardState, TruncateLog, AppendToLog, InstallSnapshot, SendMessage,
--- a/Guavashift/Consensus/Replica.cpp
+++ b/Guavashift/Consensus/Replica.cpp
@@ -30,7 +30,7 @@
         // The TimeoutNow message may still arrive late, so this leader must not resume its lease in
         // this term.
         if (m_transferDeadline && now >= *m_transferDeadline) {
-            becomeFollower(now, m_hardState.term, {});
+            becomeFollower(now, m_hardState.term, {}, RoleChangeReason::TransferTimeout);
             return;
         }
         replicate(now, now >= m_nextHeartbeat);
@@ -149,9 +149,36 @@
                                        afterSync && m_settings.syncBeforeReply});
 }
 
-void Replica::emitRoleChange()
+void Replica::emitRoleChange(Instant now, RoleChangeReason reason,
+                             std::optional<Duration> contactAge)
 {
-    m_effects.emplace_back(RoleChanged{m_role, m_hardState.term, m_leader});
+    m_effects.emplace_back(RoleChanged{m_role, m_hardState.term, m_leader, reason, contactAge,
+                                       now - m_lastLeaderContact});
+}
+
+std::string_view nameOf(RoleChangeReason reason)
+{
+    switch (reason) {
+    case RoleChangeReason::LeaderSilent:
+        return "leader-silent";
+    case RoleChangeReason::PreVoteWon:
+        return "pre-vote-won";
+    case RoleChangeReason::TransferReceived:
+        return "transfer-received";
+    case RoleChangeReason::Elected:
+        return "elected";
+    case RoleChangeReason::HigherTerm:
+        return "higher-term";
+    case RoleChangeReason::FollowsLeader:
+        return "follows-leader";
+    case RoleChangeReason::QuorumLost:
+        return "quorum-lost";
+    case RoleChangeReason::TransferTimeout:
+        return "transfer-timeout";
+    case RoleChangeReason::NoLongerVoter:
+        break;
+    }
+    return "no-longer-voter";
 }
 
 } // namespace guavashift
--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -100,9 +100,11 @@
 
 private:
     // Elections.
-    void becomeFollower(Instant now, Term term, const ReplicaId &leader);
+    void becomeFollower(Instant now, Term term, const ReplicaId &leader, RoleChangeReason reason);
+    /// Becomes a follower of `leader`, which sent a message of that term.
+    void follow(Instant now, Term term, const ReplicaId &leader);
     void startPreVote(Instant now);
-    void startElection(Instant now, bool transfer);
+    void startElection(Instant now, RoleChangeReason reason);
     void becomeLeader(Instant now);
     void resetElectionTimer(Instant now);
     void requestVotes(Term term, bool preVote, bool transfer);
@@ -129,6 +131,7 @@
     /// is no peer.
     PeerProgress *recordReply(Instant now, const ReplicaId &from, Term term, std::uint64_t round);
     [[nodiscard]] Instant quorumContactTime(Instant now) const;
+    [[nodiscard]] Duration quorumContactAge(Instant now) const;
     void checkQuorum(Instant now);
     void installReceivedSnapshot(Instant now, const ReplicaId &from, const SnapshotChunk &chunk);
     void handle(Instant now, const ReplicaId &from, const AppendRequest &request);
@@ -138,7 +141,8 @@
 
     void saveHardState();
     void send(const ReplicaId &to, MessageBody body, bool afterSync);
-    void emitRoleChange();
+    void emitRoleChange(Instant now, RoleChangeReason reason,
+                        std::optional<Duration> contactAge = std::nullopt);
 
     ReplicaSettings m_settings;
     ReplicaId m_self;
--- a/Guavashift/Consensus/ReplicaElection.cpp
+++ b/Guavashift/Consensus/ReplicaElection.cpp
@@ -7,11 +7,15 @@
 
 namespace guavashift {
 
-void Replica::becomeFollower(Instant now, Term term, const ReplicaId &leader)
+void Replica::becomeFollower(Instant now, Term term, const ReplicaId &leader,
+                             RoleChangeReason reason)
 {
     const bool changed =
         m_role != ReplicaRole::Follower || m_leader != leader || m_hardState.term != term;
     const bool wasLeader = isLeader();
+    // Read before the peers are removed.
+    const std::optional<Duration> contactAge =
+        wasLeader ? std::optional(quorumContactAge(now)) : std::nullopt;
     if (term > m_hardState.term) {
         m_hardState = {term, {}};
         saveHardState();
@@ -25,7 +29,15 @@
         resetElectionTimer(now);
     }
     if (changed)
-        emitRoleChange();
+        emitRoleChange(now, reason, contactAge);
+}
+
+void Replica::follow(Instant now, Term term, const ReplicaId &leader)
+{
+    becomeFollower(now, term, leader,
+                   isLeader() ? RoleChangeReason::HigherTerm : RoleChangeReason::FollowsLeader);
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
 }
 
 void Replica::resetElectionTimer(Instant now)
@@ -38,7 +50,7 @@
 void Replica::startPreVote(Instant now)
 {
     if (!m_settings.preVote) {
-        startElection(now, false);
+        startElection(now, RoleChangeReason::LeaderSilent);
         return;
     }
     m_role = ReplicaRole::PreCandidate;
@@ -47,11 +59,11 @@
     m_votes = {m_self};
     resetElectionTimer(now);
     requestVotes(m_preVoteTerm, true, false);
-    emitRoleChange();
+    emitRoleChange(now, RoleChangeReason::LeaderSilent);
     countVotes(now);
 }
 
-void Replica::startElection(Instant now, bool transfer)
+void Replica::startElection(Instant now, RoleChangeReason reason)
 {
     m_role = ReplicaRole::Candidate;
     m_leader = {};
@@ -59,8 +71,8 @@
     m_votes = {m_self};
     saveHardState();
     resetElectionTimer(now);
-    requestVotes(m_hardState.term, false, transfer);
-    emitRoleChange();
+    requestVotes(m_hardState.term, false, reason == RoleChangeReason::TransferReceived);
+    emitRoleChange(now, reason);
     countVotes(now);
 }
 
@@ -81,7 +93,7 @@
     if (votes < membership().quorum())
         return;
     if (m_role == ReplicaRole::PreCandidate)
-        startElection(now, false);
+        startElection(now, RoleChangeReason::PreVoteWon);
     else if (m_role == ReplicaRole::Candidate)
         becomeLeader(now);
 }
@@ -96,7 +108,7 @@
     m_transferDeadline.reset();
     m_peers.clear();
     updatePeers(now);
-    emitRoleChange();
+    emitRoleChange(now, RoleChangeReason::Elected, quorumContactAge(now));
     // Entries of earlier terms are committed only together with one of this leader's term.
     appendAsLeader(now, EntryKind::NoOp, {});
 }
@@ -135,7 +147,7 @@
         return;
     }
     if (request.term > m_hardState.term)
-        becomeFollower(now, request.term, {});
+        becomeFollower(now, request.term, {}, RoleChangeReason::HigherTerm);
     const bool mayVote = m_hardState.votedFor.isEmpty() || m_hardState.votedFor == from;
     const bool granted = request.term == m_hardState.term && m_role == ReplicaRole::Follower
         && mayVote && isUpToDate(request);
@@ -152,7 +164,7 @@
 void Replica::handle(Instant now, const ReplicaId &from, const VoteReply &reply)
 {
     if (reply.term > m_hardState.term && !(reply.preVote && reply.granted)) {
-        becomeFollower(now, reply.term, {});
+        becomeFollower(now, reply.term, {}, RoleChangeReason::HigherTerm);
         return;
     }
     const bool current = reply.preVote
@@ -167,7 +179,7 @@
 void Replica::handle(Instant now, const ReplicaId &, const TimeoutNow &request)
 {
     if (request.term == m_hardState.term && !isLeader() && membership().isVoter(m_self))
-        startElection(now, true);
+        startElection(now, RoleChangeReason::TransferReceived);
 }
 
 } // namespace guavashift
--- a/Guavashift/Consensus/ReplicaReplication.cpp
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -131,11 +131,15 @@
     return contacts[membership().quorum() - 1];
 }
 
+Duration Replica::quorumContactAge(Instant now) const
+{
+    return now - std::max(quorumContactTime(now), m_leaderSince);
+}
+
 void Replica::checkQuorum(Instant now)
 {
-    const Instant reference = std::max(quorumContactTime(now), m_leaderSince);
-    if (m_settings.quorumCheck && now - reference > m_settings.electionTimeoutMax)
-        becomeFollower(now, m_hardState.term, {});
+    if (m_settings.quorumCheck && quorumContactAge(now) > m_settings.electionTimeoutMax)
+        becomeFollower(now, m_hardState.term, {}, RoleChangeReason::QuorumLost);
 }
 
 void Replica::advanceCommit(Instant now)
@@ -156,7 +160,7 @@
     emitCommitted();
     // A leader that is no longer a voter steps down once that membership is committed.
     if (!membership().isVoter(m_self) && m_log.membershipIndex() <= m_commitIndex) {
-        becomeFollower(now, m_hardState.term, {});
+        becomeFollower(now, m_hardState.term, {}, RoleChangeReason::NoLongerVoter);
         return;
     }
     replicate(now, false);
@@ -179,9 +183,7 @@
         send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), request.round}, true);
         return;
     }
-    becomeFollower(now, request.term, from);
-    m_lastLeaderContact = now;
-    resetElectionTimer(now);
+    follow(now, request.term, from);
 
     // Entries that the snapshot covers are committed and therefore match.
     const std::optional<Term> prevTerm = m_log.termAt(request.prevIndex);
@@ -228,7 +230,7 @@
                                    std::uint64_t round)
 {
     if (term > m_hardState.term) {
-        becomeFollower(now, term, {});
+        becomeFollower(now, term, {}, RoleChangeReason::HigherTerm);
         return nullptr;
     }
     const auto found = m_peers.find(from);
@@ -279,9 +281,7 @@
         send(from, AppendReply{m_hardState.term, false, m_log.lastIndex(), chunk.round}, true);
         return;
     }
-    becomeFollower(now, chunk.term, from);
-    m_lastLeaderContact = now;
-    resetElectionTimer(now);
+    follow(now, chunk.term, from);
     // A snapshot of entries that are already committed here is reported as installed.
     if (chunk.lastIndex <= m_commitIndex) {
         send(from,
--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -409,7 +409,10 @@
              {{"replica", m_self.id},
               {"role", static_cast<int>(change.role)},
               {"term", change.term},
-              {"leader", change.leader}});
+              {"leader", change.leader},
+              {"reason", nameOf(change.reason)},
+              {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
+               toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
     m_telemetry.metrics()
         .gauge("guavashift_control_is_leader", "1 while this replica leads")
         .Set(change.role == ReplicaRole::Leader ? 1 : 0);
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -20,6 +20,9 @@
                                "Sync of the leader's disk for one commit"))
     , m_readyToBound(m_metrics.latency("guavashift_fleet_ready_to_bound_seconds",
                                        "From a task being ready to its binding's commit"))
+    , m_leadershipChanges(
+          m_metrics.counter("guavashift_fleet_leadership_changes_total",
+                            "Times that this process became the leader or ceased to be"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.latency("guavashift_fleet_agent_end_commit_seconds",
@@ -41,6 +44,11 @@
     m_readyToBound.Observe(seconds(sinceReady));
 }
 
+void FleetMetrics::leadershipChanged()
+{
+    m_leadershipChanges.Increment();
+}
+
 void FleetMetrics::answered(CallKind kind, CallResult result)
 {
     m_metrics
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -20,6 +20,8 @@
     void committed(std::size_t commands, Duration commit, Duration sync);
     /// Records a binding: the time from the task becoming ready to the commit of the binding.
     void bound(Duration sinceReady);
+    /// Records that this process became the leader or ceased to be.
+    void leadershipChanged();
     void answered(CallKind kind, CallResult result);
 
     // Entry.
@@ -44,6 +46,7 @@
     prometheus::Histogram &m_commitCommands;
     prometheus::Histogram &m_sync;
     prometheus::Histogram &m_readyToBound;
+    prometheus::Counter &m_leadershipChanges;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -430,11 +430,15 @@
              {{"replica", m_self.id},
               {"leads", change.role == ReplicaRole::Leader},
               {"term", change.term},
-              {"leader", change.leader}});
+              {"leader", change.leader},
+              {"reason", nameOf(change.reason)},
+              {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
+               toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
     const bool leadsNow = change.role == ReplicaRole::Leader;
     if (leadsNow == m_wasLeader)
         return;
     m_wasLeader = leadsNow;
+    m_metrics.leadershipChanged();
     m_caughtUp = false;
     if (!leadsNow)
         failWaiters();
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(acknowledgesCommittedEndsAtOnce);
     CPPUNIT_TEST(reportsEndsAgainToNextLeader);
     CPPUNIT_TEST(logsTimesOfBinding);
+    CPPUNIT_TEST(logsWhyLeadershipChanged);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
 
@@ -175,12 +176,7 @@
     void recoversFromLossOfLeader()
     {
         submit("before", planOf(1));
-        for (auto &core : m_cores) {
-            if (core->node->leads()) {
-                core.reset();
-                break;
-            }
-        }
+        stopLeader();
         until([this] { return !m_gateway->node->isReady(); });
         until([this] { return m_gateway->node->isReady(); });
         submit("after", planOf(2));
@@ -317,6 +313,22 @@
         CPPUNIT_ASSERT(std::regex_search(log.text(), bound));
     }
 
+    /// Guards against a change of leader whose cause is in no log.
+    void logsWhyLeadershipChanged()
+    {
+        const double changesBefore = metric("guavashift_fleet_leadership_changes_total");
+        const test::LogCapture log;
+        stopLeader();
+        until([this] { return !m_gateway->node->isReady(); });
+        until([this] { return m_gateway->node->isReady(); });
+        for (const char *line :
+             {"event=role-changed .* leads=false .* reason=leader-silent leader_contact_ms=\\d{3,}",
+              "event=role-changed .* leads=true .* reason=elected quorum_contact_ms=\\d+"})
+            CPPUNIT_ASSERT_MESSAGE(line, std::regex_search(log.text(), std::regex(line)));
+        // At least the next leader's election; the first one was stopped, not deposed.
+        CPPUNIT_ASSERT(metric("guavashift_fleet_leadership_changes_total") > changesBefore);
+    }
+
     void recordsMetrics()
     {
         submit("j", planOf(3));
@@ -336,6 +348,16 @@
     }
 
 private:
+    void stopLeader()
+    {
+        for (auto &core : m_cores) {
+            if (core->node->leads()) {
+                core.reset();
+                return;
+            }
+        }
+    }
+
     /// Leaves an end on both workers that no leader can commit.
     void endRunsWithoutLeader()
     {
@@ -367,6 +389,16 @@
         return m_metrics.exposition().find(fmt::format("\n{}\n", line)) != std::string::npos;
     }
 
+    /// Value of an exported metric without labels.
+    [[nodiscard]] double metric(std::string_view name)
+    {
+        const std::string text = m_metrics.exposition();
+        const std::string start = fmt::format("\n{} ", name);
+        const std::size_t found = text.find(start);
+        CPPUNIT_ASSERT_MESSAGE(std::string(name), found != std::string::npos);
+        return std::stod(text.substr(found + start.size()));
+    }
+
     [[nodiscard]] FleetSettings settingsOf(int number) const
     {
         FleetSettings settings;
