Log slow rounds of the event loop

Cause: a control process sends heartbeats, reads answers and times elections once per round of its event loop, and nothing says how long a round took or on what.

Change: EventLoop measures each round without its wait, by part, with the thread's processor time (five reads of the boot clock and two of the thread's clock a round), and hands the figures to an observer. The wait is the reactor's work_pending() now, with the same timeout; events are dispatched as before. RoundMonitor records guavashift_fleet_round_seconds and logs rounds of 100 ms and more, at most one line a second: the longest since the last line and how many there were. Control processes add how long scheduling and the replicated log took.

The new tests check the parts, that the wait is left out, the limit of lines, and a line from each of the three roles.

--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -4,6 +4,18 @@
 
 namespace guavashift {
 
+namespace {
+
+/// Processor time that this thread has used.
+Duration processorTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
 /// Only wakes the reactor; the work itself is in `m_posted`.
 class EventLoop::WakeupHandler final : public ACE_Event_Handler
 {
@@ -74,27 +86,53 @@
 
 void EventLoop::runOnce(Duration maxWait)
 {
-    dispatchEvents(timeUntilNextTimer(maxWait));
+    const bool isReady = waitForEvent(timeUntilNextTimer(maxWait));
+    RoundTimes times;
+    const Duration processorBefore = processorTime();
+    Instant partBegan = BootClock::now();
+    const auto endPart = [&partBegan] {
+        const Instant now = BootClock::now();
+        return now - std::exchange(partBegan, now);
+    };
+    if (isReady)
+        times.events = dispatchEvents();
+    times.dispatch = endPart();
     runPosted();
+    times.posted = endPart();
     runTimers();
+    times.timers = endPart();
     for (const Work &work : m_roundEndHandlers)
         work();
+    times.handlers = endPart();
+    times.endedAt = partBegan;
+    times.processor = processorTime() - processorBefore;
+    if (m_roundObserver)
+        m_roundObserver(times);
+}
+
+bool EventLoop::waitForEvent(Duration maxWait)
+{
+    const ACE_Time_Value timeout(
+        0, std::chrono::duration_cast<std::chrono::microseconds>(maxWait).count());
+    return m_reactor->work_pending(timeout) > 0;
 }
 
-void EventLoop::dispatchEvents(Duration maxWait)
+std::size_t EventLoop::dispatchEvents()
 {
-    ACE_Time_Value timeout(0,
-                           std::chrono::duration_cast<std::chrono::microseconds>(maxWait).count());
-    int dispatched = m_reactor->handle_events(timeout);
     // The reactor dispatches one event per call.
+    ACE_Time_Value none;
+    int dispatched = m_reactor->handle_events(none);
+    std::size_t events = dispatched > 0 ? 1 : 0;
     const Instant start = BootClock::now();
     for (std::size_t taken = 1; dispatched > 0 && taken < m_settings.maxEventsPerRound; ++taken) {
         if (taken >= m_settings.minEventsPerRound
             && BootClock::now() - start >= m_settings.maxRoundDuration)
-            return;
-        ACE_Time_Value none;
+            return events;
+        none = ACE_Time_Value::zero;
         dispatched = m_reactor->handle_events(none);
+        events += dispatched > 0 ? 1 : 0;
     }
+    return events;
 }
 
 void EventLoop::stop()
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -26,6 +26,20 @@
     std::size_t minEventsPerRound = 64;
 };
 
+/// Durations of one round and its parts, without the wait for its first event.
+struct RoundTimes
+{
+    Instant endedAt;
+    std::size_t events = 0;
+    Duration dispatch = Duration::zero(); ///< Of these events.
+    Duration posted = Duration::zero();   ///< Work posted by other threads.
+    Duration timers = Duration::zero();
+    Duration handlers = Duration::zero();  ///< Round-end handlers.
+    Duration processor = Duration::zero(); ///< Processor time that the thread used.
+
+    [[nodiscard]] Duration total() const { return dispatch + posted + timers + handlers; }
+};
+
 /// Single-threaded event loop for sockets, timers and work posted by other threads. A role's state
 /// is changed on the loop's thread only, so it needs no locks.
 class EventLoop final
@@ -53,6 +67,12 @@
     /// all ready events within the limits of the settings, so they share the cost of `work`.
     void addRoundEndHandler(Work work) { m_roundEndHandlers.push_back(std::move(work)); }
 
+    /// Called after the end handlers of each round. Replaces an earlier observer; empty: none.
+    void setRoundObserver(std::function<void(const RoundTimes &)> observer)
+    {
+        m_roundObserver = std::move(observer);
+    }
+
     /// Runs until stop().
     void run();
     /// Runs one round: waits for events for at most `maxWait`, dispatches them, then runs posted
@@ -66,7 +86,9 @@
 private:
     class WakeupHandler;
 
-    void dispatchEvents(Duration maxWait);
+    [[nodiscard]] bool waitForEvent(Duration maxWait);
+    /// Dispatches the events that are ready and returns their number.
+    std::size_t dispatchEvents();
     void runPosted();
     void runTimers();
     [[nodiscard]] Duration timeUntilNextTimer(Duration maxWait) const;
@@ -82,6 +104,7 @@
     std::map<TimerId, Instant> m_timerTimes;
     TimerId m_nextTimer = 1;
     std::vector<Work> m_roundEndHandlers;
+    std::function<void(const RoundTimes &)> m_roundObserver;
 };
 
 } // namespace guavashift
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -25,6 +25,7 @@
     , m_settings(settings)
     , m_port(port)
     , m_metrics(metrics)
+    , m_rounds(loop, {}, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Agent,
              {[this](const SessionOpened &session) { opened(session); }, [this] { lost(); },
               [this](const FleetMessage &message) { received(message); }},
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/LeaseClock.h>
 #include <Guavashift/Fleet/Relay.h>
+#include <Guavashift/Fleet/RoundMonitor.h>
 #include <Guavashift/Fleet/TailFilter.h>
 #include <Guavashift/Fleet/Throttler.h>
 #include <Guavashift/Fleet/WorkerPort.h>
@@ -114,6 +114,7 @@
     FleetSettings m_settings;
     WorkerPort &m_port;
     FleetMetrics &m_metrics;
+    RoundMonitor m_rounds;
     LeaderLink m_link;
     Relay m_relay;
     std::uint64_t m_sessionFence = 0;
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -40,6 +40,7 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_channel(channel)
+    , m_rounds(loop, {}, metrics)
     , m_jobTable(jobTableSettings(settings.bounds), std::move(reader))
     , m_driver(loop, driverSettings(settings, channel), settings, m_jobTable, metrics,
                {[this](const StageCommand &command, const StageOutcome &outcome) {
@@ -83,16 +84,27 @@
 
 void CoreNode::endRound()
 {
+    CoreRoundTimes times;
+    Instant partBegan = BootClock::now();
+    const auto endPart = [&partBegan] {
+        const Instant now = BootClock::now();
+        return now - std::exchange(partBegan, now);
+    };
     m_leader.endRound();
+    times.decide = endPart();
     m_driver.endRound();
+    times.replica = endPart();
     if (m_becameLeader && m_driver.mayAnswer()) {
         m_becameLeader = false;
         m_leader.activate();
     }
     m_leader.endRound();
+    times.decide += endPart();
     // Proposals that follow from the commits of this round need not wait for the next.
     if (m_driver.hasProposals())
         m_driver.endRound();
+    times.replica += endPart();
+    m_rounds.setCoreTimes(times);
 }
 
 void CoreNode::accept(ACE_HANDLE handle)
--- a/Guavashift/Fleet/CoreNode.h
+++ b/Guavashift/Fleet/CoreNode.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Fleet/FleetLeader.h>
 #include <Guavashift/Fleet/LeaderLink.h>
+#include <Guavashift/Fleet/RoundMonitor.h>
 
 namespace guavashift {
 
@@ -41,6 +42,7 @@
     EventLoop &m_loop;
     FleetSettings m_settings;
     ChannelSettings m_channel;
+    RoundMonitor m_rounds;
     JobTable m_jobTable;
     ReplicaDriver m_driver;
     FleetLeader m_leader;
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -12,7 +12,9 @@
 } // namespace
 
 FleetMetrics::FleetMetrics()
-    : m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
+    : m_round(m_metrics.latency("guavashift_fleet_round_seconds",
+                                "A round of the event loop, without its wait"))
+    , m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
                                  "From an entry's append to its commit, on the leader"))
     , m_commitCommands(
           m_metrics.sizes("guavashift_fleet_commit_commands", "Commands that one commit carries"))
@@ -32,6 +34,11 @@
 {
 }
 
+void FleetMetrics::roundEnded(Duration duration)
+{
+    m_round.Observe(seconds(duration));
+}
+
 void FleetMetrics::committed(std::size_t commands, Duration commit, Duration sync)
 {
     m_commitCommands.Observe(static_cast<double>(commands));
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -14,6 +14,9 @@
 public:
     FleetMetrics();
 
+    /// Records a round of the event loop.
+    void roundEnded(Duration duration);
+
     // Leader.
 
     /// Records the commit of a log entry that this process appended as the leader.
@@ -42,6 +45,7 @@
 
 private:
     Metrics m_metrics;
+    prometheus::Histogram &m_round;
     prometheus::Histogram &m_commit;
     prometheus::Histogram &m_commitCommands;
     prometheus::Histogram &m_sync;
--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -15,6 +15,7 @@
     : m_loop(loop)
     , m_gateway(gateway)
     , m_metrics(metrics)
+    , m_rounds(loop, {}, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Gateway,
              {[this](const SessionOpened &) { opened(); }, [] {},
               [this](const FleetMessage &message) { received(message); }},
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/Relay.h>
+#include <Guavashift/Fleet/RoundMonitor.h>
 
 namespace guavashift {
 
@@ -81,6 +81,7 @@
     EventLoop &m_loop;
     GatewaySettings m_gateway;
     FleetMetrics &m_metrics;
+    RoundMonitor m_rounds;
     LeaderLink m_link;
     Relay m_relay;
     std::string m_address;
--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <sys/socket.h>
+#include <thread>
 
 using namespace guavashift;
 
@@ -36,6 +37,8 @@
     CPPUNIT_TEST(inputThatIsReadySharesOneRound);
     CPPUNIT_TEST(slowInputStillSharesRounds);
     CPPUNIT_TEST(continuousInputDoesNotProlongTheRound);
+    CPPUNIT_TEST(measuresEachPartOfARound);
+    CPPUNIT_TEST(measuresNoWait);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +77,58 @@
         CPPUNIT_ASSERT(timerRan);
     }
 
+    /// Guards against a slow round whose log line blames the wrong part.
+    void measuresEachPartOfARound()
+    {
+        RoundTimes times;
+        m_loop->setRoundObserver([&](const RoundTimes &each) { times = each; });
+        connectAll();
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        m_pairs.front()->near.setHandlers(
+            [](std::string_view) { std::this_thread::sleep_for(std::chrono::milliseconds(40)); },
+            {});
+        m_loop->post([] { std::this_thread::sleep_for(std::chrono::milliseconds(30)); });
+        m_loop->after(Duration::zero(),
+                      [] { std::this_thread::sleep_for(std::chrono::milliseconds(20)); });
+        m_loop->addRoundEndHandler([] {
+            const Instant start = BootClock::now();
+            while (BootClock::now() - start < std::chrono::milliseconds(10)) { }
+        });
+        m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(times.events >= connections);
+        CPPUNIT_ASSERT(times.dispatch >= std::chrono::milliseconds(40));
+        CPPUNIT_ASSERT(times.posted >= std::chrono::milliseconds(30));
+        CPPUNIT_ASSERT(times.timers >= std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(times.handlers >= std::chrono::milliseconds(10));
+        CPPUNIT_ASSERT(times.processor > Duration::zero());
+        // Most of the round slept.
+        CPPUNIT_ASSERT(times.processor < times.total());
+        CPPUNIT_ASSERT(BootClock::now() >= times.endedAt);
+    }
+
+    /// Guards against idle loops that seem slow, since a round begins by waiting for events.
+    void measuresNoWait()
+    {
+        constexpr Duration wait = std::chrono::milliseconds(400);
+        RoundTimes times;
+        m_loop->setRoundObserver([&](const RoundTimes &each) { times = each; });
+        const Instant start = BootClock::now();
+        std::thread other([&] {
+            std::this_thread::sleep_for(wait);
+            m_loop->post([] {});
+        });
+        m_loop->runOnce(std::chrono::seconds(5));
+        other.join();
+        CPPUNIT_ASSERT(BootClock::now() - start >= wait);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, times.events);
+        CPPUNIT_ASSERT(times.total() < wait);
+        // A round without any event, too.
+        m_loop->runOnce(wait);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, times.events);
+        CPPUNIT_ASSERT(times.total() < wait);
+    }
+
 private:
     void open(const EventLoopSettings &settings)
     {
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <regex>
+#include <thread>
 #include <unistd.h>
 
 using namespace guavashift;
@@ -64,6 +65,7 @@
     CPPUNIT_TEST(reportsEndsAgainToNextLeader);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(logsWhyLeadershipChanged);
+    CPPUNIT_TEST(logsSlowRounds);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
 
@@ -329,6 +331,23 @@
         CPPUNIT_ASSERT(metric("guavashift_fleet_leadership_changes_total") > changesBefore);
     }
 
+    /// Guards against a control process, an entry or an agent that does not log its slow rounds.
+    void logsSlowRounds()
+    {
+        for (EventLoop *loop : {&m_cores[0]->loop, &m_gateway->loop, &m_agents[0]->loop}) {
+            const test::LogCapture log;
+            loop->post([] { std::this_thread::sleep_for(RoundMonitorSettings{}.slowRound); });
+            loop->runOnce(Duration::zero());
+            // Another slow round within the second before delays the line.
+            std::this_thread::sleep_for(RoundMonitorSettings{}.logInterval);
+            loop->runOnce(Duration::zero());
+            const std::regex line(
+                "event=round-slow round_ms=\\d{3,} cpu_ms=\\d+ events=\\d+ events_ms=\\d+ "
+                "posted_ms=\\d{3,} ");
+            CPPUNIT_ASSERT(std::regex_search(log.text(), line));
+        }
+    }
+
     void recordsMetrics()
     {
         submit("j", planOf(3));
