Name long-running tasks that do not run

Cause: a long-running task that is not running is named only in a debug line, and nothing says whether it is queued without room, queued without sessions or leases, or bound to a worker that does not run it.

Change: the dispatcher remembers when each long-running task of an active job was last listed as running, and once a second looks at these tasks only. The leader logs long-running-waits with their number and the state of the one that has waited longest: queued, with the workers that each reason excludes, or bound, with what the worker's last report says. Two gauges have the number and the age. mayRun() is exclusionOf() now, which says which of the same conditions excludes a worker.

The new tests check each reason, a bound task that is not listed, ages over refused and lapsed runs and a new leader, and that running, short and cancelled tasks do not count.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -3,5 +3,6 @@
 // Public header of the Dispatch library: the leader's scheduling of staged jobs.
 #include <Guavashift/Dispatch/Dispatcher.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
+#include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
 #include <Guavashift/Dispatch/WorkerPool.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -60,6 +60,8 @@
                     run.boundAt = now;
                     m_pool.place(task.lifetime, std::move(run));
                     m_placed.emplace(ref, task.lifetime);
+                    if (job.isActive() && job.plan.steps[s].longRunning)
+                        m_lastListed.emplace(ref, now);
                 }
             }
         }
@@ -79,6 +81,7 @@
     m_ready.clear();
     m_readyByTask.clear();
     m_placed.clear();
+    m_lastListed.clear();
     m_due.clear();
     m_failureRecords.clear();
     m_commands.clear();
@@ -125,6 +128,8 @@
     ready.readyAt = since.value_or(m_now);
     m_ready.insert(ready);
     m_readyByTask.emplace(ref, ready);
+    if (ready.longRunning)
+        m_lastListed.emplace(ref, ready.readyAt);
 }
 
 void Dispatcher::enqueueStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/WorkerPool.h>
 
 #include <set>
@@ -43,6 +44,10 @@
     Duration maxPlacementPause = std::chrono::milliseconds(60);
     /// Interval at which the reasons why steps wait are logged.
     Duration waitLogInterval = std::chrono::seconds(1);
+    /// A long-running task that has not been listed as running for this long counts as waiting.
+    Duration longRunningWaitLimit = std::chrono::seconds(2);
+    /// Interval at which long-running tasks are checked for that.
+    Duration longRunningCheckInterval = std::chrono::seconds(1);
     /// Interval at which throttled best-effort tasks are checked for a move.
     Duration moveInterval = std::chrono::milliseconds(500);
     /// Two reports of a worker further apart than this are not used to learn interference.
@@ -132,6 +137,9 @@
     /// Interference to send to agents where it changed, each with the agent's node.
     std::vector<std::pair<std::string, std::vector<InterferenceRow>>> takeInterference(Instant now);
 
+    /// Long-running tasks that are not running, at most once per interval of the settings.
+    std::optional<LongRunningWaits> takeLongRunningWaits(Instant now);
+
     /// Times of a run's placement; nothing for runs that another leader placed.
     [[nodiscard]] std::optional<BindingTimes> timesOf(const StartRun &start) const;
 
@@ -172,8 +180,16 @@
     bool placeTask(const ReadyTask &ready, Instant now);
     bool placeGang(const ReadyTask &ready, Instant now);
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now);
-    [[nodiscard]] bool mayRun(const PoolWorker &worker, const QueueSettings &queue,
-                              const StepPlan &step, const TaskRef &ref, Instant now) const;
+    /// Why the worker may not run the task now, if it may not.
+    [[nodiscard]] std::optional<Exclusion> exclusionOf(const PoolWorker &worker,
+                                                       const QueueSettings &queue,
+                                                       const StepPlan &step, const TaskRef &ref,
+                                                       Instant now) const;
+    [[nodiscard]] QueuedState queuedState(const TaskRef &ref, Instant now) const;
+    [[nodiscard]] BoundState boundState(const TaskRef &ref, const Lifetime &lifetime,
+                                        Instant now) const;
+    /// Updates the time at which a long-running task was last listed as running.
+    void updateLastListed(const PlacedRun &run);
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double colocationScore(const PoolWorker &worker, const StepPlan &step) const;
     void learnInterference(PoolWorker &worker, std::span<const RunStatus> rows, Instant now);
@@ -202,6 +218,10 @@
     InterferenceTable m_interference;
     Instant m_nextInterference;
     Instant m_nextMoves;
+    /// Time at which each long-running task of an active job was last listed as running, initially
+    /// when it became ready. Entries of ended jobs are removed by the next check.
+    std::map<TaskRef, Instant> m_lastListed;
+    Instant m_nextLongRunningCheck;
     Instant m_nextWaitLog;
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -117,6 +117,7 @@
 {
     const auto placed = m_placed.find(end.task);
     if (placed != m_placed.end()) {
+        updateLastListed(m_pool.find(placed->second)->runs.at(end.task));
         recordEnd(end, placed->second, now);
         release(placed);
     }
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -143,15 +143,24 @@
     m_pool.place(worker.facts.lifetime, std::move(placed));
 }
 
-bool Dispatcher::mayRun(const PoolWorker &worker, const QueueSettings &queue, const StepPlan &step,
-                        const TaskRef &ref, Instant now) const
+std::optional<Exclusion> Dispatcher::exclusionOf(const PoolWorker &worker,
+                                                 const QueueSettings &queue, const StepPlan &step,
+                                                 const TaskRef &ref, Instant now) const
 {
-    if (!worker.hasFacts || worker.node.empty() || worker.unreachable || worker.facts.draining
-        || worker.facts.service != queue.service || now < worker.suspectUntil
-        || now >= worker.leaseEnd)
-        return false;
+    if (!worker.hasFacts || worker.node.empty())
+        return Exclusion::NoSession;
+    if (worker.facts.service != queue.service)
+        return Exclusion::OtherService;
+    if (worker.unreachable)
+        return Exclusion::Unreachable;
+    if (worker.facts.draining)
+        return Exclusion::Draining;
+    if (now >= worker.leaseEnd)
+        return Exclusion::NoLease;
+    if (now < worker.suspectUntil)
+        return Exclusion::Suspect;
     if (!step.requiredLabel.empty() && !worker.facts.hasLabel(step.requiredLabel))
-        return false;
+        return Exclusion::Label;
     if (step.maxPerWorker > 0) {
         std::uint32_t here = 0;
         for (auto at = worker.runs.lower_bound({ref.job, ref.occurrence, ref.step, 0});
@@ -160,19 +169,23 @@
              ++at)
             ++here;
         if (here >= step.maxPerWorker)
-            return false;
+            return Exclusion::SpreadLimit;
     }
     Resources size = step.size;
     if (step.bestEffort)
         size.milliCores = 0;
     if (!size.fitsWithin(worker.available()))
-        return false;
+        return Exclusion::Capacity;
     if (!step.bestEffort)
-        return true;
+        return std::nullopt;
     const auto slack = static_cast<std::int64_t>(
         m_settings.bestEffortOvercommit * static_cast<double>(worker.facts.capacity.milliCores));
-    return unusedMilliCores(worker) + slack >= step.size.milliCores
-        && predictedSpeed(worker, step) >= m_settings.minBestEffortSpeed;
+    if (unusedMilliCores(worker) + slack < step.size.milliCores)
+        return Exclusion::Capacity;
+    // Also excludes a speed that is not a number.
+    if (!(predictedSpeed(worker, step) >= m_settings.minBestEffortSpeed))
+        return Exclusion::Interference;
+    return std::nullopt;
 }
 
 const std::vector<SpareHeadroom> &Dispatcher::spareHeadroomOf(const PoolWorker &worker) const
@@ -320,7 +333,7 @@
     PoolWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (!mayRun(worker, queue, step, ref, now))
+        if (exclusionOf(worker, queue, step, ref, now))
             continue;
         const double score = scoreOf(worker, step);
         if (best == nullptr || score > bestScore) {
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -49,8 +49,8 @@
     std::int64_t bestEffortMilliCores = 0;      ///< That best-effort tasks would use at full speed.
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
     std::map<TaskRef, PlacedRun> runs;
-    BestEffortActivity activity; ///< Of the best-effort tasks in its last report.
-    Instant activityAt;
+    BestEffortActivity activity;                   ///< Of the best-effort tasks in its last report.
+    Instant activityAt;                            ///< Time of that report.
     std::vector<InterferenceRow> sentInterference; ///< Last sent to its agent.
     /// Computed on demand and cached, since every waiting step queries every worker.
     mutable std::vector<SpareHeadroom> spare;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -67,6 +67,7 @@
         return;
     m_active = false;
     m_dispatcher.stop();
+    m_metrics.setLongRunningWaits(0, Duration::zero());
     // This makes the nodes look for the new leader at once.
     for (const auto &[id, session] : m_sessions)
         session.send(LeaderReply{false, m_driver.leaderAddress()});
@@ -249,9 +250,11 @@
     // Orders follow from commits and are sent at once. Sent later, they could reach a newer session
     // that has already settled these runs differently.
     flushOrders();
+    const Instant now = BootClock::now();
+    if (const auto waits = m_dispatcher.takeLongRunningWaits(now))
+        reportLongRunningWaits(*waits);
     if (!m_driver.mayAnswer())
         return;
-    const Instant now = BootClock::now();
     propose(m_dispatcher.decide(now, wallNow()));
     flushOrders();
     for (auto &[node, rows] : m_dispatcher.takeInterference(now)) {
@@ -265,6 +268,56 @@
     }
 }
 
+void FleetLeader::reportLongRunningWaits(const LongRunningWaits &waits) const
+{
+    m_metrics.setLongRunningWaits(waits.count, waits.age);
+    if (waits.count == 0)
+        return;
+    constexpr std::string_view event = "long-running-waits";
+    const LogField count{"count", waits.count};
+    const LogField task{"task", waits.oldest.text()};
+    const LogField age{"age_ms", toMs(waits.age)};
+    std::visit(
+        Overloaded{[&](const UntrackedState &) {
+                       logEvent(LogLevel::Info, event, {count, task, age, {"state", "untracked"}});
+                   },
+                   [&](const QueuedState &queued) {
+                       logEvent(LogLevel::Info, event,
+                                {count,
+                                 task,
+                                 age,
+                                 {"state", "queued"},
+                                 {"eligible", queued.eligible},
+                                 {"no_session", queued.excludedBy(Exclusion::NoSession)},
+                                 {"no_lease", queued.excludedBy(Exclusion::NoLease)},
+                                 {"unreachable", queued.excludedBy(Exclusion::Unreachable)},
+                                 {"draining", queued.excludedBy(Exclusion::Draining)},
+                                 {"suspect", queued.excludedBy(Exclusion::Suspect)},
+                                 {"other_service", queued.excludedBy(Exclusion::OtherService)},
+                                 {"label", queued.excludedBy(Exclusion::Label)},
+                                 {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
+                                 {"capacity", queued.excludedBy(Exclusion::Capacity)},
+                                 {"interference", queued.excludedBy(Exclusion::Interference)}});
+                   },
+                   [&](const BoundState &bound) {
+                       const std::string reportAge =
+                           bound.reportAge ? std::to_string(toMs(*bound.reportAge)) : "unknown";
+                       logEvent(LogLevel::Info, event,
+                                {count,
+                                 task,
+                                 age,
+                                 {"state", "bound"},
+                                 {"run", bound.run},
+                                 {"worker", bound.worker},
+                                 {"committed", bound.committed},
+                                 {"listed", bound.listed},
+                                 {"report_age_ms", reportAge},
+                                 {"stop_requested", bound.stopRequested},
+                                 {"end_proposed", bound.endProposed}});
+                   }},
+        waits.state);
+}
+
 void FleetLeader::flushOrders()
 {
     for (auto &[node, order] : m_dispatcher.takeOrders()) {
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -53,6 +53,7 @@
     void handleRunsEnded(SessionId id, const RunsEnded &ended);
     void logBinding(const StartRun &start, const StageOutcome &outcome,
                     const std::optional<BindingTimes> &times, Instant now) const;
+    void reportLongRunningWaits(const LongRunningWaits &waits) const;
     void sendDirectory();
     void flushOrders();
     void propose(const std::vector<StageCommand> &commands);
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -25,6 +25,10 @@
     , m_leadershipChanges(
           m_metrics.counter("guavashift_fleet_leadership_changes_total",
                             "Times that this process became the leader or ceased to be"))
+    , m_longRunningWaits(m_metrics.gauge("guavashift_fleet_long_running_waits",
+                                         "Long-running tasks that are not running"))
+    , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
+                                          "Time for which the oldest of them has not been running"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.latency("guavashift_fleet_agent_end_commit_seconds",
@@ -56,6 +60,12 @@
     m_leadershipChanges.Increment();
 }
 
+void FleetMetrics::setLongRunningWaits(std::size_t tasks, Duration oldest)
+{
+    m_longRunningWaits.Set(static_cast<double>(tasks));
+    m_longRunningOldest.Set(seconds(oldest));
+}
+
 void FleetMetrics::answered(CallKind kind, CallResult result)
 {
     m_metrics
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -25,6 +25,8 @@
     void bound(Duration sinceReady);
     /// Records that this process became the leader or ceased to be.
     void leadershipChanged();
+    /// Number of long-running tasks that are not running, and how long the oldest has not been.
+    void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
 
     // Entry.
@@ -51,6 +53,8 @@
     prometheus::Histogram &m_sync;
     prometheus::Histogram &m_readyToBound;
     prometheus::Counter &m_leadershipChanges;
+    prometheus::Gauge &m_longRunningWaits;
+    prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -71,6 +71,12 @@
     CPPUNIT_TEST(endedGangReleasesAllItsCapacity);
     CPPUNIT_TEST(recordsWhenATaskBecameReady);
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
+    CPPUNIT_TEST(countsWhyNoWorkerTakesAWaitingLongRunningTask);
+    CPPUNIT_TEST(namesABoundLongRunningTaskThatIsNotListed);
+    CPPUNIT_TEST(waitOfALongRunningTaskSpansRunsThatNeverStarted);
+    CPPUNIT_TEST(waitOfALongRunningTaskBeginsWhenItWasLastListed);
+    CPPUNIT_TEST(nextLeaderFindsWaitingLongRunningTasks);
+    CPPUNIT_TEST(findsNoWaitOfTasksThatNeedNotRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -426,7 +432,157 @@
         }
     }
 
+    /// Guards against a task that waits for capacity and looks like one whose workers are lost.
+    void countsWhyNoWorkerTakesAWaitingLongRunningTask()
+    {
+        // One worker for each reason, and two without capacity.
+        std::map<std::string, WorkerFacts> workers;
+        for (const char *name : {"full1", "full2", "draining", "lost", "other", "label", "silent",
+                                 "suspect", "unleased"})
+            workers[name] = worker(name);
+        workers["full1"].capacity.milliCores = 1000;
+        workers["full2"].capacity.milliCores = 1000;
+        workers["draining"].draining = true;
+        workers["other"].service = "another";
+        workers["label"].labels = {"b", "rack"};
+        for (const auto &[name, facts] : workers) {
+            m_dispatcher->workerReported(name, facts, at(0));
+            if (name != "unleased")
+                m_dispatcher->leaseGranted(name, at(4000));
+        }
+        m_dispatcher->nodeLost("lost");
+        m_dispatcher->lifetimeEnded(workers["silent"].lifetime, true, at(0));
+        m_dispatcher->startRefused(workers["suspect"].lifetime, {"none", 0, 0, 0}, 1, at(4900));
+        JobPlan lasting = longRunningPlan(1, 8000);
+        lasting.steps[0].requiredLabel = "a";
+        accept("lasting", lasting);
+        const std::optional<LongRunningWaits> waits = m_dispatcher->takeLongRunningWaits(at(5000));
+        CPPUNIT_ASSERT(waits.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits->count);
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), waits->oldest.text());
+        CPPUNIT_ASSERT(std::chrono::seconds(5) == waits->age);
+        const QueuedState &queued = std::get<QueuedState>(waits->state);
+        for (const Exclusion reason :
+             {Exclusion::NoSession, Exclusion::OtherService, Exclusion::Unreachable,
+              Exclusion::Draining, Exclusion::NoLease, Exclusion::Suspect, Exclusion::Label})
+            CPPUNIT_ASSERT_EQUAL(1U, queued.excludedBy(reason));
+        CPPUNIT_ASSERT_EQUAL(2U, queued.excludedBy(Exclusion::Capacity));
+        CPPUNIT_ASSERT_EQUAL(0U, queued.eligible);
+        // No more than one check a second.
+        CPPUNIT_ASSERT(!m_dispatcher->takeLongRunningWaits(at(5999)));
+        CPPUNIT_ASSERT(m_dispatcher->takeLongRunningWaits(at(6000)));
+    }
+
+    /// Guards against a lost end or order, after which the task is bound and runs nowhere, that
+    /// looks like a task in the queue.
+    void namesABoundLongRunningTaskThatIsNotListed()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan lasting = longRunningPlan(2, 8000);
+        lasting.steps[0].maxPerWorker = 2;
+        accept("lasting", lasting);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        m_dispatcher->runsReported(worker("w1").lifetime,
+                                   std::vector<RunStatus>{{{"lasting", 0, 0, 0}, 1, {}, 100, 0}},
+                                   at(2900));
+        std::optional<LongRunningWaits> waits = m_dispatcher->takeLongRunningWaits(at(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits->count);
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.1"), waits->oldest.text());
+        const BoundState &bound = std::get<BoundState>(waits->state);
+        CPPUNIT_ASSERT_EQUAL(1U, bound.run);
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), bound.worker);
+        CPPUNIT_ASSERT(bound.committed && !bound.listed && !bound.endProposed);
+        CPPUNIT_ASSERT(std::chrono::milliseconds(100) == bound.reportAge);
+        // The end of the other one is proposed, and not committed in time.
+        m_dispatcher->endReported({{"lasting", 0, 0, 0}, 1, RunEnd::Failed, {}});
+        waits = m_dispatcher->takeLongRunningWaits(at(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, waits->count);
+        m_dispatcher->runsReported(worker("w1").lifetime,
+                                   std::vector<RunStatus>{{{"lasting", 0, 0, 1}, 1, {}, 100, 0}},
+                                   at(6000));
+        waits = m_dispatcher->takeLongRunningWaits(at(6100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits->count);
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), waits->oldest.text());
+        CPPUNIT_ASSERT(std::get<BoundState>(waits->state).endProposed);
+    }
+
+    /// Guards against a task that is bound and refused again and again and never seems to wait.
+    void waitOfALongRunningTaskSpansRunsThatNeverStarted()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 8000));
+        for (int now = 1000; now <= 4000; now += 1000) {
+            m_dispatcher->leaseGranted("n1", at(now));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(now));
+            end({"lasting", 0, 0, 0}, static_cast<std::uint32_t>(now / 1000), RunEnd::NotStarted,
+                now + 100);
+        }
+        const std::optional<LongRunningWaits> waits = m_dispatcher->takeLongRunningWaits(at(4900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits->count);
+        CPPUNIT_ASSERT(std::chrono::milliseconds(4900) == waits->age);
+    }
+
+    /// Guards against a lapsed run whose outage seems shorter by the time that its lease took.
+    void waitOfALongRunningTaskBeginsWhenItWasLastListed()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        m_dispatcher->runsReported(worker("w1").lifetime,
+                                   std::vector<RunStatus>{{{"lasting", 0, 0, 0}, 1, {}, 100, 0}},
+                                   at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_dispatcher->takeLongRunningWaits(at(1500))->count);
+        m_dispatcher->nodeLost("n1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5500));
+        CPPUNIT_ASSERT(TaskStage::Waiting == m_jobTable->find({"lasting", 0, 0, 0})->stage);
+        const std::optional<LongRunningWaits> waits = m_dispatcher->takeLongRunningWaits(at(5600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, waits->count);
+        CPPUNIT_ASSERT(std::chrono::milliseconds(4600) == waits->age);
+        CPPUNIT_ASSERT(std::holds_alternative<QueuedState>(waits->state));
+    }
+
+    /// Guards against a leader that knows only of tasks which it bound or queued itself.
+    void nextLeaderFindsWaitingLongRunningTasks()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 60'000));
+        accept("larger", longRunningPlan(1, 70'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        Dispatcher next({}, *m_jobTable);
+        next.start(at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, next.takeLongRunningWaits(at(3000))->count);
+        const std::optional<LongRunningWaits> waits = next.takeLongRunningWaits(at(4000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, waits->count);
+        CPPUNIT_ASSERT(std::chrono::seconds(3) == waits->age);
+    }
+
+    /// Guards against false alarms: running tasks, short ones and those of ended jobs do not wait.
+    void findsNoWaitOfTasksThatNeedNotRun()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        accept("larger", longRunningPlan(1, 70'000));
+        accept("short", plan(1, 70'000));
+        m_dispatcher->runsReported(worker("w1").lifetime,
+                                   std::vector<RunStatus>{{{"lasting", 0, 0, 0}, 1, {}, 100, 0}},
+                                   at(2500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeLongRunningWaits(at(3000))->count);
+        commit({CancelJob{"larger"}}, 3100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_dispatcher->takeLongRunningWaits(at(4000))->count);
+        // Not even after it has stopped to be listed, since its job ended.
+        commit({CancelJob{"lasting"}}, 4100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_dispatcher->takeLongRunningWaits(at(9000))->count);
+    }
+
 private:
+    static JobPlan longRunningPlan(std::uint32_t tasks, std::int64_t milliCores)
+    {
+        JobPlan lasting = plan(tasks, milliCores);
+        lasting.steps[0].longRunning = true;
+        return lasting;
+    }
+
     /// Number of stops ordered since orders were last taken.
     std::size_t stopsOrdered()
     {
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(logsWhyLeadershipChanged);
     CPPUNIT_TEST(logsSlowRounds);
+    CPPUNIT_TEST(logsLongRunningTasksThatWait);
+    CPPUNIT_TEST(logsLongRunningTasksOfASilentAgent);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
 
@@ -348,6 +350,47 @@
         }
     }
 
+    /// Guards against a long-running task that waits and is named nowhere above the debug level.
+    void logsLongRunningTasksThatWait()
+    {
+        JobPlan plan = planOf(1);
+        plan.steps[0].longRunning = true;
+        plan.steps[0].size.milliCores = 1'000'000;
+        const test::LogCapture log;
+        submit("j", plan);
+        const std::regex line(
+            "event=long-running-waits count=1 task=j\\.0\\.0\\.0 age_ms=[2-9]\\d{3} "
+            "state=queued eligible=0 no_session=0 .* capacity=2 interference=0");
+        until([&] { return std::regex_search(log.text(), line); });
+        CPPUNIT_ASSERT_EQUAL(1.0, metric("guavashift_fleet_long_running_waits"));
+        CPPUNIT_ASSERT(metric("guavashift_fleet_long_running_oldest_seconds") >= 2);
+        FleetCall cancel;
+        cancel.kind = CallKind::Cancel;
+        cancel.host = "desk.example";
+        cancel.path = "/counter/j";
+        CPPUNIT_ASSERT(CallResult::Done == send(cancel).result);
+        until([&] { return metric("guavashift_fleet_long_running_waits") == 0; });
+    }
+
+    /// Guards against a bound task of which nothing is heard that looks like one in the queue.
+    void logsLongRunningTasksOfASilentAgent()
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        JobPlan plan = planOf(1);
+        plan.steps[0].longRunning = true;
+        submit("j", plan);
+        until([this] { return running() == 1; });
+        const Instant listed = BootClock::now() + 2 * m_agentSettings.tableInterval;
+        until([&] { return BootClock::now() >= listed; });
+        const test::LogCapture log;
+        m_agents.clear();
+        const std::regex line("event=long-running-waits count=1 task=j\\.0\\.0\\.0 age_ms=\\d+ "
+                              "state=bound run=1 worker=w[01] committed=true listed=true "
+                              "report_age_ms=[2-9]\\d{3} stop_requested=false end_proposed=false");
+        until([&] { return std::regex_search(log.text(), line); });
+    }
+
     void recordsMetrics()
     {
         submit("j", planOf(3));
