--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -12,7 +12,9 @@
 } // namespace
 
 FleetMetrics::FleetMetrics()
-    : m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
+    : m_round(m_metrics.latency("guavashift_fleet_round_seconds",
+                                "A round of the event loop, without its wait"))
+    , m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
                                  "From an entry's append to its commit, on the leader"))
     , m_commitCommands(
           m_metrics.sizes("guavashift_fleet_commit_commands", "Commands that one commit carries"))
@@ -20,6 +22,13 @@
                                "Sync of the leader's disk for one commit"))
     , m_readyToBound(m_metrics.latency("guavashift_fleet_ready_to_bound_seconds",
                                        "From a task being ready to its binding's commit"))
+    , m_leadershipChanges(
+          m_metrics.counter("guavashift_fleet_leadership_changes_total",
+                            "Times that this process became the leader or ceased to be"))
+    , m_longRunningWaits(m_metrics.gauge("guavashift_fleet_long_running_waits",
+                                         "Long-running tasks that are not running"))
+    , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
+                                          "Time for which the oldest of them has not been running"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.latency("guavashift_fleet_agent_end_commit_seconds",
@@ -29,6 +38,11 @@
 {
 }
 
+void FleetMetrics::roundEnded(Duration duration)
+{
+    m_round.Observe(seconds(duration));
+}
+
 void FleetMetrics::committed(std::size_t commands, Duration commit, Duration sync)
 {
     m_commitCommands.Observe(static_cast<double>(commands));
@@ -41,6 +55,17 @@
     m_readyToBound.Observe(seconds(sinceReady));
 }
 
+void FleetMetrics::leadershipChanged()
+{
+    m_leadershipChanges.Increment();
+}
+
+void FleetMetrics::setLongRunningWaits(std::size_t tasks, Duration oldest)
+{
+    m_longRunningWaits.Set(static_cast<double>(tasks));
+    m_longRunningOldest.Set(seconds(oldest));
+}
+
 void FleetMetrics::answered(CallKind kind, CallResult result)
 {
     m_metrics
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -14,12 +14,19 @@
 public:
     FleetMetrics();
 
+    /// Records a round of the event loop.
+    void roundEnded(Duration duration);
+
     // Leader.
 
     /// Records the commit of a log entry that this process appended as the leader.
     void committed(std::size_t commands, Duration commit, Duration sync);
     /// Records a binding: the time from the task becoming ready to the commit of the binding.
     void bound(Duration sinceReady);
+    /// Records that this process became the leader or ceased to be.
+    void leadershipChanged();
+    /// Number of long-running tasks that are not running, and how long the oldest has not been.
+    void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
 
     // Entry.
@@ -40,10 +47,14 @@
 
 private:
     Metrics m_metrics;
+    prometheus::Histogram &m_round;
     prometheus::Histogram &m_commit;
     prometheus::Histogram &m_commitCommands;
     prometheus::Histogram &m_sync;
     prometheus::Histogram &m_readyToBound;
+    prometheus::Counter &m_leadershipChanges;
+    prometheus::Gauge &m_longRunningWaits;
+    prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <regex>
+#include <thread>
 
 using namespace guavashift;
 
@@ -92,6 +93,10 @@
     CPPUNIT_TEST(reportsNoEndLostEarlierAsCommitted);
     CPPUNIT_TEST(restartsTasksOfSilentWorker);
     CPPUNIT_TEST(logsTimesOfBinding);
+    CPPUNIT_TEST(logsWhyLeadershipChanged);
+    CPPUNIT_TEST(logsSlowRounds);
+    CPPUNIT_TEST(logsLongRunningTasksThatWait);
+    CPPUNIT_TEST(logsLongRunningTasksOfASilentAgent);
     CPPUNIT_TEST(recordsMetrics);
     CPPUNIT_TEST_SUITE_END();
 
@@ -170,12 +175,7 @@
     void recoversFromLossOfLeader()
     {
         submit("before", planOf(1));
-        for (auto &core : m_cores) {
-            if (core->node->leads()) {
-                core.reset();
-                break;
-            }
-        }
+        stopLeader();
         until([this] { return !m_gateway->node->isReady(); });
         until([this] { return m_gateway->node->isReady(); });
         submit("after", planOf(2));
@@ -354,6 +354,80 @@
         CPPUNIT_ASSERT(std::regex_search(log.text(), bound));
     }
 
+    /// Guards against a change of leader whose cause is in no log.
+    void logsWhyLeadershipChanged()
+    {
+        const double changesBefore = metric("guavashift_fleet_leadership_changes_total");
+        const test::LogCapture log;
+        stopLeader();
+        until([this] { return !m_gateway->node->isReady(); });
+        until([this] { return m_gateway->node->isReady(); });
+        for (const char *line :
+             {"event=role-changed .* leads=false .* reason=leader-silent leader_contact_ms=\\d{3,}",
+              "event=role-changed .* leads=true .* reason=elected quorum_contact_ms=\\d+"})
+            CPPUNIT_ASSERT_MESSAGE(line, std::regex_search(log.text(), std::regex(line)));
+        // At least the next leader's election; the first one was stopped, not deposed.
+        CPPUNIT_ASSERT(metric("guavashift_fleet_leadership_changes_total") > changesBefore);
+    }
+
+    /// Guards against a control process, an entry or an agent that does not log its slow rounds.
+    void logsSlowRounds()
+    {
+        for (EventLoop *loop : {&m_cores[0]->loop, &m_gateway->loop, &m_agents[0]->loop}) {
+            const test::LogCapture log;
+            loop->post([] { std::this_thread::sleep_for(RoundMonitorSettings{}.slowRound); });
+            loop->runOnce(Duration::zero());
+            // Another slow round within the second before delays the line.
+            std::this_thread::sleep_for(RoundMonitorSettings{}.logInterval);
+            loop->runOnce(Duration::zero());
+            const std::regex line(
+                "event=round-slow round_ms=\\d{3,} cpu_ms=\\d+ events=\\d+ events_ms=\\d+ "
+                "posted_ms=\\d{3,} ");
+            CPPUNIT_ASSERT(std::regex_search(log.text(), line));
+        }
+    }
+
+    /// Guards against a long-running task that waits and is named nowhere above the debug level.
+    void logsLongRunningTasksThatWait()
+    {
+        JobPlan plan = planOf(1);
+        plan.steps[0].longRunning = true;
+        plan.steps[0].size.milliCores = 1'000'000;
+        const test::LogCapture log;
+        submit("j", plan);
+        const std::regex line(
+            "event=long-running-waits count=1 task=j\\.0\\.0\\.0 age_ms=[2-9]\\d{3} "
+            "state=queued eligible=0 no_session=0 .* capacity=2 interference=0");
+        until([&] { return std::regex_search(log.text(), line); });
+        CPPUNIT_ASSERT_EQUAL(1.0, metric("guavashift_fleet_long_running_waits"));
+        CPPUNIT_ASSERT(metric("guavashift_fleet_long_running_oldest_seconds") >= 2);
+        FleetCall cancel;
+        cancel.kind = CallKind::Cancel;
+        cancel.host = "desk.example";
+        cancel.path = "/counter/j";
+        CPPUNIT_ASSERT(CallResult::Done == send(cancel).result);
+        until([&] { return metric("guavashift_fleet_long_running_waits") == 0; });
+    }
+
+    /// Guards against a bound task of which nothing is heard that looks like one in the queue.
+    void logsLongRunningTasksOfASilentAgent()
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        JobPlan plan = planOf(1);
+        plan.steps[0].longRunning = true;
+        submit("j", plan);
+        until([this] { return running() == 1; });
+        const Instant listed = BootClock::now() + 2 * m_agentSettings.tableInterval;
+        until([&] { return BootClock::now() >= listed; });
+        const test::LogCapture log;
+        m_agents.clear();
+        const std::regex line("event=long-running-waits count=1 task=j\\.0\\.0\\.0 age_ms=\\d+ "
+                              "state=bound run=1 worker=w[01] committed=true listed=true "
+                              "report_age_ms=[2-9]\\d{3} stop_requested=false end_proposed=false");
+        until([&] { return std::regex_search(log.text(), line); });
+    }
+
     void recordsMetrics()
     {
         submit("j", planOf(3));
@@ -373,6 +447,16 @@
     }
 
 private:
+    void stopLeader()
+    {
+        for (auto &core : m_cores) {
+            if (core->node->leads()) {
+                core.reset();
+                return;
+            }
+        }
+    }
+
     /// Leaves an end on both workers that no leader can commit.
     void endRunsWithoutLeader()
     {
@@ -447,6 +531,16 @@
     {
         return m_metrics.exposition().find(fmt::format("\n{}\n", line)) != std::string::npos;
     }
+
+    /// Value of an exported metric without labels.
+    [[nodiscard]] double metric(std::string_view name)
+    {
+        const std::string text = m_metrics.exposition();
+        const std::string start = fmt::format("\n{} ", name);
+        const std::size_t found = text.find(start);
+        CPPUNIT_ASSERT_MESSAGE(std::string(name), found != std::string::npos);
+        return std::stod(text.substr(found + start.size()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
