Fit the metrics of a control process into 4,000 bytes

Cause: the users' collector keeps the first 4,000 bytes of a page of metrics. The page began with histograms of up to 17 buckets, so counters and later histograms were cut off.

Change: gauges and counters come first; empty histograms and help texts are not written; the fleet's histograms have 2 to 5 buckets around the limits that matter, and the commands of a commit are a sum and a count. The metrics of the product's own daemon are unchanged.

Tests: recordsMetrics checked that histograms do not stand at 0. An empty histogram is not written any more, so it checks now that they are there and above 0.

--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -4,6 +4,18 @@
 
 namespace {
 
+// Upper limits of buckets in seconds, around the limits that matter for each. A page of metrics has
+// room for few.
+using Buckets = prometheus::Histogram::BucketBoundaries;
+/// Heartbeats are due each 0.1 s, and 0.5 s without one start an election.
+const Buckets roundBuckets{0.01, 0.1, 0.25, 0.5, 1};
+const Buckets commitBuckets{0.016, 0.064, 0.256, 1};
+/// A leader whose disk syncs for 0.1 s transfers leadership.
+const Buckets syncBuckets{0.008, 0.1};
+const Buckets readyToBoundBuckets{0.064, 1, 8};
+const Buckets answerBuckets{0.064, 0.256, 1};
+const Buckets endCommitBuckets{0.064, 0.256, 1, 4};
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -12,16 +24,18 @@
 } // namespace
 
 FleetMetrics::FleetMetrics()
-    : m_round(m_metrics.latency("guavashift_fleet_round_seconds",
-                                "A round of the event loop, without its wait"))
-    , m_commit(m_metrics.latency("guavashift_fleet_commit_seconds",
-                                 "From an entry's append to its commit, on the leader"))
+    : m_round(m_metrics.histogram("guavashift_fleet_round_seconds",
+                                  "A round of the event loop, without its wait", roundBuckets))
+    , m_commit(m_metrics.histogram("guavashift_fleet_commit_seconds",
+                                   "From an entry's append to its commit, on the leader",
+                                   commitBuckets))
     , m_commitCommands(
-          m_metrics.sizes("guavashift_fleet_commit_commands", "Commands that one commit carries"))
-    , m_sync(m_metrics.latency("guavashift_fleet_sync_seconds",
-                               "Sync of the leader's disk for one commit"))
-    , m_readyToBound(m_metrics.latency("guavashift_fleet_ready_to_bound_seconds",
-                                       "From a task being ready to its binding's commit"))
+          m_metrics.summary("guavashift_fleet_commit_commands", "Commands that one commit carries"))
+    , m_sync(m_metrics.histogram("guavashift_fleet_sync_seconds",
+                                 "Sync of the leader's disk for one commit", syncBuckets))
+    , m_readyToBound(m_metrics.histogram("guavashift_fleet_ready_to_bound_seconds",
+                                         "From a task being ready to its binding's commit",
+                                         readyToBoundBuckets))
     , m_leadershipChanges(
           m_metrics.counter("guavashift_fleet_leadership_changes_total",
                             "Times that this process became the leader or ceased to be"))
@@ -31,8 +45,9 @@
                                           "Time for which the oldest of them has not been running"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
-    , m_endCommit(m_metrics.latency("guavashift_fleet_agent_end_commit_seconds",
-                                    "From a run's end being listed to the word of its commit"))
+    , m_endCommit(m_metrics.histogram("guavashift_fleet_agent_end_commit_seconds",
+                                      "From a run's end being listed to the word of its commit",
+                                      endCommitBuckets))
     , m_linesDropped(m_metrics.counter("guavashift_fleet_log_lines_dropped_total",
                                        "Log lines dropped because their reader was too slow"))
 {
@@ -77,8 +92,8 @@
 void FleetMetrics::finished(CallResult result, Duration waited)
 {
     m_metrics
-        .latency("guavashift_fleet_entry_answer_seconds", "From a call's arrival to its answer",
-                 {{"result", std::string(nameOf(result))}})
+        .histogram("guavashift_fleet_entry_answer_seconds", "From a call's arrival to its answer",
+                   answerBuckets, {{"result", std::string(nameOf(result))}})
         .Observe(seconds(waited));
 }
 
@@ -110,7 +125,7 @@
     const std::uint64_t dropped = droppedLogLines();
     m_linesDropped.Increment(
         static_cast<double>(dropped - m_droppedLinesExported.exchange(dropped)));
-    return m_metrics.exposition();
+    return m_metrics.shortExposition();
 }
 
 } // namespace guavashift
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -12,6 +12,8 @@
 class FleetMetrics final
 {
 public:
+    static constexpr std::size_t maxPageBytes = 4000;
+
     FleetMetrics();
 
     /// Records a round of the event loop.
@@ -42,14 +44,15 @@
     /// Records the commit of an end that the worker listed this long ago.
     void endCommitted(Duration sinceListed);
 
-    /// All metrics in the Prometheus text format.
+    /// All metrics in the Prometheus text format, in at most about `maxPageBytes` bytes for the
+    /// busiest control process, since the platform's collector keeps no more of a page.
     [[nodiscard]] std::string exposition();
 
 private:
     Metrics m_metrics;
     prometheus::Histogram &m_round;
     prometheus::Histogram &m_commit;
-    prometheus::Histogram &m_commitCommands;
+    prometheus::Summary &m_commitCommands;
     prometheus::Histogram &m_sync;
     prometheus::Histogram &m_readyToBound;
     prometheus::Counter &m_leadershipChanges;
--- a/Guavashift/Metrics/Metrics.cpp
+++ b/Guavashift/Metrics/Metrics.cpp
@@ -1,5 +1,6 @@
 #include <Guavashift/Metrics/Metrics.h>
 
+#include <algorithm>
 #include <prometheus/text_serializer.h>
 
 namespace guavashift {
@@ -9,8 +10,11 @@
 const prometheus::Histogram::BucketBoundaries latencyBuckets{
     0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8, 16};
 
-const prometheus::Histogram::BucketBoundaries sizeBuckets{1,  2,   4,   8,   16,  32,
-                                                          64, 128, 256, 512, 1024};
+bool isDistribution(const prometheus::MetricFamily &family)
+{
+    return family.type == prometheus::MetricType::Histogram
+        || family.type == prometheus::MetricType::Summary;
+}
 
 } // namespace
 
@@ -34,22 +38,28 @@
 
 prometheus::Histogram &Metrics::latency(const std::string &name, const std::string &help,
                                         const prometheus::Labels &labels)
+{
+    return histogram(name, help, latencyBuckets, labels);
+}
+
+prometheus::Histogram &Metrics::histogram(const std::string &name, const std::string &help,
+                                          const prometheus::Histogram::BucketBoundaries &buckets,
+                                          const prometheus::Labels &labels)
 {
     return prometheus::BuildHistogram()
         .Name(name)
         .Help(help)
         .Register(*m_registry)
-        .Add(labels, latencyBuckets);
+        .Add(labels, buckets);
 }
 
-prometheus::Histogram &Metrics::sizes(const std::string &name, const std::string &help,
-                                      const prometheus::Labels &labels)
+prometheus::Summary &Metrics::summary(const std::string &name, const std::string &help)
 {
-    return prometheus::BuildHistogram()
+    return prometheus::BuildSummary()
         .Name(name)
         .Help(help)
         .Register(*m_registry)
-        .Add(labels, sizeBuckets);
+        .Add({}, prometheus::Summary::Quantiles{});
 }
 
 std::string Metrics::exposition() const
@@ -57,4 +67,22 @@
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
+std::string Metrics::shortExposition() const
+{
+    std::vector<prometheus::MetricFamily> families = m_registry->Collect();
+    std::stable_partition(families.begin(), families.end(),
+                          [](const auto &family) { return !isDistribution(family); });
+    for (prometheus::MetricFamily &family : families) {
+        family.help.clear();
+        if (!isDistribution(family))
+            continue;
+        std::erase_if(family.metric, [](const prometheus::ClientMetric &metric) {
+            // One of the two counts is always 0, by the family's type.
+            return metric.histogram.sample_count + metric.summary.sample_count == 0;
+        });
+    }
+    std::erase_if(families, [](const auto &family) { return family.metric.empty(); });
+    return prometheus::TextSerializer().Serialize(families);
+}
+
 } // namespace guavashift
--- a/Guavashift/Metrics/Metrics.h
+++ b/Guavashift/Metrics/Metrics.h
@@ -5,6 +5,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/summary.h>
 #include <string>
 
 namespace guavashift {
@@ -24,12 +25,18 @@
     prometheus::Histogram &latency(const std::string &name, const std::string &help,
                                    const prometheus::Labels &labels = {});
 
-    /// Histogram of counts from 1 to 1024.
-    prometheus::Histogram &sizes(const std::string &name, const std::string &help,
-                                 const prometheus::Labels &labels = {});
+    /// Histogram with the given upper limits of its buckets.
+    prometheus::Histogram &histogram(const std::string &name, const std::string &help,
+                                     const prometheus::Histogram::BucketBoundaries &buckets,
+                                     const prometheus::Labels &labels = {});
+    /// Number and sum of observed values, without quantiles.
+    prometheus::Summary &summary(const std::string &name, const std::string &help);
 
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string exposition() const;
+    /// The metrics in the same format, for readers that keep only the start of the page: gauges and
+    /// counters come first, and neither help texts nor empty histograms and summaries are written.
+    [[nodiscard]] std::string shortExposition() const;
 
 private:
     std::shared_ptr<prometheus::Registry> m_registry;
--- a/UnitTests/Fleet/FleetMetricsTest.cpp
+++ b/UnitTests/Fleet/FleetMetricsTest.cpp
@@ -2,6 +2,8 @@
 #include <Guavashift/Http/HttpClient.h>
 #include <UnitTests/Support/FreePort.h>
 
+#include <map>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace guavashift;
@@ -12,6 +14,9 @@
     CPPUNIT_TEST_SUITE(FleetMetricsTest);
     CPPUNIT_TEST(servesRecordedMetrics);
     CPPUNIT_TEST(servesNoOtherPath);
+    CPPUNIT_TEST(wholePageOfABusyControlProcessIsKept);
+    CPPUNIT_TEST(gaugesAndCountersComeFirst);
+    CPPUNIT_TEST(leavesOutEmptyHistograms);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +51,71 @@
 
     void servesNoOtherPath() { (void)read("/", 404); }
 
+    /// Guards against metrics of a leader that no one sees, since the platform's collector keeps
+    /// only the start of a page.
+    void wholePageOfABusyControlProcessIsKept()
+    {
+        // Every answer that a leader gives to each kind of call.
+        using Result = CallResult;
+        const std::map<CallKind, std::vector<Result>> answers{
+            {CallKind::Submit,
+             {Result::Done, Result::Invalid, Result::NoQueue, Result::Unavailable,
+              Result::Unknown}},
+            {CallKind::Query,
+             {Result::State, Result::Pending, Result::NoJob, Result::NoQueue, Result::Unavailable}},
+            {CallKind::Cancel,
+             {Result::Done, Result::NoJob, Result::NoQueue, Result::Unavailable, Result::Unknown}},
+            {CallKind::ReplaceConfiguration, {Result::Done, Result::Unavailable, Result::Unknown}},
+            {CallKind::ReadConfiguration, {Result::Document, Result::Unavailable}}};
+        // Numbers with as many digits as a long day has.
+        constexpr int times = 12'345;
+        for (int i = 0; i < times; ++i) {
+            for (const auto &[kind, results] : answers) {
+                for (const Result result : results)
+                    m_metrics.answered(kind, result);
+            }
+            m_metrics.roundEnded(std::chrono::microseconds(137 * i + 1));
+            m_metrics.committed(7, std::chrono::microseconds(731 * i + 3),
+                                std::chrono::microseconds(317 * i + 7));
+            m_metrics.bound(std::chrono::microseconds(1373 * i + 9));
+            m_metrics.leadershipChanged();
+        }
+        m_metrics.setLongRunningWaits(123, std::chrono::milliseconds(123'456));
+        const std::string text = read("/metrics", 200);
+        for (const std::string_view name :
+             {"round_seconds_count", "commit_seconds_count", "sync_seconds_count",
+              "ready_to_bound_seconds_count", "commit_commands_count", "leadership_changes_total",
+              "long_running_waits", "log_lines_dropped_total"})
+            CPPUNIT_ASSERT_MESSAGE(std::string(name),
+                                   text.find(fmt::format("\nguavashift_fleet_{} ", name))
+                                       != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", text.size()),
+                               text.size() <= FleetMetrics::maxPageBytes);
+    }
+
+    /// Guards against histograms that push the numbers which matter most off the page.
+    void gaugesAndCountersComeFirst()
+    {
+        m_metrics.roundEnded(std::chrono::milliseconds(1));
+        m_metrics.answered(CallKind::Submit, CallResult::Done);
+        const std::string text = read("/metrics", 200);
+        const std::size_t firstHistogram = text.find(" histogram\n");
+        CPPUNIT_ASSERT(firstHistogram != std::string::npos);
+        CPPUNIT_ASSERT(text.rfind(" gauge\n") < firstHistogram);
+        CPPUNIT_ASSERT(text.rfind(" counter\n") < firstHistogram);
+    }
+
+    /// Guards against pages filled by the histograms of other roles.
+    void leavesOutEmptyHistograms()
+    {
+        m_metrics.endCommitted(std::chrono::milliseconds(3));
+        const std::string text = read("/metrics", 200);
+        CPPUNIT_ASSERT(text.find("guavashift_fleet_agent_end_commit_seconds_count 1\n")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(text.find("guavashift_fleet_commit") == std::string::npos);
+        CPPUNIT_ASSERT(text.find("# HELP") == std::string::npos);
+    }
+
 private:
     [[nodiscard]] std::string read(const std::string &path, int status) const
     {
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -403,10 +403,11 @@
               "guavashift_fleet_entry_waiting 0", "guavashift_fleet_ready_to_bound_seconds_count 3",
               "guavashift_fleet_agent_starts_total{result=\"done\"} 3"})
             CPPUNIT_ASSERT_MESSAGE(std::string(line), hasMetric(line));
-        for (const std::string_view line :
-             {"guavashift_fleet_commit_seconds_count 0", "guavashift_fleet_sync_seconds_count 0",
-              "guavashift_fleet_agent_looks_total 0"})
-            CPPUNIT_ASSERT_MESSAGE(std::string(line), !hasMetric(line));
+        // Empty histograms are not exported, so these must be there and count something.
+        for (const std::string_view name :
+             {"guavashift_fleet_commit_seconds_count", "guavashift_fleet_sync_seconds_count",
+              "guavashift_fleet_round_seconds_count", "guavashift_fleet_agent_looks_total"})
+            CPPUNIT_ASSERT_MESSAGE(std::string(name), metric(name) > 0);
     }
 
 private:
