Serve the other replicas within a round of the event loop

Cause: callers saw late and failed requests of all classes, unready entries, configurations without an answer, and long-running tasks that were not started again while the fleet was busy. A control process read the messages of other replicas, checked its timers and sent heartbeats once per round. A round lasts as long as its events, posted work and decisions together, with little processor time 0.3 to 0.6 s. So followers elected another leader although the first one was well, or the leader lease ran out, and each change of leader added 84 sessions and inventories to the load.

Change: EventLoop runs "urgent work" between two units of work of a round, at most every 25 ms. Control processes use it to read what other replicas have sent, check the replica's timers, store and send. Effects on the job table and on the role are kept until the end of the round, so nothing else is applied in the middle of one; while many entries are applied, replicas are served between them. Whether a leader has applied everything before its term is remembered by term, since leadership may be lost and won again within one round.

Ruled out: ending rounds by elapsed time alone. That gives up the shared sync of a round, and an answer of a follower still waits behind the input of all clients.

--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -72,6 +72,20 @@
     m_timerTimes.erase(found);
 }
 
+void EventLoop::setUrgentWork(Duration interval, Work work)
+{
+    m_urgentInterval = interval;
+    m_urgentWork = std::move(work);
+}
+
+void EventLoop::runUrgentWork()
+{
+    if (!m_urgentWork || BootClock::now() < m_nextUrgentWork)
+        return;
+    m_urgentWork();
+    m_nextUrgentWork = BootClock::now() + m_urgentInterval;
+}
+
 void EventLoop::run()
 {
     for (;;) {
@@ -128,6 +142,7 @@
         if (taken >= m_settings.minEventsPerRound
             && BootClock::now() - start >= m_settings.maxRoundDuration)
             return events;
+        runUrgentWork();
         none = ACE_Time_Value::zero;
         dispatched = m_reactor->handle_events(none);
         events += dispatched > 0 ? 1 : 0;
@@ -151,8 +166,10 @@
         const std::lock_guard lock(m_mutex);
         posted.swap(m_posted);
     }
-    for (const Work &work : posted)
+    for (const Work &work : posted) {
+        runUrgentWork();
         work();
+    }
 }
 
 void EventLoop::runTimers()
@@ -163,6 +180,7 @@
         const Work work = std::move(first->second);
         m_timerTimes.erase(first->first.second);
         m_timers.erase(first);
+        runUrgentWork();
         work();
     }
 }
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -73,6 +73,11 @@
         m_roundObserver = std::move(observer);
     }
 
+    /// Sets `work` to run between two units of work of a round (an event, posted work or a timer)
+    /// whenever it has not run for `interval`. For work with deadlines that a long round would
+    /// miss; it must be short.
+    void setUrgentWork(Duration interval, Work work);
+
     /// Runs until stop().
     void run();
     /// Runs one round: waits for events for at most `maxWait`, dispatches them, then runs posted
@@ -89,6 +94,7 @@
     [[nodiscard]] bool waitForEvent(Duration maxWait);
     /// Dispatches the events that are ready and returns their number.
     std::size_t dispatchEvents();
+    void runUrgentWork();
     void runPosted();
     void runTimers();
     [[nodiscard]] Duration timeUntilNextTimer(Duration maxWait) const;
@@ -105,6 +111,9 @@
     TimerId m_nextTimer = 1;
     std::vector<Work> m_roundEndHandlers;
     std::function<void(const RoundTimes &)> m_roundObserver;
+    Work m_urgentWork;
+    Duration m_urgentInterval = Duration::zero();
+    Instant m_nextUrgentWork;
 };
 
 } // namespace guavashift
--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -203,6 +203,12 @@
     }
 }
 
+void FrameConnection::readAvailable()
+{
+    if (isOpen() && !m_connecting)
+        handle_input(m_handle);
+}
+
 void FrameConnection::dispatchFrames()
 {
     const std::shared_ptr<bool> alive = m_alive;
--- a/Guavashift/Channel/FrameConnection.h
+++ b/Guavashift/Channel/FrameConnection.h
@@ -45,6 +45,9 @@
     void connect(const std::string &address);
 
     void send(std::string_view frame);
+    /// Reads the input that has arrived, without waiting for the loop's next event. Not to be
+    /// called from a handler of this connection.
+    void readAvailable();
     /// Closes without calling onClosed.
     void close();
     [[nodiscard]] bool isOpen() const { return m_handle != ACE_INVALID_HANDLE; }
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -6,6 +6,9 @@
 
 /// Time without contact after which a voter counts as lost and another replica replaces it.
 constexpr Duration voterLostAfter = std::chrono::milliseconds(1500);
+/// Longest time in a round without serving the other replicas, apart from single units of work that
+/// last longer. Well below the heartbeat interval.
+constexpr Duration urgentInterval = std::chrono::milliseconds(25);
 
 ReplicaDriverSettings driverSettings(const FleetSettings &fleet, const ChannelSettings &channel)
 {
@@ -51,7 +54,8 @@
                     if (!leads)
                         m_leader.deactivate();
                     m_link.setEnabled(!leads);
-                }},
+                },
+                [this] { readReplicas(); }},
                seed)
     , m_leader(settings, dispatchSettings(settings.bounds), m_jobTable, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
@@ -67,6 +71,7 @@
     if (Result<void> opened = m_driver.open(); !opened)
         return opened;
     m_loop.addRoundEndHandler([this] { endRound(); });
+    m_loop.setUrgentWork(urgentInterval, [this] { m_driver.serveReplicas(); });
     m_link.setEnabled(true);
     return m_listener.open(m_settings.channelAddress());
 }
@@ -107,6 +112,12 @@
     m_rounds.setCoreTimes(times);
 }
 
+void CoreNode::readReplicas()
+{
+    for (const std::uint64_t id : m_replicaConnections)
+        m_connections.at(id)->readAvailable();
+}
+
 void CoreNode::accept(ACE_HANDLE handle)
 {
     const std::uint64_t id = m_nextConnection++;
@@ -114,6 +125,7 @@
     connection->setHandlers([this, id](std::string_view frame) { received(id, frame); },
                             [this, id](std::string_view) {
                                 m_leader.sessionClosed(id);
+                                m_replicaConnections.erase(id);
                                 m_connections.erase(id);
                             });
     FrameConnection &adopted = *connection;
@@ -132,7 +144,10 @@
             found->second->send(encodeFrame(reply));
     };
     const LeaderReply leader{m_leader.isActive() && m_driver.mayAnswer(), m_driver.leaderAddress()};
-    std::visit(Overloaded{[&](const ReplicaMessages &messages) { m_driver.receive(messages); },
+    std::visit(Overloaded{[&](const ReplicaMessages &messages) {
+                              m_replicaConnections.insert(id);
+                              m_driver.receive(messages);
+                          },
                           [&](const JoinRequest &join) { m_driver.joinRequested(join.member); },
                           [&](const LeaderQuery &) { send(leader); },
                           [&](const OpenSession &request) {
--- a/Guavashift/Fleet/CoreNode.h
+++ b/Guavashift/Fleet/CoreNode.h
@@ -38,6 +38,7 @@
     void received(std::uint64_t id, std::string_view frame);
     void forwardedAnswer(const FleetMessage &message);
     void endRound();
+    void readReplicas();
 
     EventLoop &m_loop;
     FleetSettings m_settings;
@@ -49,6 +50,7 @@
     LeaderLink m_link;
     FrameListener m_listener;
     std::map<std::uint64_t, std::unique_ptr<FrameConnection>> m_connections;
+    std::set<std::uint64_t> m_replicaConnections; ///< Over which other replicas send.
     std::uint64_t m_nextConnection = 1;
     std::map<std::uint64_t, Pending> m_pending;
     std::uint64_t m_nextCall = 1;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -124,14 +124,18 @@
 {
     if (m_stopped || !m_replica)
         return;
-    const Instant now = BootClock::now();
-    m_replica->tick(now);
+    if (BootClock::now() - m_servedReplicasAt >= m_settings.tick)
+        m_observer.readReplicas();
+    m_replica->tick(BootClock::now());
+    applyDeferred();
     proposePending();
     processEffects();
     if (m_stopped)
         return;
+    const Instant now = BootClock::now();
     // Everything committed is applied now, including entries of earlier leaders.
-    m_caughtUp = m_caughtUp || (m_replica->isLeader() && m_replica->hasLease(now));
+    if (m_replica->isLeader() && m_replica->hasLease(now))
+        m_caughtUpTerm = m_replica->term();
     if (m_replica->isLeader() && now >= m_nextPlan) {
         m_nextPlan = now + planInterval;
         planMembership();
@@ -144,9 +148,19 @@
         takeSnapshot();
 }
 
+void ReplicaDriver::serveReplicas()
+{
+    if (m_stopped || !m_replica)
+        return;
+    m_observer.readReplicas();
+    m_replica->tick(BootClock::now());
+    storeAndSend();
+    m_servedReplicasAt = BootClock::now();
+}
+
 bool ReplicaDriver::mayAnswer() const
 {
-    return m_caughtUp && leads() && m_replica->hasLease(BootClock::now());
+    return leads() && m_caughtUpTerm == m_replica->term() && m_replica->hasLease(BootClock::now());
 }
 
 void ReplicaDriver::receive(const ReplicaMessages &messages)
@@ -208,9 +222,18 @@
 }
 
 void ReplicaDriver::processEffects()
+{
+    storeAndSend();
+    do {
+        applyDeferred();
+        storeAndSend();
+    } while (!m_stopped && !m_deferred.empty());
+}
+
+void ReplicaDriver::storeAndSend()
 {
     for (;;) {
-        const std::vector<Effect> effects = m_replica->takeEffects();
+        std::vector<Effect> effects = m_replica->takeEffects();
         if (effects.empty() || m_stopped)
             return;
         // The leader sends entries while its own disk still writes them.
@@ -220,18 +243,33 @@
             return;
         m_replica->synced(BootClock::now());
         sendMessages(effects, true);
-        for (const Effect &effect : effects) {
-            std::visit(
-                Overloaded{[this](const ApplyEntries &committed) {
-                               for (const LogEntry &entry : committed.entries)
-                                   apply(entry);
-                           },
-                           [this](const InstallSnapshot &each) { installSnapshot(each.snapshot); },
-                           [this](const CompareDigest &each) { checkDigest(each.digest); },
-                           [this](const RoleChanged &change) { handleRoleChange(change); },
-                           [](const auto &) {}},
-                effect);
-        }
+        std::move(effects.begin(), effects.end(), std::back_inserter(m_deferred));
+    }
+}
+
+void ReplicaDriver::applyDeferred()
+{
+    while (!m_deferred.empty() && !m_stopped) {
+        const Effect effect = std::move(m_deferred.front());
+        m_deferred.pop_front();
+        std::visit(
+            Overloaded{[this](const ApplyEntries &committed) { applyAll(committed.entries); },
+                       [this](const InstallSnapshot &each) { installSnapshot(each.snapshot); },
+                       [this](const CompareDigest &each) { checkDigest(each.digest); },
+                       [this](const RoleChanged &change) { handleRoleChange(change); },
+                       [](const auto &) {}},
+            effect);
+    }
+}
+
+void ReplicaDriver::applyAll(std::span<const LogEntry> entries)
+{
+    for (const LogEntry &entry : entries) {
+        apply(entry);
+        if (BootClock::now() - m_servedReplicasAt >= m_settings.tick)
+            serveReplicas();
+        if (m_stopped)
+            return;
     }
 }
 
@@ -439,7 +477,6 @@
         return;
     m_wasLeader = leadsNow;
     m_metrics.leadershipChanged();
-    m_caughtUp = false;
     if (!leadsNow)
         failWaiters();
     m_observer.roleChanged(leadsNow);
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -6,6 +6,8 @@
 #include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/FleetSettings.h>
 
+#include <deque>
+
 namespace guavashift {
 
 struct ReplicaDriverSettings
@@ -41,6 +43,8 @@
     {
         std::function<void(const StageCommand &, const StageOutcome &)> applied;
         std::function<void(bool leads)> roleChanged;
+        /// Reads the messages of other replicas that have arrived and passes them to receive().
+        std::function<void()> readReplicas;
     };
 
     ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
@@ -62,6 +66,12 @@
     /// To be called at the end of each round of the loop.
     void endRound();
 
+    /// Does the work that other replicas wait for: reads their messages, checks the timers, stores
+    /// and answers. Called by the driver itself while it applies entries, and to be called at least
+    /// every `tick` while a round lasts, since a leader that sends no heartbeats and a voter that
+    /// reads none cause an election.
+    void serveReplicas();
+
     [[nodiscard]] bool leads() const { return m_replica && m_replica->isLeader() && !m_stopped; }
     /// Whether this replica leads, holds the leader lease and has applied all entries of earlier
     /// leaders, so that it may answer from its own state without asking other replicas.
@@ -113,6 +123,11 @@
     void scheduleTick();
     void proposePending();
     void processEffects();
+    /// Stores and sends what the replica asks for. What changes the job table or the role is left
+    /// to applyDeferred().
+    void storeAndSend();
+    void applyDeferred();
+    void applyAll(std::span<const LogEntry> entries);
     void storeAll(const std::vector<Effect> &effects);
     void stopOnError(const Result<void> &stored);
     void sendMessages(const std::vector<Effect> &effects, bool afterSync);
@@ -140,7 +155,11 @@
     std::unique_ptr<Replica> m_replica;
     bool m_stopped = false; ///< After a disk fault or a digest mismatch. Permanent.
     bool m_wasLeader = false;
-    bool m_caughtUp = false; ///< Leads and has applied everything that earlier leaders committed.
+    /// Latest term in which this replica led and had applied everything that earlier leaders had
+    /// committed.
+    Term m_caughtUpTerm = 0;
+    std::deque<Effect> m_deferred; ///< Effects on the job table and the role, in order.
+    Instant m_servedReplicasAt;
     std::map<std::string, Peer> m_peers; ///< By address.
     std::map<ReplicaId, std::string> m_reportedAddresses;
     std::vector<Proposal> m_proposals;
--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(inputThatIsReadySharesOneRound);
     CPPUNIT_TEST(slowInputStillSharesRounds);
     CPPUNIT_TEST(continuousInputDoesNotProlongTheRound);
+    CPPUNIT_TEST(runsUrgentWorkWithinARound);
     CPPUNIT_TEST(measuresEachPartOfARound);
     CPPUNIT_TEST(measuresNoWait);
     CPPUNIT_TEST_SUITE_END();
@@ -129,6 +130,15 @@
         CPPUNIT_ASSERT(times.total() < wait);
     }
 
+    /// Guards against heartbeats that wait until all events of a round are handled.
+    void runsUrgentWorkWithinARound()
+    {
+        int urgent = 0;
+        m_loop->setUrgentWork(Duration::zero(), [&] { ++urgent; });
+        assertOneRoundForAllFrames();
+        CPPUNIT_ASSERT(urgent >= static_cast<int>(connections) - 1);
+    }
+
 private:
     void open(const EventLoopSettings &settings)
     {
