Limit the time that a round spends on events and on posted work

Cause: callers saw long-running tasks that started late on a busy leader that kept its leadership. A round ran all posted work, and 64 events however long each took, before the round-end handlers committed, decided and sent orders. A restart takes four such steps, so with rounds of a second it took 3.4 s where a task without a run for 3 s counts as lost.

Change: a round spends at most 50 ms on events and 50 ms on posted work, at least one of each. The rest follows in the next round, in order.

Ruled out: a limit of 10 ms, which would give each frame its own sync where the machine withholds the processor; the existing limit of 10 ms after 64 events stays.

--- a/Guavashift/Channel/EventLoop.cpp
+++ b/Guavashift/Channel/EventLoop.cpp
@@ -100,7 +100,7 @@
 
 void EventLoop::runOnce(Duration maxWait)
 {
-    const bool isReady = waitForEvent(timeUntilNextTimer(maxWait));
+    const bool isReady = waitForEvent(hasPosted() ? Duration::zero() : timeUntilNextTimer(maxWait));
     RoundTimes times;
     const Duration processorBefore = processorTime();
     Instant partBegan = BootClock::now();
@@ -139,8 +139,9 @@
     std::size_t events = dispatched > 0 ? 1 : 0;
     const Instant start = BootClock::now();
     for (std::size_t taken = 1; dispatched > 0 && taken < m_settings.maxEventsPerRound; ++taken) {
-        if (taken >= m_settings.minEventsPerRound
-            && BootClock::now() - start >= m_settings.maxRoundDuration)
+        const Duration passed = BootClock::now() - start;
+        if (passed >= m_settings.maxPartDuration
+            || (taken >= m_settings.minEventsPerRound && passed >= m_settings.maxRoundDuration))
             return events;
         runUrgentWork();
         none = ACE_Time_Value::zero;
@@ -159,6 +160,12 @@
     m_reactor->notify(m_wakeupHandler.get());
 }
 
+bool EventLoop::hasPosted()
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_posted.empty();
+}
+
 void EventLoop::runPosted()
 {
     std::deque<Work> posted;
@@ -166,10 +173,19 @@
         const std::lock_guard lock(m_mutex);
         posted.swap(m_posted);
     }
-    for (const Work &work : posted) {
+    const Instant start = BootClock::now();
+    while (!posted.empty()) {
         runUrgentWork();
-        work();
+        posted.front()();
+        posted.pop_front();
+        if (BootClock::now() - start >= m_settings.maxPartDuration)
+            break;
     }
+    if (posted.empty())
+        return;
+    const std::lock_guard lock(m_mutex);
+    std::move(m_posted.begin(), m_posted.end(), std::back_inserter(posted));
+    m_posted.swap(posted);
 }
 
 void EventLoop::runTimers()
--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -24,6 +24,10 @@
     /// thread gets no processor time.
     Duration maxRoundDuration = std::chrono::milliseconds(10);
     std::size_t minEventsPerRound = 64;
+    /// Longest time that a round spends on events, and again on posted work, however few it has
+    /// run by then. The rest follows in the next round, so that the round-end handlers are not
+    /// delayed by the sum of all that waits.
+    Duration maxPartDuration = std::chrono::milliseconds(50);
 };
 
 /// Durations of one round and its parts, without the wait for its first event.
@@ -95,6 +99,7 @@
     /// Dispatches the events that are ready and returns their number.
     std::size_t dispatchEvents();
     void runUrgentWork();
+    [[nodiscard]] bool hasPosted();
     void runPosted();
     void runTimers();
     [[nodiscard]] Duration timeUntilNextTimer(Duration maxWait) const;
--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(slowInputStillSharesRounds);
     CPPUNIT_TEST(continuousInputDoesNotProlongTheRound);
     CPPUNIT_TEST(runsUrgentWorkWithinARound);
+    CPPUNIT_TEST(postedWorkDoesNotProlongTheRound);
     CPPUNIT_TEST(measuresEachPartOfARound);
     CPPUNIT_TEST(measuresNoWait);
     CPPUNIT_TEST_SUITE_END();
@@ -139,6 +140,23 @@
         CPPUNIT_ASSERT(urgent >= static_cast<int>(connections) - 1);
     }
 
+    /// Guards against commits that wait until all work that other threads have posted is done.
+    void postedWorkDoesNotProlongTheRound()
+    {
+        EventLoopSettings settings{256};
+        settings.maxPartDuration = Duration::zero();
+        m_loop.reset();
+        open(settings);
+        std::vector<int> order;
+        for (int i = 0; i < 3; ++i)
+            m_loop->post([&order, i] { order.push_back(i); });
+        // Work that is left over does not wait for an event.
+        while (order.size() < 3)
+            m_loop->runOnce(std::chrono::hours(1));
+        CPPUNIT_ASSERT_EQUAL(3, m_rounds);
+        CPPUNIT_ASSERT((std::vector<int>{0, 1, 2} == order));
+    }
+
 private:
     void open(const EventLoopSettings &settings)
     {
