Acknowledge no ends while leadership is being handed over

Cause: a leader told agents that ends of runs were committed although it could not append them. While a transfer of leadership is pending, commands fail, but a proposal without commands was answered as committed as soon as the log's last entry was applied. That reached agents when 1,024 commands had filled the entry before it, or when a later report needed no command. Their workers forgot the ends, and the next leader settles such runs as not started: a done task runs again, a failure does not count.

Change: a proposal without commands fails as well while a transfer is pending. The agent's next session lists the ends again.

--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -79,6 +79,8 @@
 
     [[nodiscard]] ReplicaRole role() const { return m_role; }
     [[nodiscard]] bool isLeader() const { return m_role == ReplicaRole::Leader; }
+    /// Whether this leader hands its leadership over and therefore appends nothing.
+    [[nodiscard]] bool isTransferring() const { return isLeader() && m_transferDeadline; }
     [[nodiscard]] Term term() const { return m_hardState.term; }
     [[nodiscard]] const HardState &hardState() const { return m_hardState; }
     [[nodiscard]] const ReplicaId &id() const { return m_self; }
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -204,7 +204,8 @@
         } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry);
         // Without commands, the proposal is done once everything proposed before it is committed.
         const bool isEmpty = batch.commands.empty();
-        const Result<LogIndex> index = isEmpty && leads()
+        // During a transfer it fails, since commands proposed before may have failed too.
+        const Result<LogIndex> index = isEmpty && leads() && !m_replica->isTransferring()
             ? Result<LogIndex>(m_replica->log().lastIndex())
             : m_replica->propose(BootClock::now(), batch.encode());
         if (index && !isEmpty)
