Let the lease of a worker end whose polls fail

Cause: a task stays bound to a worker that does not answer its agent, or answers with errors, for as long as the agent has a session with the leader: callers see a long-running task that ended and is not started again, with a stable leader and capacity elsewhere. Each poll carries a lease end on the worker's clock, and the agent counts the lease from the last one that it sent, since the poll may have been carried out. While the leader renews, that time is never reached, so the agent never reports the worker as unreachable and the leader settles none of its runs.

Change: after a failed poll the next ones extend nothing, and ask for an answer at once, until one succeeds. Then nothing runs on the worker when its last lease has ended, which the agent reports. A worker whose polls fail with errors gets no starts either, as one without an answer.

Ruled out: forgetting unanswered extensions at once, since such a poll may have been carried out and a second run would then overlap the first.

Price: a worker that carries out polls for a whole lease (4.5 s) but answers none of them loses its runs.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -213,7 +213,9 @@
         const bool throttles = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &each) {
             return each.second.traits.bestEffort;
         });
-        poll(throttles ? m_agent.throttledPollWait : m_agent.pollWait);
+        // The lease is not extended again before a poll succeeds.
+        const Duration wait = throttles ? m_agent.throttledPollWait : m_agent.pollWait;
+        poll(m_answersPolls ? wait : Duration::zero());
     });
 }
 
@@ -228,7 +230,9 @@
     request.worker = m_facts->lifetime.worker;
     request.fence = fence();
     request.seenUpTo = m_committedUpTo;
-    request.untilMs = m_lease.untilMs(now);
+    // A failed poll may have been carried out. Extending the lease with each of them would put off
+    // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
+    request.untilMs = m_answersPolls ? m_lease.untilMs(now) : 0;
     request.wait = wait;
     ++m_openPolls;
     m_metrics.polled();
@@ -243,7 +247,8 @@
     const Instant now = BootClock::now();
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
-    m_answersPolls = reply.result != WorkerCallResult::NoAnswer;
+    m_answersPolls = reply.result == WorkerCallResult::Done
+        || reply.result == WorkerCallResult::FencedOff;
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -125,7 +125,7 @@
     std::optional<WorkerFacts> m_facts;
     std::uint64_t m_sequence = 0;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
-    bool m_answersPolls = true; ///< The last poll was answered.
+    bool m_answersPolls = true; ///< The last poll did not fail.
     LeaseClock m_lease;
     std::uint64_t m_listedUpTo = 0;              ///< Ends sent to the leader in this session.
     std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -69,8 +69,8 @@
 void FakeWorker::poll(const PollRequest &request, Callback callback)
 {
     ++m_polls;
-    if (m_isSilent)
-        return leaveUnanswered(callback);
+    if (m_failsWith)
+        return fail(callback);
     const Instant now = BootClock::now();
     if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_polledAt != Instant()) {
         const Duration since = now - m_polledAt;
@@ -108,16 +108,18 @@
     });
 }
 
-void FakeWorker::leaveUnanswered(const Callback &callback)
+void FakeWorker::fail(const Callback &callback)
 {
-    constexpr Duration callTimeout = std::chrono::milliseconds(50);
-    m_loop.after(callTimeout, [callback] { callback(WorkerReply{}); });
+    constexpr Duration delay = std::chrono::milliseconds(50);
+    WorkerReply failed;
+    failed.result = *m_failsWith;
+    m_loop.after(delay, [callback, failed] { callback(failed); });
 }
 
 void FakeWorker::start(const StartRequest &request, Callback callback)
 {
-    if (m_isSilent)
-        return leaveUnanswered(callback);
+    if (m_failsWith)
+        return fail(callback);
     if (m_startsToDrop > 0) {
         --m_startsToDrop;
         return callback(WorkerReply{});
@@ -141,8 +143,8 @@
 
 void FakeWorker::stop(const StopRequest &request, Callback callback)
 {
-    if (m_isSilent)
-        return leaveUnanswered(callback);
+    if (m_failsWith)
+        return fail(callback);
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     const Key key{request.order.task, request.order.run};
@@ -154,8 +156,8 @@
 
 void FakeWorker::throttle(const ThrottleRequest &request, Callback callback)
 {
-    if (m_isSilent)
-        return leaveUnanswered(callback);
+    if (m_failsWith)
+        return fail(callback);
     callback(
         reply(acceptFence(request.fence) ? WorkerCallResult::Done : WorkerCallResult::FencedOff));
 }
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -19,8 +19,8 @@
     void setTaskTime(Duration time) { m_taskTime = time; }
     /// Sets whether polls get no answer. Starts are still carried out.
     void ignorePolls(bool ignore) { m_ignoresPolls = ignore; }
-    /// Makes all calls from now on get no answer. None is carried out.
-    void setSilent() { m_isSilent = true; }
+    /// Makes all calls from now on get this result. None is carried out.
+    void failAll(WorkerCallResult result) { m_failsWith = result; }
     /// Ends all runs with this result.
     void finishAll(RunEnd result = RunEnd::Done);
     [[nodiscard]] WorkerFacts facts() const;
@@ -48,7 +48,7 @@
     [[nodiscard]] std::int64_t clockMs() const;
     [[nodiscard]] WorkerReply reply(WorkerCallResult result) const;
     bool acceptFence(std::uint64_t fence);
-    void leaveUnanswered(const Callback &callback);
+    void fail(const Callback &callback);
     /// Answers a poll once an end is listed or its wait is over.
     void answerPoll(Instant waitsUntil, const Callback &callback);
     void end(const Key &key, RunEnd result);
@@ -61,7 +61,7 @@
     Duration m_taskTime = std::chrono::milliseconds(50);
     int m_startsToDrop = 0;
     bool m_ignoresPolls = false;
-    bool m_isSilent = false;
+    std::optional<WorkerCallResult> m_failsWith;
     std::uint64_t m_fence = 0;
     std::int64_t m_untilMs = 0;
     std::uint64_t m_ends = 0;
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(reportsNoLostEndsOfFullEntryAsCommitted);
     CPPUNIT_TEST(reportsNoEndLostEarlierAsCommitted);
     CPPUNIT_TEST(restartsTasksOfSilentWorker);
+    CPPUNIT_TEST(restartsTasksOfUnhealthyWorker);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(logsWhyLeadershipChanged);
     CPPUNIT_TEST(logsSlowRounds);
@@ -333,15 +334,10 @@
 
     /// Guards against tasks that stay bound to a worker that answers nothing any more, while its
     /// agent has a session: each unanswered poll moved the time after which nothing runs there.
-    void restartsTasksOfSilentWorker()
-    {
-        for (const auto &worker : m_workers)
-            worker->setTaskTime(std::chrono::hours(1));
-        submit("j", planOf(1));
-        until([this] { return running() == 1; });
-        m_workers[m_workers[0]->running() == 1 ? 0 : 1]->setSilent();
-        until([this] { return totalStarts() == 2; });
-    }
+    void restartsTasksOfSilentWorker() { assertRestartsElsewhere(WorkerCallResult::NoAnswer); }
+
+    /// Guards against the same for a worker that answers all calls with an error.
+    void restartsTasksOfUnhealthyWorker() { assertRestartsElsewhere(WorkerCallResult::Unhealthy); }
 
     void logsTimesOfBinding()
     {
@@ -448,6 +444,17 @@
     }
 
 private:
+    /// Lets all calls to the worker of a task fail, and waits until the task starts elsewhere.
+    void assertRestartsElsewhere(WorkerCallResult result)
+    {
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        submit("j", planOf(1));
+        until([this] { return running() == 1; });
+        m_workers[m_workers[0]->running() == 1 ? 0 : 1]->failAll(result);
+        until([this] { return totalStarts() == 2; });
+    }
+
     void stopLeader()
     {
         for (auto &core : m_cores) {
