--- a/Guavashift/Channel/EventLoop.h
+++ b/Guavashift/Channel/EventLoop.h
@@ -24,6 +24,10 @@
     /// thread gets no processor time.
     Duration maxRoundDuration = std::chrono::milliseconds(10);
     std::size_t minEventsPerRound = 64;
+    /// Longest time that a round spends on events, and again on posted work, however few it has
+    /// run by then. The rest follows in the next round, so that the round-end handlers are not
+    /// delayed by the sum of all that waits.
+    Duration maxPartDuration = std::chrono::milliseconds(50);
 };
 
 /// Durations of one round and its parts, without the wait for its first event.
@@ -73,6 +77,11 @@
         m_roundObserver = std::move(observer);
     }
 
+    /// Sets `work` to run between two units of work of a round (an event, posted work or a timer)
+    /// whenever it has not run for `interval`. For work with deadlines that a long round would
+    /// miss; it must be short.
+    void setUrgentWork(Duration interval, Work work);
+
     /// Runs until stop().
     void run();
     /// Runs one round: waits for events for at most `maxWait`, dispatches them, then runs posted
@@ -89,6 +98,8 @@
     [[nodiscard]] bool waitForEvent(Duration maxWait);
     /// Dispatches the events that are ready and returns their number.
     std::size_t dispatchEvents();
+    void runUrgentWork();
+    [[nodiscard]] bool hasPosted();
     void runPosted();
     void runTimers();
     [[nodiscard]] Duration timeUntilNextTimer(Duration maxWait) const;
@@ -105,6 +116,9 @@
     TimerId m_nextTimer = 1;
     std::vector<Work> m_roundEndHandlers;
     std::function<void(const RoundTimes &)> m_roundObserver;
+    Work m_urgentWork;
+    Duration m_urgentInterval = Duration::zero();
+    Instant m_nextUrgentWork;
 };
 
 } // namespace guavashift
