--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -247,8 +247,8 @@
     const Instant now = BootClock::now();
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
-    m_answersPolls = reply.result == WorkerCallResult::Done
-        || reply.result == WorkerCallResult::FencedOff;
+    m_answersPolls =
+        reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff;
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
