Hold workers for long-running tasks that find no room

Cause: short tasks are spread over all workers by the capacity that is left, and each end of one is answered by the next one that fits. Nothing was kept for a larger task, so no worker ever had room for it once the room of its last run was gone.

Change: a long-running task that finds no worker holds one for the rest of the placement round: one that only lacks capacity for it (service, label, spread limit, lease, draining and suspicion are respected), on which it fits beside the long-running runs, and of these the one that lacks least. A held worker takes best-effort tasks only, and none that reserves memory or accelerators which the waiting task lacks. Its short tasks end, and none follow, so the room grows until the task fits. Nothing is kept between rounds: what holds a worker is derived from the queue and the pool.

Each waiting task of a step holds a worker of its own. The tasks of a lost worker wait together; with one worker held for a step they would start one after the other, each after another generation of short tasks.

A round holds at most one sixteenth of a service's workers, at least one. Once no worker is found to hold for a task, the round searches none for the other tasks of its step; waiting short tasks cause no search. Gangs hold nothing: they need several workers at once.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -98,6 +98,7 @@
     placed.size = step.size;
     placed.bestEffort = step.bestEffort;
     placed.latencyCritical = step.tailTargetMs > 0;
+    placed.longRunning = step.longRunning;
     placed.image = step.image;
     placed.tailTargetMs = static_cast<double>(step.tailTargetMs);
     return placed;
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
-#include <Guavashift/Dispatch/WorkerPool.h>
 
 #include <set>
 
@@ -42,6 +42,9 @@
     Duration placementPausePerCandidate = std::chrono::microseconds(5);
     /// Upper limit of that pause.
     Duration maxPlacementPause = std::chrono::milliseconds(60);
+    /// Share of a service's workers, and at least one of them, that a placement round may hold for
+    /// long-running tasks that found no room.
+    double maxHeldShare = 1.0 / 16;
     /// Interval at which the reasons why steps wait are logged.
     Duration waitLogInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
@@ -177,9 +180,13 @@
     [[nodiscard]] bool isRunning(const TaskRef &ref) const;
     void placeReady(Instant now, WallMs wallNow);
     [[nodiscard]] std::vector<ReadyTask> schedulingOrder(WallMs wallNow) const;
-    bool placeTask(const ReadyTask &ready, Instant now);
-    bool placeGang(const ReadyTask &ready, Instant now);
-    [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now);
+    bool placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held);
+    bool placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held);
+    [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
+                                           const HeldWorkers &held);
+    /// Holds the worker that lacks least for a long-running task that found no room. Returns
+    /// whether there is one.
+    bool holdWorker(const StageJob &job, const TaskRef &ref, Instant now, HeldWorkers &held) const;
     /// Why the worker may not run the task now, if it may not.
     [[nodiscard]] std::optional<Exclusion> exclusionOf(const PoolWorker &worker,
                                                        const QueueSettings &queue,
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -6,6 +6,28 @@
 
 namespace guavashift {
 
+namespace {
+
+/// Whether a worker that is held for a task of the step would come to have room for it. A gang
+/// needs several at once, and a best-effort task reserves no processors that could become free.
+bool canHoldFor(const StepPlan &step)
+{
+    return step.longRunning && !step.gang && !step.bestEffort;
+}
+
+/// Least share of the resources in `size` that is available.
+double availableShare(const Resources &available, const Resources &size)
+{
+    double share = 1;
+    for (const auto part : {&Resources::milliCores, &Resources::memoryMb, &Resources::accelerators})
+        if (size.*part > 0)
+            share = std::min(
+                share, static_cast<double>(available.*part) / static_cast<double>(size.*part));
+    return share;
+}
+
+} // namespace
+
 std::vector<ReadyTask> Dispatcher::schedulingOrder(WallMs wallNow) const
 {
     // Within a priority, tasks that can meet their objective come first, then those that are late
@@ -36,20 +58,30 @@
     if (now < m_nextPlacement)
         return;
     std::size_t candidates = m_ready.size();
-    // Tasks of one step are alike: once one finds no worker, the others are skipped in this round.
-    std::set<std::pair<std::string, std::uint32_t>> blockedShapes;
+    HeldWorkers held(m_pool.workers(), m_settings.maxHeldShare);
+    // Tasks of one step are alike: once one finds no worker, no worker is searched for the others
+    // in this round. The value tells whether one may still be held for them.
+    std::map<std::pair<std::string, std::uint32_t>, bool> blockedShapes;
     for (const ReadyTask &each : schedulingOrder(wallNow)) {
         const std::pair<std::string, std::uint32_t> shape{each.task.job, each.task.step};
-        if (blockedShapes.contains(shape) || !m_readyByTask.contains(each.task))
+        auto blocked = blockedShapes.find(shape);
+        if ((blocked != blockedShapes.end() && !blocked->second)
+            || !m_readyByTask.contains(each.task))
             continue;
         candidates += m_pool.workers().size();
         const StageJob &job = *m_jobTable.find(each.task.job);
-        const bool placed =
-            job.plan.steps[each.task.step].gang ? placeGang(each, now) : placeTask(each, now);
-        if (placed)
-            continue;
-        if (blockedShapes.insert(shape).second && now >= m_nextWaitLog)
-            logWaiting(job, each);
+        const StepPlan &step = job.plan.steps[each.task.step];
+        if (blocked == blockedShapes.end()) {
+            if (step.gang ? placeGang(each, now, held) : placeTask(each, now, held))
+                continue;
+            if (now >= m_nextWaitLog)
+                logWaiting(job, each);
+            blocked = blockedShapes.emplace(shape, canHoldFor(step)).first;
+        }
+        // One worker for each waiting task: those of a lost worker wait together, and would
+        // otherwise start one after the other, each when short tasks have ended.
+        if (blocked->second)
+            blocked->second = holdWorker(job, each.task, now, held);
     }
     if (now >= m_nextWaitLog)
         m_nextWaitLog = now + m_settings.waitLogInterval;
@@ -86,10 +118,10 @@
               {"best_speed", bestSpeed}});
 }
 
-bool Dispatcher::placeTask(const ReadyTask &ready, Instant now)
+bool Dispatcher::placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held)
 {
     const StageJob &job = *m_jobTable.find(ready.task.job);
-    PoolWorker *worker = chooseWorker(job, ready.task, now);
+    PoolWorker *worker = chooseWorker(job, ready.task, now, held);
     if (worker == nullptr)
         return false;
     const StageTask *task = m_jobTable.find(ready.task);
@@ -97,7 +129,7 @@
     return true;
 }
 
-bool Dispatcher::placeGang(const ReadyTask &ready, Instant now)
+bool Dispatcher::placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held)
 {
     const StageJob &job = *m_jobTable.find(ready.task.job);
     const std::uint32_t members = job.plan.steps[ready.task.step].tasks;
@@ -115,7 +147,7 @@
     }
     const std::size_t commandsBefore = m_commands.size();
     for (const TaskRef &ref : refs) {
-        PoolWorker *worker = chooseWorker(job, ref, now);
+        PoolWorker *worker = chooseWorker(job, ref, now, held);
         if (worker != nullptr) {
             bind(ref, run + 1, *worker, now);
             continue;
@@ -261,6 +293,7 @@
     if (now < m_nextMoves)
         return;
     m_nextMoves = now + m_settings.moveInterval;
+    const HeldWorkers noneHeld(m_pool.workers(), m_settings.maxHeldShare);
     for (const auto &[lifetime, known] : m_pool.workers()) {
         if (known.node.empty() || known.unreachable)
             continue;
@@ -274,7 +307,7 @@
                 || currentSpeed(worker, run) >= m_settings.moveBelowSpeed
                 || !allowsDisruption(*job, task))
                 continue;
-            const PoolWorker *better = chooseWorker(*job, task, now);
+            const PoolWorker *better = chooseWorker(*job, task, now, noneHeld);
             if (better == nullptr || better == &worker
                 || predictedSpeed(*better, job->plan.steps[task.step])
                     < m_settings.minSpeedAfterMove)
@@ -326,14 +359,15 @@
     return score;
 }
 
-PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now)
+PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
+                                     const HeldWorkers &held)
 {
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const StepPlan &step = job.plan.steps[ref.step];
     PoolWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (exclusionOf(worker, queue, step, ref, now))
+        if (!held.allows(worker, step) || exclusionOf(worker, queue, step, ref, now))
             continue;
         const double score = scoreOf(worker, step);
         if (best == nullptr || score > bestScore) {
@@ -344,4 +378,31 @@
     return best;
 }
 
+bool Dispatcher::holdWorker(const StageJob &job, const TaskRef &ref, Instant now,
+                            HeldWorkers &held) const
+{
+    const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
+    const StepPlan &step = job.plan.steps[ref.step];
+    if (!held.mayHold(queue.service))
+        return false;
+    const PoolWorker *best = nullptr;
+    double bestShare = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        // Only other runs than long-running ones make room by themselves.
+        if (held.contains(worker)
+            || !step.size.fitsWithin(worker.facts.capacity - worker.longRunning)
+            || exclusionOf(worker, queue, step, ref, now) != Exclusion::Capacity)
+            continue;
+        const double share = availableShare(worker.available(), step.size);
+        if (best == nullptr || share > bestShare) {
+            best = &worker;
+            bestShare = share;
+        }
+    }
+    if (best == nullptr)
+        return false;
+    held.hold(*best, step.size);
+    return true;
+}
+
 } // namespace guavashift
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -96,6 +96,8 @@
         worker.bestEffortMilliCores += run.size.milliCores;
     if (run.latencyCritical)
         worker.latencyCriticalMilliCores += run.size.milliCores;
+    if (run.longRunning)
+        worker.longRunning += reservationOf(run);
     const TaskRef task = run.task;
     const bool added = worker.runs.emplace(task, std::move(run)).second;
     GUAVASHIFT_CHECK(added);
@@ -116,6 +118,8 @@
         worker->bestEffortMilliCores -= run.size.milliCores;
     if (run.latencyCritical)
         worker->latencyCriticalMilliCores -= run.size.milliCores;
+    if (run.longRunning)
+        worker->longRunning -= reservationOf(run);
     worker->runs.erase(found);
 }
 
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -16,6 +16,7 @@
     Resources size;
     bool bestEffort = false;
     bool latencyCritical = false;
+    bool longRunning = false;
     bool committed = false;
     bool stopRequested = false;
     Instant boundAt;
@@ -48,6 +49,7 @@
     Resources reserved; ///< By all placed runs, without the processor share of best-effort ones.
     std::int64_t bestEffortMilliCores = 0;      ///< That best-effort tasks would use at full speed.
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
+    Resources longRunning;                      ///< Part of `reserved`, by long-running tasks.
     std::map<TaskRef, PlacedRun> runs;
     BestEffortActivity activity;                   ///< Of the best-effort tasks in its last report.
     Instant activityAt;                            ///< Time of that report.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
     CPPUNIT_TEST(restartsLongRunningTaskInTheRoomItHad);
     CPPUNIT_TEST(placesLongRunningTaskAmongSteadyShortTasks);
+    CPPUNIT_TEST(holdsFewWorkersForLongRunningTasks);
+    CPPUNIT_TEST(heldWorkerKeepsWhatTheWaitingTaskLacks);
     CPPUNIT_TEST(endsJobsWithoutAnAttemptLeft);
     CPPUNIT_TEST(countsWhyNoWorkerTakesAWaitingLongRunningTask);
     CPPUNIT_TEST(namesABoundLongRunningTaskThatIsNotListed);
@@ -607,6 +609,64 @@
         CPPUNIT_ASSERT_MESSAGE(waited, boundAt && *boundAt - leavesAt <= longestWaitMs);
     }
 
+    /// Capacity held for waiting long-running tasks stays unused: were it held without a limit, ten
+    /// of them would keep short tasks from ten workers of 32, though these have room.
+    void holdsFewWorkersForLongRunningTasks()
+    {
+        constexpr std::uint32_t workers = 32;
+        constexpr std::uint32_t heldAtMost = 2; // One sixteenth.
+        for (std::uint32_t i = 0; i < workers; ++i)
+            m_dispatcher->workerReported(fmt::format("n{}", i), worker(fmt::format("w{}", i)),
+                                         at(0));
+        accept("first", plan(workers, 10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{workers}, decideAndCommit(1));
+        accept("lasting", longRunningPlan(10, 60'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(100));
+        // Five more of these fit beside the first on each worker that is not held.
+        accept("short", plan(5 * workers, 10'000), 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5} * (workers - heldAtMost), decideAndCommit(200));
+        std::map<std::string, std::uint32_t> runs;
+        for (std::uint32_t t = 0; t < 5 * workers; ++t) {
+            const StageTask *task = m_jobTable->find({"short", 0, 0, t});
+            if (task->stage == TaskStage::Bound)
+                ++runs[task->lifetime.worker];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{workers - heldAtMost}, runs.size());
+        // Each held worker takes a waiting task as soon as it has room.
+        for (std::uint32_t t = 0; t < workers; ++t) {
+            const TaskRef first{"first", 0, 0, t};
+            if (!runs.contains(m_jobTable->find(first)->lifetime.worker))
+                end(first, 1, RunEnd::Done, 300);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{heldAtMost}, decideAndCommit(400));
+        CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"lasting", 0, 0, 0})->stage);
+        CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"lasting", 0, 0, 1})->stage);
+    }
+
+    /// Best-effort tasks reserve memory: those that took it on a held worker would keep the
+    /// long-running task out for longer, while the others need not leave its processors idle.
+    void heldWorkerKeepsWhatTheWaitingTaskLacks()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("first", plan(1, 10'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        JobPlan lasting = longRunningPlan(1, 60'000);
+        lasting.steps[0].size.memoryMb = 99'000;
+        accept("lasting", lasting);
+        JobPlan bestEffort = plan(1, 2000);
+        bestEffort.steps[0].bestEffort = true;
+        accept("small", bestEffort, 100);
+        bestEffort.steps[0].size.memoryMb = 5000;
+        accept("large", bestEffort, 100);
+        accept("short", plan(1, 1000), 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(100));
+        CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"small", 0, 0, 0})->stage);
+        end({"first", 0, 0, 0}, 1, RunEnd::Done, 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(300));
+        CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"lasting", 0, 0, 0})->stage);
+        CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"short", 0, 0, 0})->stage);
+    }
+
     /// A configuration that lowers the number of attempts left tasks waiting that may not start any
     /// more: their jobs never ended, and the leader proposed them again in each round.
     void endsJobsWithoutAnAttemptLeft()
