End jobs whose tasks have no attempt left

Callers would see a job that stays active forever: a new configuration that lowers the number of attempts may leave a task waiting that has already failed as often as it now may.

Cause: the job table ends a job only at the end of a failed run. It refused to start the task, so no run followed whose end could end the job, and the leader proposed the task again in each placement round, through the log and the disks of all replicas.

Change: the refusal ends the job as failed. It happens while the command is applied and depends on replicated state only, so all replicas that run this version do the same. When a start is refused because its job does not run (any more), the dispatcher takes the job's other tasks out of the queue and orders its runs to stop, as after a cancellation: the plan of an ended job is discarded, and placement reads it.

Measured: the job ends at the first refused start.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -159,6 +159,9 @@
     void enqueueReadySteps(const std::string &id, const StageJob &job);
     void jobAccepted(const std::string &id);
     void runBound(const StartRun &start, Instant now);
+    /// Takes a binding back that the job table refused. If the job has ended, none of its other
+    /// tasks may stay in the queue: the plan of an ended job is discarded.
+    void startNotApplied(const StartRun &start);
     void runEnded(const EndRun &end, Instant now);
     /// Releases a run whose end changed nothing in the job table, because the table had settled it
     /// before: the first end in a gang settles all its members.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -39,7 +39,7 @@
                               if (outcome.applied)
                                   runBound(start, now);
                               else
-                                  proposalLost(command);
+                                  startNotApplied(start);
                           },
                           [&](const EndRun &end) {
                               m_endsProposed.erase({end.task, end.run});
@@ -90,6 +90,14 @@
                                      {}});
 }
 
+void Dispatcher::startNotApplied(const StartRun &start)
+{
+    proposalLost(start);
+    const StageJob *job = m_jobTable.find(start.task.job);
+    if (job == nullptr || !job->isActive())
+        withdraw(start.task.job);
+}
+
 void Dispatcher::releaseSettled(const EndRun &end)
 {
     const auto placed = m_placed.find(end.task);
--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -139,8 +139,13 @@
         return {false, "the task is bound or done"};
     if (command.run <= task.run)
         return {false, "the run is not newer"};
-    if (!job.plan.steps[ref.step].longRunning && task.failures >= queueSettingsOf(job).maxAttempts)
+    if (!job.plan.steps[ref.step].longRunning
+        && task.failures >= queueSettingsOf(job).maxAttempts) {
+        // A configuration has lowered the number of attempts since the task failed last. No run
+        // of the task will follow whose end could end the job.
+        endJob(ref.job, job, StageJobStatus::Failed);
         return {false, "no attempt is left"};
+    }
     task.stage = TaskStage::Bound;
     task.run = command.run;
     task.lifetime = command.lifetime;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(holdsFewWorkersForLongRunningTasks);
     CPPUNIT_TEST(heldWorkerKeepsWhatTheWaitingTaskLacks);
     CPPUNIT_TEST(endsJobsWithoutAnAttemptLeft);
+    CPPUNIT_TEST(refusedStartThatEndsAJobWithdrawsItsTasks);
     CPPUNIT_TEST(countsWhyNoWorkerTakesAWaitingLongRunningTask);
     CPPUNIT_TEST(namesABoundLongRunningTaskThatIsNotListed);
     CPPUNIT_TEST(waitOfALongRunningTaskSpansRunsThatNeverStarted);
@@ -684,6 +685,31 @@
                                StageJobStatus::Failed == m_jobTable->find("j")->status);
     }
 
+    /// The refused start of one task ends the job. Its other tasks would stay in the queue without
+    /// a plan, or keep running.
+    void refusedStartThatEndsAJobWithdrawsItsTasks()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("j", plan(5, 20'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1));
+        m_dispatcher->endReported({{"j", 0, 0, 0}, 1, RunEnd::Failed, {}});
+        m_dispatcher->endReported({{"j", 0, 0, 1}, 1, RunEnd::Done, {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(100));
+        commit({ReplaceConfiguration{"once"}}, 101);
+        m_dispatcher->takeOrders();
+        // Two tasks are proposed together, one more waits, and one runs.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(200));
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("j")->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopsOrdered());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(300));
+        end({"j", 0, 0, 2}, 1, RunEnd::Stopped, 400);
+        CPPUNIT_ASSERT(m_jobTable->find("j")->plan.steps.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(500));
+        // All capacity is free again.
+        accept("next", plan(1, 64'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(600));
+    }
+
 private:
     /// A steady stream of jobs with short tasks, and its runs that have not ended.
     struct ShortTasks
--- a/UnitTests/Stages/JobTableTest.cpp
+++ b/UnitTests/Stages/JobTableTest.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// From this version on, a task has one attempt instead of two.
+constexpr std::uint64_t oneAttemptVersion = 100;
+
 /// Reads documents that consist of a version number.
 tl::expected<QueueTable, Findings> readVersion(std::string_view text)
 {
@@ -17,8 +20,9 @@
     queue.pathPrefix = "/counter/";
     queue.service = "orders";
     queue.timeoutMs = 1000;
-    queue.maxAttempts = 2;
-    return QueueTable(std::stoull(std::string(text)), {queue}, {{"orders", {}}});
+    const std::uint64_t version = std::stoull(std::string(text));
+    queue.maxAttempts = version < oneAttemptVersion ? 2 : 1;
+    return QueueTable(version, {queue}, {{"orders", {}}});
 }
 
 JobPlan twoSteps()
@@ -48,6 +52,7 @@
     CPPUNIT_TEST(bindsNoTaskTwice);
     CPPUNIT_TEST(acceptsOneEndForEachRun);
     CPPUNIT_TEST(failsAfterTheLastAttempt);
+    CPPUNIT_TEST(refusedStartEndsJobWithoutAnAttemptLeft);
     CPPUNIT_TEST(lapsedRunsCountAsNoAttempts);
     CPPUNIT_TEST(oneEndSettlesTheGang);
     CPPUNIT_TEST(restartsLongRunningTasksWhateverTheirEnd);
@@ -109,6 +114,32 @@
         CPPUNIT_ASSERT(!start(task(0, 1), 1));
     }
 
+    /// With fewer attempts in a new configuration a task could neither start nor fail any more, and
+    /// its job stayed active forever.
+    void refusedStartEndsJobWithoutAnAttemptLeft()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && end(task(0, 0), 1, RunEnd::Failed));
+        CPPUNIT_ASSERT(start(task(0, 1), 1));
+        CPPUNIT_ASSERT(m_jobTable->apply(1, ReplaceConfiguration{"100"}).applied);
+        JobTable copy(JobTableSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_jobTable->save()));
+        CPPUNIT_ASSERT(!start(task(0, 0), 2));
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("j")->status);
+        // The other task's run is still bound, and its end is accepted.
+        CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find("j")->bound);
+        CPPUNIT_ASSERT(end(task(0, 1), 1, RunEnd::Stopped));
+        CPPUNIT_ASSERT(m_jobTable->find("j")->plan.steps.empty());
+        // A replica that restored its state before does the same.
+        copy.apply(0, StartRun{task(0, 0), 2, here});
+        copy.apply(0, EndRun{task(0, 1), 1, RunEnd::Stopped, {}});
+        CPPUNIT_ASSERT_EQUAL(m_jobTable->save(), copy.save());
+        CPPUNIT_ASSERT_EQUAL(m_jobTable->digest(), copy.digest());
+        // The ended job is removed like any other.
+        m_jobTable->apply(2000, ReplaceConfiguration{"101"});
+        CPPUNIT_ASSERT(m_jobTable->find("j") == nullptr);
+    }
+
     void lapsedRunsCountAsNoAttempts()
     {
         accept(twoSteps());
