Read what has arrived before a peer counts as silent

Cause: on a busy process the check for silent peers ran before the input that had waited in the socket was read. With about 90 connections, sessions of healthy agents were closed with unread data, which resets the peer's side as well; each adds a session, an inventory and lost orders. And after one full socket buffer, a replica's heartbeats waited for the loop's write event behind the input of all clients.

Change: before a connection is closed as silent its input is read once more. Serving the replicas also sends what is queued for them.

No test covers the check of silent peers.

--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -107,8 +107,15 @@
         const Instant now = BootClock::now();
         if (m_connecting && now - m_connectStarted > m_settings.connectTimeout)
             return closeAndNotify("connecting timed out");
-        if (!m_connecting && now - m_lastInput > m_settings.peerTimeout)
-            return closeAndNotify("silent");
+        if (!m_connecting && now - m_lastInput > m_settings.peerTimeout) {
+            // A busy loop may not have read yet what has arrived.
+            const std::shared_ptr<bool> alive = m_alive;
+            readAvailable();
+            if (!*alive || !isOpen())
+                return;
+            if (now - m_lastInput > m_settings.peerTimeout)
+                return closeAndNotify("silent");
+        }
         // An empty frame keeps the peer from closing this connection as dead.
         if (!m_connecting && m_output.empty() && now - m_lastOutput >= m_settings.keepAliveInterval)
             send({});
@@ -209,6 +216,12 @@
         handle_input(m_handle);
 }
 
+void FrameConnection::sendQueued()
+{
+    if (isOpen() && !m_connecting && !m_output.empty())
+        flush();
+}
+
 void FrameConnection::dispatchFrames()
 {
     const std::shared_ptr<bool> alive = m_alive;
--- a/Guavashift/Channel/FrameConnection.h
+++ b/Guavashift/Channel/FrameConnection.h
@@ -48,6 +48,8 @@
     /// Reads the input that has arrived, without waiting for the loop's next event. Not to be
     /// called from a handler of this connection.
     void readAvailable();
+    /// Sends what is queued, as far as possible without waiting for the loop's next event.
+    void sendQueued();
     /// Closes without calling onClosed.
     void close();
     [[nodiscard]] bool isOpen() const { return m_handle != ACE_INVALID_HANDLE; }
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -155,6 +155,10 @@
     m_observer.readReplicas();
     m_replica->tick(BootClock::now());
     storeAndSend();
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.connection)
+            peer.connection->sendQueued();
+    }
     m_servedReplicasAt = BootClock::now();
 }
 
