Let polls that fail extend the lease of a worker for two seconds more

Cause: one failed poll was enough to stop the extension of a worker's lease, and to refuse starts on a worker that answers some polls with errors.

Change: polls extend the lease until they have failed for two seconds; starts are refused only while the worker gives no answer, as before. The lease still ends when failures last.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -213,9 +213,8 @@
         const bool throttles = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &each) {
             return each.second.traits.bestEffort;
         });
-        // The lease is not extended again before a poll succeeds.
         const Duration wait = throttles ? m_agent.throttledPollWait : m_agent.pollWait;
-        poll(m_answersPolls ? wait : Duration::zero());
+        poll(m_pollsFailSince ? Duration::zero() : wait);
     });
 }
 
@@ -232,7 +231,8 @@
     request.seenUpTo = m_committedUpTo;
     // A failed poll may have been carried out. Extending the lease with each of them would put off
     // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
-    request.untilMs = m_answersPolls ? m_lease.untilMs(now) : 0;
+    const bool extends = !m_pollsFailSince || now - *m_pollsFailSince < m_agent.failedPollGrace;
+    request.untilMs = extends ? m_lease.untilMs(now) : 0;
     request.wait = wait;
     ++m_openPolls;
     m_metrics.polled();
@@ -247,8 +247,11 @@
     const Instant now = BootClock::now();
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
-    m_answersPolls =
-        reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff;
+    m_answersPolls = reply.result != WorkerCallResult::NoAnswer;
+    if (reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff)
+        m_pollsFailSince.reset();
+    else if (!m_pollsFailSince)
+        m_pollsFailSince = now;
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -26,6 +26,8 @@
     Duration renewInterval = std::chrono::milliseconds(500);
     /// Interval at which all runs are reported to the leader.
     Duration tableInterval = std::chrono::milliseconds(500);
+    /// Time for which polls that fail still extend the worker's lease.
+    Duration failedPollGrace = std::chrono::seconds(2);
     /// Pause after a poll that failed.
     Duration retryPause = std::chrono::milliseconds(150);
     /// Maximum number of fencing token increments per session, for starts that got no answer.
@@ -125,7 +127,8 @@
     std::optional<WorkerFacts> m_facts;
     std::uint64_t m_sequence = 0;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
-    bool m_answersPolls = true; ///< The last poll did not fail.
+    bool m_answersPolls = true; ///< The last poll was answered.
+    std::optional<Instant> m_pollsFailSince;
     LeaseClock m_lease;
     std::uint64_t m_listedUpTo = 0;              ///< Ends sent to the leader in this session.
     std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
