Propose a configuration that is sent again only once

Callers that got no answer in time send the same configuration again, to any node. A busy leader proposed it each time, and every replica replicated, stored and parsed it in full, although it changed nothing: a lack of processor time added work.

Cause: replaceConfiguration() proposed every document. Only the job table found out, after parsing, that the version is not higher.

Change: a document with the text of the one in force is acknowledged at once. handle() has checked the leader lease before, so it is committed and the newest. A document with the text of the latest proposal shares the outcome of that proposal; it is forgotten when it is decided or leadership ends. All other documents are proposed as before.

Before: two calls with the document in force committed two commands, and three calls with a new one, two of them before its commit, committed three; both tests failed. After: none and one. Tests that passed before and after: a lost proposal answers all its calls as unknown and a later call is done; only the latest proposed document is remembered.

--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -67,6 +67,7 @@
         return;
     m_active = false;
     m_dispatcher.stop();
+    m_proposedConfiguration.reset();
     m_metrics.setLongRunningWaits(0, Duration::zero());
     // This makes the nodes look for the new leader at once.
     for (const auto &[id, session] : m_sessions)
@@ -403,9 +404,21 @@
 
 void FleetLeader::replaceConfiguration(const FleetCall &call, const Answer &answer)
 {
+    // handle() has checked the leader lease, so this document is the newest that is committed.
+    if (!call.document.empty() && call.document == m_jobTable.document())
+        return answer({call.id, CallResult::Done, {}, 0});
+    if (m_proposedConfiguration && call.document == m_proposedConfiguration->document)
+        return m_proposedConfiguration->answers.push_back(answer);
+    const auto proposed =
+        std::make_shared<ProposedConfiguration>(ProposedConfiguration{call.document, {answer}});
+    m_proposedConfiguration = proposed;
     m_driver.propose({ReplaceConfiguration{call.document}},
-                     [answer, id = call.id](bool committed, auto) {
-                         answer({id, committed ? CallResult::Done : CallResult::Unknown, {}, 0});
+                     [this, proposed, id = call.id](bool committed, auto) {
+                         // Another document may have been proposed since.
+                         if (m_proposedConfiguration == proposed)
+                             m_proposedConfiguration.reset();
+                         for (const Answer &each : std::exchange(proposed->answers, {}))
+                             each({id, committed ? CallResult::Done : CallResult::Unknown, {}, 0});
                      });
 }
 
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -49,6 +49,13 @@
         std::optional<Lifetime> lifetime;
     };
 
+    /// A proposed configuration whose commit is not decided yet.
+    struct ProposedConfiguration
+    {
+        std::string document;
+        std::vector<Answer> answers; ///< Of all calls that share the proposal.
+    };
+
     void receiveFromAgent(Session &session, const FleetMessage &message);
     void handleRunsEnded(SessionId id, const RunsEnded &ended);
     void logBinding(const StartRun &start, const StageOutcome &outcome,
@@ -75,6 +82,8 @@
     std::map<std::string, SessionId> m_sessionOfNode;
     Directory m_directory;
     Instant m_nextDirectory;
+    /// The latest proposed configuration, until it is decided or leadership ends.
+    std::shared_ptr<ProposedConfiguration> m_proposedConfiguration;
 };
 
 } // namespace guavashift
