--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(continuousInputDoesNotProlongTheRound);
     CPPUNIT_TEST(runsUrgentWorkWithinARound);
     CPPUNIT_TEST(postedWorkDoesNotProlongTheRound);
+    CPPUNIT_TEST(readsInputBeforeAPeerCountsAsSilent);
     CPPUNIT_TEST(measuresEachPartOfARound);
     CPPUNIT_TEST(measuresNoWait);
     CPPUNIT_TEST_SUITE_END();
@@ -158,6 +159,28 @@
         CPPUNIT_ASSERT((std::vector<int>{0, 1, 2} == order));
     }
 
+    /// Guards against connections of healthy peers that a busy process closes as silent, although
+    /// their input has arrived.
+    void readsInputBeforeAPeerCountsAsSilent()
+    {
+        EventLoopSettings settings{256};
+        settings.minEventsPerRound = 1;
+        settings.maxRoundDuration = Duration::zero();
+        m_loop.reset();
+        open(settings);
+        ChannelSettings channel;
+        channel.keepAliveInterval = std::chrono::milliseconds(20);
+        channel.peerTimeout = std::chrono::milliseconds(100);
+        connectAll(channel);
+        // Reading the frames of all peers takes longer than the timeout.
+        m_unitTime = 2 * channel.peerTimeout / static_cast<int>(connections);
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        while (m_frames < connections && m_closed == 0)
+            m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(0, m_closed);
+    }
+
 private:
     void open(const EventLoopSettings &settings)
     {
@@ -176,10 +199,10 @@
         CPPUNIT_ASSERT_EQUAL(1, m_rounds);
     }
 
-    void connectAll()
+    void connectAll(const ChannelSettings &settings = ChannelSettings{})
     {
         for (std::size_t i = 0; i < connections; ++i) {
-            m_pairs.push_back(std::make_unique<Pair>(*m_loop, ChannelSettings{}));
+            m_pairs.push_back(std::make_unique<Pair>(*m_loop, settings));
             Pair &pair = *m_pairs.back();
             pair.near.setHandlers(
                 [this, &pair](std::string_view frame) {
@@ -188,19 +211,20 @@
                     if (m_echo)
                         pair.near.send(frame);
                 },
-                {});
+                [this](std::string_view) { ++m_closed; });
             pair.far.setHandlers(
                 [this, &pair](std::string_view frame) {
                     if (m_echo)
                         pair.far.send(frame);
                 },
-                {});
+                [this](std::string_view) { ++m_closed; });
         }
     }
 
     std::unique_ptr<EventLoop> m_loop;
     std::vector<std::unique_ptr<Pair>> m_pairs;
     int m_rounds = 0;
+    int m_closed = 0;
     std::size_t m_frames = 0;
     bool m_echo = false;
     Duration m_unitTime = Duration::zero(); ///< That each frame takes.
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -374,7 +374,8 @@
             loop->post([] { std::this_thread::sleep_for(RoundMonitorSettings{}.slowRound); });
             loop->runOnce(Duration::zero());
             // Another slow round within the second before delays the line.
-            std::this_thread::sleep_for(RoundMonitorSettings{}.logInterval);
+            const Instant nextLine = BootClock::now() + RoundMonitorSettings{}.logInterval;
+            until([&] { return BootClock::now() >= nextLine; });
             loop->runOnce(Duration::zero());
             const std::regex line(
                 "event=round-slow round_ms=\\d{3,} cpu_ms=\\d+ events=\\d+ events_ms=\\d+ "
@@ -498,7 +499,7 @@
     }
 
     /// Begins a transfer of leadership. It stays pending as long as the followers' loops do not
-    /// run, until the leader gives up its office.
+    /// run, until the leader steps down.
     CoreNode &beginTransfer()
     {
         for (auto &core : m_cores) {
