--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -16,8 +16,10 @@
     TaskStage stage = TaskStage::Waiting;
     std::uint32_t run = 0;      ///< Number of the last run; 0 before the first.
     std::uint32_t failures = 0; ///< Runs that failed.
-    Lifetime lifetime;          ///< Worker lifetime that the run is bound to while Bound.
-    std::string checkpoint;     ///< The newest one from an ended run.
+    /// Worker lifetime that the run is bound to. Kept while Waiting if the run was settled without
+    /// its report, which may still say that it is done.
+    Lifetime lifetime;
+    std::string checkpoint; ///< The newest one from an ended run.
 
     bool operator==(const StageTask &) const = default;
 };
