Show in metrics and logs which control processes take part

Change: replica-stopped names the replica, its term and last index; the leader logs voter-silent and voter-heard; the gauges guavashift_fleet_replica_available and guavashift_fleet_silent_voters say the same. No logic is changed.

--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -39,6 +39,10 @@
     , m_leadershipChanges(
           m_metrics.counter("guavashift_fleet_leadership_changes_total",
                             "Times that this process became the leader or ceased to be"))
+    , m_replicaAvailable(
+          m_metrics.gauge("guavashift_fleet_replica_available", "1 while the replica takes part"))
+    , m_silentVoters(m_metrics.gauge("guavashift_fleet_silent_voters",
+                                     "Voters that do not answer this leader"))
     , m_longRunningWaits(m_metrics.gauge("guavashift_fleet_long_running_waits",
                                          "Long-running tasks that are not running"))
     , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
@@ -75,6 +79,16 @@
     m_leadershipChanges.Increment();
 }
 
+void FleetMetrics::setReplicaAvailable(bool available)
+{
+    m_replicaAvailable.Set(available ? 1 : 0);
+}
+
+void FleetMetrics::setSilentVoters(std::size_t voters)
+{
+    m_silentVoters.Set(static_cast<double>(voters));
+}
+
 void FleetMetrics::setLongRunningWaits(std::size_t tasks, Duration oldest)
 {
     m_longRunningWaits.Set(static_cast<double>(tasks));
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -19,6 +19,11 @@
     /// Records a round of the event loop.
     void roundEnded(Duration duration);
 
+    // Control process.
+
+    /// Whether the replica takes part, i.e. stores entries and answers the other replicas.
+    void setReplicaAvailable(bool available);
+
     // Leader.
 
     /// Records the commit of a log entry that this process appended as the leader.
@@ -27,6 +32,8 @@
     void bound(Duration sinceReady);
     /// Records that this process became the leader or ceased to be.
     void leadershipChanged();
+    /// Number of voters that have not answered this leader lately; 0 if this process does not lead.
+    void setSilentVoters(std::size_t voters);
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
@@ -56,6 +63,8 @@
     prometheus::Histogram &m_sync;
     prometheus::Histogram &m_readyToBound;
     prometheus::Counter &m_leadershipChanges;
+    prometheus::Gauge &m_replicaAvailable;
+    prometheus::Gauge &m_silentVoters;
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_waiting;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -110,6 +110,7 @@
               {"has_snapshot", state->snapshot != nullptr}});
     m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(*state),
                                           m_random(), BootClock::now());
+    m_metrics.setReplicaAvailable(true);
     scheduleTick();
     return {};
 }
@@ -138,6 +139,7 @@
         m_caughtUpTerm = m_replica->term();
     if (m_replica->isLeader() && now >= m_nextPlan) {
         m_nextPlan = now + planInterval;
+        observeVoters(now);
         planMembership();
     }
     if (now >= m_nextJoin) {
@@ -283,10 +285,18 @@
     if (stored || m_stopped)
         return;
     m_stopped = true;
-    logEvent(LogLevel::Error, "replica-stopped", {{"reason", stored.error().message}});
+    m_metrics.setReplicaAvailable(false);
+    logEvent(LogLevel::Error, "replica-stopped",
+             {{"replica", m_self.id},
+              {"reason", stored.error().message},
+              {"term", m_replica->term()},
+              {"last_index", m_replica->log().lastIndex()},
+              {"leads", m_wasLeader}});
     failWaiters();
-    if (std::exchange(m_wasLeader, false))
+    if (std::exchange(m_wasLeader, false)) {
+        m_metrics.setSilentVoters(0);
         m_observer.roleChanged(false);
+    }
 }
 
 void ReplicaDriver::storeAll(const std::vector<Effect> &effects)
@@ -482,6 +492,8 @@
         return;
     m_wasLeader = leadsNow;
     m_metrics.leadershipChanged();
+    m_silentVoters.clear();
+    m_metrics.setSilentVoters(0);
     if (!leadsNow)
         failWaiters();
     m_observer.roleChanged(leadsNow);
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -139,6 +139,8 @@
     void checkDigest(const StateDigest &digest);
     void handleRoleChange(const RoleChanged &change);
     void takeSnapshot();
+    /// Logs voters that stop or start to answer this leader, and updates the metrics of both.
+    void observeVoters(Instant now);
     void planMembership();
     void askToJoin();
     void failWaiters();
@@ -168,6 +170,7 @@
     std::map<LogIndex, std::uint64_t> m_digests;
     std::size_t m_bytesSinceSnapshot = 0;
     MembershipPlanner m_planner;
+    std::set<ReplicaId> m_silentVoters; ///< Of this leader.
     Instant m_nextPlan;
     Instant m_nextJoin;
 };
--- a/Guavashift/Fleet/ReplicaDriverMembers.cpp
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -4,6 +4,30 @@
 
 namespace guavashift {
 
+void ReplicaDriver::observeVoters(Instant now)
+{
+    std::set<ReplicaId> silent;
+    for (const Member &member : m_replica->membership().members) {
+        if (!member.voter || member.id == m_self.id)
+            continue;
+        const Duration contactAge = now - m_replica->lastContact(member.id);
+        const bool wasSilent = m_silentVoters.contains(member.id);
+        const bool isSilent = contactAge > m_settings.membership.voterLostAfter;
+        if (isSilent)
+            silent.insert(member.id);
+        if (isSilent == wasSilent)
+            continue;
+        logEvent(isSilent ? LogLevel::Warning : LogLevel::Info,
+                 isSilent ? "voter-silent" : "voter-heard",
+                 {{"voter", member.id},
+                  {"contact_ms", toMs(contactAge)},
+                  {"match_index", m_replica->matchIndex(member.id)},
+                  {"last_index", m_replica->log().lastIndex()}});
+    }
+    m_metrics.setSilentVoters(silent.size());
+    m_silentVoters = std::move(silent);
+}
+
 void ReplicaDriver::planMembership()
 {
     const Instant now = BootClock::now();
