Test that control processes take part again after their disks were full

The test needs a disk that refuses writes, so a control process gets the function that opens its store through its constructor.

--- a/Guavashift/Consensus/LogStore.h
+++ b/Guavashift/Consensus/LogStore.h
@@ -2,6 +2,9 @@
 
 #include <Guavashift/Consensus/LogTypes.h>
 
+#include <filesystem>
+#include <functional>
+#include <memory>
 #include <span>
 
 namespace guavashift {
@@ -30,4 +33,8 @@
                                            std::span<const LogEntry> tail) = 0;
 };
 
+/// Opens the store in a data folder and reads its content into the state, which is passed in empty.
+using LogStoreOpener = std::function<Result<std::unique_ptr<LogStore>>(
+    const std::filesystem::path &folder, PersistentState &state)>;
+
 } // namespace guavashift
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -39,7 +39,8 @@
 } // namespace
 
 CoreNode::CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
-                   QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed)
+                   QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed,
+                   LogStoreOpener openStore)
     : m_loop(loop)
     , m_settings(settings)
     , m_channel(channel)
@@ -56,7 +57,7 @@
                     m_link.setEnabled(!leads);
                 },
                 [this] { readReplicas(); }},
-               seed)
+               seed, std::move(openStore))
     , m_leader(settings, dispatchSettings(settings.bounds), m_jobTable, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
              {[](const SessionOpened &) {}, [] {},
--- a/Guavashift/Fleet/CoreNode.h
+++ b/Guavashift/Fleet/CoreNode.h
@@ -12,7 +12,8 @@
 {
 public:
     CoreNode(EventLoop &loop, const FleetSettings &settings, const ChannelSettings &channel,
-             QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed);
+             QueueTableReader reader, FleetMetrics &metrics, std::uint64_t seed,
+             LogStoreOpener openStore = &FileLogStore::open);
 
     Result<void> start();
     /// Replaces the seeds after a change of the settings.
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -25,7 +25,7 @@
 
 ReplicaDriver::ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
                              const FleetSettings &fleet, JobTable &jobTable, FleetMetrics &metrics,
-                             Observer observer, std::uint64_t seed)
+                             Observer observer, std::uint64_t seed, LogStoreOpener openStore)
     : m_loop(loop)
     , m_settings(settings)
     , m_fleet(fleet)
@@ -33,6 +33,7 @@
     , m_metrics(metrics)
     , m_observer(std::move(observer))
     , m_random(seed)
+    , m_openStore(std::move(openStore))
     , m_planner(settings.membership)
 {
 }
@@ -74,7 +75,7 @@
     m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(), FailureDomain{m_fleet.zone},
               false};
     PersistentState state;
-    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(path, state);
+    Result<std::unique_ptr<LogStore>> store = m_openStore(path, state);
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -49,7 +49,7 @@
 
     ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
                   const FleetSettings &fleet, JobTable &jobTable, FleetMetrics &metrics,
-                  Observer observer, std::uint64_t seed);
+                  Observer observer, std::uint64_t seed, LogStoreOpener openStore);
     ~ReplicaDriver();
 
     /// Opens the data folder and starts the replica.
@@ -153,6 +153,7 @@
     Observer m_observer;
     std::mt19937_64 m_random;
     Member m_self;
+    LogStoreOpener m_openStore;
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Replica> m_replica;
     bool m_stopped = false; ///< After a disk fault or a digest mismatch. Permanent.
--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -89,7 +89,8 @@
     auto &core = m_cores[static_cast<std::size_t>(number)];
     core = std::make_unique<Hosted<CoreNode>>([&](EventLoop &loop) {
         return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, readVersion, m_metrics,
-                                          static_cast<std::uint64_t>(number) + 77);
+                                          static_cast<std::uint64_t>(number) + 77,
+                                          openerOf(m_isDiskFull[static_cast<std::size_t>(number)]));
     });
     if (m_coreLoops == CoreLoops::InOwnThreads)
         core->runInThread();
--- a/UnitTests/Fleet/FleetFixture.h
+++ b/UnitTests/Fleet/FleetFixture.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <UnitTests/Fleet/FakeWorker.h>
+#include <UnitTests/Fleet/FullDiskLogStore.h>
 #include <UnitTests/Fleet/Hosted.h>
 
 #include <cppunit/TestFixture.h>
 
 #include <array>
+#include <atomic>
 #include <filesystem>
 
 namespace guavashift {
@@ -45,6 +47,8 @@
     std::uint16_t m_port = 0;
     std::filesystem::path m_folder;
     FleetMetrics m_metrics; ///< Shared by all nodes.
+    /// While one is set, the disk of that control process refuses every write.
+    std::array<std::atomic<bool>, cores> m_isDiskFull{};
     std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
     std::unique_ptr<Hosted<GatewayNode>> m_gateway;
     AgentNodeSettings m_agentSettings;
--- /dev/null
+++ b/UnitTests/Fleet/FullDiskTest.cpp
@@ -0,0 +1,126 @@
+#include <UnitTests/Fleet/FleetFixture.h>
+#include <UnitTests/Support/LogCapture.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace guavashift;
+
+namespace {
+
+/// Far more than an election and the replay of a short log need.
+constexpr Duration recoveryLimit = std::chrono::seconds(15);
+
+std::size_t countOf(const std::string &text, std::string_view part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+/// Control processes whose disks are full for a while and take writes again.
+class FullDiskTest : public FleetFixture
+{
+    CPPUNIT_TEST_SUITE(FullDiskTest);
+    CPPUNIT_TEST(servesAfterDisksWereFullInTurn);
+    CPPUNIT_TEST(servesAfterLeadersDiskWasFull);
+    CPPUNIT_TEST(keepsAcceptedJobsWhenAllDisksWereFull);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a control process that takes part no more once its disk was full, so that the
+    /// next full disk ends the fleet's service for good.
+    void servesAfterDisksWereFullInTurn()
+    {
+        const std::size_t leader = leadingCore();
+        for (const std::size_t follower : {(leader + 1) % cores, (leader + 2) % cores}) {
+            fillDisks({follower});
+            CPPUNIT_ASSERT(isAccepted(fmt::format("full{}", follower)));
+            m_isDiskFull[follower] = false;
+            CPPUNIT_ASSERT(isAccepted(fmt::format("free{}", follower)));
+        }
+        assertServesWithout(leader);
+    }
+
+    /// Guards against the same on the leader, which also has to make way for another.
+    void servesAfterLeadersDiskWasFull()
+    {
+        const std::size_t leader = leadingCore();
+        fillDisks({leader});
+        CPPUNIT_ASSERT(isAccepted("full"));
+        CPPUNIT_ASSERT(leadingCore() != leader);
+        m_isDiskFull[leader] = false;
+        CPPUNIT_ASSERT(isAccepted("free"));
+        assertServesWithout(leadingCore());
+    }
+
+    /// Guards against accepted jobs that are lost because their entries were not read again.
+    void keepsAcceptedJobsWhenAllDisksWereFull()
+    {
+        CPPUNIT_ASSERT(isAccepted("before"));
+        until([this] { return stateOf("before") == "completed"; });
+        fillDisks({0, 1, 2});
+        CPPUNIT_ASSERT(!trySubmit("during", std::chrono::seconds(3)));
+        for (std::atomic<bool> &isFull : m_isDiskFull)
+            isFull = false;
+        CPPUNIT_ASSERT(isAccepted("after"));
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), stateOf("before"));
+        until([this] { return stateOf("after") == "completed"; });
+        for (const auto &worker : m_workers)
+            CPPUNIT_ASSERT(!worker->sawDuplicateRun());
+    }
+
+private:
+    /// Fills these disks and waits until each has refused a write.
+    void fillDisks(const std::vector<std::size_t> &disks)
+    {
+        const test::LogCapture log;
+        for (const std::size_t disk : disks)
+            m_isDiskFull[disk] = true;
+        // The write of an entry that may or may not be accepted.
+        (void)trySubmit(fmt::format("fill{}", disks.front()), std::chrono::seconds(1));
+        until([&] { return countOf(log.text(), "event=replica-stopped ") == disks.size(); });
+    }
+
+    [[nodiscard]] std::size_t leadingCore()
+    {
+        std::size_t leader = cores;
+        until([&] {
+            for (std::size_t i = 0; i < m_cores.size(); ++i) {
+                if (m_cores[i] && m_cores[i]->node->leads())
+                    leader = i;
+            }
+            return leader < cores;
+        });
+        return leader;
+    }
+
+    /// Submits a job, again after each refusal, until it is accepted. Returns whether it was.
+    bool trySubmit(const std::string &job, Duration limit)
+    {
+        FleetCall call;
+        call.kind = CallKind::Submit;
+        call.host = "desk.example";
+        call.path = "/counter/" + job;
+        call.plan = planOf(1);
+        const Instant end = BootClock::now() + limit;
+        while (BootClock::now() < end) {
+            if (send(call).result == CallResult::Done)
+                return true;
+        }
+        return false;
+    }
+
+    bool isAccepted(const std::string &job) { return trySubmit(job, recoveryLimit); }
+
+    /// Checks that the two other control processes have a quorum.
+    void assertServesWithout(std::size_t core)
+    {
+        m_cores[core].reset();
+        CPPUNIT_ASSERT(isAccepted("last"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FullDiskTest);
