Reopen the replica of a control process after its storage failed

Cause: a control process stopped its replica at the first write that failed and kept it stopped for the rest of its life, though its disk took writes again and the process ran on, forwarded calls and counted as a voter. Disks that were full for a while on two of three machines, one after the other, so took the quorum for good.

A replica stopped by a digest mismatch stays stopped, since its entries would lead to the same state.

Why it works: a replica answers only what it has synced, so what its disk holds is a state that it may start from, as after a crash. What a failed sync left in the kernel's cache may be read, but is written and synced anew before it counts. Neither votes nor entries can be forgotten.

A test fails a write part-way by a limit on the file's size and opens the store again.

--- a/Guavashift/Consensus/FileLogStore.cpp
+++ b/Guavashift/Consensus/FileLogStore.cpp
@@ -142,7 +142,7 @@
 }
 
 Result<std::unique_ptr<FileLogStore>> FileLogStore::open(const std::filesystem::path &folder,
-                                                         PersistentState &state)
+                                                         PersistentState &state, StoredFiles files)
 {
     try {
         const Result<SnapshotPointer> snapshot = readSnapshot(folder / snapshotName);
@@ -160,10 +160,14 @@
         // Rewrites the log, so that nothing is appended after a torn tail or after entries that the
         // snapshot covers.
         const bool torn = result->validBytes < bytes.size();
-        if (torn || result->coveredEntries) {
+        const bool unsynced = files == StoredFiles::Unsynced;
+        if (torn || result->coveredEntries || unsynced) {
             logEvent(LogLevel::Warning, "log-repaired",
                      {{"cut_bytes", bytes.size() - result->validBytes},
-                      {"covered_entries", result->coveredEntries}});
+                      {"covered_entries", result->coveredEntries},
+                      {"unsynced", unsynced}});
+            // Also syncs the folder, and with it the name of the snapshot, which was synced before
+            // it got that name.
             const std::string repaired = encodeLog(state.hardState, state.entries);
             if (Result<void> stored = replaceFile(folder / logName, repaired); !stored)
                 return tl::unexpected(stored.error());
--- a/Guavashift/Consensus/FileLogStore.h
+++ b/Guavashift/Consensus/FileLogStore.h
@@ -15,9 +15,10 @@
 {
 public:
     /// Opens the folder and reads its content into `state`. Removes a torn record at the end of the
-    /// log; any other damage is an error.
+    /// log; any other damage is an error. Unsynced files are replaced by synced copies.
     static Result<std::unique_ptr<FileLogStore>> open(const std::filesystem::path &folder,
-                                                      PersistentState &state);
+                                                      PersistentState &state,
+                                                      StoredFiles files = StoredFiles::Synced);
 
     Result<void> saveHardState(const HardState &hardState) override;
     Result<void> truncateFrom(LogIndex index) override;
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -14,6 +14,8 @@
 /// Maximum number of commands after which a log entry takes no further proposal.
 constexpr std::size_t maxCommandsPerEntry = 1024;
 constexpr Duration planInterval = std::chrono::milliseconds(100);
+/// Shortest interval between two log lines about failed attempts to reopen a replica.
+constexpr Duration reopenLogInterval = std::chrono::seconds(1);
 
 std::string ipOf(const std::string &address)
 {
@@ -74,8 +76,13 @@
         return tl::unexpected(folder.error());
     m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(), FailureDomain{m_fleet.zone},
               false};
+    return openStore(StoredFiles::Synced);
+}
+
+Result<PersistentState> ReplicaDriver::openStore(StoredFiles files)
+{
     PersistentState state;
-    Result<std::unique_ptr<LogStore>> store = m_openStore(path, state);
+    Result<std::unique_ptr<LogStore>> store = m_openStore(m_fleet.dataFolder, state, files);
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
@@ -100,22 +107,54 @@
     Result<PersistentState> state = loadOrBootstrap();
     if (!state)
         return tl::unexpected(state.error());
-    if (state->snapshot) {
-        if (Result<void> loaded = m_jobTable.load(state->snapshot->data); !loaded)
+    if (Result<void> started = startReplica(std::move(*state)); !started)
+        return started;
+    scheduleTick();
+    return {};
+}
+
+Result<void> ReplicaDriver::startReplica(PersistentState state)
+{
+    m_jobTable.clear();
+    if (state.snapshot) {
+        if (Result<void> loaded = m_jobTable.load(state.snapshot->data); !loaded)
             return loaded;
     }
     logEvent(LogLevel::Info, "replica-opened",
              {{"replica", m_self.id},
-              {"term", state->hardState.term},
-              {"entries", state->entries.size()},
-              {"has_snapshot", state->snapshot != nullptr}});
-    m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(*state),
+              {"term", state.hardState.term},
+              {"entries", state.entries.size()},
+              {"has_snapshot", state.snapshot != nullptr}});
+    m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(state),
                                           m_random(), BootClock::now());
+    m_stopped = false;
+    m_reopenAt.reset();
     m_metrics.setReplicaAvailable(true);
-    scheduleTick();
     return {};
 }
 
+void ReplicaDriver::reopen()
+{
+    m_reopenAt = BootClock::now() + m_settings.reopenInterval;
+    // A small write fails without the cost of reading everything while the disk is still full.
+    const std::filesystem::path probe = std::filesystem::path(m_fleet.dataFolder) / "probe";
+    Result<void> reopened = replaceFile(probe, m_self.id.value);
+    if (reopened) {
+        // Nothing that the replica held in memory may be used: it may not be on the disk.
+        m_deferred.clear();
+        m_digests.clear();
+        m_bytesSinceSnapshot = 0;
+        m_store.reset();
+        Result<PersistentState> state = openStore(StoredFiles::Unsynced);
+        reopened = state ? startReplica(std::move(*state)) : tl::unexpected(state.error());
+    }
+    if (!reopened && BootClock::now() >= m_nextReopenLog) {
+        m_nextReopenLog = BootClock::now() + reopenLogInterval;
+        logEvent(LogLevel::Warning, "replica-not-reopened",
+                 {{"replica", m_self.id}, {"reason", reopened.error().message}});
+    }
+}
+
 void ReplicaDriver::scheduleTick()
 {
     // The timer only wakes the loop; endRound() does the work.
@@ -124,6 +163,8 @@
 
 void ReplicaDriver::endRound()
 {
+    if (m_reopenAt && BootClock::now() >= *m_reopenAt)
+        reopen();
     if (m_stopped || !m_replica)
         return;
     if (BootClock::now() - m_servedReplicasAt >= m_settings.tick)
@@ -285,11 +326,17 @@
 {
     if (stored || m_stopped)
         return;
+    stop(stored.error());
+    m_reopenAt = BootClock::now() + m_settings.reopenInterval;
+}
+
+void ReplicaDriver::stop(const Error &error)
+{
     m_stopped = true;
     m_metrics.setReplicaAvailable(false);
     logEvent(LogLevel::Error, "replica-stopped",
              {{"replica", m_self.id},
-              {"reason", stored.error().message},
+              {"reason", error.message},
               {"term", m_replica->term()},
               {"last_index", m_replica->log().lastIndex()},
               {"leads", m_wasLeader}});
@@ -473,9 +520,8 @@
 {
     const auto found = m_digests.find(digest.index);
     if (found != m_digests.end() && found->second != digest.digest)
-        stopOnError(
-            fail(ErrorCode::Conflict,
-                 fmt::format("the state differs from the leader's at index {}", digest.index)));
+        stop({ErrorCode::Conflict,
+              fmt::format("the state differs from the leader's at index {}", digest.index)});
 }
 
 void ReplicaDriver::handleRoleChange(const RoleChanged &change)
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -26,6 +26,8 @@
     /// A leader whose disk takes this long to sync transfers leadership, since it could not keep
     /// its leader lease.
     Duration maxLeaderSync = std::chrono::milliseconds(100);
+    /// Interval at which a replica whose storage failed tries to use it again.
+    Duration reopenInterval = std::chrono::milliseconds(250);
     /// Digests are compared at multiples of this index.
     LogIndex digestInterval = 64;
 };
@@ -117,7 +119,15 @@
         Done done;
     };
 
+    /// Opens the data folder and determines the identity of this replica.
     [[nodiscard]] Result<PersistentState> loadOrBootstrap();
+    /// Opens the store and reads its content. Stores the first entry if a first start was
+    /// interrupted before.
+    [[nodiscard]] Result<PersistentState> openStore(StoredFiles files);
+    /// Loads the job table and starts the replica with the state.
+    [[nodiscard]] Result<void> startReplica(PersistentState state);
+    /// Starts the replica again with what its disk holds, after storage failed.
+    void reopen();
     [[nodiscard]] Membership initialMembership() const;
     [[nodiscard]] bool isSeed() const;
     void scheduleTick();
@@ -129,7 +139,9 @@
     void applyDeferred();
     void applyAll(std::span<const LogEntry> entries);
     void storeAll(const std::vector<Effect> &effects);
+    /// Stops the replica, which takes no part until reopen() succeeds.
     void stopOnError(const Result<void> &stored);
+    void stop(const Error &error);
     void sendMessages(const std::vector<Effect> &effects, bool afterSync);
     void sendTo(const std::string &address, const FleetMessage &message);
     void apply(const LogEntry &entry);
@@ -156,7 +168,10 @@
     LogStoreOpener m_openStore;
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Replica> m_replica;
-    bool m_stopped = false; ///< After a disk fault or a digest mismatch. Permanent.
+    bool m_stopped = false; ///< After a storage failure or a digest mismatch.
+    /// When a stopped replica is reopened; nothing after a digest mismatch, since the same entries
+    /// would lead to the same state.
+    std::optional<Instant> m_reopenAt;
     bool m_wasLeader = false;
     /// Latest term in which this replica led and had applied everything that earlier leaders had
     /// committed.
@@ -174,6 +189,7 @@
     std::set<ReplicaId> m_silentVoters; ///< Of this leader.
     Instant m_nextPlan;
     Instant m_nextJoin;
+    Instant m_nextReopenLog;
 };
 
 } // namespace guavashift
--- a/Guavashift/Fleet/ReplicaDriverMembers.cpp
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -56,7 +56,7 @@
 
 std::string ReplicaDriver::leaderAddress() const
 {
-    if (!m_replica || m_replica->leader().isEmpty())
+    if (!m_replica || m_stopped || m_replica->leader().isEmpty())
         return {};
     if (m_replica->leader() == m_self.id)
         return m_self.address;
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -106,6 +106,8 @@
     [[nodiscard]] static bool isReady(const StageJob &job, std::uint32_t occurrence,
                                       std::uint32_t step);
 
+    /// Removes all state.
+    void clear();
     [[nodiscard]] std::string save() const;
     /// Replaces the state by a saved one. Fails and changes nothing if the bytes are not one.
     Result<void> load(std::string_view bytes);
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -116,6 +116,11 @@
 
 } // namespace
 
+void JobTable::clear()
+{
+    *this = JobTable(m_settings, m_reader);
+}
+
 std::string JobTable::save() const
 {
     Json jobs = Json::array();
--- a/UnitTests/Consensus/FileLogStoreTest.cpp
+++ b/UnitTests/Consensus/FileLogStoreTest.cpp
@@ -1,9 +1,13 @@
 #include <Guavashift/Consensus/Consensus.h>
 #include <Guavashift/Consensus/RecordFormat.h>
 
+#include <csignal>
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace guavashift;
@@ -28,6 +32,32 @@
     return list;
 }
 
+/// Limits the size of files that this process writes, so that a write beyond it fails.
+class FileSizeLimit final
+{
+public:
+    explicit FileSizeLimit(rlim_t bytes)
+        : m_previousHandler(std::signal(SIGXFSZ, SIG_IGN))
+    {
+        CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_FSIZE, &m_previous));
+        const rlimit limit{bytes, m_previous.rlim_max};
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_FSIZE, &limit));
+    }
+
+    ~FileSizeLimit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &m_previous);
+        std::signal(SIGXFSZ, m_previousHandler);
+    }
+
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+private:
+    rlimit m_previous{};
+    void (*m_previousHandler)(int);
+};
+
 } // namespace
 
 /// State that a replica reads from its disk after crashes and damage.
@@ -42,6 +72,8 @@
     CPPUNIT_TEST(survivesACrashBetweenSnapshotAndLog);
     CPPUNIT_TEST(dropsALogThatDisagreesWithTheSnapshot);
     CPPUNIT_TEST(refusesADamagedSnapshot);
+    CPPUNIT_TEST(opensAgainAfterAWriteThatFailed);
+    CPPUNIT_TEST(writesUnsyncedFilesAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,6 +177,52 @@
         CPPUNIT_ASSERT(!FileLogStore::open(m_folder, state));
     }
 
+    /// Guards against a store that cannot be opened again after the disk took only a part of a
+    /// write.
+    void opensAgainAfterAWriteThatFailed()
+    {
+        write(entries(1, 2, 1));
+        PersistentState state;
+        auto store = FileLogStore::open(m_folder, state);
+        CPPUNIT_ASSERT(store.has_value());
+        CPPUNIT_ASSERT((*store)->append(entries(3, 9, 1)).has_value());
+        {
+            constexpr rlim_t partOfARecord = 10;
+            const FileSizeLimit limit(readContent(m_folder / "log").size() + partOfARecord);
+            CPPUNIT_ASSERT(!(*store)->sync());
+        }
+        // The store itself takes no more writes.
+        CPPUNIT_ASSERT(!(*store)->sync());
+
+        PersistentState reopened;
+        store = FileLogStore::open(m_folder, reopened, StoredFiles::Unsynced);
+        CPPUNIT_ASSERT(store.has_value());
+        CPPUNIT_ASSERT(reopened.entries == entries(1, 2, 1));
+        CPPUNIT_ASSERT((*store)->append(entries(3, 4, 2)).has_value());
+        CPPUNIT_ASSERT((*store)->sync().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), read().entries.size());
+    }
+
+    /// Guards against entries that count as stored although only the kernel's cache holds them.
+    void writesUnsyncedFilesAgain()
+    {
+        write(entries(1, 5, 1));
+        const auto fileNumber = [this] {
+            struct ::stat status = {};
+            CPPUNIT_ASSERT_EQUAL(0, ::stat((m_folder / "log").c_str(), &status));
+            return status.st_ino;
+        };
+        const auto before = fileNumber();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), read().entries.size());
+        CPPUNIT_ASSERT_EQUAL(before, fileNumber());
+        PersistentState state;
+        CPPUNIT_ASSERT(FileLogStore::open(m_folder, state, StoredFiles::Unsynced).has_value());
+        CPPUNIT_ASSERT(before != fileNumber());
+        const PersistentState again = read();
+        CPPUNIT_ASSERT(again.entries == entries(1, 5, 1));
+        CPPUNIT_ASSERT(again.hardState == (HardState{3, ReplicaId{"a/1"}}));
+    }
+
 private:
     void write(const std::vector<LogEntry> &list)
     {
