Send heartbeats only to a replica that does not answer

Cause: an append without an answer was sent again every 300 ms with everything that the replica missed, up to 1 MB, whether or not it answered anything at all.

Change: an append is sent again only if the replica has answered another message since. A replica that is back answers the next heartbeat, at most 100 ms later, and then gets what it misses.

--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -22,7 +22,7 @@
     /// Time for which contact with a quorum allows the leader to answer reads, counted from the
     /// send time. Must be less than electionTimeoutMin.
     Duration leaderLease = std::chrono::milliseconds(450);
-    /// Time after which an unanswered append is sent again.
+    /// Time after which an unanswered append is sent again to a peer that answers other messages.
     Duration resendInterval = std::chrono::milliseconds(300);
     /// Time allowed for a leadership transfer; after it the old leader steps down.
     Duration transferTimeout = std::chrono::milliseconds(1000);
--- a/Guavashift/Consensus/ReplicaReplication.cpp
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -34,8 +34,10 @@
     if (heartbeat)
         m_nextHeartbeat = now + m_settings.heartbeatInterval;
     for (auto &[id, peer] : m_peers) {
-        // A request whose reply is overdue is sent again.
-        if (peer.inFlight && now - peer.sentAt >= m_settings.resendInterval)
+        // A request whose reply is overdue is sent again once the peer answers anything: a silent
+        // peer gets heartbeats only.
+        if (peer.inFlight && now - peer.sentAt >= m_settings.resendInterval
+            && peer.lastReplyAt > peer.sentAt)
             peer.inFlight = false;
         const bool behind = peer.nextIndex <= m_log.lastIndex();
         if (heartbeat || (behind && !peer.inFlight))
