Reopen no replica whose folder has lost what was synced

Cause: reopening a replica included the step that repeats an interrupted first start. With an empty log, one of the first voters came back under its name in term 1 without its votes and entries.

Change: only the start of a process does that step. A replica is reopened only if the folder holds the term and the last entry that it has synced, and stays stopped otherwise; the next start of the process then makes it a new replica. The tests use the bounds of the deployments: catch_up_s (4 s) for a replica to take part, recovery_s (12 s) for service.

--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -23,6 +23,13 @@
     return parsed ? parsed->ip : std::string();
 }
 
+LogIndex lastIndexOf(const PersistentState &state)
+{
+    if (!state.entries.empty())
+        return state.entries.back().index;
+    return state.snapshot ? state.snapshot->lastIndex : 0;
+}
+
 } // namespace
 
 ReplicaDriver::ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
@@ -76,16 +83,10 @@
         return tl::unexpected(folder.error());
     m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(), FailureDomain{m_fleet.zone},
               false};
-    return openStore(StoredFiles::Synced);
-}
-
-Result<PersistentState> ReplicaDriver::openStore(StoredFiles files)
-{
-    PersistentState state;
-    Result<std::unique_ptr<LogStore>> store = m_openStore(m_fleet.dataFolder, state, files);
-    if (!store)
-        return tl::unexpected(store.error());
-    m_store = std::move(*store);
+    Result<PersistentState> opened = openStore(StoredFiles::Synced);
+    if (!opened)
+        return opened;
+    PersistentState &state = *opened;
     const bool wasFirst = m_self.id.value.ends_with(fmt::format("/{}", firstIncarnation));
     // Repeats a first start that was interrupted before its entry was stored.
     if (wasFirst && !state.snapshot && state.entries.empty()) {
@@ -99,6 +100,16 @@
         if (!stored)
             return tl::unexpected(stored.error());
     }
+    return opened;
+}
+
+Result<PersistentState> ReplicaDriver::openStore(StoredFiles files)
+{
+    PersistentState state;
+    Result<std::unique_ptr<LogStore>> store = m_openStore(m_fleet.dataFolder, state, files);
+    if (!store)
+        return tl::unexpected(store.error());
+    m_store = std::move(*store);
     return state;
 }
 
@@ -127,12 +138,18 @@
               {"has_snapshot", state.snapshot != nullptr}});
     m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(state),
                                           m_random(), BootClock::now());
+    recordSynced();
     m_stopped = false;
     m_reopenAt.reset();
     m_metrics.setReplicaAvailable(true);
     return {};
 }
 
+void ReplicaDriver::recordSynced()
+{
+    m_synced = {m_replica->term(), m_replica->log().lastIndex()};
+}
+
 void ReplicaDriver::reopen()
 {
     m_reopenAt = BootClock::now() + m_settings.reopenInterval;
@@ -146,6 +163,11 @@
         m_bytesSinceSnapshot = 0;
         m_store.reset();
         Result<PersistentState> state = openStore(StoredFiles::Unsynced);
+        // A replica that has forgotten its votes or entries must not take part under its name. With
+        // an empty folder, the process's next start makes it a new one.
+        if (state
+            && (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index))
+            return stop({ErrorCode::Conflict, "the data folder has lost what was synced"});
         reopened = state ? startReplica(std::move(*state)) : tl::unexpected(state.error());
     }
     if (!reopened && BootClock::now() >= m_nextReopenLog) {
@@ -333,6 +355,7 @@
 void ReplicaDriver::stop(const Error &error)
 {
     m_stopped = true;
+    m_reopenAt.reset();
     m_metrics.setReplicaAvailable(false);
     logEvent(LogLevel::Error, "replica-stopped",
              {{"replica", m_self.id},
@@ -384,6 +407,8 @@
         return;
     const Instant started = BootClock::now();
     stopOnError(m_store->sync());
+    if (!m_stopped)
+        recordSynced();
     const Duration took = BootClock::now() - started;
     for (auto &[index, times] : m_entryTimes) {
         if (times.sync == Duration::zero())
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -111,6 +111,13 @@
         Duration sync = Duration::zero(); ///< Of this process's disk.
     };
 
+    /// The end of what this replica has stored and synced.
+    struct SyncedState
+    {
+        Term term = 0;
+        LogIndex index = 0; ///< Of the last entry.
+    };
+
     struct Waiter
     {
         Term term = 0;
@@ -119,15 +126,16 @@
         Done done;
     };
 
-    /// Opens the data folder and determines the identity of this replica.
+    /// Opens the data folder and determines the identity of this replica. Stores the first entry if
+    /// a first start was interrupted before.
     [[nodiscard]] Result<PersistentState> loadOrBootstrap();
-    /// Opens the store and reads its content. Stores the first entry if a first start was
-    /// interrupted before.
+    /// Opens the store and reads its content.
     [[nodiscard]] Result<PersistentState> openStore(StoredFiles files);
     /// Loads the job table and starts the replica with the state.
     [[nodiscard]] Result<void> startReplica(PersistentState state);
     /// Starts the replica again with what its disk holds, after storage failed.
     void reopen();
+    void recordSynced();
     [[nodiscard]] Membership initialMembership() const;
     [[nodiscard]] bool isSeed() const;
     void scheduleTick();
@@ -169,8 +177,9 @@
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Replica> m_replica;
     bool m_stopped = false; ///< After a storage failure or a digest mismatch.
-    /// When a stopped replica is reopened; nothing after a digest mismatch, since the same entries
-    /// would lead to the same state.
+    SyncedState m_synced;
+    /// When a stopped replica is reopened; nothing if its stored state must not be used, for
+    /// example after a digest mismatch.
     std::optional<Instant> m_reopenAt;
     bool m_wasLeader = false;
     /// Latest term in which this replica led and had applied everything that earlier leaders had
--- a/UnitTests/Fleet/FullDiskTest.cpp
+++ b/UnitTests/Fleet/FullDiskTest.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Far more than an election and the replay of a short log need.
-constexpr Duration recoveryLimit = std::chrono::seconds(15);
+/// Time after which the fleet serves again, `recovery_s` of the deployments.
+constexpr Duration recoveryLimit = std::chrono::seconds(12);
+/// Time after which a control process whose disk takes writes again takes part, `catch_up_s`.
+constexpr Duration catchUpLimit = std::chrono::seconds(4);
 
 std::size_t countOf(const std::string &text, std::string_view part)
 {
@@ -27,6 +29,7 @@
     CPPUNIT_TEST(servesAfterDisksWereFullInTurn);
     CPPUNIT_TEST(servesAfterLeadersDiskWasFull);
     CPPUNIT_TEST(keepsAcceptedJobsWhenAllDisksWereFull);
+    CPPUNIT_TEST(staysStoppedOnceItsFolderIsEmpty);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,7 +41,7 @@
         for (const std::size_t follower : {(leader + 1) % cores, (leader + 2) % cores}) {
             fillDisks({follower});
             CPPUNIT_ASSERT(isAccepted(fmt::format("full{}", follower)));
-            m_isDiskFull[follower] = false;
+            freeDisks({follower});
             CPPUNIT_ASSERT(isAccepted(fmt::format("free{}", follower)));
         }
         assertServesWithout(leader);
@@ -51,7 +54,7 @@
         fillDisks({leader});
         CPPUNIT_ASSERT(isAccepted("full"));
         CPPUNIT_ASSERT(leadingCore() != leader);
-        m_isDiskFull[leader] = false;
+        freeDisks({leader});
         CPPUNIT_ASSERT(isAccepted("free"));
         assertServesWithout(leadingCore());
     }
@@ -63,8 +66,7 @@
         until([this] { return stateOf("before") == "completed"; });
         fillDisks({0, 1, 2});
         CPPUNIT_ASSERT(!trySubmit("during", std::chrono::seconds(3)));
-        for (std::atomic<bool> &isFull : m_isDiskFull)
-            isFull = false;
+        freeDisks({0, 1, 2});
         CPPUNIT_ASSERT(isAccepted("after"));
         CPPUNIT_ASSERT_EQUAL(std::string("completed"), stateOf("before"));
         until([this] { return stateOf("after") == "completed"; });
@@ -72,6 +74,22 @@
             CPPUNIT_ASSERT(!worker->sawDuplicateRun());
     }
 
+    /// Guards against a replica that votes again after it has forgotten its votes and entries,
+    /// because its folder was emptied while the disk was full.
+    void staysStoppedOnceItsFolderIsEmpty()
+    {
+        const std::size_t follower = (leadingCore() + 1) % cores;
+        fillDisks({follower});
+        for (const auto &file :
+             std::filesystem::directory_iterator(settingsOf(static_cast<int>(follower)).dataFolder))
+            std::filesystem::remove(file);
+        const test::LogCapture log;
+        m_isDiskFull[follower] = false;
+        until([&] { return countOf(log.text(), "has lost what was synced") == 1; });
+        CPPUNIT_ASSERT(isAccepted("free"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, countOf(log.text(), "event=replica-opened "));
+    }
+
 private:
     /// Fills these disks and waits until each has refused a write.
     void fillDisks(const std::vector<std::size_t> &disks)
@@ -84,6 +102,17 @@
         until([&] { return countOf(log.text(), "event=replica-stopped ") == disks.size(); });
     }
 
+    /// Frees these disks and checks that the replicas on them start again in time.
+    void freeDisks(const std::vector<std::size_t> &disks)
+    {
+        const test::LogCapture log;
+        for (const std::size_t disk : disks)
+            m_isDiskFull[disk] = false;
+        CPPUNIT_ASSERT(
+            runUntil([&] { return countOf(log.text(), "event=replica-opened ") == disks.size(); },
+                     catchUpLimit));
+    }
+
     [[nodiscard]] std::size_t leadingCore()
     {
         std::size_t leader = cores;
