Empty the temporary file of a replacement before it is written

Cause: a file is replaced through a temporary one, which was opened for appending after an attempt to remove its leftover whose failure was ignored. Since a failed replica tries again several times a second, such a leftover is likely, and it also kept the last space of a disk.

Change: the temporary file is emptied when it is opened and removed when the replacement fails.

--- a/Guavashift/Consensus/File.cpp
+++ b/Guavashift/Consensus/File.cpp
@@ -39,7 +39,8 @@
 
 Result<File> File::openForAppend(const std::filesystem::path &path)
 {
-    const bool existed = std::filesystem::exists(path);
+    std::error_code unknown;
+    const bool existed = std::filesystem::exists(path, unknown);
     const int descriptor =
         ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode);
     if (descriptor < 0)
@@ -52,6 +53,14 @@
     return file;
 }
 
+Result<File> File::create(const std::filesystem::path &path)
+{
+    const int descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
+    if (descriptor < 0)
+        return systemError("create", path);
+    return File(descriptor);
+}
+
 Result<void> File::write(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -100,18 +109,23 @@
 {
     std::filesystem::path temporary = path;
     temporary += ".new";
+    const auto writeTemporary = [&]() -> Result<void> {
+        Result<File> file = File::create(temporary);
+        if (!file)
+            return tl::unexpected(file.error());
+        if (Result<void> written = file->write(content); !written)
+            return written;
+        return file->sync();
+    };
+    Result<void> replaced = writeTemporary();
+    if (replaced && ::rename(temporary.c_str(), path.c_str()) != 0)
+        replaced = systemError("rename", path);
+    if (replaced)
+        return syncFolder(path.parent_path());
+    // A part of the content would only take space from the next attempt, which empties it.
     std::error_code ignored;
     std::filesystem::remove(temporary, ignored);
-    Result<File> file = File::openForAppend(temporary);
-    if (!file)
-        return tl::unexpected(file.error());
-    if (Result<void> written = file->write(content); !written)
-        return written;
-    if (Result<void> synced = file->sync(); !synced)
-        return synced;
-    if (::rename(temporary.c_str(), path.c_str()) != 0)
-        return systemError("rename", path);
-    return syncFolder(path.parent_path());
+    return replaced;
 }
 
 Result<void> syncFolder(const std::filesystem::path &folder)
--- a/Guavashift/Consensus/File.h
+++ b/Guavashift/Consensus/File.h
@@ -19,6 +19,8 @@
 
     /// Opens for appending; creates the file if needed and then syncs its folder.
     static Result<File> openForAppend(const std::filesystem::path &path);
+    /// Creates an empty file, or empties an existing one. Does not sync its folder.
+    static Result<File> create(const std::filesystem::path &path);
 
     Result<void> write(std::string_view bytes);
     /// Returns when the written bytes are on the disk (fdatasync).
--- a/UnitTests/Consensus/FileLogStoreTest.cpp
+++ b/UnitTests/Consensus/FileLogStoreTest.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(refusesADamagedSnapshot);
     CPPUNIT_TEST(opensAgainAfterAWriteThatFailed);
     CPPUNIT_TEST(writesUnsyncedFilesAgain);
+    CPPUNIT_TEST(replacesAFileBesideALeftover);
+    CPPUNIT_TEST(leavesNothingOfAReplacementThatFailed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,6 +225,29 @@
         CPPUNIT_ASSERT(again.hardState == (HardState{3, ReplicaId{"a/1"}}));
     }
 
+    /// Guards against old bytes in front of the new content, when the leftover of an earlier
+    /// attempt cannot be removed.
+    void replacesAFileBesideALeftover()
+    {
+        const std::filesystem::path path = m_folder / "file";
+        writeContent(m_folder / "file.new", "leftover");
+        CPPUNIT_ASSERT(replaceFile(path, "new").has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), readContent(path));
+    }
+
+    /// Guards against a replacement that failed part-way and keeps the last space of the disk.
+    void leavesNothingOfAReplacementThatFailed()
+    {
+        const std::filesystem::path path = m_folder / "file";
+        CPPUNIT_ASSERT(replaceFile(path, "old").has_value());
+        {
+            const FileSizeLimit limit(10);
+            CPPUNIT_ASSERT(!replaceFile(path, std::string(100, 'x')));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("old"), readContent(path));
+        CPPUNIT_ASSERT(!std::filesystem::exists(m_folder / "file.new"));
+    }
+
 private:
     void write(const std::vector<LogEntry> &list)
     {
