Write the log anew whenever a data folder is opened

Cause: what can be read counted as synced when a process started; only a replica that was reopened wrote it anew. What a killed process had written may be in the kernel's cache only, and a file renamed just before may get its old name back.

Change: opening a folder always syncs it and writes the log to a new, synced file, so that both cases are one. A control process that cannot do so when it starts ends, as it did with a torn log. A truncation that is stored without the entries after it is no loss.

No test shows the loss itself.

--- a/Guavashift/Consensus/FileLogStore.cpp
+++ b/Guavashift/Consensus/FileLogStore.cpp
@@ -142,7 +142,7 @@
 }
 
 Result<std::unique_ptr<FileLogStore>> FileLogStore::open(const std::filesystem::path &folder,
-                                                         PersistentState &state, StoredFiles files)
+                                                         PersistentState &state)
 {
     try {
         const Result<SnapshotPointer> snapshot = readSnapshot(folder / snapshotName);
@@ -157,21 +157,19 @@
         if (!result)
             return tl::unexpected(result.error());
 
-        // Rewrites the log, so that nothing is appended after a torn tail or after entries that the
-        // snapshot covers.
+        // The snapshot was synced before it got its name. The name must be durable before the log
+        // changes, whose entries may continue only this snapshot.
+        Result<void> stored = syncFolder(folder);
+        // Leaves out a torn tail and entries that the snapshot covers.
+        if (stored)
+            stored = replaceFile(folder / logName, encodeLog(state.hardState, state.entries));
+        if (!stored)
+            return tl::unexpected(stored.error());
         const bool torn = result->validBytes < bytes.size();
-        const bool unsynced = files == StoredFiles::Unsynced;
-        if (torn || result->coveredEntries || unsynced) {
+        if (torn || result->coveredEntries)
             logEvent(LogLevel::Warning, "log-repaired",
                      {{"cut_bytes", bytes.size() - result->validBytes},
-                      {"covered_entries", result->coveredEntries},
-                      {"unsynced", unsynced}});
-            // Also syncs the folder, and with it the name of the snapshot, which was synced before
-            // it got that name.
-            const std::string repaired = encodeLog(state.hardState, state.entries);
-            if (Result<void> stored = replaceFile(folder / logName, repaired); !stored)
-                return tl::unexpected(stored.error());
-        }
+                      {"covered_entries", result->coveredEntries}});
         std::unique_ptr<FileLogStore> store(new FileLogStore(folder));
         Result<File> log = File::openForAppend(folder / logName);
         if (!log)
--- a/Guavashift/Consensus/FileLogStore.h
+++ b/Guavashift/Consensus/FileLogStore.h
@@ -15,10 +15,10 @@
 {
 public:
     /// Opens the folder and reads its content into `state`. Removes a torn record at the end of the
-    /// log; any other damage is an error. Unsynced files are replaced by synced copies.
+    /// log; any other damage is an error. Writes the log anew, since what can be read may be in the
+    /// kernel's cache only, after a sync that failed or did not end.
     static Result<std::unique_ptr<FileLogStore>> open(const std::filesystem::path &folder,
-                                                      PersistentState &state,
-                                                      StoredFiles files = StoredFiles::Synced);
+                                                      PersistentState &state);
 
     Result<void> saveHardState(const HardState &hardState) override;
     Result<void> truncateFrom(LogIndex index) override;
--- a/Guavashift/Consensus/LogStore.h
+++ b/Guavashift/Consensus/LogStore.h
@@ -33,15 +33,9 @@
                                            std::span<const LogEntry> tail) = 0;
 };
 
-/// What is known of the files that are opened.
-enum class StoredFiles : std::uint8_t {
-    Synced,  ///< Everything that can be read is on the disk.
-    Unsynced ///< A write or sync has failed since the machine started. What can be read may be in
-             ///< the kernel's cache only and must be written again.
-};
-
-/// Opens the store in a data folder and reads its content into the state, which is passed in empty.
+/// Opens the store in a data folder, reads its content into the state, which is passed in empty,
+/// and makes that content durable.
 using LogStoreOpener = std::function<Result<std::unique_ptr<LogStore>>(
-    const std::filesystem::path &folder, PersistentState &state, StoredFiles files)>;
+    const std::filesystem::path &folder, PersistentState &state)>;
 
 } // namespace guavashift
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -14,8 +14,6 @@
 /// Maximum number of commands after which a log entry takes no further proposal.
 constexpr std::size_t maxCommandsPerEntry = 1024;
 constexpr Duration planInterval = std::chrono::milliseconds(100);
-/// Shortest interval between two log lines about failed attempts to reopen a replica.
-constexpr Duration reopenLogInterval = std::chrono::seconds(1);
 
 std::string ipOf(const std::string &address)
 {
@@ -83,7 +81,7 @@
         return tl::unexpected(folder.error());
     m_self = {folder->replica(), m_fleet.ip, m_fleet.channelAddress(), FailureDomain{m_fleet.zone},
               false};
-    Result<PersistentState> opened = openStore(StoredFiles::Synced);
+    Result<PersistentState> opened = openStore();
     if (!opened)
         return opened;
     PersistentState &state = *opened;
@@ -103,10 +101,10 @@
     return opened;
 }
 
-Result<PersistentState> ReplicaDriver::openStore(StoredFiles files)
+Result<PersistentState> ReplicaDriver::openStore()
 {
     PersistentState state;
-    Result<std::unique_ptr<LogStore>> store = m_openStore(m_fleet.dataFolder, state, files);
+    Result<std::unique_ptr<LogStore>> store = m_openStore(m_fleet.dataFolder, state);
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
@@ -126,11 +124,13 @@
 
 Result<void> ReplicaDriver::startReplica(PersistentState state)
 {
-    m_jobTable.clear();
-    if (state.snapshot) {
-        if (Result<void> loaded = m_jobTable.load(state.snapshot->data); !loaded)
-            return loaded;
-    }
+    if (!state.snapshot)
+        m_jobTable.clear();
+    else if (Result<void> loaded = m_jobTable.load(state.snapshot->data); !loaded)
+        return loaded;
+    m_bytesSinceSnapshot = 0;
+    for (const LogEntry &entry : state.entries)
+        m_bytesSinceSnapshot += entry.payload.size();
     logEvent(LogLevel::Info, "replica-opened",
              {{"replica", m_self.id},
               {"term", state.hardState.term},
@@ -152,29 +152,26 @@
 
 void ReplicaDriver::reopen()
 {
-    m_reopenAt = BootClock::now() + m_settings.reopenInterval;
-    // A small write fails without the cost of reading everything while the disk is still full.
-    const std::filesystem::path probe = std::filesystem::path(m_fleet.dataFolder) / "probe";
-    Result<void> reopened = replaceFile(probe, m_self.id.value);
-    if (reopened) {
-        // Nothing that the replica held in memory may be used: it may not be on the disk.
-        m_deferred.clear();
-        m_digests.clear();
-        m_bytesSinceSnapshot = 0;
-        m_store.reset();
-        Result<PersistentState> state = openStore(StoredFiles::Unsynced);
-        // A replica that has forgotten its votes or entries must not take part under its name. With
-        // an empty folder, the process's next start makes it a new one.
-        if (state
-            && (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index))
-            return stop({ErrorCode::Conflict, "the data folder has lost what was synced"});
-        reopened = state ? startReplica(std::move(*state)) : tl::unexpected(state.error());
-    }
-    if (!reopened && BootClock::now() >= m_nextReopenLog) {
-        m_nextReopenLog = BootClock::now() + reopenLogInterval;
+    // Nothing that the replica held in memory may be used: it may not be on the disk.
+    m_deferred.clear();
+    m_digests.clear();
+    m_store.reset();
+    Result<PersistentState> state = openStore();
+    if (!state) {
+        m_reopenPause = std::min(m_reopenPause * 2, m_settings.maxReopenPause);
+        m_reopenAt = BootClock::now() + m_reopenPause;
         logEvent(LogLevel::Warning, "replica-not-reopened",
-                 {{"replica", m_self.id}, {"reason", reopened.error().message}});
+                 {{"replica", m_self.id},
+                  {"reason", state.error().message},
+                  {"next_ms", toMs(m_reopenPause)}});
+        return;
     }
+    // A replica that has forgotten its votes or entries must not take part under its name. With an
+    // empty folder, the process's next start makes it a new one.
+    if (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index)
+        return stop({ErrorCode::Conflict, "the data folder has lost what was synced"});
+    if (Result<void> started = startReplica(std::move(*state)); !started)
+        stop(started.error());
 }
 
 void ReplicaDriver::scheduleTick()
@@ -349,7 +346,8 @@
     if (stored || m_stopped)
         return;
     stop(stored.error());
-    m_reopenAt = BootClock::now() + m_settings.reopenInterval;
+    m_reopenPause = m_settings.reopenPause;
+    m_reopenAt = BootClock::now() + m_reopenPause;
 }
 
 void ReplicaDriver::stop(const Error &error)
@@ -391,6 +389,8 @@
                                   },
                                   [&](const TruncateLog &truncate) {
                                       stopOnError(m_store->truncateFrom(truncate.from));
+                                      // It may be stored without the entries after it.
+                                      m_synced.index = std::min(m_synced.index, truncate.from - 1);
                                       needsSync = true;
                                   },
                                   [&](const AppendToLog &append) {
@@ -536,7 +536,9 @@
 void ReplicaDriver::installSnapshot(const SnapshotPointer &snapshot)
 {
     m_digests.clear();
-    stopOnError(m_jobTable.load(snapshot->data));
+    // It would fail again: the stored snapshot is the same.
+    if (const Result<void> loaded = m_jobTable.load(snapshot->data); !loaded)
+        return stop(loaded.error());
     logEvent(LogLevel::Info, "snapshot-installed",
              {{"index", snapshot->lastIndex}, {"bytes", snapshot->data.size()}});
 }
@@ -587,6 +589,8 @@
     const EntryLog &log = m_replica->log();
     const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
     stopOnError(m_store->replaceBySnapshot(*snapshot, m_replica->hardState(), tail));
+    if (m_stopped)
+        return;
     m_bytesSinceSnapshot = 0;
     logEvent(LogLevel::Info, "snapshot-taken",
              {{"index", index}, {"bytes", snapshot->data.size()}});
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -26,8 +26,10 @@
     /// A leader whose disk takes this long to sync transfers leadership, since it could not keep
     /// its leader lease.
     Duration maxLeaderSync = std::chrono::milliseconds(100);
-    /// Interval at which a replica whose storage failed tries to use it again.
-    Duration reopenInterval = std::chrono::milliseconds(250);
+    /// First pause before a replica whose storage failed tries to use it again. Doubles with each
+    /// attempt that fails, up to the maximum.
+    Duration reopenPause = std::chrono::milliseconds(250);
+    Duration maxReopenPause = std::chrono::seconds(1);
     /// Digests are compared at multiples of this index.
     LogIndex digestInterval = 64;
 };
@@ -130,7 +132,7 @@
     /// a first start was interrupted before.
     [[nodiscard]] Result<PersistentState> loadOrBootstrap();
     /// Opens the store and reads its content.
-    [[nodiscard]] Result<PersistentState> openStore(StoredFiles files);
+    [[nodiscard]] Result<PersistentState> openStore();
     /// Loads the job table and starts the replica with the state.
     [[nodiscard]] Result<void> startReplica(PersistentState state);
     /// Starts the replica again with what its disk holds, after storage failed.
@@ -181,6 +183,7 @@
     /// When a stopped replica is reopened; nothing if its stored state must not be used, for
     /// example after a digest mismatch.
     std::optional<Instant> m_reopenAt;
+    Duration m_reopenPause = Duration::zero();
     bool m_wasLeader = false;
     /// Latest term in which this replica led and had applied everything that earlier leaders had
     /// committed.
@@ -198,7 +201,6 @@
     std::set<ReplicaId> m_silentVoters; ///< Of this leader.
     Instant m_nextPlan;
     Instant m_nextJoin;
-    Instant m_nextReopenLog;
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/FullDiskLogStore.cpp
+++ b/UnitTests/Fleet/FullDiskLogStore.cpp
@@ -53,11 +53,11 @@
 
 LogStoreOpener openerOf(const std::atomic<bool> &isFull)
 {
-    return [&isFull](const std::filesystem::path &folder, PersistentState &state,
-                     StoredFiles files) -> Result<std::unique_ptr<LogStore>> {
+    return [&isFull](const std::filesystem::path &folder,
+                     PersistentState &state) -> Result<std::unique_ptr<LogStore>> {
         if (isFull)
             return diskFull();
-        Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(folder, state, files);
+        Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(folder, state);
         if (!store)
             return tl::unexpected(store.error());
         return std::make_unique<FullDiskLogStore>(std::move(*store), isFull);
