Test that a learner forgets a silent leader and joins again

A replica that is no voter starts no election, and only an election cleared its known leader. A control process asks to join only if it is no member in its own log or knows no leader. A learner that was removed while it was cut off, or whose membership entry was lost with a leader, is still a member in its own log and knows the old leader: it never asked again.

--- a/UnitTests/Consensus/FailoverTest.cpp
+++ b/UnitTests/Consensus/FailoverTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(catchesUpAFollowerThatLostTheEndOfItsLog);
     CPPUNIT_TEST(transfersLeadership);
     CPPUNIT_TEST(returningReplicaKeepsLeaderAndTerm);
+    CPPUNIT_TEST(learnerRemovedWhileCutOffJoinsAgain);
     CPPUNIT_TEST(snapshotChunkRoundTripsThroughJson);
     CPPUNIT_TEST(sessionMatchesGoldenFile);
     CPPUNIT_TEST_SUITE_END();
@@ -149,6 +150,30 @@
         CPPUNIT_ASSERT_EQUAL(term, cluster.replica(leader).term());
     }
 
+    /// Guards against a learner that never asks to join again, because it stays a member in its own
+    /// log and keeps its silent leader.
+    void learnerRemovedWhileCutOffJoinsAgain()
+    {
+        SimulatedClusterSettings settings = faultFreeSettings(4);
+        settings.planner.learnerLostAfter = std::chrono::seconds(3);
+        SimulatedCluster cluster(settings);
+        cluster.run(std::chrono::seconds(5));
+        const Replica &leader = cluster.replica(*cluster.leaseHolder());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, leader.membership().members.size());
+        std::size_t learner = 0;
+        while (leader.membership().isVoter(cluster.replica(learner).id()))
+            ++learner;
+        cluster.cutOff(learner);
+        runUntil(cluster, std::chrono::seconds(5),
+                 [&] { return leader.membership().members.size() == 3; });
+        // Nothing of the removal is in transit to it any more.
+        cluster.run(std::chrono::seconds(1));
+        cluster.reconnect(learner);
+        runUntil(cluster, std::chrono::seconds(5),
+                 [&] { return leader.membership().members.size() == 4; });
+        runUntil(cluster, std::chrono::seconds(5), [&] { return cluster.converged(); });
+    }
+
     void snapshotChunkRoundTripsThroughJson()
     {
         SnapshotChunk chunk;
--- a/UnitTests/Consensus/RoleChangeTest.cpp
+++ b/UnitTests/Consensus/RoleChangeTest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(lateTransferIsNamed);
     CPPUNIT_TEST(receivedTransferIsNamed);
     CPPUNIT_TEST(removedVoterNamesIt);
+    CPPUNIT_TEST(learnerForgetsItsSilentLeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,6 +139,34 @@
         assertReason(RoleChangeReason::NoLongerVoter, onlyChange());
     }
 
+    /// Guards against a learner that keeps a leader which has fallen silent, and with it never asks
+    /// to join again.
+    void learnerForgetsItsSilentLeader()
+    {
+        PersistentState state = firstState();
+        Membership membership = Json::parse(state.entries.front().payload).get<Membership>();
+        membership.members.front().voter = false;
+        state.entries.front().payload = Json(membership).dump();
+        m_replica.emplace(ReplicaSettings{}, self, std::move(state), 7, at(0));
+        receive(10, second, AppendRequest{firstTerm, 1, firstTerm, {}, 0, 1, {}});
+        assertReason(RoleChangeReason::FollowsLeader, onlyChange());
+        const Duration shortest = ReplicaSettings{}.electionTimeoutMin;
+        m_replica->tick(at(10) + shortest - std::chrono::milliseconds(1));
+        CPPUNIT_ASSERT(changes().empty());
+        m_replica->tick(at(10 + longestSilenceMs));
+        const RoleChanged silent = onlyChange();
+        assertReason(RoleChangeReason::LeaderSilent, silent);
+        CPPUNIT_ASSERT(ReplicaRole::Follower == silent.role);
+        CPPUNIT_ASSERT(silent.leader.isEmpty());
+        CPPUNIT_ASSERT(std::chrono::milliseconds(longestSilenceMs) == silent.leaderContactAge);
+        CPPUNIT_ASSERT_EQUAL(firstTerm, m_replica->term());
+        // The silence is reported once.
+        m_replica->tick(at(10 + 3 * longestSilenceMs));
+        CPPUNIT_ASSERT(changes().empty());
+        receive(5000, second, AppendRequest{firstTerm, 1, firstTerm, {}, 0, 2, {}});
+        assertReason(RoleChangeReason::FollowsLeader, onlyChange());
+    }
+
 private:
     /// Makes the replica the leader and returns the time of its election.
     int becomeLeader()
