Test that an RPC server survives an interrupted wait

The reactor thread of an RPC server ends when its wait is interrupted, as it is when a process is stopped and continued. The process runs on, but answers no call any more: a control process of guavashiftd takes part in nothing.

The test fails: no call is answered within 5 s after the signal. The server writes "work_pending_i: Interrupted system call".

--- a/UnitTests/Rpc/RpcTest.cpp
+++ b/UnitTests/Rpc/RpcTest.cpp
@@ -1,8 +1,12 @@
 #include <Guavashift/Rpc/Rpc.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <filesystem>
 #include <future>
+#include <sys/syscall.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace guavashift;
 
@@ -16,6 +20,24 @@
     return settings;
 }
 
+/// Interrupts the system calls that the other threads of this process wait in, as it happens when
+/// the process is stopped and continued.
+void interruptOtherThreads()
+{
+    struct sigaction action = {};
+    struct sigaction before = {};
+    action.sa_handler = [](int) {};
+    CPPUNIT_ASSERT_EQUAL(0, ::sigaction(SIGUSR2, &action, &before));
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/task")) {
+        const long thread = std::stol(entry.path().filename());
+        if (thread != ::syscall(SYS_gettid))
+            CPPUNIT_ASSERT_EQUAL(0L, ::syscall(SYS_tgkill, ::getpid(), thread, SIGUSR2));
+    }
+    // The signal is handled before its default action, which ends the process, is set again.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(0, ::sigaction(SIGUSR2, &before, nullptr));
+}
+
 } // namespace
 
 /// Tests RPC clients and servers over loopback.
@@ -26,6 +48,7 @@
     CPPUNIT_TEST(returnsHandlerErrors);
     CPPUNIT_TEST(refusesAWrongKey);
     CPPUNIT_TEST(reconnectsAfterARestart);
+    CPPUNIT_TEST(answersAfterItsThreadsWereInterrupted);
     CPPUNIT_TEST(timesOutOnAHangingHandler);
     CPPUNIT_TEST(parsesAddresses);
     CPPUNIT_TEST_SUITE_END();
@@ -84,6 +107,21 @@
         CPPUNIT_ASSERT(client.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
     }
 
+    /// Guards against a server whose thread ends when the process is stopped and continued, while
+    /// the process runs on.
+    void answersAfterItsThreadsWereInterrupted()
+    {
+        RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
+        addMethods(server);
+        CPPUNIT_ASSERT(server.start().has_value());
+        RpcClient client(settingsWith("key"), server.address());
+        CPPUNIT_ASSERT(client.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
+        interruptOtherThreads();
+        CPPUNIT_ASSERT(client.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
+        RpcClient another(settingsWith("key"), server.address());
+        CPPUNIT_ASSERT(another.call("echo", Json::object(), std::chrono::seconds(5)).has_value());
+    }
+
     void timesOutOnAHangingHandler()
     {
         RpcServer server(settingsWith("key"), {"127.0.0.1", 0});
