Let a replica that is no voter forget a silent leader

Callers saw a control process that runs on but is in no membership: its machine counted as a spare and was none.

Cause: only the start of an election cleared the known leader, and a replica that is no voter starts none. As a member in its own log with a known leader, it did not ask to join.

--- a/Guavashift/Consensus/Replica.cpp
+++ b/Guavashift/Consensus/Replica.cpp
@@ -36,8 +36,14 @@
         replicate(now, now >= m_nextHeartbeat);
         return;
     }
-    if (now >= m_electionDeadline && membership().isVoter(m_self))
+    if (now < m_electionDeadline)
+        return;
+    // A replica that is no voter starts no election, but must not keep a silent leader: it may have
+    // been removed, and asks to join again only while it knows no leader.
+    if (membership().isVoter(m_self))
         startPreVote(now);
+    else
+        becomeFollower(now, m_hardState.term, {}, RoleChangeReason::LeaderSilent);
 }
 
 void Replica::receive(Instant now, const Envelope &envelope)
