Keep an RPC server's thread when its wait is interrupted

What callers would see: a control process of guavashiftd that was stopped and continued runs on, but accepts no connection and answers no call. Its followers elect another leader, and the process never takes part again.

Cause: the reactor returned the interrupted wait as an error, which ends its event loop and with it the thread. It now waits again, as the event loop of the fleet's processes already does.

--- a/Guavashift/Rpc/RpcServer.cpp
+++ b/Guavashift/Rpc/RpcServer.cpp
@@ -23,7 +23,7 @@
         : m_settings(settings)
         , m_address(address)
         , m_hello(helloFrame(settings.clusterId, settings.clusterKey))
-        , m_reactor(new ACE_Dev_Poll_Reactor(maxHandles), true)
+        , m_reactor(new ACE_Dev_Poll_Reactor(maxHandles, restartsInterruptedWaits), true)
     {
         reactor(&m_reactor);
     }
@@ -115,6 +115,9 @@
 
 private:
     static constexpr std::size_t maxHandles = 8192;
+    /// An interrupted wait would otherwise end the reactor's thread. Stopping and continuing the
+    /// process interrupts it.
+    static constexpr bool restartsInterruptedWaits = true;
     static constexpr int listenBacklog = 1024;
 
     struct Call
