Test that an agent whose session was replaced opens another

A leader forgets a node's session when a request to open one arrives for the same node. If that request comes late, from a connection that the node has given up, the leader ignores the node's present connection from then on: the keep-alives keep it open, so the node never looks for another. The agent's worker gets no lease and no task for as long as that leader leads.

--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(keepsStateWhenAllControlProcessesRestart);
     CPPUNIT_TEST(tasksSurviveRestartOfAgent);
     CPPUNIT_TEST(pollsWorkerWithoutLeader);
+    CPPUNIT_TEST(agentWhoseSessionWasReplacedOpensAnother);
     CPPUNIT_TEST(cancelledJobStops);
     CPPUNIT_TEST(logsRequestIdAtEveryStep);
     CPPUNIT_TEST(pausesPollsWhileEndsAwaitCommit);
@@ -234,6 +235,32 @@
         until([&] { return m_workers[0]->polls() > before + 2; });
     }
 
+    /// Guards against an agent that keeps a session which its leader has forgotten: the leader then
+    /// ignores its reports and its renewals for good.
+    void agentWhoseSessionWasReplacedOpensAnother()
+    {
+        std::size_t leader = 0;
+        while (!m_cores[leader]->node->leads())
+            ++leader;
+        // The request of a connection that the agent has given up arrives after its present one.
+        bool opened = false;
+        FrameConnection late(m_gateway->loop, ChannelSettings{});
+        late.setHandlers(
+            [&](std::string_view frame) {
+                const std::optional<FleetMessage> message = decodeFrame(frame);
+                opened = opened || (message && std::holds_alternative<SessionOpened>(*message));
+            },
+            {});
+        late.connect(settingsOf(static_cast<int>(leader)).channelAddress());
+        late.send(encodeFrame(OpenSession{NodeRole::Agent, settingsOf(20).node, {}}));
+        until([&] { return opened; });
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        // More than one worker has room for.
+        submit("j", planOf(20));
+        until([this] { return running() == 20; });
+    }
+
     void cancelledJobStops()
     {
         for (const auto &worker : m_workers)
