Count only the open polls of an agent's present worker

What callers would see: tasks of a worker that has just replaced another on its machine lapse, and their ends are not reported, while the agent runs on and reports the worker.

Cause: the next poll was sent only when no poll of any worker was open, and the end of an old worker's poll started none for the new one. The count now starts anew with each lifetime and only its own polls change it.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -159,6 +159,10 @@
     if (isNew) {
         if (m_facts)
             endLifetime(false);
+        // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
+        // waiting.
+        ++m_pollEpoch;
+        m_openPolls = 0;
         m_facts = facts;
         m_listedUpTo = m_committedUpTo = 0;
         m_listedAt.clear();
@@ -236,8 +240,9 @@
     request.wait = wait;
     ++m_openPolls;
     m_metrics.polled();
-    m_port.poll(request, [this, request, now](const WorkerReply &reply) {
-        --m_openPolls;
+    m_port.poll(request, [this, request, now, epoch = m_pollEpoch](const WorkerReply &reply) {
+        if (epoch == m_pollEpoch)
+            --m_openPolls;
         handlePollReply(request, now, reply);
     });
 }
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -136,7 +136,8 @@
     std::map<RunKey, Run> m_runs;
     Throttler m_throttler;
     std::uint64_t m_pollNumber = 0;
-    std::size_t m_openPolls = 0;
+    std::uint64_t m_pollEpoch = 0; ///< Number of lifetimes found.
+    std::size_t m_openPolls = 0;   ///< Of the present lifetime.
     EventLoop::TimerId m_pollTimer = 0;
 };
 
