Tell a node when the leader does not know its session

What callers would see: an agent whose session a late request of its own has replaced gets no lease and no tasks for as long as that leader leads. Its worker's runs lapse. The agent and the leader are up and connected, and the agent logs nothing.

Cause: the leader ignored messages on a connection without a session. It now answers that it does not lead there, as it does when its leadership ends, and the node closes that connection and opens a new session.

--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -157,7 +157,11 @@
                               else
                                   send(leader);
                           },
-                          [&](const auto &) { m_leader.receive(id, *message); }},
+                          [&](const auto &) {
+                              // The node may believe in a session that another one has replaced.
+                              if (!m_leader.receive(id, *message))
+                                  send(LeaderReply{false, leader.address});
+                          }},
                *message);
 }
 
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -105,24 +105,25 @@
     logEvent(LogLevel::Info, "session-closed", {{"node", session.node}});
 }
 
-void FleetLeader::receive(SessionId id, const FleetMessage &message)
+bool FleetLeader::receive(SessionId id, const FleetMessage &message)
 {
     const auto found = m_sessions.find(id);
     // Reports of agents are accepted also during a short loss of the quorum: agents send some of
     // them only once per session, and every decision based on them needs a commit anyway.
     if (found == m_sessions.end() || !m_active)
-        return;
+        return false;
     if (const auto *call = std::get_if<FleetCall>(&message)) {
         handle(*call, [this, id](FleetAnswer answer) {
             const auto session = m_sessions.find(id);
             if (session != m_sessions.end())
                 session->second.send(std::move(answer));
         });
-        return;
+    } else if (const auto *ended = std::get_if<RunsEnded>(&message)) {
+        handleRunsEnded(id, *ended);
+    } else {
+        receiveFromAgent(found->second, message);
     }
-    if (const auto *ended = std::get_if<RunsEnded>(&message))
-        return handleRunsEnded(id, *ended);
-    receiveFromAgent(found->second, message);
+    return true;
 }
 
 void FleetLeader::receiveFromAgent(Session &session, const FleetMessage &message)
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -25,7 +25,8 @@
 
     /// Opens a session and closes an earlier one of the same node.
     void openSession(SessionId session, const OpenSession &request, Send send);
-    void receive(SessionId session, const FleetMessage &message);
+    /// Takes a message of a session. Returns false if this leader does not know the session.
+    bool receive(SessionId session, const FleetMessage &message);
     void sessionClosed(SessionId session);
 
     /// Answers a call, at once or when it is committed. Calls are refused as `Unavailable` only
