Reopen a control process's replica after its storage failed

What callers would see: after a disk of a control process was full once, the process of guavashiftd runs on without its replica.

Change: a replica whose storage failed drops all that it holds in memory, opens its data folder again after 1 s and then every second, writes what it reads to a new file, and takes part again as a follower. A replica whose state differs from the leader's stays stopped. All of this runs on the node's only thread, so that no other thread sees a replica that is being replaced.

The test's limit was the size of the log, at which a rewritten log still fits, so that the replica could open and fail again. Now no byte can be written while the limit holds; all other checks are the same. Process tests were not run.

--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -7,6 +7,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 constexpr Duration dutiesInterval = std::chrono::milliseconds(50);
 constexpr Duration answerTimeout = std::chrono::seconds(2);
+/// Pause between attempts to open the data folder again after it failed.
+constexpr Duration reopenInterval = std::chrono::seconds(1);
 /// Limit of commands in one log entry; a larger proposal has an entry of its own.
 constexpr std::size_t maxCommandsPerEntry = 512;
 
@@ -40,16 +42,27 @@
 }
 
 Result<void> ControlNode::start()
+{
+    if (Result<void> opened = openReplica(StoredFiles::Synced); !opened)
+        return opened;
+    m_thread = std::thread([this] { run(); });
+    return {};
+}
+
+Result<void> ControlNode::openReplica(StoredFiles files)
 {
     PersistentState state;
-    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(m_folder.path(), state);
+    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(m_folder.path(), state, files);
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
+    m_state = StateMachine();
+    m_digest = 0;
+    m_digests.clear();
+    m_snapshotIndex = 0;
     if (state.snapshot) {
-        installSnapshot({state.snapshot});
-        if (m_stopped)
-            return fail(ErrorCode::Io, m_stopReason);
+        if (Result<void> loaded = loadSnapshot(*state.snapshot); !loaded)
+            return loaded;
     }
     makeReplica(std::move(state));
     logEvent(LogLevel::Info, "replica-opened",
@@ -57,10 +70,28 @@
               {"term", m_replica->term()},
               {"last_index", m_replica->log().lastIndex()},
               {"snapshot_index", m_snapshotIndex}});
-    m_thread = std::thread([this] { run(); });
     return {};
 }
 
+void ControlNode::reopenReplica()
+{
+    if (!m_reopenAt || BootClock::now() < *m_reopenAt)
+        return;
+    // The snapshot that is being made may contain entries that the disk does not hold.
+    if (m_snapshotJob.valid())
+        (void)m_snapshotJob.get();
+    m_needsSync = false;
+    m_store.reset();
+    if (const Result<void> opened = openReplica(StoredFiles::Unsynced); !opened) {
+        logEvent(LogLevel::Warning, "replica-not-reopened", {{"reason", opened.error().message}});
+        m_reopenAt = BootClock::now() + reopenInterval;
+        return;
+    }
+    m_reopenAt.reset();
+    m_stopped = false;
+    m_hasFailed = false;
+}
+
 void ControlNode::makeReplica(PersistentState state)
 {
     m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(state),
@@ -113,6 +144,8 @@
                 break;
         }
         runPosted();
+        if (m_stopped)
+            reopenReplica();
         if (m_stopped)
             continue;
         const Instant now = BootClock::now();
@@ -242,11 +275,18 @@
 }
 
 void ControlNode::storageFailed(const Error &error)
+{
+    stopReplica(error);
+    m_reopenAt = BootClock::now() + reopenInterval;
+}
+
+void ControlNode::stopReplica(const Error &error)
 {
     m_stopped = true;
     m_hasFailed = true;
     m_hasLeader = false;
-    m_stopReason = "this replica takes part no more: " + error.message;
+    m_stopReason = "this replica does not take part: " + error.message;
+    leaderGauge().Set(0);
     logEvent(LogLevel::Error, "replica-stopped", {{"reason", error.message}});
     for (auto &[index, waiter] : m_waiters)
         waiter.promise->set_value(fail(ErrorCode::Timeout, m_stopReason));
@@ -330,22 +370,24 @@
 
 void ControlNode::installSnapshot(const InstallSnapshot &install)
 {
-    const std::string_view data = install.snapshot->data;
+    if (const Result<void> loaded = loadSnapshot(*install.snapshot); !loaded)
+        storageFailed(loaded.error());
+}
+
+Result<void> ControlNode::loadSnapshot(const Snapshot &snapshot)
+{
+    const std::string_view data = snapshot.data;
     constexpr std::size_t digestLength = 16;
-    if (data.size() < digestLength) {
-        storageFailed({ErrorCode::Io, "the snapshot is cut off"});
-        return;
-    }
-    if (Result<void> decoded = SnapshotCodec::decode(data.substr(digestLength), m_state);
-        !decoded) {
-        storageFailed(decoded.error());
-        return;
-    }
+    if (data.size() < digestLength)
+        return fail(ErrorCode::Io, "the snapshot is cut off");
+    if (Result<void> decoded = SnapshotCodec::decode(data.substr(digestLength), m_state); !decoded)
+        return decoded;
     m_digest = std::stoull(std::string(data.substr(0, digestLength)), nullptr, 16);
     m_digests.clear();
-    m_snapshotIndex = install.snapshot->lastIndex;
+    m_snapshotIndex = snapshot.lastIndex;
     logEvent(LogLevel::Info, "snapshot-installed",
              {{"index", m_snapshotIndex}, {"bytes", data.size()}});
+    return {};
 }
 
 void ControlNode::startSnapshot()
@@ -397,7 +439,7 @@
 {
     const auto found = m_digests.find(compare.digest.index);
     if (found != m_digests.end() && found->second != compare.digest.digest)
-        storageFailed(
+        stopReplica(
             {ErrorCode::Conflict,
              fmt::format("the state differs from the leader's at index {}", compare.digest.index)});
 }
@@ -413,13 +455,17 @@
               {"reason", nameOf(change.reason)},
               {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
                toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
-    m_telemetry.metrics()
-        .gauge("guavashift_control_is_leader", "1 while this replica leads")
-        .Set(change.role == ReplicaRole::Leader ? 1 : 0);
+    leaderGauge().Set(change.role == ReplicaRole::Leader ? 1 : 0);
     if (change.role == ReplicaRole::Leader)
         m_duties.start(BootClock::now(), change.term);
 }
 
+prometheus::Gauge &ControlNode::leaderGauge()
+{
+    return m_telemetry.metrics().gauge("guavashift_control_is_leader",
+                                       "1 while this replica leads");
+}
+
 void ControlNode::updateJoinLoop()
 {
     const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -65,7 +65,7 @@
 
     /// Whether a leader is known, for readiness. Thread-safe.
     [[nodiscard]] bool hasLeader() const { return m_hasLeader; }
-    /// Whether the replica has stopped for good, see storageFailed(). Thread-safe.
+    /// Whether the replica is stopped, see storageFailed() and stopReplica(). Thread-safe.
     [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
 
 private:
@@ -94,6 +94,10 @@
     void runPosted();
 
     // Consensus.
+    /// Opens the data folder and starts the replica with the state in it alone.
+    [[nodiscard]] Result<void> openReplica(StoredFiles files);
+    /// Starts a replica whose storage failed again, once the next attempt is due.
+    void reopenReplica();
     void makeReplica(PersistentState state);
     void processEffects();
     void store(const Effect &effect);
@@ -101,13 +105,17 @@
     void applyEntries(const ApplyEntries &apply);
     void applyEntry(const LogEntry &entry);
     void installSnapshot(const InstallSnapshot &install);
+    [[nodiscard]] Result<void> loadSnapshot(const Snapshot &snapshot);
     void compareDigest(const CompareDigest &compare);
     void roleChanged(const RoleChanged &change);
     void startSnapshot();
     void finishSnapshot();
     void proposePending();
-    /// Stops the replica for good after a disk error or a state that differs from the leader's.
+    /// Stops the replica after a disk error. reopenReplica() starts it again.
     void storageFailed(const Error &error);
+    /// Stops the replica. Without a time in m_reopenAt, it stays stopped.
+    void stopReplica(const Error &error);
+    [[nodiscard]] prometheus::Gauge &leaderGauge();
     PeerLink *linkTo(const ReplicaId &id);
     void updateJoinLoop();
 
@@ -133,8 +141,11 @@
     LogIndex m_snapshotIndex = 0;
     std::future<SnapshotPointer> m_snapshotJob;
     bool m_needsSync = false;
-    bool m_stopped = false; ///< Set by storageFailed(): the replica no longer takes part.
+    bool m_stopped = false; ///< The replica takes no part, see storageFailed() and stopReplica().
     std::string m_stopReason;
+    /// When a stopped replica is started again. Nothing after a state that differs from the
+    /// leader's, since the same entries would lead to the same state.
+    std::optional<Instant> m_reopenAt;
 
     std::map<ReplicaId, std::unique_ptr<PeerLink>> m_peers;
     std::map<ReplicaId, std::string> m_addresses; ///< As sent by the replicas themselves.
--- a/UnitTests/Control/ControlNodeTest.cpp
+++ b/UnitTests/Control/ControlNodeTest.cpp
@@ -11,28 +11,28 @@
 
 namespace {
 
-/// While it exists, no file of this process can grow beyond a size.
-class FileSizeLimit final
+/// While it exists, this process can write to no file.
+class FullDisk final
 {
 public:
-    explicit FileSizeLimit(std::uintmax_t bytes)
+    FullDisk()
     {
-        // Without this, a write beyond the limit ends the process instead of failing.
+        // Without this, a refused write ends the process instead of failing.
         m_signalBefore = std::signal(SIGXFSZ, SIG_IGN);
         CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_FSIZE, &m_before));
         rlimit limited = m_before;
-        limited.rlim_cur = bytes;
+        limited.rlim_cur = 0;
         CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_FSIZE, &limited));
     }
 
-    ~FileSizeLimit()
+    ~FullDisk()
     {
         (void)::setrlimit(RLIMIT_FSIZE, &m_before);
         (void)std::signal(SIGXFSZ, m_signalBefore);
     }
 
-    FileSizeLimit(const FileSizeLimit &) = delete;
-    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+    FullDisk(const FullDisk &) = delete;
+    FullDisk &operator=(const FullDisk &) = delete;
 
 private:
     rlimit m_before{};
@@ -70,7 +70,7 @@
     {
         until([this] { return claim("before"); });
         {
-            const FileSizeLimit limit(std::filesystem::file_size(m_folder / "log"));
+            const FullDisk full;
             CPPUNIT_ASSERT(!claim("refused"));
             CPPUNIT_ASSERT(m_node->hasFailed());
             // It stays without a replica as long as its disk refuses to write.
