Test that an empty disk joins through the leader that sends to it

A control process with an empty disk asks only its seeds to join. If they are all outdated, it never joins, though the leader sends it messages for its old disk several times a second.

The test fails: with one more control process gone, a job is refused.

--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(tasksSurviveRestartOfAgent);
     CPPUNIT_TEST(pollsWorkerWithoutLeader);
     CPPUNIT_TEST(agentWhoseSessionWasReplacedOpensAnother);
+    CPPUNIT_TEST(emptyDiskJoinsThroughTheLeaderThatSendsToIt);
     CPPUNIT_TEST(cancelledJobStops);
     CPPUNIT_TEST(logsRequestIdAtEveryStep);
     CPPUNIT_TEST(pausesPollsWhileEndsAwaitCommit);
@@ -261,6 +262,26 @@
         until([this] { return running() == 20; });
     }
 
+    /// Guards against a control process with an empty disk that never joins, because its seeds are
+    /// outdated, though the leader sends messages for its old disk to it.
+    void emptyDiskJoinsThroughTheLeaderThatSendsToIt()
+    {
+        std::size_t leader = 0;
+        while (!m_cores[leader]->node->leads())
+            ++leader;
+        const std::size_t emptied = (leader + 1) % cores;
+        const std::size_t other = (leader + 2) % cores;
+        m_cores[emptied].reset();
+        std::filesystem::remove_all(settingsOf(static_cast<int>(emptied)).dataFolder);
+        startCore(static_cast<int>(emptied), false);
+        m_cores[emptied]->node->setSeeds({settingsOf(cores).channelAddress()});
+        runUntil([] { return false; }, std::chrono::seconds(8));
+        // The two that are left are a quorum only if the emptied one is a voter again.
+        m_cores[other].reset();
+        submit("j", planOf(2));
+        until([this] { return stateOf("j") == "completed"; });
+    }
+
     void cancelledJobStops()
     {
         for (const auto &worker : m_workers)
