Ask whoever sends replica messages to join

What callers would see: a control machine that lost its disk is no spare, as long as its process runs, if the seeds in its settings are all gone.

Cause: a replica with an empty log knows only its seeds. It now also asks the addresses that other replicas sent along with their messages, which reach it although they are for its old disk. Without such messages, that is once the old incarnation has been removed, it still depends on its seeds.

--- a/Guavashift/Fleet/ReplicaDriverMembers.cpp
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -1,5 +1,7 @@
 #include <Guavashift/Fleet/ReplicaDriver.h>
 
+#include <set>
+
 // The part of ReplicaDriver for the membership and the addresses of the other replicas.
 
 namespace guavashift {
@@ -48,10 +50,15 @@
     const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
     if (isMember && !m_replica->leader().isEmpty())
         return;
-    for (const std::string &address : addresses()) {
-        if (address != m_self.address)
-            sendTo(address, JoinRequest{m_self});
-    }
+    // The leader may send to an earlier incarnation of this disk, while this one does not know any
+    // member and its seeds are outdated.
+    const std::vector<std::string> known = addresses();
+    std::set<std::string> asked(known.begin(), known.end());
+    for (const auto &[replica, address] : m_reportedAddresses)
+        asked.insert(address);
+    asked.erase(m_self.address);
+    for (const std::string &address : asked)
+        sendTo(address, JoinRequest{m_self});
 }
 
 std::string ReplicaDriver::leaderAddress() const
