Test that a late join request removes no reachable replica

The planner keeps the last request of each machine. A request of an earlier disk that arrives after the present one has joined counts as proof that the present one is gone: it is removed, and the earlier one is added.

The test fails: a change is planned 100 ms after such a request, though the present replica has answered since.

--- a/UnitTests/Control/MembershipPlannerTest.cpp
+++ b/UnitTests/Control/MembershipPlannerTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(addsAndPromotesMember);
     CPPUNIT_TEST(promotesOnlyCaughtUpLearners);
     CPPUNIT_TEST(addsReplacementBeforeRemovingLostReplica);
+    CPPUNIT_TEST(lateRequestOfAnEarlierDiskChangesNothing);
     CPPUNIT_TEST(prefersAnotherFailureDomain);
     CPPUNIT_TEST(newLeaderWaitsForEarlierGrants);
     CPPUNIT_TEST(configurationVersionNeverDecreases);
@@ -89,6 +90,26 @@
         CPPUNIT_ASSERT(membership.find(ReplicaId{"c/1"}) == nullptr);
     }
 
+    /// Guards against a reachable replica that is removed because a request of its machine's
+    /// earlier disk arrives late.
+    void lateRequestOfAnEarlierDiskChangesNothing()
+    {
+        MembershipPlanner planner({});
+        const Membership membership{{member("a", true), member("b", true), member("c", true),
+                                     member("d", true, "2"), member("e", false, "2")}};
+        const auto planAt = [&](int milliseconds, int contact) {
+            return planner.plan(membership, ReplicaId{"a/1"}, 100, at(milliseconds),
+                                [&](const ReplicaId &) {
+                                    return ReplicaHealth{100, at(contact)};
+                                });
+        };
+        planner.joinRequested(member("d", false, "1"), at(1000));
+        planner.joinRequested(member("e", false, "1"), at(1000));
+        CPPUNIT_ASSERT(!planAt(1100, 1050));
+        // Without contact since the request, the machine may have returned with another disk.
+        CPPUNIT_ASSERT(planAt(1100, 1000));
+    }
+
     void prefersAnotherFailureDomain()
     {
         const MembershipPlanner planner({});
