Ignore join requests older than the last contact with the member

What callers could see: a control process that has just joined with a new disk is removed again, or a dead disk is added as a learner, when a request of the old disk arrives late. The fleet runs without the spare until the process asks again.

A machine that did return with another disk repeats its request, and its old disk answers nothing.

--- a/Guavashift/Consensus/MembershipPlanner.cpp
+++ b/Guavashift/Consensus/MembershipPlanner.cpp
@@ -34,12 +34,14 @@
     m_requests[member.vm] = {member, now};
 }
 
-bool MembershipPlanner::isReplaced(const Member &member, Instant now) const
+bool MembershipPlanner::isReplaced(const Member &member, Instant now, const HealthMap &health) const
 {
-    // The VM has returned with another disk, so the old incarnation cannot return.
+    // The VM has returned with another disk, so the old incarnation cannot return. A request of an
+    // earlier disk may arrive late: a replica that has answered since is not replaced.
     const auto request = m_requests.find(member.vm);
     return request != m_requests.end() && request->second.member.id != member.id
-        && now - request->second.at < m_settings.maxContactAge;
+        && now - request->second.at < m_settings.maxContactAge
+        && health.at(member.id).lastContact <= request->second.at;
 }
 
 bool MembershipPlanner::isLost(const Member &member, const ReplicaId &leader, Instant now,
@@ -47,16 +49,18 @@
 {
     if (member.id == leader)
         return false;
-    return isReplaced(member, now)
+    return isReplaced(member, now, health)
         || now - health.at(member.id).lastContact > m_settings.voterLostAfter;
 }
 
-std::optional<Membership> MembershipPlanner::addLearner(const Membership &membership,
-                                                        Instant now) const
+std::optional<Membership> MembershipPlanner::addLearner(const Membership &membership, Instant now,
+                                                        const HealthMap &health) const
 {
     for (const auto &[vm, request] : m_requests) {
         const bool fresh = now - request.at < m_settings.maxContactAge;
-        if (!fresh || membership.find(request.member.id) != nullptr)
+        const Member *known = membership.findVm(vm);
+        const bool late = known != nullptr && health.at(known->id).lastContact > request.at;
+        if (!fresh || late || membership.find(request.member.id) != nullptr)
             continue;
         Membership next = membership;
         next.members.push_back(request.member);
@@ -91,7 +95,7 @@
     // A joining replica becomes a learner first, because a learner does not change the quorum.
     if (std::optional<Membership> next = updateAddress(membership, now))
         return next;
-    if (std::optional<Membership> next = addLearner(membership, now))
+    if (std::optional<Membership> next = addLearner(membership, now, health))
         return next;
 
     std::set<FailureDomain> voterDomains;
@@ -119,7 +123,7 @@
         const Member *best = nullptr;
         for (const Member &member : membership.members) {
             const ReplicaHealth &state = health.at(member.id);
-            const bool ready = !member.voter && !isReplaced(member, now)
+            const bool ready = !member.voter && !isReplaced(member, now, health)
                 && state.matchIndex >= commitIndex && state.matchIndex > 0
                 && now - state.lastContact < m_settings.maxContactAge;
             if (!ready)
@@ -134,7 +138,7 @@
 
     // Learners that are replaced or lost are removed.
     for (const Member &member : membership.members) {
-        const bool lost = isReplaced(member, now)
+        const bool lost = isReplaced(member, now, health)
             || now - health.at(member.id).lastContact > m_settings.learnerLostAfter;
         if (!member.voter && member.id != leader && lost)
             return without(membership, member.id);
--- a/Guavashift/Consensus/MembershipPlanner.h
+++ b/Guavashift/Consensus/MembershipPlanner.h
@@ -59,13 +59,13 @@
     std::optional<Membership> planWith(const Membership &membership, const ReplicaId &leader,
                                        LogIndex commitIndex, Instant now,
                                        const HealthMap &health) const;
-    [[nodiscard]] std::optional<Membership> addLearner(const Membership &membership,
-                                                       Instant now) const;
+    [[nodiscard]] std::optional<Membership> addLearner(const Membership &membership, Instant now,
+                                                       const HealthMap &health) const;
     [[nodiscard]] std::optional<Membership> updateAddress(const Membership &membership,
                                                           Instant now) const;
     [[nodiscard]] bool isLost(const Member &member, const ReplicaId &leader, Instant now,
                               const HealthMap &health) const;
-    [[nodiscard]] bool isReplaced(const Member &member, Instant now) const;
+    [[nodiscard]] bool isReplaced(const Member &member, Instant now, const HealthMap &health) const;
 
     MembershipPlannerSettings m_settings;
     std::map<std::string, JoinRequest> m_requests; ///< Latest request of each VM, by VM name.
