Test that a control process without its log stays stopped

A replica that reopens with an empty folder under its name could vote twice in a term or lose entries that it has acknowledged.

--- a/UnitTests/Control/ControlNodeTest.cpp
+++ b/UnitTests/Control/ControlNodeTest.cpp
@@ -46,6 +46,7 @@
 {
     CPPUNIT_TEST_SUITE(ControlNodeTest);
     CPPUNIT_TEST(takesPartAgainAfterItsDiskRefusedAWrite);
+    CPPUNIT_TEST(staysStoppedOnceItsLogIsGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,21 @@
         assertHolds({"before", "after"});
     }
 
+    /// Guards against a replica that takes part under its name after its disk has forgotten its
+    /// votes and entries.
+    void staysStoppedOnceItsLogIsGone()
+    {
+        until([this] { return claim("before"); });
+        {
+            const FullDisk full;
+            CPPUNIT_ASSERT(!claim("refused"));
+            CPPUNIT_ASSERT(m_node->hasFailed());
+            CPPUNIT_ASSERT(std::filesystem::remove(m_folder / "log"));
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        CPPUNIT_ASSERT(m_node->hasFailed());
+    }
+
 private:
     void startNode()
     {
