Reopen no control replica whose folder has lost what was synced

A replica is reopened only if its folder holds the term and the last entry that it has synced, and stays stopped otherwise. Entries that it was about to remove when its storage failed may be missing.

--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -56,6 +56,12 @@
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
+    // A replica that has forgotten its votes or entries must not take part under its name.
+    const LogIndex last = !state.entries.empty() ? state.entries.back().index
+        : state.snapshot                         ? state.snapshot->lastIndex
+                                                 : 0;
+    if (state.hardState.term < m_syncedTerm || last < m_syncedIndex)
+        return fail(ErrorCode::Conflict, "the data folder has lost what was synced");
     m_state = StateMachine();
     m_digest = 0;
     m_digests.clear();
@@ -84,7 +90,11 @@
     m_store.reset();
     if (const Result<void> opened = openReplica(StoredFiles::Unsynced); !opened) {
         logEvent(LogLevel::Warning, "replica-not-reopened", {{"reason", opened.error().message}});
-        m_reopenAt = BootClock::now() + reopenInterval;
+        // What is lost does not come back.
+        if (opened.error().code == ErrorCode::Conflict)
+            m_reopenAt.reset();
+        else
+            m_reopenAt = BootClock::now() + reopenInterval;
         return;
     }
     m_reopenAt.reset();
@@ -96,6 +106,13 @@
 {
     m_replica = std::make_unique<Replica>(m_settings.replica, m_self.id, std::move(state),
                                           m_random(), BootClock::now());
+    recordSynced();
+}
+
+void ControlNode::recordSynced()
+{
+    m_syncedTerm = m_replica->term();
+    m_syncedIndex = m_replica->log().lastIndex();
 }
 
 void ControlNode::stop()
@@ -244,6 +261,7 @@
         }
         if (m_stopped)
             return;
+        recordSynced();
         m_replica->synced(BootClock::now());
         sendMessages(effects, true);
         for (const Effect &effect : effects) {
@@ -268,7 +286,10 @@
     std::visit(
         Overloaded{
             [&](const SaveHardState &save) { check(m_store->saveHardState(save.hardState)); },
-            [&](const TruncateLog &truncate) { check(m_store->truncateFrom(truncate.from)); },
+            [&](const TruncateLog &truncate) {
+                m_syncedIndex = std::min(m_syncedIndex, truncate.from - 1);
+                check(m_store->truncateFrom(truncate.from));
+            },
             [&](const AppendToLog &append) { check(m_store->append(append.entries)); },
             [](const auto &) {}},
         effect);
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -99,6 +99,7 @@
     /// Starts a replica whose storage failed again, once the next attempt is due.
     void reopenReplica();
     void makeReplica(PersistentState state);
+    void recordSynced();
     void processEffects();
     void store(const Effect &effect);
     void sendMessages(const std::vector<Effect> &effects, bool afterSync);
@@ -141,6 +142,9 @@
     LogIndex m_snapshotIndex = 0;
     std::future<SnapshotPointer> m_snapshotJob;
     bool m_needsSync = false;
+    // The end of what this replica has stored and synced.
+    Term m_syncedTerm = 0;
+    LogIndex m_syncedIndex = 0;
     bool m_stopped = false; ///< The replica takes no part, see storageFailed() and stopReplica().
     std::string m_stopReason;
     /// When a stopped replica is started again. Nothing after a state that differs from the
