--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -43,16 +43,16 @@
 
 Result<void> ControlNode::start()
 {
-    if (Result<void> opened = openReplica(StoredFiles::Synced); !opened)
+    if (Result<void> opened = openReplica(); !opened)
         return opened;
     m_thread = std::thread([this] { run(); });
     return {};
 }
 
-Result<void> ControlNode::openReplica(StoredFiles files)
+Result<void> ControlNode::openReplica()
 {
     PersistentState state;
-    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(m_folder.path(), state, files);
+    Result<std::unique_ptr<FileLogStore>> store = FileLogStore::open(m_folder.path(), state);
     if (!store)
         return tl::unexpected(store.error());
     m_store = std::move(*store);
@@ -88,7 +88,7 @@
         (void)m_snapshotJob.get();
     m_needsSync = false;
     m_store.reset();
-    if (const Result<void> opened = openReplica(StoredFiles::Unsynced); !opened) {
+    if (const Result<void> opened = openReplica(); !opened) {
         logEvent(LogLevel::Warning, "replica-not-reopened", {{"reason", opened.error().message}});
         // What is lost does not come back.
         if (opened.error().code == ErrorCode::Conflict)
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -95,7 +95,7 @@
 
     // Consensus.
     /// Opens the data folder and starts the replica with the state in it alone.
-    [[nodiscard]] Result<void> openReplica(StoredFiles files);
+    [[nodiscard]] Result<void> openReplica();
     /// Starts a replica whose storage failed again, once the next attempt is due.
     void reopenReplica();
     void makeReplica(PersistentState state);
