--- a/UnitTests/Fleet/AgentNodeTest.cpp
+++ b/UnitTests/Fleet/AgentPollTest.cpp
@@ -64,9 +64,9 @@
 } // namespace
 
 /// The agent of a worker whose answers the test gives itself.
-class AgentNodeTest : public CppUnit::TestFixture
+class AgentPollTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(AgentNodeTest);
+    CPPUNIT_TEST_SUITE(AgentPollTest);
     CPPUNIT_TEST(pollsNextWorkerWhileAPollOfTheLastOneIsOpen);
     CPPUNIT_TEST_SUITE_END();
 
@@ -131,4 +131,4 @@
     std::unique_ptr<AgentNode> m_agent;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(AgentNodeTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentPollTest);
