Withhold starts that no longer fit when they are committed

Callers could see a worker that does not guard its capacity run more than it has: it starts what it is told.

Cause: a start is checked against the capacity when it is proposed, and its order is sent at the commit. On slow disks the commit comes late, and a report of a smaller capacity in between was not looked at.

Change: at the commit the leader compares what is placed on the worker with its capacity once more. A run that no longer fits is settled as not started, like one whose agent has no session, and its task is placed anew. The later part of the way is bounded already: an agent starts runs only under a lease that its leader granted after it had read all earlier reports, and a worker refuses starts past the end of that lease. So the agent needs no sum of its own. Members of a gang are ordered all the same, since the others would wait for them.

--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -82,6 +82,15 @@
     if (worker.node.empty())
         return queueEnd(run, RunEnd::NotStarted);
     const StageJob &job = *m_jobTable.find(start.task.job);
+    // Members of a gang are ordered all the same: the others would wait for one that is missing.
+    if (worker.isOverCapacity() && !job.plan.steps[start.task.step].gang) {
+        logEvent(LogLevel::Info, "start-withheld",
+                 {{"task", start.task.text()},
+                  {"run", start.run},
+                  {"worker", start.lifetime.worker},
+                  {"reason", "over its capacity"}});
+        return queueEnd(run, RunEnd::NotStarted);
+    }
     m_orders.emplace_back(worker.node,
                           StartOrder{start.lifetime,
                                      traitsOf(start.task, start.run),
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -62,6 +62,8 @@
     /// Activity of all placed best-effort tasks at full speed.
     [[nodiscard]] BestEffortActivity bestEffortDemand() const;
     [[nodiscard]] Resources available() const { return facts.capacity - reserved; }
+    /// Whether the placed runs reserve more than the capacity, because it has shrunk.
+    [[nodiscard]] bool isOverCapacity() const { return !Resources().fitsWithin(available()); }
 };
 
 /// All lifetimes of workers that the leader knows, with the runs placed on them. Performs no I/O
