Reserve capacity for listed runs that are not bound

Callers could see a worker that does not guard its capacity run more than it has while a run on it is being stopped.

Cause: only bound and proposed runs reserved capacity. A worker may list a run that the leader has settled with another end, after a lapse by the leader's clock, a late start or a change of leader. Its stop was ordered, but until its end nothing was reserved for it.

Change: each inventory and each regular list of runs sets anew what the worker's unbound runs reserve. The sizes come from the plans of their jobs. Where the plan is gone, because the job has ended, the size is not known, and nothing is started on the worker until the run is no longer listed.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -265,6 +265,7 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
+    reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
 
@@ -297,16 +298,35 @@
         if (found == worker->runs.end() || found->second.run != row.run)
             m_orders.emplace_back(worker->node, StopOrder{lifetime, row.task, row.run});
     }
+    reserveUnbound(*worker, rows);
     if (worker->facts.draining)
         evacuate(*worker, boundBefore);
 }
 
+void Dispatcher::reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const
+{
+    worker.unboundReserved = {};
+    worker.runsUnknown = false;
+    for (const RunStatus &row : rows) {
+        const auto found = worker.runs.find(row.task);
+        if (found != worker.runs.end() && found->second.run == row.run)
+            continue;
+        // The plan of a job that has ended is discarded.
+        const StageJob *job = m_jobTable.find(row.task.job);
+        if (job == nullptr || row.task.step >= job->plan.steps.size())
+            worker.runsUnknown = true;
+        else
+            worker.unboundReserved += reservationOf(job->plan.steps[row.task.step]);
+    }
+}
+
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, bool unreachable, Instant)
 {
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
     endAllRuns(lifetime, RunEnd::Lapsed);
+    reserveUnbound(*worker, {});
     if (unreachable)
         worker->unreachable = true;
     else {
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -221,6 +221,9 @@
     [[nodiscard]] std::int64_t unusedMilliCores(const PoolWorker &worker) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
+    /// Reserves the capacity of the listed runs that are not bound to the worker, until a later
+    /// list lacks them.
+    void reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const;
     void recordEnd(const EndRun &end, const Lifetime &lifetime, Instant now);
 
     struct FailureRecord
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -203,10 +203,7 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
-    Resources size = step.size;
-    if (step.bestEffort)
-        size.milliCores = 0;
-    if (!size.fitsWithin(worker.available()))
+    if (worker.runsUnknown || !reservationOf(step).fitsWithin(worker.available()))
         return Exclusion::Capacity;
     if (!step.bestEffort)
         return std::nullopt;
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -6,17 +6,25 @@
 
 namespace {
 
-/// Capacity that a run reserves: none of the processors for a best-effort task.
-Resources reservationOf(const PlacedRun &run)
+Resources reservation(Resources size, bool bestEffort)
 {
-    Resources size = run.size;
-    if (run.bestEffort)
+    if (bestEffort)
         size.milliCores = 0;
     return size;
 }
 
+Resources reservationOf(const PlacedRun &run)
+{
+    return reservation(run.size, run.bestEffort);
+}
+
 } // namespace
 
+Resources reservationOf(const StepPlan &step)
+{
+    return reservation(step.size, step.bestEffort);
+}
+
 BestEffortActivity PoolWorker::bestEffortDemand() const
 {
     const double capacity = static_cast<double>(facts.capacity.milliCores);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -29,6 +29,9 @@
     double ownHeadroom = 0; ///< Of a latency-critical task without best-effort tasks; smoothed.
 };
 
+/// Capacity that a task of the step reserves: none of the processors for a best-effort task.
+[[nodiscard]] Resources reservationOf(const StepPlan &step);
+
 /// Headroom that best-effort tasks may still take from the latency-critical tasks of one image on
 /// one worker.
 struct SpareHeadroom
@@ -51,8 +54,10 @@
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
     Resources longRunning;                      ///< Part of `reserved`, by long-running tasks.
     std::map<TaskRef, PlacedRun> runs;
-    BestEffortActivity activity;                   ///< Of the best-effort tasks in its last report.
-    Instant activityAt;                            ///< Time of that report.
+    Resources unboundReserved;   ///< By runs that it lists and that are not bound to it.
+    bool runsUnknown = false;    ///< Whether it lists runs whose size is not known.
+    BestEffortActivity activity; ///< Of the best-effort tasks in its last report.
+    Instant activityAt;          ///< Time of that report.
     std::vector<InterferenceRow> sentInterference; ///< Last sent to its agent.
     /// Computed on demand and cached, since every waiting step queries every worker.
     mutable std::vector<SpareHeadroom> spare;
@@ -61,8 +66,11 @@
 
     /// Activity of all placed best-effort tasks at full speed.
     [[nodiscard]] BestEffortActivity bestEffortDemand() const;
-    [[nodiscard]] Resources available() const { return facts.capacity - reserved; }
-    /// Whether the placed runs reserve more than the capacity, because it has shrunk.
+    [[nodiscard]] Resources available() const
+    {
+        return facts.capacity - reserved - unboundReserved;
+    }
+    /// Whether the runs there reserve more than the capacity, because it has shrunk.
     [[nodiscard]] bool isOverCapacity() const { return !Resources().fitsWithin(available()); }
 };
 
