--- a/UnitTests/Fleet/FakeLeader.cpp
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -37,10 +37,17 @@
                               if (m_result)
                                   send(connection, FleetAnswer{call.id, *m_result, "fake", 1});
                           },
+                          [&](const RunTable &table) { m_tables.push_back(table); },
                           [](const auto &) {}},
                *message);
 }
 
+void FakeLeader::sendToAll(const FleetMessage &message)
+{
+    for (const auto &[id, connection] : m_connections)
+        connection->send(encodeFrame(message));
+}
+
 void FakeLeader::answerAll(CallResult result)
 {
     for (const Received &each : m_calls)
--- a/UnitTests/Fleet/FakeLeader.h
+++ b/UnitTests/Fleet/FakeLeader.h
@@ -18,6 +18,10 @@
     void answerAll(CallResult result);
     /// Closes all connections. Peers may open new ones at once.
     void disconnect() { m_connections.clear(); }
+    /// Sends a message to all peers.
+    void sendToAll(const FleetMessage &message);
+    /// Lists of runs received from agents.
+    [[nodiscard]] const std::vector<RunTable> &tables() const { return m_tables; }
     /// Number of calls received, including resent ones.
     [[nodiscard]] std::size_t calls() const { return m_calls.size(); }
 
@@ -37,6 +41,7 @@
     std::map<std::uint64_t, std::unique_ptr<FrameConnection>> m_connections;
     std::uint64_t m_nextConnection = 1;
     std::vector<Received> m_calls;
+    std::vector<RunTable> m_tables;
     std::optional<CallResult> m_result;
 };
 
