List no run that an agent only stops

Callers could see a worker without new tasks for as long as it does not carry out the stop of a run that it never had: the leader counts listed runs against the worker's capacity, and a run of no known job against all of it.

Cause: a stop for a run that the agent doesn't know adds the run to its table, so that the stop is sent again, and the table is what it reports as running.

Change: the report leaves out what the worker has neither started nor listed.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -133,7 +133,8 @@
     if (m_link.isOpen() && m_facts && !m_inventoryDue && !m_unreachable) {
         RunTable table{m_facts->lifetime, {}};
         for (const auto &[key, run] : m_runs) {
-            if (run.stage != Stage::Running)
+            // A run that was only told to stop may not be there.
+            if (run.stage != Stage::Running || run.seenAt == Instant())
                 continue;
             table.rows.push_back(run.row);
             if (run.traits.tailTargetMs > 0)
