Learn no interference from a change of capacity

Callers could see latency-critical tasks slowed beyond their target: after a worker's capacity has changed, best-effort tasks look harmless.

Cause: the use of processors is learned from as a share of the capacity. When the capacity changes, the share changes with it though the use and all tail latencies stay. The leader took that as a change of activity without effect. What it had computed from the share was kept as well.

Change: a report from before a change of the processor capacity is not compared with a later one, and the spare headroom is computed anew.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -221,7 +221,12 @@
         lifetimeEnded(lifetime, false, now);
     PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
+    // The same use of processors is another share of another capacity, so no report from before
+    // may be compared with a later one.
+    if (facts.capacity.milliCores != worker.facts.capacity.milliCores)
+        worker.activityAt = {};
     worker.facts = facts;
+    worker.spareVersion = 0;
     m_pool.setNode(worker, node);
     worker.hasFacts = true;
     worker.sentInterference.clear();
