--- a/UnitTests/Dispatch/WorkerCapacityTest.cpp
+++ b/UnitTests/Dispatch/WorkerCapacityTest.cpp
@@ -226,11 +226,13 @@
         startServerAndPress();
         report({0, 0, 0}, 2);
         reportServerAndPress(10);
+        reportServerAndPress(500, 4000);
+        CPPUNIT_ASSERT(m_dispatcher->takeInterference(at(501)).empty());
         JobPlan bestEffort = plan(1, {0, 0, 0});
         bestEffort.steps[0].bestEffort = true;
         bestEffort.steps[0].image = "press";
         accept("empty", bestEffort);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(11));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(502));
         PoolWorker worker;
         worker.runs[{"f", 0, 0, 0}].bestEffort = true;
         worker.runs[{"f", 0, 0, 0}].image = "press";
@@ -280,13 +282,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
     }
 
-    /// The server's tail is at 20 of 50 ms, and the best-effort task uses all it asked for.
-    void reportServerAndPress(int milliseconds)
+    /// The server's tail is at 20 of 50 ms.
+    void reportServerAndPress(int milliseconds, double pressMilliCores = 8000)
     {
-        m_dispatcher->runsReported(m_lifetime,
-                                   std::vector<RunStatus>{{{"s", 0, 0, 0}, 1, {}, 100, 20.0},
-                                                          {{"f", 0, 0, 0}, 1, {}, 50, 8000}},
-                                   at(milliseconds));
+        m_dispatcher->runsReported(
+            m_lifetime,
+            std::vector<RunStatus>{{{"s", 0, 0, 0}, 1, {}, 100, 20.0},
+                                   {{"f", 0, 0, 0}, 1, {}, 50, pressMilliCores}},
+            at(milliseconds));
     }
 
     void accept(const std::string &job, const JobPlan &plan)
