Compute with a processor capacity of zero

Callers could see best-effort tasks placed beside latency-critical ones that they slow down: a worker whose capacity has shrunk to zero makes them look harmless.

Cause: shares of the capacity were computed by a division, by zero (an infinite demand) or by one thousandth of a core in its place (a share of thousands). Learned from once, such a share outweighs all others.

Change: all shares come from one function, which returns zero for a worker without processors. Nothing is learned there, and nothing that needs processors fits on it.

Measured: the test passes; test-dispatch passes whole.

--- a/Guavashift/Dispatch/DispatcherInterference.cpp
+++ b/Guavashift/Dispatch/DispatcherInterference.cpp
@@ -15,13 +15,11 @@
 
 void Dispatcher::learnInterference(PoolWorker &worker, std::span<const RunStatus> rows, Instant now)
 {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.milliCores, 1));
     BestEffortActivity activity;
     for (const RunStatus &row : rows) {
         const auto run = worker.runs.find(row.task);
         if (run != worker.runs.end() && run->second.run == row.run && run->second.bestEffort)
-            activity[run->second.image] += row.measurement / capacity;
+            activity[run->second.image] += worker.shareOfProcessors(row.measurement);
     }
     const bool isConsecutive =
         worker.activityAt != Instant() && now - worker.activityAt < m_settings.maxReportGap;
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -242,8 +242,7 @@
 
 double Dispatcher::predictedSpeed(const PoolWorker &worker, const StepPlan &step) const
 {
-    const double more = static_cast<double>(step.size.milliCores)
-        / static_cast<double>(worker.facts.capacity.milliCores);
+    const double more = worker.shareOfProcessors(static_cast<double>(step.size.milliCores));
     double speed = 1;
     for (const SpareHeadroom &spare : spareHeadroomOf(worker)) {
         const double need = m_interference.interference(spare.image, step.image) * more;
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -25,13 +25,18 @@
     return reservation(step.size, step.bestEffort);
 }
 
+double PoolWorker::shareOfProcessors(double milliCores) const
+{
+    const auto capacity = static_cast<double>(facts.capacity.milliCores);
+    return capacity > 0 ? milliCores / capacity : 0;
+}
+
 BestEffortActivity PoolWorker::bestEffortDemand() const
 {
-    const double capacity = static_cast<double>(facts.capacity.milliCores);
     BestEffortActivity demand;
     for (const auto &[task, run] : runs) {
         if (run.bestEffort)
-            demand[run.image] += static_cast<double>(run.size.milliCores) / capacity;
+            demand[run.image] += shareOfProcessors(static_cast<double>(run.size.milliCores));
     }
     return demand;
 }
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -64,6 +64,8 @@
     /// Version of the interference table from which `spare` was computed; 0: out of date.
     mutable std::uint64_t spareVersion = 0;
 
+    /// Share of its processors; 0 if it has none at present.
+    [[nodiscard]] double shareOfProcessors(double milliCores) const;
     /// Activity of all placed best-effort tasks at full speed.
     [[nodiscard]] BestEffortActivity bestEffortDemand() const;
     [[nodiscard]] Resources available() const
