--- a/UnitTests/Fleet/FakeLeader.cpp
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -38,6 +38,7 @@
                                   send(connection, FleetAnswer{call.id, *m_result, "fake", 1});
                           },
                           [&](const RunTable &table) { m_tables.push_back(table); },
+                          [&](const WorkerReport &report) { m_workers.push_back(report.facts); },
                           [](const auto &) {}},
                *message);
 }
--- a/UnitTests/Fleet/FakeLeader.h
+++ b/UnitTests/Fleet/FakeLeader.h
@@ -22,6 +22,8 @@
     void sendToAll(const FleetMessage &message);
     /// Lists of runs received from agents.
     [[nodiscard]] const std::vector<RunTable> &tables() const { return m_tables; }
+    /// Reports of workers received from agents.
+    [[nodiscard]] const std::vector<WorkerFacts> &workers() const { return m_workers; }
     /// Number of calls received, including resent ones.
     [[nodiscard]] std::size_t calls() const { return m_calls.size(); }
 
@@ -42,6 +44,7 @@
     std::uint64_t m_nextConnection = 1;
     std::vector<Received> m_calls;
     std::vector<RunTable> m_tables;
+    std::vector<WorkerFacts> m_workers;
     std::optional<CallResult> m_result;
 };
 
--- a/UnitTests/Platform/WireFormatTest.cpp
+++ b/UnitTests/Platform/WireFormatTest.cpp
@@ -106,6 +106,11 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1'700'000'000'000}, report->facts.lifetime.startedAt);
         CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), std::string(report->facts.rack()));
         CPPUNIT_ASSERT(!readReport("i-1", replaced(text, "draining", "dreaming")));
+        // Fields whose value is 0 are omitted.
+        const auto empty = readReport(
+            "i-1", R"({"service":"s","state":"ready","sequence":5,"capacity":{},"labels":["a"]})");
+        CPPUNIT_ASSERT(empty);
+        CPPUNIT_ASSERT(Resources() == empty->facts.capacity);
         CPPUNIT_ASSERT(!readReport("i-1", replaced(text, "\"sequence\":4,", "")));
     }
 
