--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -221,7 +221,12 @@
         lifetimeEnded(lifetime, false, now);
     PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
+    // The same use of processors is another share of another capacity, so no report from before
+    // may be compared with a later one.
+    if (facts.capacity.milliCores != worker.facts.capacity.milliCores)
+        worker.activityAt = {};
     worker.facts = facts;
+    worker.spareVersion = 0;
     m_pool.setNode(worker, node);
     worker.hasFacts = true;
     worker.sentInterference.clear();
@@ -265,6 +270,7 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
+    reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
 
@@ -297,16 +303,35 @@
         if (found == worker->runs.end() || found->second.run != row.run)
             m_orders.emplace_back(worker->node, StopOrder{lifetime, row.task, row.run});
     }
+    reserveUnbound(*worker, rows);
     if (worker->facts.draining)
         evacuate(*worker, boundBefore);
 }
 
+void Dispatcher::reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const
+{
+    worker.unboundReserved = {};
+    worker.runsUnknown = false;
+    for (const RunStatus &row : rows) {
+        const auto found = worker.runs.find(row.task);
+        if (found != worker.runs.end() && found->second.run == row.run)
+            continue;
+        // The plan of a job that has ended is discarded.
+        const StageJob *job = m_jobTable.find(row.task.job);
+        if (job == nullptr || row.task.step >= job->plan.steps.size())
+            worker.runsUnknown = true;
+        else
+            worker.unboundReserved += reservationOf(job->plan.steps[row.task.step]);
+    }
+}
+
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, bool unreachable, Instant)
 {
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
     endAllRuns(lifetime, RunEnd::Lapsed);
+    reserveUnbound(*worker, {});
     if (unreachable)
         worker->unreachable = true;
     else {
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -6,24 +6,37 @@
 
 namespace {
 
-/// Capacity that a run reserves: none of the processors for a best-effort task.
-Resources reservationOf(const PlacedRun &run)
+Resources reservation(Resources size, bool bestEffort)
 {
-    Resources size = run.size;
-    if (run.bestEffort)
+    if (bestEffort)
         size.milliCores = 0;
     return size;
 }
 
+Resources reservationOf(const PlacedRun &run)
+{
+    return reservation(run.size, run.bestEffort);
+}
+
 } // namespace
 
+Resources reservationOf(const StepPlan &step)
+{
+    return reservation(step.size, step.bestEffort);
+}
+
+double PoolWorker::shareOfProcessors(double milliCores) const
+{
+    const auto capacity = static_cast<double>(facts.capacity.milliCores);
+    return capacity > 0 ? milliCores / capacity : 0;
+}
+
 BestEffortActivity PoolWorker::bestEffortDemand() const
 {
-    const double capacity = static_cast<double>(facts.capacity.milliCores);
     BestEffortActivity demand;
     for (const auto &[task, run] : runs) {
         if (run.bestEffort)
-            demand[run.image] += static_cast<double>(run.size.milliCores) / capacity;
+            demand[run.image] += shareOfProcessors(static_cast<double>(run.size.milliCores));
     }
     return demand;
 }
