Log crashes of workers with the runs that had just started

An agent reported the end of a lifetime only as silent or not, so the leader's log did not tell a crash from a planned end, and nothing named the runs that might have caused one. The message now says how the lifetime ended, and lists the runs that started in the second before the worker stopped answering. The leader logs worker-crashed with them. No decision changes.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -433,6 +433,12 @@
     return {task, run, step.image, step.tailTargetMs, step.bestEffort, step.size.milliCores};
 }
 
+std::size_t Dispatcher::runsOn(const Lifetime &lifetime) const
+{
+    const auto found = m_pool.workers().find(lifetime);
+    return found == m_pool.workers().end() ? 0 : found->second.runs.size();
+}
+
 std::vector<RunTraits> Dispatcher::traitsOf(const Lifetime &lifetime) const
 {
     std::vector<RunTraits> traits;
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -146,6 +146,9 @@
     /// Times of a run's placement; nothing for runs that another leader placed.
     [[nodiscard]] std::optional<BindingTimes> timesOf(const StartRun &start) const;
 
+    /// Number of runs placed on a lifetime.
+    [[nodiscard]] std::size_t runsOn(const Lifetime &lifetime) const;
+
     /// Properties of the runs placed on a lifetime, for an agent that found them running.
     [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
 
--- a/Guavashift/Dispatch/WorkerFacts.h
+++ b/Guavashift/Dispatch/WorkerFacts.h
@@ -41,6 +41,23 @@
     double measurement = 0;
 };
 
+/// How a lifetime of a worker ended.
+enum class LifetimeEnd : std::uint8_t {
+    Left,        ///< The worker drained or announced its end.
+    Unreachable, ///< The lease ran out while the worker did not answer; it may answer again.
+    Crashed      ///< The worker's program ended without notice, or another one replaced it.
+};
+std::string_view nameOf(LifetimeEnd end);
+
+/// Identifies one run of a task.
+struct TaskRun
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+
+    auto operator<=>(const TaskRun &) const = default;
+};
+
 /// Properties of a run that its agent needs besides the run's identity.
 struct RunTraits
 {
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -158,7 +158,7 @@
     m_sequence = sequence;
     if (isNew) {
         if (m_facts)
-            endLifetime(false);
+            endLostLifetime();
         m_facts = facts;
         m_listedUpTo = m_committedUpTo = 0;
         m_listedAt.clear();
@@ -184,19 +184,39 @@
 void AgentNode::workerStopping(const std::string &worker)
 {
     if (m_facts && m_facts->lifetime.worker == worker)
-        endLifetime(false);
+        endLifetime(LifetimeEnd::Left);
 }
 
-void AgentNode::endLifetime(bool unreachable)
+void AgentNode::endLostLifetime()
 {
+    endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed);
+}
+
+std::vector<TaskRun> AgentNode::recentRuns() const
+{
+    const Instant crashedAt = m_pollsFailSince.value_or(BootClock::now());
+    std::vector<TaskRun> recent;
+    for (const auto &[key, run] : m_runs) {
+        if (run.startSentAt != Instant() && crashedAt - run.startSentAt <= m_agent.crashProbation)
+            recent.push_back({key.first, key.second});
+    }
+    return recent;
+}
+
+void AgentNode::endLifetime(LifetimeEnd end)
+{
+    LifetimeEnded ended{m_facts->lifetime, end, {}};
+    if (end == LifetimeEnd::Crashed)
+        ended.recentRuns = recentRuns();
     logEvent(LogLevel::Info, "lifetime-ended",
-             {{"worker", m_facts->lifetime.worker},
-              {"born", m_facts->lifetime.startedAt},
-              {"silent", unreachable},
-              {"runs", m_runs.size()}});
-    m_link.send(LifetimeEnded{m_facts->lifetime, unreachable});
+             {{"worker", ended.lifetime.worker},
+              {"born", ended.lifetime.startedAt},
+              {"end", nameOf(end)},
+              {"runs", m_runs.size()},
+              {"recent_runs", ended.recentRuns.size()}});
+    m_link.send(std::move(ended));
     m_runs.clear();
-    if (!unreachable) {
+    if (end != LifetimeEnd::Unreachable) {
         m_facts.reset();
         m_lease.workerChanged(BootClock::now());
     }
@@ -257,7 +277,7 @@
         break;
     case WorkerCallResult::NoProgram:
     case WorkerCallResult::OtherLifetime:
-        return endLifetime(false);
+        return endLostLifetime();
     case WorkerCallResult::FencedOff:
         // Another session has sent a higher token to the worker. A new session gets a higher one.
         if (request.fence == fence())
@@ -269,7 +289,7 @@
         // Once the lease has expired without an answer, nothing runs on the worker any more.
         if (now > m_lease.latestEnd() && !m_unreachable) {
             m_unreachable = true;
-            endLifetime(true);
+            endLifetime(LifetimeEnd::Unreachable);
         }
         if (m_openPolls == 0)
             schedulePoll(m_agent.retryPause);
@@ -277,7 +297,7 @@
     }
     if (reply.born != 0 && reply.born != m_facts->lifetime.startedAt) {
         // The worker restarted under the same name. Its report will follow.
-        return endLifetime(false);
+        return endLostLifetime();
     }
     if (m_unreachable) {
         m_unreachable = false;
@@ -401,6 +421,7 @@
         return;
     position->second.traits = order.traits;
     position->second.fence = fence();
+    position->second.startSentAt = BootClock::now();
     const std::uint64_t sentUnder = fence();
     m_port.start({sentUnder, until, order}, [this, key, sentUnder](const WorkerReply &reply) {
         started(key, sentUnder, reply);
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -32,6 +32,8 @@
     Duration retryPause = std::chrono::milliseconds(150);
     /// Maximum number of fencing token increments per session, for starts that got no answer.
     std::uint64_t fenceSteps = fenceSpan - 1;
+    /// Runs that were started at most this long before their worker crashed may have caused it.
+    Duration crashProbation = std::chrono::seconds(1);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
@@ -70,6 +72,8 @@
         bool stopAnswered = false;
         Instant stopSentAt;
         Instant seenAt; ///< Known to run at this time at least.
+        /// When the start was sent; 0 for a run that an earlier process of the agent started.
+        Instant startSentAt;
         RunStatus row;
         TailFilter tail;
         std::int32_t sharePercent = 100; ///< As last sent to the worker.
@@ -104,7 +108,11 @@
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
     void drop(RunKey key, std::string_view reason);
-    void endLifetime(bool unreachable);
+    /// Ends the lifetime of a worker whose program is gone or was replaced.
+    void endLostLifetime();
+    void endLifetime(LifetimeEnd end);
+    /// Runs that were started shortly before the worker stopped answering.
+    [[nodiscard]] std::vector<TaskRun> recentRuns() const;
     void applyThrottling();
     void logLoad() const;
     void sendThrottle(const RunKey &key, Run &run, double share);
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -164,16 +164,35 @@
                                         {"reason", refused.reason}});
                           },
                           [&](const LifetimeEnded &ended) {
-                              m_dispatcher.lifetimeEnded(ended.lifetime, ended.unreachable, now);
+                              if (ended.end == LifetimeEnd::Crashed)
+                                  logCrash(session, ended);
+                              m_dispatcher.lifetimeEnded(
+                                  ended.lifetime, ended.end == LifetimeEnd::Unreachable, now);
                               logEvent(LogLevel::Info, "worker-ended",
                                        {{"worker", ended.lifetime.worker},
                                         {"born", ended.lifetime.startedAt},
-                                        {"silent", ended.unreachable}});
+                                        {"end", nameOf(ended.end)}});
                           },
                           [](const auto &) {}},
                message);
 }
 
+void FleetLeader::logCrash(const Session &session, const LifetimeEnded &ended) const
+{
+    constexpr std::size_t maxNamed = 8;
+    std::string recent;
+    for (std::size_t i = 0; i < std::min(ended.recentRuns.size(), maxNamed); ++i) {
+        const TaskRun &each = ended.recentRuns[i];
+        recent += fmt::format("{}{}:{}", i == 0 ? "" : ",", each.task.text(), each.run);
+    }
+    logEvent(LogLevel::Info, "worker-crashed",
+             {{"worker", ended.lifetime.worker},
+              {"node", session.node},
+              {"runs", m_dispatcher.runsOn(ended.lifetime)},
+              {"recent_count", ended.recentRuns.size()},
+              {"recent", recent}});
+}
+
 void FleetLeader::handleRunsEnded(SessionId id, const RunsEnded &ended)
 {
     std::uint64_t upTo = 0;
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -39,6 +39,11 @@
     return std::tie(value.job, value.occurrence, value.step, value.task);
 }
 
+auto fields(Is<TaskRun> auto &value)
+{
+    return std::tie(value.task, value.run);
+}
+
 auto fields(Is<RunStatus> auto &value)
 {
     return std::tie(value.task, value.run, value.checkpoint, value.percent, value.measurement);
@@ -149,7 +154,7 @@
 
 auto fields(Is<LifetimeEnded> auto &value)
 {
-    return std::tie(value.lifetime, value.unreachable);
+    return std::tie(value.lifetime, value.end, value.recentRuns);
 }
 
 auto fields(Is<KnownRuns> auto &value)
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -123,7 +123,9 @@
 struct LifetimeEnded
 {
     Lifetime lifetime;
-    bool unreachable = false; ///< The lease ran out while the worker did not answer.
+    LifetimeEnd end = LifetimeEnd::Left;
+    /// Runs that were started shortly before a crash.
+    std::vector<TaskRun> recentRuns;
 };
 
 struct KnownRuns
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -53,7 +53,7 @@
         RunsEnded{lifetime, {{6, {task, 4, RunEnd::Failed, "saved"}}}},
         EndsCommitted{lifetime, 6},
         StartRefused{lifetime, task, 4, "no-room"},
-        LifetimeEnded{lifetime, true},
+        LifetimeEnded{lifetime, LifetimeEnd::Crashed, {{task, 4}}},
         KnownRuns{{traits}},
         StartOrder{lifetime, traits, "payload", "saved", "ticket"},
         StopOrder{lifetime, task, 4},
