--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -66,6 +66,27 @@
         end(m_running.begin()->first, result);
 }
 
+void FakeWorker::crash()
+{
+    if (m_failsWith)
+        return;
+    ++m_crashes;
+    ++m_born;
+    m_running.clear();
+    m_listed.clear();
+    m_highestRun.clear();
+    m_fence = 0;
+    m_untilMs = 0;
+    m_ends = 0;
+    m_failsWith = WorkerCallResult::NoProgram;
+    m_loop.after(downtime, [this] {
+        m_failsWith.reset();
+        m_startedAt = BootClock::now();
+        if (m_restarted)
+            m_restarted();
+    });
+}
+
 void FakeWorker::poll(const PollRequest &request, Callback callback)
 {
     ++m_polls;
@@ -89,23 +110,26 @@
 {
     // Checks for ends at a short interval instead of waiting for them.
     constexpr Duration checkInterval = std::chrono::milliseconds(5);
-    m_loop.after(checkInterval, [this, waitsUntil, callback, epoch = m_connectionEpoch] {
-        if (epoch != m_connectionEpoch)
-            return;
-        for (const auto &[key, endsAt] : std::map<Key, Instant>(m_running)) {
-            if (BootClock::now() >= endsAt)
-                end(key, RunEnd::Done);
-        }
-        if (m_ignoresPolls)
-            return callback(WorkerReply{});
-        if (m_listed.empty() && BootClock::now() < waitsUntil)
-            return answerPoll(waitsUntil, callback);
-        WorkerReply answer = reply(WorkerCallResult::Done);
-        for (const auto &[key, endsAt] : m_running)
-            answer.running.push_back({key.first, key.second, {}, 100, 0});
-        answer.ended = m_listed;
-        callback(answer);
-    });
+    m_loop.after(checkInterval,
+                 [this, waitsUntil, callback, epoch = m_connectionEpoch, born = m_born] {
+                     if (epoch != m_connectionEpoch)
+                         return;
+                     if (born != m_born)
+                         return callback(WorkerReply{});
+                     for (const auto &[key, endsAt] : std::map<Key, Instant>(m_running)) {
+                         if (BootClock::now() >= endsAt)
+                             end(key, RunEnd::Done);
+                     }
+                     if (m_ignoresPolls)
+                         return callback(WorkerReply{});
+                     if (m_listed.empty() && BootClock::now() < waitsUntil)
+                         return answerPoll(waitsUntil, callback);
+                     WorkerReply answer = reply(WorkerCallResult::Done);
+                     for (const auto &[key, endsAt] : m_running)
+                         answer.running.push_back({key.first, key.second, {}, 100, 0});
+                     answer.ended = m_listed;
+                     callback(answer);
+                 });
 }
 
 void FakeWorker::fail(const Callback &callback)
@@ -139,6 +163,8 @@
     ++m_starts[key.first];
     m_running.emplace(key, BootClock::now() + m_taskTime);
     callback(reply(WorkerCallResult::Done));
+    if (key.first.job == m_deadlyJob)
+        m_loop.after(crashDelay, [this] { crash(); });
 }
 
 void FakeWorker::stop(const StopRequest &request, Callback callback)
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -21,6 +21,12 @@
     void ignorePolls(bool ignore) { m_ignoresPolls = ignore; }
     /// Makes all calls from now on get this result. None is carried out.
     void failAll(WorkerCallResult result) { m_failsWith = result; }
+    /// Ends the worker's program shortly after each start of a task of that job.
+    void crashOn(std::string job) { m_deadlyJob = std::move(job); }
+    /// Ends the worker's program. It begins a new lifetime after `downtime` and calls `restarted`.
+    void crash();
+    void setRestarted(std::function<void()> restarted) { m_restarted = std::move(restarted); }
+    [[nodiscard]] int crashes() const { return m_crashes; }
     /// Ends all runs with this result.
     void finishAll(RunEnd result = RunEnd::Done);
     [[nodiscard]] WorkerFacts facts() const;
@@ -42,6 +48,9 @@
     void stop(const StopRequest &request, Callback callback) override;
     void throttle(const ThrottleRequest &request, Callback callback) override;
 
+    static constexpr Duration crashDelay = std::chrono::milliseconds(10);
+    static constexpr Duration downtime = std::chrono::milliseconds(400);
+
 private:
     using Key = std::pair<TaskRef, std::uint32_t>;
 
@@ -62,6 +71,9 @@
     int m_startsToDrop = 0;
     bool m_ignoresPolls = false;
     std::optional<WorkerCallResult> m_failsWith;
+    std::string m_deadlyJob;
+    std::function<void()> m_restarted;
+    int m_crashes = 0;
     std::uint64_t m_fence = 0;
     std::int64_t m_untilMs = 0;
     std::uint64_t m_ends = 0;
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -93,6 +93,10 @@
     CPPUNIT_TEST(reportsNoEndLostEarlierAsCommitted);
     CPPUNIT_TEST(restartsTasksOfSilentWorker);
     CPPUNIT_TEST(restartsTasksOfUnhealthyWorker);
+    CPPUNIT_TEST(givesUpTaskThatCrashesWorkers);
+    CPPUNIT_TEST(givesUpLongRunningTaskThatCrashesWorkers);
+    CPPUNIT_TEST(countsCrashesAcrossLeaders);
+    CPPUNIT_TEST(logsRunsThatMayHaveCrashedAWorker);
     CPPUNIT_TEST(logsTimesOfBinding);
     CPPUNIT_TEST(logsWhyLeadershipChanged);
     CPPUNIT_TEST(logsSlowRounds);
@@ -339,6 +343,39 @@
     /// Guards against the same for a worker that answers all calls with an error.
     void restartsTasksOfUnhealthyWorker() { assertRestartsElsewhere(WorkerCallResult::Unhealthy); }
 
+    /// Guards against a task that crashes each worker that starts it and is started for ever.
+    void givesUpTaskThatCrashesWorkers()
+    {
+        assertGivesUp(planOf(1), [] {});
+    }
+
+    /// Guards against the same for a long-running task, whose ends count as no attempts.
+    void givesUpLongRunningTaskThatCrashesWorkers()
+    {
+        JobPlan plan = planOf(1);
+        plan.steps[0].longRunning = true;
+        assertGivesUp(plan, [] {});
+    }
+
+    /// Guards against a count of crashes that only the leader knows.
+    void countsCrashesAcrossLeaders()
+    {
+        assertGivesUp(planOf(1), [this] { stopLeader(); });
+    }
+
+    void logsRunsThatMayHaveCrashedAWorker()
+    {
+        const test::LogCapture log;
+        for (const auto &worker : m_workers)
+            worker->setTaskTime(std::chrono::hours(1));
+        submit("j", planOf(1));
+        until([this] { return running() == 1; });
+        m_workers[m_workers[0]->running() == 1 ? 0 : 1]->crash();
+        until([this] { return totalStarts() == 2; });
+        CPPUNIT_ASSERT(log.text().find("event=worker-crashed") != std::string::npos);
+        CPPUNIT_ASSERT(log.text().find("recent=j.0.0.0:1") != std::string::npos);
+    }
+
     void logsTimesOfBinding()
     {
         const test::LogCapture log;
@@ -456,6 +493,60 @@
         until([this] { return totalStarts() == 2; });
     }
 
+    /// Submits a job whose tasks crash their workers, beside one whose tasks do not, and calls
+    /// `afterFirstCrash`. The deadly job must fail after few starts and the other one complete.
+    void assertGivesUp(const JobPlan &plan, const std::function<void()> &afterFirstCrash)
+    {
+        // Of which two follow three crashes.
+        constexpr int maxStarts = 5;
+        for (std::size_t i = 0; i < m_workers.size(); ++i) {
+            m_workers[i]->crashOn("deadly");
+            m_workers[i]->setTaskTime(std::chrono::milliseconds(1500));
+            m_workers[i]->setRestarted(
+                [this, i] { m_agents[i]->node->workerReported(m_workers[i]->facts(), 1); });
+        }
+        submit("deadly", plan);
+        until([this] { return m_workers[0]->crashes() + m_workers[1]->crashes() == 1; });
+        afterFirstCrash();
+        submitAgain("beside", planOf(4));
+        const auto starts = [this] { return startsOf({"deadly", 0, 0, 0}); };
+        until([&] { return starts() > maxStarts || isInState("deadly", "failed"); });
+        CPPUNIT_ASSERT(starts() <= maxStarts);
+        until([this] { return isInState("beside", "completed"); });
+        CPPUNIT_ASSERT(starts() <= maxStarts);
+    }
+
+    /// Submits a job, also while there is no leader.
+    void submitAgain(const std::string &job, const JobPlan &plan)
+    {
+        FleetCall call;
+        call.kind = CallKind::Submit;
+        call.host = "desk.example";
+        call.path = "/counter/" + job;
+        call.plan = plan;
+        until([&] { return send(call).result == CallResult::Done; });
+    }
+
+    /// Whether the job's state could be read and is this one.
+    bool isInState(const std::string &job, std::string_view state)
+    {
+        FleetCall call;
+        call.host = "desk.example";
+        call.path = "/counter/" + job;
+        const FleetAnswer answer = send(call);
+        return answer.result == CallResult::State && answer.text == state;
+    }
+
+    [[nodiscard]] int startsOf(const TaskRef &task) const
+    {
+        int starts = 0;
+        for (const auto &worker : m_workers) {
+            const auto found = worker->starts().find(task);
+            starts += found == worker->starts().end() ? 0 : found->second;
+        }
+        return starts;
+    }
+
     void stopLeader()
     {
         for (auto &core : m_cores) {
