--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -100,6 +100,7 @@
     placed.latencyCritical = step.tailTargetMs > 0;
     placed.longRunning = step.longRunning;
     placed.image = step.image;
+    placed.suspected = crashesOf(ref) > 0;
     placed.tailTargetMs = static_cast<double>(step.tailTargetMs);
     return placed;
 }
@@ -117,6 +118,7 @@
     ready.worthlessAt = ready.objective + (worthlessFactor - 1) * allowed;
     ready.remainingMs = remainingMs(job.plan, ref.step);
     ready.longRunning = job.plan.steps[ref.step].longRunning;
+    ready.suspected = crashesOf(ref) > 0;
     return ready;
 }
 
@@ -218,7 +220,7 @@
             ended.push_back(lifetime);
     }
     for (const Lifetime &lifetime : ended)
-        lifetimeEnded(lifetime, false, now);
+        lifetimeEnded(lifetime, LifetimeEnd::Left, {});
     PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
     worker.facts = facts;
@@ -301,13 +303,18 @@
         evacuate(*worker, boundBefore);
 }
 
-void Dispatcher::lifetimeEnded(const Lifetime &lifetime, bool unreachable, Instant)
+void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
+                               std::span<const TaskRun> recentRuns)
 {
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
-    endAllRuns(lifetime, RunEnd::Lapsed);
-    if (unreachable)
+    // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
+    // have lost power.
+    lapseAllRuns(lifetime,
+                 end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
+                                             : std::set<TaskRef>());
+    if (end == LifetimeEnd::Unreachable)
         worker->unreachable = true;
     else {
         worker->hasFacts = false;
@@ -316,19 +323,20 @@
     }
 }
 
-void Dispatcher::endAllRuns(const Lifetime &lifetime, RunEnd end)
+void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected)
 {
     for (const auto &[task, run] : m_pool.find(lifetime)->runs) {
         if (run.committed)
-            queueEnd(run, end);
+            queueEnd(run, RunEnd::Lapsed,
+                     suspected.contains(task) ? CrashEvidence::Suspected : evidenceOf(run));
     }
 }
 
-void Dispatcher::queueEnd(const PlacedRun &run, RunEnd end)
+void Dispatcher::queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence)
 {
     if (!recordProposedEnd(run.task, run.run, end))
         return;
-    m_commands.emplace_back(EndRun{run.task, run.run, end, run.lastStatus.checkpoint});
+    m_commands.emplace_back(EndRun{run.task, run.run, end, run.lastStatus.checkpoint, evidence});
 }
 
 bool Dispatcher::recordProposedEnd(const TaskRef &task, std::uint32_t run, RunEnd end)
@@ -389,6 +397,8 @@
     if (!recordProposedEnd(end.task, end.run, end.end))
         return;
     EndRun command = end;
+    if (run != nullptr)
+        command.evidence = evidenceOf(*run);
     // The end of a lapsed run carries no checkpoint, but earlier reports of the worker did.
     if (run != nullptr && command.checkpoint.empty())
         command.checkpoint = run->lastStatus.checkpoint;
@@ -406,9 +416,9 @@
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
         // usable again. It would not be reported again if its lifetime were removed here.
         if (m_pool.find(lifetime)->node.empty())
-            lifetimeEnded(lifetime, false, now);
+            lifetimeEnded(lifetime, LifetimeEnd::Left, {});
         else
-            endAllRuns(lifetime, RunEnd::Lapsed);
+            lapseAllRuns(lifetime, {});
     }
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -45,6 +45,13 @@
     /// Share of a service's workers, and at least one of them, that a placement round may hold for
     /// long-running tasks that found no room.
     double maxHeldShare = 1.0 / 16;
+    /// A run that is listed as running for this long does not crash its worker.
+    Duration crashProbation = std::chrono::seconds(1);
+    /// Deduction from the score of a worker for each run on it that a crash would end, in the
+    /// placement of a task under which a worker has crashed.
+    double lossPenalty = 1;
+    /// Factor of that for long-running tasks.
+    double longRunningLossFactor = 10;
     /// Interval at which the reasons why steps wait are logged.
     Duration waitLogInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
@@ -81,6 +88,7 @@
     bool longRunning = false;     ///< Has no end, so it is never late.
     TaskRef task;
     Instant readyAt;
+    bool suspected = false; ///< A worker has crashed under the task.
 
     auto operator<=>(const ReadyTask &) const = default;
 };
@@ -116,9 +124,10 @@
     /// never started.
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
-    /// Handles that no run of that lifetime runs now or ever will again. `unreachable`: the worker
-    /// does not answer its agent, and the lifetime stays known.
-    void lifetimeEnded(const Lifetime &lifetime, bool unreachable, Instant now);
+    /// Handles that no run of that lifetime runs now or ever will again. That of an unreachable
+    /// worker stays known. `recentRuns`: started shortly before a crash.
+    void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
+                       std::span<const TaskRun> recentRuns);
     void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
                       Instant now);
     void endReported(const EndRun &end);
@@ -176,8 +185,30 @@
     void withdraw(const std::string &id);
     void scheduleOccurrences(const std::string &id, const StageJob &job);
     void beginDueOccurrences(WallMs wallNow);
-    void endAllRuns(const Lifetime &lifetime, RunEnd end);
-    void queueEnd(const PlacedRun &run, RunEnd end);
+    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected);
+    void queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence = CrashEvidence::None);
+    /// Runs that may have crashed their worker: of those that had just started, the ones under
+    /// which most workers have crashed before.
+    [[nodiscard]] std::set<TaskRef> suspectedRuns(const PoolWorker &worker,
+                                                  std::span<const TaskRun> recentRuns) const;
+    /// Workers that crashed under the task, or under any member of its gang.
+    [[nodiscard]] std::uint32_t crashesOf(const TaskRef &ref) const;
+    /// Whether the run has been listed as running for the probation time.
+    [[nodiscard]] bool hasSurvived(const PlacedRun &run) const;
+    [[nodiscard]] CrashEvidence evidenceOf(const PlacedRun &run) const;
+    /// Whether a run of another task on the worker is under suspicion and has not survived yet.
+    [[nodiscard]] bool hasOtherSuspect(const PoolWorker &worker, const StepPlan &step,
+                                       const TaskRef &ref) const;
+
+    /// A step of which no task has survived since workers crashed under some is tried with one run
+    /// at a time: all its tasks may be alike.
+    enum class StepTrial : std::uint8_t {
+        None,   ///< All tasks may start.
+        Due,    ///< One task under which a worker has crashed may start.
+        Running ///< None may start until that run has survived or ended.
+    };
+    [[nodiscard]] StepTrial trialOf(const StageJob &job, const TaskRef &ref) const;
+    [[nodiscard]] bool mayStart(const TaskRef &ref, StepTrial trial) const;
     /// Records that an end is about to be proposed. Returns false if it must not be, because one
     /// was. The report that a run is done is proposed also after another end: that may have been
     /// derived without the run's report.
@@ -217,6 +248,8 @@
     void updateLastListed(const PlacedRun &run);
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double colocationScore(const PoolWorker &worker, const StepPlan &step) const;
+    /// Deduction from the score for what a crash of the worker would end.
+    [[nodiscard]] double lossOf(const PoolWorker &worker) const;
     void learnInterference(PoolWorker &worker, std::span<const RunStatus> rows, Instant now);
     [[nodiscard]] const std::vector<SpareHeadroom> &spareHeadroomOf(const PoolWorker &worker) const;
     [[nodiscard]] double predictedSpeed(const PoolWorker &worker, const StepPlan &step) const;
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -59,11 +59,14 @@
         return;
     std::size_t candidates = m_ready.size();
     HeldWorkers held(m_pool.workers(), m_settings.maxHeldShare);
-    // Tasks of one step are alike: once one finds no worker, no worker is searched for the others
-    // in this round. The value tells whether one may still be held for them.
-    std::map<std::pair<std::string, std::uint32_t>, bool> blockedShapes;
+    // Tasks of one step are alike, except that suspected ones may not share a worker: once one
+    // finds no worker, no worker is searched for the others in this round. The value tells whether
+    // one may still be held for them.
+    using Shape = std::tuple<std::string, std::uint32_t, bool>;
+    std::map<Shape, bool> blockedShapes;
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, StepTrial> trials;
     for (const ReadyTask &each : schedulingOrder(wallNow)) {
-        const std::pair<std::string, std::uint32_t> shape{each.task.job, each.task.step};
+        const Shape shape{each.task.job, each.task.step, each.suspected};
         auto blocked = blockedShapes.find(shape);
         if ((blocked != blockedShapes.end() && !blocked->second)
             || !m_readyByTask.contains(each.task))
@@ -71,9 +74,18 @@
         candidates += m_pool.workers().size();
         const StageJob &job = *m_jobTable.find(each.task.job);
         const StepPlan &step = job.plan.steps[each.task.step];
+        const auto [trial, added] = trials.try_emplace(
+            {each.task.job, each.task.occurrence, each.task.step}, StepTrial::None);
+        if (added)
+            trial->second = trialOf(job, each.task);
+        if (!mayStart(each.task, trial->second))
+            continue;
         if (blocked == blockedShapes.end()) {
-            if (step.gang ? placeGang(each, now, held) : placeTask(each, now, held))
+            if (step.gang ? placeGang(each, now, held) : placeTask(each, now, held)) {
+                if (trial->second == StepTrial::Due)
+                    trial->second = StepTrial::Running;
                 continue;
+            }
             if (now >= m_nextWaitLog)
                 logWaiting(job, each);
             blocked = blockedShapes.emplace(shape, canHoldFor(step)).first;
@@ -203,6 +215,9 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
+    // If both crash the worker, or one of them, it stays open which.
+    if (crashesOf(ref) > 0 && hasOtherSuspect(worker, step, ref))
+        return Exclusion::CrashSuspect;
     Resources size = step.size;
     if (step.bestEffort)
         size.milliCores = 0;
@@ -359,17 +374,26 @@
     return score;
 }
 
+double Dispatcher::lossOf(const PoolWorker &worker) const
+{
+    double loss = 0;
+    for (const auto &[task, run] : worker.runs)
+        loss += m_settings.lossPenalty * (run.longRunning ? m_settings.longRunningLossFactor : 1.0);
+    return loss;
+}
+
 PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
                                      const HeldWorkers &held)
 {
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const StepPlan &step = job.plan.steps[ref.step];
+    const bool mayCrash = crashesOf(ref) > 0;
     PoolWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
         if (!held.allows(worker, step) || exclusionOf(worker, queue, step, ref, now))
             continue;
-        const double score = scoreOf(worker, step);
+        const double score = scoreOf(worker, step) - (mayCrash ? lossOf(worker) : 0);
         if (best == nullptr || score > bestScore) {
             best = m_pool.find(lifetime);
             bestScore = score;
--- a/Guavashift/Dispatch/LongRunningWaits.h
+++ b/Guavashift/Dispatch/LongRunningWaits.h
@@ -17,16 +17,18 @@
     Suspect, ///< Paused after refusals or failures.
     Label,   ///< It lacks the required label.
     SpreadLimit,
+    CrashSuspect, ///< Workers crashed under the task and under one that has just started there.
     Capacity,
     Interference ///< It would slow a best-effort task down, or be slowed down by it.
 };
-constexpr std::size_t exclusionCount = 10;
+constexpr std::size_t exclusionCount = 11;
 
 /// A task that is in the queue.
 struct QueuedState
 {
     std::array<std::uint32_t, exclusionCount> excluded{}; ///< Workers by Exclusion.
     std::uint32_t eligible = 0;                           ///< Workers that may run the task.
+    bool awaitsTrial = false; ///< Another task of its step is tried first, after a crash.
 
     [[nodiscard]] std::uint32_t excludedBy(Exclusion reason) const
     {
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -64,6 +64,8 @@
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
     m_unreachable = false;
+    if (m_lastCrash)
+        m_link.send(*m_lastCrash);
     if (m_facts)
         m_link.send(WorkerReport{*m_facts});
     // A new leader has not learned any interference yet.
@@ -214,6 +216,9 @@
               {"end", nameOf(end)},
               {"runs", m_runs.size()},
               {"recent_runs", ended.recentRuns.size()}});
+    // A crash without such runs must not replace one with some.
+    if (!ended.recentRuns.empty())
+        m_lastCrash = ended;
     m_link.send(std::move(ended));
     m_runs.clear();
     if (end != LifetimeEnd::Unreachable) {
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -128,53 +128,54 @@
 void FleetLeader::receiveFromAgent(Session &session, const FleetMessage &message)
 {
     const Instant now = BootClock::now();
-    std::visit(Overloaded{[&](const RenewLease &renew) {
-                              if (!m_driver.mayAnswer())
-                                  return;
-                              m_dispatcher.leaseGranted(session.node, now);
-                              session.send(LeaseGranted{renew.sentAt});
-                          },
-                          [&](const WorkerReport &report) {
-                              session.lifetime = report.facts.lifetime;
-                              m_dispatcher.workerReported(session.node, report.facts, now);
-                              logEvent(LogLevel::Info, "worker-reported",
-                                       {{"node", session.node},
-                                        {"worker", report.facts.lifetime.worker},
-                                        {"born", report.facts.lifetime.startedAt},
-                                        {"draining", report.facts.draining}});
-                          },
-                          [&](const Inventory &inventory) {
-                              m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
-                                                             session.openedAt);
-                              session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
-                          },
-                          [&](const RunTable &table) {
-                              m_dispatcher.runsReported(table.lifetime, table.rows, now);
-                          },
-                          [&](const InterferenceReport &report) {
-                              m_dispatcher.interferenceReported(report.rows);
-                          },
-                          [&](const StartRefused &refused) {
-                              m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run,
-                                                        now);
-                              logEvent(LogLevel::Info, "start-refused",
-                                       {{"task", refused.task.text()},
-                                        {"run", refused.run},
-                                        {"worker", refused.lifetime.worker},
-                                        {"reason", refused.reason}});
-                          },
-                          [&](const LifetimeEnded &ended) {
-                              if (ended.end == LifetimeEnd::Crashed)
-                                  logCrash(session, ended);
-                              m_dispatcher.lifetimeEnded(
-                                  ended.lifetime, ended.end == LifetimeEnd::Unreachable, now);
-                              logEvent(LogLevel::Info, "worker-ended",
-                                       {{"worker", ended.lifetime.worker},
-                                        {"born", ended.lifetime.startedAt},
-                                        {"end", nameOf(ended.end)}});
-                          },
-                          [](const auto &) {}},
-               message);
+    std::visit(
+        Overloaded{[&](const RenewLease &renew) {
+                       if (!m_driver.mayAnswer())
+                           return;
+                       m_dispatcher.leaseGranted(session.node, now);
+                       session.send(LeaseGranted{renew.sentAt});
+                   },
+                   [&](const WorkerReport &report) {
+                       session.lifetime = report.facts.lifetime;
+                       m_dispatcher.workerReported(session.node, report.facts, now);
+                       logEvent(LogLevel::Info, "worker-reported",
+                                {{"node", session.node},
+                                 {"worker", report.facts.lifetime.worker},
+                                 {"born", report.facts.lifetime.startedAt},
+                                 {"draining", report.facts.draining}});
+                   },
+                   [&](const Inventory &inventory) {
+                       m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
+                                                      session.openedAt);
+                       session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
+                   },
+                   [&](const RunTable &table) {
+                       m_dispatcher.runsReported(table.lifetime, table.rows, now);
+                   },
+                   [&](const InterferenceReport &report) {
+                       m_dispatcher.interferenceReported(report.rows);
+                   },
+                   [&](const StartRefused &refused) {
+                       m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run, now);
+                       logEvent(LogLevel::Info, "start-refused",
+                                {{"task", refused.task.text()},
+                                 {"run", refused.run},
+                                 {"worker", refused.lifetime.worker},
+                                 {"reason", refused.reason}});
+                   },
+                   [&](const LifetimeEnded &ended) {
+                       // An agent reports its last crash again in each session.
+                       if (ended.end == LifetimeEnd::Crashed
+                           && m_dispatcher.runsOn(ended.lifetime) > 0)
+                           logCrash(session, ended);
+                       m_dispatcher.lifetimeEnded(ended.lifetime, ended.end, ended.recentRuns);
+                       logEvent(LogLevel::Info, "worker-ended",
+                                {{"worker", ended.lifetime.worker},
+                                 {"born", ended.lifetime.startedAt},
+                                 {"end", nameOf(ended.end)}});
+                   },
+                   [](const auto &) {}},
+        message);
 }
 
 void FleetLeader::logCrash(const Session &session, const LifetimeEnded &ended) const
@@ -240,6 +241,7 @@
                                        {{"task", end.task.text()},
                                         {"run", end.run},
                                         {"end", nameOf(end.end)},
+                                        {"crash", nameOf(end.evidence)},
                                         {"applied", outcome.applied}});
                           },
                           [](const auto &) {}},
@@ -316,6 +318,8 @@
                                  {"other_service", queued.excludedBy(Exclusion::OtherService)},
                                  {"label", queued.excludedBy(Exclusion::Label)},
                                  {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
+                                 {"crash_suspect", queued.excludedBy(Exclusion::CrashSuspect)},
+                                 {"awaits_trial", queued.awaitsTrial},
                                  {"capacity", queued.excludedBy(Exclusion::Capacity)},
                                  {"interference", queued.excludedBy(Exclusion::Interference)}});
                    },
--- a/Guavashift/Stages/JobPlan.cpp
+++ b/Guavashift/Stages/JobPlan.cpp
@@ -30,6 +30,12 @@
     return endNames.at(static_cast<std::size_t>(end));
 }
 
+std::string_view nameOf(CrashEvidence evidence)
+{
+    constexpr std::array<std::string_view, 3> names{"none", "survived", "suspected"};
+    return names.at(static_cast<std::size_t>(evidence));
+}
+
 void to_json(Json &json, const StepPlan &step) // NOLINT
 {
     const std::uint32_t flags = (step.checkpoints ? 1U : 0U) | (step.gang ? 2U : 0U)
--- a/Guavashift/Stages/JobPlan.h
+++ b/Guavashift/Stages/JobPlan.h
@@ -101,4 +101,13 @@
 };
 std::string_view nameOf(RunEnd end);
 
+/// What the end of a run tells about whether its task crashes workers.
+enum class CrashEvidence : std::uint8_t {
+    None,
+    Survived, ///< The run went on for some time, so its start crashed no worker.
+    Suspected ///< The worker crashed shortly after the start, and no other run is likelier the
+              ///< cause.
+};
+std::string_view nameOf(CrashEvidence evidence);
+
 } // namespace guavashift
--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -134,7 +134,7 @@
     const auto [position, added] = job.occurrences.try_emplace(occurrence);
     if (added) {
         for (const StepPlan &step : job.plan.steps)
-            position->second.steps.push_back({std::vector<StageTask>(step.tasks), 0});
+            position->second.steps.push_back({std::vector<StageTask>(step.tasks), 0, 0});
     }
     return position->second;
 }
@@ -195,6 +195,7 @@
     if (!command.checkpoint.empty())
         task->checkpoint = command.checkpoint;
     --job.bound;
+    recordEvidence(job, command);
     if (command.end == RunEnd::Done && !plan.longRunning)
         taskDone(job, command.task);
     else if (command.end == RunEnd::Failed && !plan.longRunning)
@@ -247,6 +248,23 @@
         endJob(ref.job, job, StageJobStatus::Failed);
 }
 
+void JobTable::recordEvidence(StageJob &job, const EndRun &command)
+{
+    const TaskRef &ref = command.task;
+    StageStep &step = job.occurrences.at(ref.occurrence).steps[ref.step];
+    StageTask &task = step.tasks[ref.task];
+    const bool wasSuspected = task.crashes > 0;
+    if (command.evidence == CrashEvidence::Suspected && isDerived(command.end))
+        ++task.crashes;
+    else if (command.evidence == CrashEvidence::Survived || command.end == RunEnd::Done
+             || command.end == RunEnd::Failed)
+        task.crashes = 0;
+    step.suspected += (task.crashes > 0 ? 1U : 0U) - (wasSuspected ? 1U : 0U);
+    // Unlike failures, crashes end also jobs with long-running tasks.
+    if (task.crashes >= m_settings.maxCrashes && job.isActive())
+        endJob(ref.job, job, StageJobStatus::Failed);
+}
+
 void JobTable::endJob(const std::string &id, StageJob &job, StageJobStatus status)
 {
     job.status = status;
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -20,6 +20,8 @@
     /// its report, which may still say that it is done.
     Lifetime lifetime;
     std::string checkpoint; ///< The newest one from an ended run.
+    /// Workers that crashed under the task since a run last survived, see CrashEvidence.
+    std::uint32_t crashes = 0;
 
     bool operator==(const StageTask &) const = default;
 };
@@ -29,6 +31,7 @@
 {
     std::vector<StageTask> tasks;
     std::uint32_t done = 0;
+    std::uint32_t suspected = 0; ///< Tasks with a number of crashes.
 
     [[nodiscard]] bool isDone() const { return done == tasks.size(); }
 };
@@ -64,6 +67,8 @@
 {
     /// Time for which the state of an ended job is kept for queries.
     std::int64_t endedJobRetentionMs = 150'000;
+    /// A job fails once so many workers have crashed under one of its tasks.
+    std::uint32_t maxCrashes = 2;
 };
 
 /// Whether a command changed the state, and if not, why.
@@ -121,6 +126,7 @@
     StageOccurrence &occurrenceOf(StageJob &job, std::uint32_t occurrence);
     void taskDone(StageJob &job, const TaskRef &ref);
     void taskFailed(StageJob &job, const TaskRef &ref);
+    void recordEvidence(StageJob &job, const EndRun &command);
     void endJob(const std::string &id, StageJob &job, StageJobStatus status);
     void discardPlanIfEnded(StageJob &job);
     void removeExpired();
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -13,7 +13,7 @@
     if (task == StageTask{})
         return nullptr;
     return Json::array({task.stage, task.run, task.failures, task.lifetime.worker,
-                        task.lifetime.startedAt, task.checkpoint});
+                        task.lifetime.startedAt, task.checkpoint, task.crashes});
 }
 
 StageTask loadTask(const Json &json)
@@ -24,7 +24,9 @@
             json.at(1).get<std::uint32_t>(),
             json.at(2).get<std::uint32_t>(),
             {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()},
-            json.at(5).get<std::string>()};
+            json.at(5).get<std::string>(),
+            // Snapshots of earlier versions have no number of crashes.
+            json.size() > 6 ? json.at(6).get<std::uint32_t>() : 0};
 }
 
 Json saveOccurrence(const StageOccurrence &occurrence)
@@ -47,6 +49,7 @@
         for (const Json &task : tasks) {
             step.tasks.push_back(loadTask(task));
             step.done += step.tasks.back().stage == TaskStage::Done ? 1 : 0;
+            step.suspected += step.tasks.back().crashes > 0 ? 1 : 0;
         }
         occurrence.stepsDone += step.isDone() ? 1 : 0;
         occurrence.steps.push_back(std::move(step));
--- a/Guavashift/Stages/StageCommands.cpp
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -34,8 +34,8 @@
                                            start.lifetime.worker, start.lifetime.startedAt});
                    },
                    [](const EndRun &end) {
-                       return Json::array(
-                           {Kind::End, encodeTask(end.task), end.run, end.end, end.checkpoint});
+                       return Json::array({Kind::End, encodeTask(end.task), end.run, end.end,
+                                           end.checkpoint, end.evidence});
                    }},
         command);
 }
@@ -54,9 +54,14 @@
         return StartRun{decodeTask(json.at(1)),
                         json.at(2).get<std::uint32_t>(),
                         {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()}};
-    case Kind::End:
-        return EndRun{decodeTask(json.at(1)), json.at(2).get<std::uint32_t>(),
-                      json.at(3).get<RunEnd>(), json.at(4).get<std::string>()};
+    case Kind::End: {
+        EndRun end{decodeTask(json.at(1)), json.at(2).get<std::uint32_t>(),
+                   json.at(3).get<RunEnd>(), json.at(4).get<std::string>(), CrashEvidence::None};
+        // Entries of earlier versions have no evidence.
+        if (json.size() > 5)
+            json.at(5).get_to(end.evidence);
+        return end;
+    }
     }
     throw Json::other_error::create(501, "unknown kind of command", &json);
 }
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -42,6 +42,7 @@
     std::uint32_t run = 0;
     RunEnd end = RunEnd::Done;
     std::string checkpoint;
+    CrashEvidence evidence = CrashEvidence::None;
 };
 
 using StageCommand = std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun>;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -89,6 +89,16 @@
     CPPUNIT_TEST(waitOfALongRunningTaskBeginsWhenItWasLastListed);
     CPPUNIT_TEST(nextLeaderFindsWaitingLongRunningTasks);
     CPPUNIT_TEST(findsNoWaitOfTasksThatNeedNotRun);
+    CPPUNIT_TEST(suspectsOnlyRunsThatHadJustStarted);
+    CPPUNIT_TEST(suspectsTheTaskThatCrashedAWorkerBefore);
+    CPPUNIT_TEST(suspectsNoTaskOfAWorkerThatIsLost);
+    CPPUNIT_TEST(forgetsCrashesOnceARunHasSurvived);
+    CPPUNIT_TEST(placesOneSuspectOnAWorkerAtATime);
+    CPPUNIT_TEST(triesOneTaskOfASuspectedStepFirst);
+    CPPUNIT_TEST(nextLeaderKeepsCrashes);
+    CPPUNIT_TEST(givesUpAGangThatCrashesWorkers);
+    CPPUNIT_TEST(manySuspectsStartWithinSeconds);
+    CPPUNIT_TEST(restartsSuspectedLongRunningTasksWithinSeconds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -463,7 +473,7 @@
                 m_dispatcher->leaseGranted(name, at(4000));
         }
         m_dispatcher->nodeLost("lost");
-        m_dispatcher->lifetimeEnded(workers["silent"].lifetime, true, at(0));
+        m_dispatcher->lifetimeEnded(workers["silent"].lifetime, LifetimeEnd::Unreachable, {});
         m_dispatcher->startRefused(workers["suspect"].lifetime, {"none", 0, 0, 0}, 1, at(4900));
         JobPlan lasting = longRunningPlan(1, 8000);
         lasting.steps[0].requiredLabel = "a";
@@ -589,6 +599,170 @@
 
     /// A long-running task whose run fails gets the capacity that this run had, before any of the
     /// short tasks that keep coming.
+    /// Guards against tasks that lose attempts because another one crashed their worker.
+    void suspectsOnlyRunsThatHadJustStarted()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 1000));
+        accept("short", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        report("w1", 1, 1100);
+        accept("deadly", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1200));
+        crash("n1", "w1", 1, {"deadly"}, 1300);
+        CPPUNIT_ASSERT_EQUAL(1U, crashesOf("deadly"));
+        CPPUNIT_ASSERT_EQUAL(0U, crashesOf("lasting"));
+        CPPUNIT_ASSERT_EQUAL(0U, crashesOf("short"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1400));
+        CPPUNIT_ASSERT_EQUAL(0U, m_jobTable->find({"short", 0, 0, 0})->failures);
+    }
+
+    /// Guards against tasks that are given up because they started beside one that crashes workers.
+    void suspectsTheTaskThatCrashedAWorkerBefore()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("deadly", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        crash("n1", "w1", 1, {"deadly"}, 100);
+        accept("short", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(200));
+        crash("n1", "w1", 2, {"deadly", "short"}, 300);
+        CPPUNIT_ASSERT_EQUAL(0U, crashesOf("short"));
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("deadly")->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(400));
+        CPPUNIT_ASSERT(m_jobTable->find("short")->isActive());
+    }
+
+    /// Guards against tasks that are given up because a rack lost power twice, or because workers
+    /// were cut off or left.
+    void suspectsNoTaskOfAWorkerThatIsLost()
+    {
+        accept("lasting", longRunningPlan(1, 1000));
+        accept("short", plan(1, 1000));
+        for (int born = 1; born < 10; ++born) {
+            const int now = born * 10'000;
+            m_dispatcher->workerReported("n1", worker("w1", born), at(now));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(now + 1));
+            const Lifetime lifetime{"w1", born};
+            if (born % 4 == 0)
+                m_dispatcher->nodeLost("n1");
+            else if (born % 4 == 1)
+                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Unreachable, {});
+            else if (born % 4 == 2)
+                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Left, {});
+            decideAndCommit(now + 9000);
+            CPPUNIT_ASSERT_EQUAL(0U, crashesOf("lasting") + crashesOf("short"));
+        }
+        CPPUNIT_ASSERT(m_jobTable->find("lasting")->isActive());
+        CPPUNIT_ASSERT(m_jobTable->find("short")->isActive());
+    }
+
+    /// Guards against long-running tasks that are given up after two crashes far apart.
+    void forgetsCrashesOnceARunHasSurvived()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("lasting", longRunningPlan(1, 1000));
+        for (int born = 1; born < 6; ++born) {
+            const int now = born * 10'000;
+            m_dispatcher->leaseGranted("n1", at(now));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(now));
+            if (born % 2 == 0)
+                report("w1", born, now + 1500);
+            crash("n1", "w1", born, {born % 2 == 0 ? "none" : "lasting"}, now + 1600);
+            CPPUNIT_ASSERT_EQUAL(born % 2 == 0 ? 0U : 1U, crashesOf("lasting"));
+        }
+        CPPUNIT_ASSERT(m_jobTable->find("lasting")->isActive());
+    }
+
+    /// Guards against tasks that are given up because they ran beside one that crashes workers
+    /// twice.
+    void placesOneSuspectOnAWorkerAtATime()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("a", plan(1, 1000));
+        accept("b", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        crash("n1", "w1", 1, {"a", "b"}, 100);
+        CPPUNIT_ASSERT_EQUAL(1U, crashesOf("a"));
+        CPPUNIT_ASSERT_EQUAL(1U, crashesOf("b"));
+        accept("new", plan(1, 1000));
+        // The new task and one of the suspects.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(200));
+        report("w1", 2, 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(1100));
+        report("w1", 2, 1300);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1400));
+    }
+
+    /// Guards against a job that crashes all workers, each by another of its tasks.
+    void triesOneTaskOfASuspectedStepFirst()
+    {
+        addWorkers(4);
+        accept("j", plan(4, 40'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, decideAndCommit(1));
+        // Two crash at the same time. The others have not survived yet.
+        const std::string first = m_jobTable->find({"j", 0, 0, 0})->lifetime.worker;
+        const std::string second = m_jobTable->find({"j", 0, 0, 1})->lifetime.worker;
+        crashTask(first, {"j", 0, 0, 0}, 100);
+        crashTask(second, {"j", 0, 0, 1}, 110);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(300));
+        // Two others have survived: not all tasks of the step crash workers.
+        for (const std::uint32_t t : {2U, 3U}) {
+            const RunStatus row{{"j", 0, 0, t}, 1, {}, 50, 0};
+            m_dispatcher->runsReported(m_jobTable->find(row.task)->lifetime, {&row, 1}, at(1200));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1300));
+    }
+
+    /// Guards against a count of crashes that ends with a leadership or a restart.
+    void nextLeaderKeepsCrashes()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        accept("deadly", plan(1, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
+        crash("n1", "w1", 1, {"deadly"}, 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(200));
+        const std::string saved = m_jobTable->save();
+        CPPUNIT_ASSERT(m_jobTable->load(saved));
+        m_dispatcher->start(at(300));
+        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Crashed,
+                                    std::vector<TaskRun>{{{"deadly", 0, 0, 0}, 2}});
+        decideAndCommit(400);
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("deadly")->status);
+    }
+
+    /// Guards against a gang that is started for ever because its members are suspected by turns,
+    /// or given up after one crash because it has several members.
+    void givesUpAGangThatCrashesWorkers()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan gang = plan(3, 1000);
+        gang.steps[0].gang = true;
+        accept("j", gang);
+        const std::vector<TaskRun> first{
+            {{"j", 0, 0, 0}, 1}, {{"j", 0, 0, 1}, 1}, {{"j", 0, 0, 2}, 1}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1));
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, first);
+        decideAndCommit(100);
+        CPPUNIT_ASSERT(m_jobTable->find("j")->isActive());
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(300));
+        const std::vector<TaskRun> second{{{"j", 0, 0, 1}, 2}};
+        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Crashed, second);
+        decideAndCommit(400);
+        CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("j")->status);
+    }
+
+    /// Guards against tasks that wait for long because one beside them crashed their worker.
+    void manySuspectsStartWithinSeconds() { assertSuspectsRestart(plan(1, 1000)); }
+
+    /// Guards against the same for long-running tasks, which must run again within three seconds.
+    void restartsSuspectedLongRunningTasksWithinSeconds()
+    {
+        assertSuspectsRestart(longRunningPlan(1, 1000));
+    }
+
     void restartsLongRunningTaskInTheRoomItHad()
     {
         ShortTasks shortTasks;
@@ -607,7 +781,7 @@
         ShortTasks shortTasks;
         const int leavesAt = prepareFullWorkers(shortTasks);
         const TaskRef lasting{"lasting", 0, 0, 0};
-        m_dispatcher->lifetimeEnded(m_jobTable->find(lasting)->lifetime, false, at(leavesAt));
+        m_dispatcher->lifetimeEnded(m_jobTable->find(lasting)->lifetime, LifetimeEnd::Left, {});
         const std::optional<int> boundAt = runUntilBound(lasting, shortTasks, leavesAt, 12'000);
         const std::string waited = boundAt ? fmt::format("placed after {} ms", *boundAt - leavesAt)
                                            : std::string("not placed in 12 s");
@@ -916,6 +1090,86 @@
         return std::nullopt;
     }
 
+    void addWorkers(int count)
+    {
+        for (int i = 1; i <= count; ++i)
+            m_dispatcher->workerReported(fmt::format("n{}", i), worker(fmt::format("w{}", i)),
+                                         at(0));
+    }
+
+    /// Lists all runs on the worker as running.
+    void report(const std::string &id, std::int64_t born, int milliseconds)
+    {
+        const Lifetime lifetime{id, born};
+        std::vector<RunStatus> rows;
+        for (const auto &[job, state] : m_jobTable->jobs()) {
+            const StageTask *task = m_jobTable->find({job, 0, 0, 0});
+            if (task->stage == TaskStage::Bound && task->lifetime == lifetime)
+                rows.push_back({{job, 0, 0, 0}, task->run, {}, 100, 0});
+        }
+        m_dispatcher->runsReported(lifetime, rows, at(milliseconds));
+    }
+
+    /// Ends the lifetime by a crash shortly after the first tasks of `jobs` started. The next
+    /// lifetime is born one later.
+    void crash(const std::string &node, const std::string &id, std::int64_t born,
+               const std::vector<std::string> &jobs, int milliseconds)
+    {
+        std::vector<TaskRun> recent;
+        for (const std::string &job : jobs) {
+            const StageTask *task = m_jobTable->find({job, 0, 0, 0});
+            recent.push_back({{job, 0, 0, 0}, task == nullptr ? 0 : task->run});
+        }
+        m_dispatcher->lifetimeEnded({id, born}, LifetimeEnd::Crashed, recent);
+        commit(m_dispatcher->takeCommands(), milliseconds);
+        m_dispatcher->workerReported(node, worker(id, born + 1), at(milliseconds));
+    }
+
+    /// Ends the first lifetime of the worker by a crash shortly after that task started.
+    void crashTask(const std::string &id, const TaskRef &task, int milliseconds)
+    {
+        m_dispatcher->lifetimeEnded({id, 1}, LifetimeEnd::Crashed,
+                                    std::vector<TaskRun>{{task, m_jobTable->find(task)->run}});
+        commit(m_dispatcher->takeCommands(), milliseconds);
+        m_dispatcher->workerReported("n" + id.substr(1), worker(id, 2), at(milliseconds));
+    }
+
+    [[nodiscard]] std::uint32_t crashesOf(const std::string &job) const
+    {
+        return m_jobTable->find({job, 0, 0, 0})->crashes;
+    }
+
+    /// Lets a worker crash under a dozen tasks, with ten other workers. All must run again, and
+    /// none be given up.
+    void assertSuspectsRestart(const JobPlan &tasks)
+    {
+        constexpr int count = 12;
+        constexpr int crashedAt = 100;
+        constexpr int limitMs = 3000;
+        std::vector<std::string> jobs;
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        for (int i = 0; i < count; ++i) {
+            jobs.push_back(fmt::format("j{}", i));
+            accept(jobs.back(), tasks);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{count}, decideAndCommit(1));
+        addWorkers(11);
+        crash("n1", "w1", 1, jobs, crashedAt);
+        for (int now = crashedAt; now < crashedAt + limitMs; now += 10) {
+            decideAndCommit(now);
+            if (now % 500 != 0)
+                continue;
+            report("w1", 2, now);
+            for (int i = 2; i <= 11; ++i)
+                report(fmt::format("w{}", i), 1, now);
+        }
+        for (const std::string &job : jobs) {
+            CPPUNIT_ASSERT_EQUAL(1U, crashesOf(job));
+            CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({job, 0, 0, 0})->stage);
+            CPPUNIT_ASSERT_EQUAL(2U, m_jobTable->find({job, 0, 0, 0})->run);
+        }
+    }
+
     static JobPlan longRunningPlan(std::uint32_t tasks, std::int64_t milliCores)
     {
         JobPlan lasting = plan(tasks, milliCores);
--- a/UnitTests/Stages/JobTableTest.cpp
+++ b/UnitTests/Stages/JobTableTest.cpp
@@ -54,6 +54,10 @@
     CPPUNIT_TEST(failsAfterTheLastAttempt);
     CPPUNIT_TEST(refusedStartEndsJobWithoutAnAttemptLeft);
     CPPUNIT_TEST(lapsedRunsCountAsNoAttempts);
+    CPPUNIT_TEST(failsAfterTheLastCrash);
+    CPPUNIT_TEST(survivingRunResetsTheCrashes);
+    CPPUNIT_TEST(restoresCrashesFromASnapshot);
+    CPPUNIT_TEST(readsEndsWithoutEvidence);
     CPPUNIT_TEST(lateDoneEndCompletesASettledTask);
     CPPUNIT_TEST(lateDoneEndIsRefusedOnceTheNextRunIsBound);
     CPPUNIT_TEST(ignoresOtherLateEnds);
@@ -152,6 +156,64 @@
         CPPUNIT_ASSERT(m_jobTable->find("j")->isActive());
     }
 
+    /// Guards against tasks that crash each worker and are started for ever.
+    void failsAfterTheLastCrash()
+    {
+        for (const bool longRunning : {false, true}) {
+            JobPlan plan = twoSteps();
+            plan.steps[0].longRunning = longRunning;
+            const std::string job = longRunning ? "lasting" : "short";
+            CPPUNIT_ASSERT(m_jobTable->apply(0, AcceptJob{job, "counter", plan}).applied);
+            const TaskRef ref{job, 0, 0, 0};
+            CPPUNIT_ASSERT(start(ref, 1) && crash(ref, 1));
+            CPPUNIT_ASSERT(m_jobTable->find(job)->isActive());
+            CPPUNIT_ASSERT(start(ref, 2) && crash(ref, 2));
+            CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find(job)->status);
+            CPPUNIT_ASSERT(!start(ref, 3));
+        }
+    }
+
+    void survivingRunResetsTheCrashes()
+    {
+        accept(twoSteps());
+        const TaskRef ref = task(0, 0);
+        CPPUNIT_ASSERT(start(ref, 1) && crash(ref, 1));
+        CPPUNIT_ASSERT(start(ref, 2) && end(ref, 2, RunEnd::Lapsed));
+        CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find(ref)->crashes);
+        CPPUNIT_ASSERT(start(ref, 3));
+        CPPUNIT_ASSERT(
+            m_jobTable->apply(0, EndRun{ref, 3, RunEnd::Lapsed, {}, CrashEvidence::Survived})
+                .applied);
+        CPPUNIT_ASSERT_EQUAL(0U, m_jobTable->find(ref)->crashes);
+        CPPUNIT_ASSERT(start(ref, 4) && crash(ref, 4));
+        CPPUNIT_ASSERT(m_jobTable->find("j")->isActive());
+    }
+
+    void restoresCrashesFromASnapshot()
+    {
+        accept(twoSteps());
+        CPPUNIT_ASSERT(start(task(0, 0), 1) && crash(task(0, 0), 1));
+        JobTable copy(JobTableSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_jobTable->save()));
+        CPPUNIT_ASSERT_EQUAL(1U, copy.find(task(0, 0))->crashes);
+        CPPUNIT_ASSERT_EQUAL(1U, copy.find("j")->occurrences.at(0).steps[0].suspected);
+    }
+
+    /// Guards against entries of earlier versions that cannot be read after an upgrade.
+    void readsEndsWithoutEvidence()
+    {
+        StageBatch batch{7, {EndRun{task(0, 0), 1, RunEnd::Lapsed, {}, CrashEvidence::Suspected}}};
+        Json json = Json::from_cbor(batch.encode());
+        CPPUNIT_ASSERT(
+            CrashEvidence::Suspected
+            == std::get<EndRun>(StageBatch::decode(batch.encode()).commands[0]).evidence);
+        json[1][0].erase(5);
+        std::string bytes;
+        Json::to_cbor(json, bytes);
+        CPPUNIT_ASSERT(CrashEvidence::None
+                       == std::get<EndRun>(StageBatch::decode(bytes).commands[0]).evidence);
+    }
+
     /// A leader that read no reports in time settled runs as lapsed or not started, and their tasks
     /// ran again although they were done.
     void lateDoneEndCompletesASettledTask()
@@ -329,6 +391,12 @@
         return m_jobTable->apply(0, batch.commands.front()).applied;
     }
 
+    bool crash(const TaskRef &ref, std::uint32_t run)
+    {
+        return m_jobTable->apply(0, EndRun{ref, run, RunEnd::Lapsed, {}, CrashEvidence::Suspected})
+            .applied;
+    }
+
     bool end(const TaskRef &ref, std::uint32_t run, RunEnd how, const std::string &saved = {})
     {
         const StageBatch batch =
