Suspect all runs that had just started when a worker crashed (27)

Cause: of the runs that had just started, only those under which most workers had crashed before were suspected. A task that crashed workers went uncounted as long as an innocent suspect ran beside it.

Change: all runs of the list are suspected. So that few innocent ones are, the list holds the last start and those of the 250 ms before it, and a worker starts nothing else for 300 ms after a suspected task.

suspectsTheTaskThatCrashedAWorkerBefore demanded the former choice. It is replaced by suspectsAllRunsThatHadJustStarted, which also checks that a task beside is not given up.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -47,6 +47,9 @@
     double maxHeldShare = 1.0 / 16;
     /// A run that is listed as running for this long does not crash its worker.
     Duration crashProbation = std::chrono::seconds(1);
+    /// Time for which a worker gets no other new runs after one under which a worker has crashed.
+    /// Longer than an agent's window for runs that may have caused a crash.
+    Duration suspectStartPause = std::chrono::milliseconds(300);
     /// Deduction from the score of a worker for each run on it that a crash would end, in the
     /// placement of a task under which a worker has crashed.
     double lossPenalty = 1;
@@ -187,8 +190,8 @@
     void beginDueOccurrences(WallMs wallNow);
     void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected);
     void queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence = CrashEvidence::None);
-    /// Runs that may have crashed their worker: of those that had just started, the ones under
-    /// which most workers have crashed before.
+    /// Runs that may have crashed their worker: those that had just started. All of them count: one
+    /// that crashed no worker before may be the cause as well.
     [[nodiscard]] std::set<TaskRef> suspectedRuns(const PoolWorker &worker,
                                                   std::span<const TaskRun> recentRuns) const;
     /// Workers that crashed under the task, or under any member of its gang.
--- a/Guavashift/Dispatch/DispatcherCrashes.cpp
+++ b/Guavashift/Dispatch/DispatcherCrashes.cpp
@@ -33,19 +33,11 @@
                                             std::span<const TaskRun> recentRuns) const
 {
     std::set<TaskRef> suspected;
-    std::uint32_t most = 0;
     for (const TaskRun &recent : recentRuns) {
         const auto found = worker.runs.find(recent.task);
-        if (found == worker.runs.end() || found->second.run != recent.run
-            || !found->second.committed || found->second.stopRequested)
-            continue;
-        const std::uint32_t crashes = crashesOf(recent.task);
-        if (crashes < most)
-            continue;
-        if (crashes > most)
-            suspected.clear();
-        most = crashes;
-        suspected.insert(recent.task);
+        if (found != worker.runs.end() && found->second.run == recent.run && found->second.committed
+            && !found->second.stopRequested)
+            suspected.insert(recent.task);
     }
     return suspected;
 }
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -184,6 +184,8 @@
     m_readyByTask.erase(ready);
     m_placed.emplace(ref, worker.facts.lifetime);
     m_commands.emplace_back(StartRun{ref, run, worker.facts.lifetime});
+    if (placed.suspected)
+        worker.suspectAloneUntil = now + m_settings.suspectStartPause;
     m_pool.place(worker.facts.lifetime, std::move(placed));
 }
 
@@ -215,8 +217,8 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
-    // If both crash the worker, or one of them, it stays open which.
-    if (crashesOf(ref) > 0 && hasOtherSuspect(worker, step, ref))
+    // After a crash it must be clear which run was the cause.
+    if (crashesOf(ref) > 0 ? hasOtherSuspect(worker, step, ref) : now < worker.suspectAloneUntil)
         return Exclusion::CrashSuspect;
     Resources size = step.size;
     if (step.bestEffort)
--- a/Guavashift/Dispatch/LongRunningWaits.h
+++ b/Guavashift/Dispatch/LongRunningWaits.h
@@ -17,7 +17,7 @@
     Suspect, ///< Paused after refusals or failures.
     Label,   ///< It lacks the required label.
     SpreadLimit,
-    CrashSuspect, ///< Workers crashed under the task and under one that has just started there.
+    CrashSuspect, ///< A task under which a worker has crashed has just started there.
     Capacity,
     Interference ///< It would slow a best-effort task down, or be slowed down by it.
 };
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -42,11 +42,12 @@
 struct PoolWorker
 {
     WorkerFacts facts;
-    std::string node;         ///< Node whose agent reports for it; empty: none at present.
-    bool hasFacts = false;    ///< False if the worker is known from bound runs only.
-    bool unreachable = false; ///< Does not answer its agent.
-    Instant leaseEnd;         ///< Without a new grant nothing runs there after this time.
-    Instant suspectUntil;     ///< Gets no new runs until then, after refusals or failures.
+    std::string node;          ///< Node whose agent reports for it; empty: none at present.
+    bool hasFacts = false;     ///< False if the worker is known from bound runs only.
+    bool unreachable = false;  ///< Does not answer its agent.
+    Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
+    Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
+    Instant suspectAloneUntil; ///< A run under suspicion has just started there.
     Resources reserved; ///< By all placed runs, without the processor share of best-effort ones.
     std::int64_t bestEffortMilliCores = 0;      ///< That best-effort tasks would use at full speed.
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -197,9 +197,13 @@
 std::vector<TaskRun> AgentNode::recentRuns() const
 {
     const Instant crashedAt = m_pollsFailSince.value_or(BootClock::now());
+    Instant last;
+    for (const auto &[key, run] : m_runs)
+        last = std::max(last, run.startSentAt);
     std::vector<TaskRun> recent;
     for (const auto &[key, run] : m_runs) {
-        if (run.startSentAt != Instant() && crashedAt - run.startSentAt <= m_agent.crashProbation)
+        if (run.startSentAt != Instant() && crashedAt - run.startSentAt <= m_agent.crashProbation
+            && last - run.startSentAt <= m_agent.crashWindow)
             recent.push_back({key.first, key.second});
     }
     return recent;
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -34,6 +34,8 @@
     std::uint64_t fenceSteps = fenceSpan - 1;
     /// Runs that were started at most this long before their worker crashed may have caused it.
     Duration crashProbation = std::chrono::seconds(1);
+    /// Of these, those that were started this long before the last one, or later, count.
+    Duration crashWindow = std::chrono::milliseconds(250);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
