--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -197,13 +197,19 @@
 std::vector<TaskRun> AgentNode::recentRuns() const
 {
     const Instant crashedAt = m_pollsFailSince.value_or(BootClock::now());
+    // A start without an answer may never have been carried out.
+    const auto isRecent = [&](const Run &run) {
+        return run.stage == Stage::Running && run.startSentAt != Instant()
+            && crashedAt - run.startSentAt <= m_agent.crashProbation;
+    };
     Instant last;
-    for (const auto &[key, run] : m_runs)
-        last = std::max(last, run.startSentAt);
+    for (const auto &[key, run] : m_runs) {
+        if (isRecent(run))
+            last = std::max(last, run.startSentAt);
+    }
     std::vector<TaskRun> recent;
     for (const auto &[key, run] : m_runs) {
-        if (run.startSentAt != Instant() && crashedAt - run.startSentAt <= m_agent.crashProbation
-            && last - run.startSentAt <= m_agent.crashWindow)
+        if (isRecent(run) && last - run.startSentAt <= m_agent.crashWindow)
             recent.push_back({key.first, key.second});
     }
     return recent;
