--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -19,6 +19,7 @@
     bool longRunning = false;
     bool committed = false;
     bool stopRequested = false;
+    bool suspected = false; ///< A worker had crashed under the task before.
     Instant boundAt;
     Instant readyAt; ///< When the task became ready; 0 if an earlier leader bound the run.
     Instant decidedAt;
@@ -44,11 +45,12 @@
 struct PoolWorker
 {
     WorkerFacts facts;
-    std::string node;         ///< Node whose agent reports for it; empty: none at present.
-    bool hasFacts = false;    ///< False if the worker is known from bound runs only.
-    bool unreachable = false; ///< Does not answer its agent.
-    Instant leaseEnd;         ///< Without a new grant nothing runs there after this time.
-    Instant suspectUntil;     ///< Gets no new runs until then, after refusals or failures.
+    std::string node;          ///< Node whose agent reports for it; empty: none at present.
+    bool hasFacts = false;     ///< False if the worker is known from bound runs only.
+    bool unreachable = false;  ///< Does not answer its agent.
+    Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
+    Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
+    Instant suspectAloneUntil; ///< A run under suspicion has just started there.
     Resources reserved; ///< By all placed runs, without the processor share of best-effort ones.
     std::int64_t bestEffortMilliCores = 0;      ///< That best-effort tasks would use at full speed.
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -64,6 +64,8 @@
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
     m_unreachable = false;
+    if (m_lastCrash)
+        m_link.send(*m_lastCrash);
     if (m_facts)
         m_link.send(WorkerReport{*m_facts});
     // A new leader has not learned any interference yet.
@@ -159,7 +161,7 @@
     m_sequence = sequence;
     if (isNew) {
         if (m_facts)
-            endLifetime(false);
+            endLostLifetime();
         // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
         // waiting.
         ++m_pollEpoch;
@@ -189,19 +191,54 @@
 void AgentNode::workerStopping(const std::string &worker)
 {
     if (m_facts && m_facts->lifetime.worker == worker)
-        endLifetime(false);
+        endLifetime(LifetimeEnd::Left);
 }
 
-void AgentNode::endLifetime(bool unreachable)
+void AgentNode::endLostLifetime()
 {
+    endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed);
+}
+
+std::vector<TaskRun> AgentNode::recentRuns() const
+{
+    const Instant crashedAt = m_pollsFailSince.value_or(BootClock::now());
+    // A start without an answer may never have been carried out.
+    const auto isRecent = [&](const Run &run) {
+        return run.stage == Stage::Running && run.startSentAt != Instant()
+            && crashedAt - run.startSentAt <= m_agent.crashProbation;
+    };
+    Instant last;
+    for (const auto &[key, run] : m_runs) {
+        if (isRecent(run))
+            last = std::max(last, run.startSentAt);
+    }
+    std::vector<TaskRun> recent;
+    for (const auto &[key, run] : m_runs) {
+        if (isRecent(run) && last - run.startSentAt <= m_agent.crashWindow)
+            recent.push_back({key.first, key.second});
+    }
+    return recent;
+}
+
+void AgentNode::endLifetime(LifetimeEnd end)
+{
+    const Lifetime lifetime = m_facts->lifetime;
+    const std::vector<TaskRun> recent =
+        end == LifetimeEnd::Crashed ? recentRuns() : std::vector<TaskRun>();
     logEvent(LogLevel::Info, "lifetime-ended",
-             {{"worker", m_facts->lifetime.worker},
-              {"born", m_facts->lifetime.startedAt},
-              {"silent", unreachable},
-              {"runs", m_runs.size()}});
-    m_link.send(LifetimeEnded{m_facts->lifetime, unreachable});
+             {{"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"end", nameOf(end)},
+              {"runs", m_runs.size()},
+              {"recent_runs", recent.size()}});
+    // A crash without such runs must not replace one with some.
+    if (!recent.empty())
+        m_lastCrash = WorkerCrashed{lifetime, recent};
+    if (end == LifetimeEnd::Crashed)
+        m_link.send(WorkerCrashed{lifetime, recent});
+    m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
     m_runs.clear();
-    if (!unreachable) {
+    if (end != LifetimeEnd::Unreachable) {
         m_facts.reset();
         m_lease.workerChanged(BootClock::now());
     }
@@ -263,7 +300,7 @@
         break;
     case WorkerCallResult::NoProgram:
     case WorkerCallResult::OtherLifetime:
-        return endLifetime(false);
+        return endLostLifetime();
     case WorkerCallResult::FencedOff:
         // Another session has sent a higher token to the worker. A new session gets a higher one.
         if (request.fence == fence())
@@ -275,7 +312,7 @@
         // Once the lease has expired without an answer, nothing runs on the worker any more.
         if (now > m_lease.latestEnd() && !m_unreachable) {
             m_unreachable = true;
-            endLifetime(true);
+            endLifetime(LifetimeEnd::Unreachable);
         }
         if (m_openPolls == 0)
             schedulePoll(m_agent.retryPause);
@@ -283,7 +320,7 @@
     }
     if (reply.born != 0 && reply.born != m_facts->lifetime.startedAt) {
         // The worker restarted under the same name. Its report will follow.
-        return endLifetime(false);
+        return endLostLifetime();
     }
     if (m_unreachable) {
         m_unreachable = false;
@@ -407,6 +444,7 @@
         return;
     position->second.traits = order.traits;
     position->second.fence = fence();
+    position->second.startSentAt = BootClock::now();
     const std::uint64_t sentUnder = fence();
     m_port.start({sentUnder, until, order}, [this, key, sentUnder](const WorkerReply &reply) {
         started(key, sentUnder, reply);
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -39,6 +39,11 @@
     return std::tie(value.job, value.occurrence, value.step, value.task);
 }
 
+auto fields(Is<TaskRun> auto &value)
+{
+    return std::tie(value.task, value.run);
+}
+
 auto fields(Is<RunStatus> auto &value)
 {
     return std::tie(value.task, value.run, value.checkpoint, value.percent, value.measurement);
@@ -152,6 +157,11 @@
     return std::tie(value.lifetime, value.unreachable);
 }
 
+auto fields(Is<WorkerCrashed> auto &value)
+{
+    return std::tie(value.lifetime, value.recentRuns);
+}
+
 auto fields(Is<KnownRuns> auto &value)
 {
     return std::tie(value.runs);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -126,6 +126,13 @@
     bool unreachable = false; ///< The lease ran out while the worker did not answer.
 };
 
+/// The worker's program ended without notice in that lifetime. Sent before LifetimeEnded.
+struct WorkerCrashed
+{
+    Lifetime lifetime;
+    std::vector<TaskRun> recentRuns; ///< Started shortly before.
+};
+
 struct KnownRuns
 {
     std::vector<RunTraits> runs;
@@ -187,7 +194,7 @@
     std::variant<LeaderQuery, LeaderReply, OpenSession, SessionOpened, Directory, RelayTo,
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
-                 StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport>;
+                 StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
