--- a/UnitTests/Fleet/FullDiskTest.cpp
+++ b/UnitTests/Fleet/FullDiskTest.cpp
@@ -33,8 +33,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Guards against a control process that takes part no more once its disk was full, so that the
-    /// next full disk ends the fleet's service for good.
+    /// Guards against a control process that no longer takes part once its disk was full, so that
+    /// the next full disk ends the fleet's service for good.
     void servesAfterDisksWereFullInTurn()
     {
         const std::size_t leader = leadingCore();
@@ -47,7 +47,7 @@
         assertServesWithout(leader);
     }
 
-    /// Guards against the same on the leader, which also has to make way for another.
+    /// Guards against the same on the leader, which also must be replaced.
     void servesAfterLeadersDiskWasFull()
     {
         const std::size_t leader = leadingCore();
