Learn interference between workers and follow waves of load

The leader learned from changes over time on one worker, so the wave counted as interference of whatever started meanwhile, or hid it. Of 40 episodes on the small fleet that began within a report of a best-effort start, 28 were predicted to stay within the target at full speed.

Ruled out: waiting for room or decisions (95 of 100 first starts within 64 ms); own load alone (tails went over in 0.9 % of the reports without a start, in 1.4 to 9.9 % with one).

Change: InterferenceTable::compare() learns from the difference of headroom between workers that run tasks of one step; changes over time are used for steps on one worker only. Estimates of 0.35 and more are no longer rounded to 0. HeadroomTrend forecasts the headroom over 1 s (leader) and 0.4 s (agent) instead of following it with a lag. Interference below 1.5 neither excludes a best-effort task nor throttles it: at the peak of a wave it would wait for next to nothing.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -2,6 +2,7 @@
 
 // Public header of the Dispatch library: the leader's scheduling of staged jobs.
 #include <Guavashift/Dispatch/Dispatcher.h>
+#include <Guavashift/Dispatch/HeadroomTrend.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -83,6 +83,7 @@
     m_placed.clear();
     m_lastListed.clear();
     m_due.clear();
+    m_comparedSteps.clear();
     m_failureRecords.clear();
     m_commands.clear();
     m_orders.clear();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 
 #include <set>
+#include <tuple>
 
 namespace guavashift {
 
@@ -28,6 +29,9 @@
     double bestEffortOvercommit = 0.25;
     /// Share of its target up to which best-effort tasks may drive a latency-critical task's tail.
     double tailLimit = 0.82;
+    /// Interference below this does not limit the speed of a best-effort task. Corresponds to the
+    /// agents' limit for throttling.
+    double minLimitingInterference = 1.5;
     /// A best-effort task waits for a better worker if it would run below this share of its speed.
     double minBestEffortSpeed = 0.8;
     /// A best-effort task predicted to run below this share of its speed is moved if it can resume
@@ -67,6 +71,8 @@
     Duration maxReportGap = std::chrono::milliseconds(1100);
     /// Interval at which interference is computed and sent to agents.
     Duration interferenceInterval = std::chrono::milliseconds(500);
+    /// Time over which the headroom of a latency-critical task must suffice for a best-effort task.
+    Duration headroomForecast = std::chrono::seconds(1);
     /// Smaller changes of an estimate are not sent.
     double minInterferenceChange = 0.15;
     /// Score for latency-critical tasks of the same image on a worker, in shares of an empty
@@ -253,6 +259,8 @@
     [[nodiscard]] double colocationScore(const PoolWorker &worker, const StepPlan &step) const;
     /// Deduction from the score for what a crash of the worker would end.
     [[nodiscard]] double lossOf(const PoolWorker &worker) const;
+    /// Learns interference from workers that run tasks of the same step.
+    void compareWorkers(Instant now);
     void learnInterference(PoolWorker &worker, std::span<const RunStatus> rows, Instant now);
     [[nodiscard]] const std::vector<SpareHeadroom> &spareHeadroomOf(const PoolWorker &worker) const;
     [[nodiscard]] double predictedSpeed(const PoolWorker &worker, const StepPlan &step) const;
@@ -279,7 +287,12 @@
     std::map<TaskRef, ReadyTask> m_readyByTask;
     std::map<TaskRef, Lifetime> m_placed; ///< Bound or proposed.
     std::set<std::pair<WallMs, std::pair<std::string, std::uint32_t>>> m_due;
+    using StepRef = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+
     InterferenceTable m_interference;
+    /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
+    /// and step.
+    std::set<StepRef> m_comparedSteps;
     Instant m_nextInterference;
     Instant m_nextMoves;
     /// Time at which each long-running task of an active job was last listed as running, initially
--- a/Guavashift/Dispatch/DispatcherInterference.cpp
+++ b/Guavashift/Dispatch/DispatcherInterference.cpp
@@ -6,13 +6,6 @@
 
 namespace guavashift {
 
-namespace {
-
-/// Weight of the newest sample in the smoothed headroom of a task without best-effort tasks.
-constexpr double newest = 0.4;
-
-} // namespace
-
 void Dispatcher::learnInterference(PoolWorker &worker, std::span<const RunStatus> rows, Instant now)
 {
     BestEffortActivity activity;
@@ -30,14 +23,17 @@
         PlacedRun &run = found->second;
         if (run.latencyCritical && row.measurement > 0) {
             const double currentHeadroom = headroom(run.tailTargetMs, row.measurement);
-            if (isConsecutive && run.lastStatusAt != Instant() && run.lastStatus.measurement > 0)
+            // Between workers the variation of the load has no part in the difference, over time
+            // it has.
+            const bool isCompared =
+                m_comparedSteps.contains({row.task.job, row.task.occurrence, row.task.step});
+            if (!isCompared && isConsecutive && run.lastStatusAt != Instant()
+                && run.lastStatus.measurement > 0)
                 m_interference.observe(run.image, worker.activity, activity,
                                        headroom(run.tailTargetMs, run.lastStatus.measurement),
                                        currentHeadroom);
-            const double own = currentHeadroom + m_interference.total(run.image, activity);
-            run.ownHeadroom = run.lastStatusAt == Instant()
-                ? own
-                : run.ownHeadroom + newest * (own - run.ownHeadroom);
+            run.ownHeadroom.update(currentHeadroom + m_interference.total(run.image, activity),
+                                   now);
         }
         run.lastStatus = row;
         run.lastStatusAt = now;
@@ -47,6 +43,42 @@
     worker.spareVersion = 0;
 }
 
+void Dispatcher::compareWorkers(Instant now)
+{
+    struct Comparison
+    {
+        std::string image;
+        std::vector<HeadroomSample> samples;
+    };
+    std::map<StepRef, Comparison> comparisons;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (worker.activityAt == Instant()
+            || now - worker.activityAt > m_settings.interferenceInterval)
+            continue;
+        // The tasks of one step on a worker are disturbed alike, so together they are one sample.
+        std::map<StepRef, std::pair<double, int>> sums;
+        for (const auto &[task, run] : worker.runs) {
+            if (!run.latencyCritical || run.lastStatusAt != worker.activityAt
+                || run.lastStatus.measurement <= 0)
+                continue;
+            const StepRef step{task.job, task.occurrence, task.step};
+            auto &[sum, count] = sums[step];
+            sum += headroom(run.tailTargetMs, run.lastStatus.measurement);
+            ++count;
+            comparisons[step].image = run.image;
+        }
+        for (const auto &[step, sum] : sums)
+            comparisons[step].samples.push_back({sum.first / sum.second, &worker.activity});
+    }
+    m_comparedSteps.clear();
+    for (const auto &[step, comparison] : comparisons) {
+        if (comparison.samples.size() < 2)
+            continue;
+        m_comparedSteps.insert(step);
+        m_interference.compare(comparison.image, comparison.samples);
+    }
+}
+
 void Dispatcher::interferenceReported(std::span<const InterferenceRow> rows)
 {
     for (const InterferenceRow &row : rows) {
@@ -62,6 +94,7 @@
     if (now < m_nextInterference)
         return updates;
     m_nextInterference = now + m_settings.interferenceInterval;
+    compareWorkers(now);
     m_interference.solve();
     for (const auto &[lifetime, known] : m_pool.workers()) {
         if (known.node.empty())
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -244,8 +244,8 @@
     for (const auto &[task, run] : worker.runs) {
         if (!run.latencyCritical || run.tailTargetMs <= 0 || run.lastStatusAt == Instant())
             continue;
-        const double remaining =
-            run.ownHeadroom - 1 / m_settings.tailLimit - m_interference.total(run.image, demand);
+        const double remaining = run.ownHeadroom.lowest(m_settings.headroomForecast)
+            - 1 / m_settings.tailLimit - m_interference.total(run.image, demand);
         const std::string &image = run.image;
         const auto known = std::find_if(worker.spare.begin(), worker.spare.end(),
                                         [&](const auto &each) { return each.image == image; });
@@ -262,8 +262,9 @@
     const double more = worker.shareOfProcessors(static_cast<double>(step.size.milliCores));
     double speed = 1;
     for (const SpareHeadroom &spare : spareHeadroomOf(worker)) {
-        const double need = m_interference.interference(spare.image, step.image) * more;
-        if (need > 0)
+        const double interference = m_interference.interference(spare.image, step.image);
+        const double need = interference * more;
+        if (interference >= m_settings.minLimitingInterference && need > 0)
             speed = std::min(speed, spare.remaining / need);
     }
     return speed;
@@ -288,14 +289,15 @@
         // Images with the most interference are throttled first, so the demand of those with less
         // is deducted from the headroom before.
         const double ownInterference = m_interference.interference(run.image, placed.image);
-        double remaining = run.ownHeadroom - 1 / m_settings.tailLimit;
+        double remaining =
+            run.ownHeadroom.lowest(m_settings.headroomForecast) - 1 / m_settings.tailLimit;
         for (const auto &[image, activity] : demand) {
             const double interference = m_interference.interference(run.image, image);
             if (image != placed.image && interference < ownInterference)
                 remaining -= interference * activity;
         }
         const double need = ownInterference * demand.at(placed.image);
-        if (need > 0)
+        if (ownInterference >= m_settings.minLimitingInterference && need > 0)
             speed = std::min(speed, std::max(remaining, 0.0) / need);
     }
     return speed;
--- a/Guavashift/Dispatch/InterferenceTable.cpp
+++ b/Guavashift/Dispatch/InterferenceTable.cpp
@@ -13,6 +13,8 @@
 constexpr double minActivityChange = 0.004;
 /// Least headroom by which observations are scaled; tail latencies below it are not exact.
 constexpr double minHeadroom = 0.5;
+/// A task with less headroom is saturated: its tail no longer grows with the disturbance.
+constexpr double minComparedHeadroom = 0.33;
 
 } // namespace
 
@@ -45,17 +47,53 @@
     for (const auto &[bestEffortImage, activity] : before)
         changes[bestEffortImage] -= activity;
     Sums &sums = m_byLatencyCriticalImage[latencyCriticalImage];
-    std::vector<std::pair<std::size_t, double>> changed;
+    ActivityDifferences changed;
     for (const auto &[bestEffortImage, difference] : changes) {
         if (std::abs(difference) >= minActivityChange)
             changed.emplace_back(positionOf(sums, bestEffortImage), difference / scale);
     }
-    for (const auto &[i, left] : changed) {
+    add(sums, changed, loss);
+}
+
+void InterferenceTable::compare(const std::string &latencyCriticalImage,
+                                std::span<const HeadroomSample> samples)
+{
+    std::vector<HeadroomSample> usable;
+    std::copy_if(samples.begin(), samples.end(), std::back_inserter(usable),
+                 [](const HeadroomSample &each) { return each.headroom >= minComparedHeadroom; });
+    if (usable.size() < 2)
+        return;
+    const auto count = static_cast<double>(usable.size());
+    double meanHeadroom = 0;
+    BestEffortActivity meanActivity;
+    for (const HeadroomSample &sample : usable) {
+        meanHeadroom += sample.headroom / count;
+        for (const auto &[bestEffortImage, activity] : *sample.activity)
+            meanActivity[bestEffortImage] += activity / count;
+    }
+    const double scale = std::max(meanHeadroom, minHeadroom);
+    Sums &sums = m_byLatencyCriticalImage[latencyCriticalImage];
+    for (const HeadroomSample &sample : usable) {
+        ActivityDifferences differences;
+        for (const auto &[bestEffortImage, mean] : meanActivity) {
+            const auto found = sample.activity->find(bestEffortImage);
+            const double activity = found == sample.activity->end() ? 0 : found->second;
+            if (std::abs(activity - mean) >= minActivityChange)
+                differences.emplace_back(positionOf(sums, bestEffortImage),
+                                         (activity - mean) / scale);
+        }
+        add(sums, differences, (meanHeadroom - sample.headroom) / scale);
+    }
+}
+
+void InterferenceTable::add(Sums &sums, const ActivityDifferences &differences, double loss)
+{
+    for (const auto &[i, left] : differences) {
         sums.responses[i] += left * loss;
-        for (const auto &[j, right] : changed)
+        for (const auto &[j, right] : differences)
             sums.products[i][j] += left * right;
     }
-    sums.changed = sums.changed || !changed.empty();
+    sums.changed = sums.changed || !differences.empty();
 }
 
 void InterferenceTable::adopt(const std::string &latencyCriticalImage,
@@ -112,7 +150,9 @@
         const double uncertainty =
             m_settings.observationSpread / std::sqrt(sums.products[i][i] + weights[i]);
         const double bound = estimates[i] + m_settings.marginSpreads * uncertainty;
-        sums.estimates[sums.bestEffortImages[i]] = bound < m_settings.negligible ? 0 : bound;
+        const bool isNegligible =
+            estimates[i] < m_settings.negligible && bound < m_settings.negligibleBound;
+        sums.estimates[sums.bestEffortImages[i]] = isNegligible ? 0 : bound;
         sums.responses[i] *= m_settings.retention;
         for (double &product : sums.products[i])
             product *= m_settings.retention;
--- a/Guavashift/Dispatch/InterferenceTable.h
+++ b/Guavashift/Dispatch/InterferenceTable.h
@@ -3,6 +3,7 @@
 #include <Guavashift/Core/Core.h>
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,15 +28,26 @@
     /// that is added for pairs with few observations.
     double observationSpread = 0.18;
     /// Size of the margin, in standard deviations of the estimate.
-    double marginSpreads = 0.3;
-    /// Estimates below this cannot be told from 0 and count as 0.
-    double negligible = 0.9;
+    double marginSpreads = 0.4;
+    /// Estimates below this cannot be told from 0. They count as 0 if that holds within the margin
+    /// too.
+    double negligible = 0.35;
+    /// Largest sum of such an estimate and its margin that counts as 0.
+    double negligibleBound = 0.9;
 };
 
 /// Activity of best-effort tasks on one worker by image: processors in use as a share of the
 /// worker's processors.
 using BestEffortActivity = std::map<std::string, double>;
 
+/// State of one worker that runs tasks of a latency-critical step, at about the same time as that
+/// of others.
+struct HeadroomSample
+{
+    double headroom = 0; ///< Mean of the step's tasks there.
+    const BestEffortActivity *activity = nullptr;
+};
+
 /// Ratio of a latency-critical task's target to its tail latency: 1 at the target, more below it.
 /// Corresponds to the remaining capacity of a queue, so it falls linearly as load is added, whereas
 /// the tail latency itself rises ever faster.
@@ -47,9 +59,9 @@
 }
 
 /// Learns by how much best-effort tasks of one image lower the headroom of latency-critical tasks
-/// of another image, from changes of headroom that accompany changes of activity. Models the
-/// headroom as a part that the task has by itself less the sum of interference times activity.
-/// Performs no I/O and reads no clock.
+/// of another image, from differences of headroom that accompany differences of activity: between
+/// workers, or between two reports of one worker. Models the headroom as a part that the task has
+/// by itself less the sum of interference times activity. Performs no I/O and reads no clock.
 class InterferenceTable final
 {
 public:
@@ -61,6 +73,10 @@
     void observe(const std::string &latencyCriticalImage, const BestEffortActivity &before,
                  const BestEffortActivity &now, double headroomBefore, double headroomNow);
 
+    /// Records how the headroom of the tasks of one step differs between workers whose best-effort
+    /// activity differs. The tasks share one load, so its variation has no part in the difference.
+    void compare(const std::string &latencyCriticalImage, std::span<const HeadroomSample> samples);
+
     /// Uses the interference that an earlier table learned for a pair as its prior.
     void adopt(const std::string &latencyCriticalImage, const std::string &bestEffortImage,
                double interference);
@@ -97,6 +113,9 @@
         bool changed = false;
     };
 
+    using ActivityDifferences = std::vector<std::pair<std::size_t, double>>;
+
+    static void add(Sums &sums, const ActivityDifferences &differences, double loss);
     static std::size_t positionOf(Sums &sums, const std::string &bestEffortImage);
     void solve(Sums &sums) const;
     [[nodiscard]] std::pair<double, double> priorOf(const Sums &sums,
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Dispatch/HeadroomTrend.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
 
@@ -27,7 +28,7 @@
     double tailTargetMs = 0;
     RunStatus lastStatus; ///< From the worker's latest report.
     Instant lastStatusAt;
-    double ownHeadroom = 0; ///< Of a latency-critical task without best-effort tasks; smoothed.
+    HeadroomTrend ownHeadroom; ///< Of a latency-critical task without best-effort tasks.
 };
 
 /// Capacity that a task of the step reserves: none of the processors for a best-effort task.
--- a/Guavashift/Fleet/Throttler.cpp
+++ b/Guavashift/Fleet/Throttler.cpp
@@ -65,16 +65,13 @@
 void Throttler::track(const TailReading &reading, const BestEffortActivity &used, Instant now)
 {
     TrackedTask &tracked = m_tracked[reading.task];
-    const bool added = tracked.readAt == Instant();
     tracked.readAt = now;
     tracked.isMasked = !reading.tailMs;
     if (reading.tailMs) {
         double baseHeadroom = headroom(reading.targetMs, *reading.tailMs);
         for (const auto &[bestEffortImage, activity] : used)
             baseHeadroom += interferenceOf(reading.image, bestEffortImage) * activity;
-        tracked.baseHeadroom = added ? baseHeadroom
-                                     : tracked.baseHeadroom
-                + m_settings.newestWeight * (baseHeadroom - tracked.baseHeadroom);
+        tracked.baseHeadroom.update(baseHeadroom, now);
     }
     const bool isViolating = tracked.isMasked || *reading.tailMs > reading.targetMs;
     if (isViolating && !tracked.isViolating)
@@ -86,14 +83,15 @@
                             Shares &shares) const
 {
     const TrackedTask &tracked = m_tracked.at(reading.task);
-    if (reading.targetMs <= 0 || tracked.baseHeadroom < 1 / m_settings.unattainable)
+    const double baseHeadroom = tracked.baseHeadroom.lowest(m_settings.headroomForecast);
+    if (reading.targetMs <= 0 || baseHeadroom < 1 / m_settings.unattainable)
         return;
-    double excess = 1 / m_settings.targetFraction - tracked.baseHeadroom;
+    double excess = 1 / m_settings.targetFraction - baseHeadroom;
     std::vector<std::pair<double, std::string>> byInterference;
     for (const auto &[bestEffortImage, activity] : wanted) {
         const double interference = interferenceOf(reading.image, bestEffortImage);
         excess += interference * activity * shares[bestEffortImage];
-        if (interference > 0)
+        if (interference >= m_settings.minThrottledInterference)
             byInterference.emplace_back(interference, bestEffortImage);
     }
     std::sort(byInterference.rbegin(), byInterference.rend());
@@ -119,7 +117,7 @@
         return;
     const auto mayInterfere = [this](const std::string &bestEffortImage) {
         return std::any_of(m_pausedFor.begin(), m_pausedFor.end(), [&](const std::string &image) {
-            return interferenceOf(image, bestEffortImage) > 0;
+            return interferenceOf(image, bestEffortImage) >= m_settings.minPausedInterference;
         });
     };
     for (auto &[bestEffortImage, share] : shares) {
--- a/Guavashift/Fleet/Throttler.h
+++ b/Guavashift/Fleet/Throttler.h
@@ -16,8 +16,13 @@
     /// Nothing is throttled by interference for a task whose tail would be above this part of its
     /// target even without best-effort tasks.
     double unattainable = 1.3;
-    /// Weight of the newest reading in the smoothed base headroom of a task.
-    double newestWeight = 0.4;
+    /// Time until a new share shows in the tail: headroom is reserved for its fall until then.
+    Duration headroomForecast = std::chrono::milliseconds(400);
+    /// Images with less interference are not throttled for a task: that would cost them much and
+    /// gain the task little.
+    double minThrottledInterference = 1.5;
+    /// Images with less interference are not paused for a task over its target, unless all are.
+    double minPausedInterference = 0.9;
     /// After this long over the target, all best-effort tasks that may interfere with the task are
     /// paused. Two readings.
     Duration pauseAfter = std::chrono::milliseconds(450);
@@ -73,7 +78,7 @@
 private:
     struct TrackedTask
     {
-        double baseHeadroom = 0; ///< Headroom without best-effort tasks; smoothed.
+        HeadroomTrend baseHeadroom; ///< Headroom without best-effort tasks.
         Instant violatingSince;
         bool isViolating = false;
         bool isMasked = false;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -1,53 +1,9 @@
-#include <Guavashift/Dispatch/Dispatch.h>
+#include "DispatchFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace guavashift;
 
-namespace {
-
-/// Reads any document as a table with one queue. A longer one is newer. "once" allows one attempt.
-tl::expected<QueueTable, Findings> readAny(std::string_view document)
-{
-    QueueSettings batch;
-    batch.name = "batch";
-    batch.host = "h";
-    batch.pathPrefix = "/b/";
-    batch.service = "orders";
-    batch.timeoutMs = 1000;
-    batch.targetLatencyMs = 1000;
-    batch.stretch = 2;
-    batch.maxAttempts = document == "once" ? 1 : 3;
-    return QueueTable(document.size(), {batch}, {{"orders", {}}});
-}
-
-Instant at(int milliseconds)
-{
-    return Instant(std::chrono::seconds(1000) + std::chrono::milliseconds(milliseconds));
-}
-
-WorkerFacts worker(const std::string &id, std::int64_t born = 1)
-{
-    WorkerFacts facts;
-    facts.lifetime = {id, born};
-    facts.service = "orders";
-    facts.capacity = {64'000, 100'000, 0};
-    facts.labels = {"a", "rack"};
-    return facts;
-}
-
-JobPlan plan(std::uint32_t tasks, std::int64_t milliCores, std::int64_t estimateMs = 1000)
-{
-    JobPlan plan;
-    plan.steps.resize(1);
-    plan.steps[0].tasks = tasks;
-    plan.steps[0].size = {milliCores, 100, 0};
-    plan.steps[0].estimateMs = estimateMs;
-    return plan;
-}
-
-} // namespace
-
 /// Tests of the leader's scheduling. As on a leader, each command is applied once committed.
 class DispatcherTest : public CppUnit::TestFixture
 {
--- a/UnitTests/Fleet/PartsTest.cpp
+++ b/UnitTests/Fleet/PartsTest.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(resumesWhenPauseDoesNotHelp);
     CPPUNIT_TEST(pausesInterferingTasksFirst);
     CPPUNIT_TEST(pausesUntilSpikeIsOver);
+    CPPUNIT_TEST(keepsTailBelowItsTargetWhileLoadRises);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +170,26 @@
         CPPUNIT_ASSERT_EQUAL(0.0, throttler.update(masked, bestEffort, at(2600)).at("feather"));
         CPPUNIT_ASSERT_EQUAL(1.0, throttler.update(tail(20), bestEffort, at(2850)).at("feather"));
     }
+
+    /// Guards against tails over their target: shares followed a rising load with a lag.
+    void keepsTailBelowItsTargetWhileLoadRises()
+    {
+        Throttler throttler;
+        throttler.learn(std::vector<InterferenceRow>{{"server", "press", 7}});
+        constexpr double wanted = 0.2;
+        double share = 1;
+        for (int now = 0; now < 6000; now += 250) {
+            const double ownHeadroom = 3.5 - 0.4 * now / 1000;
+            const double used = share * wanted;
+            const double tailMs = 50 / (ownHeadroom - 7 * used);
+            if (now > 1000)
+                CPPUNIT_ASSERT(tailMs < 50);
+            share = throttler
+                        .update(tail(static_cast<std::int64_t>(tailMs)),
+                                std::vector<BestEffortUsage>{{"press", wanted, used}}, at(now))
+                        .at("press");
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ThrottlerTest);
