Keep the answers of agents that are stopped as planned

Change: after draining, the agent hands the newest answers of requests with a key to control (1 MiB of bodies at most). They are part of the claims, at most 8 MiB, and end with them. An entry returns such an answer when it reads the claim, and looks once more before it answers that the outcome is unknown.

--- a/Guavashift/Agent/AgentRequestHandler.cpp
+++ b/Guavashift/Agent/AgentRequestHandler.cpp
@@ -309,6 +309,22 @@
     return m_changed.wait_for(lock, timeout, [this] { return m_gate.inFlight() == 0; });
 }
 
+std::vector<KeptAnswer> AgentRequestHandler::newestAnswers(std::size_t maxBytes) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<KeptAnswer> answers;
+    for (const auto &[id, response] : m_gate.newestAnswers(maxBytes)) {
+        KeptAnswer answer;
+        answer.requestId = id;
+        answer.status = response->status;
+        for (const HttpHeader &each : response->headers.all())
+            answer.headers.emplace_back(each.name, each.value);
+        answer.body.assign(response->body.begin(), response->body.end());
+        answers.push_back(std::move(answer));
+    }
+    return answers;
+}
+
 std::size_t AgentRequestHandler::inFlight() const
 {
     const std::lock_guard lock(m_mutex);
--- a/Guavashift/Agent/AgentRequestHandler.h
+++ b/Guavashift/Agent/AgentRequestHandler.h
@@ -35,6 +35,9 @@
     /// Waits until no request is in flight, at most for `timeout`. Returns whether that is so.
     bool waitUntilIdle(Duration timeout);
 
+    /// See RequestGate::newestAnswers().
+    [[nodiscard]] std::vector<KeptAnswer> newestAnswers(std::size_t maxBytes) const;
+
     [[nodiscard]] std::size_t inFlight() const;
     [[nodiscard]] std::size_t remembered() const;
 
--- a/Guavashift/Agent/AgentRole.cpp
+++ b/Guavashift/Agent/AgentRole.cpp
@@ -10,6 +10,11 @@
 constexpr Duration backendLease = std::chrono::seconds(3);
 constexpr unsigned maxEntryConnections = 64;
 constexpr unsigned rpcHandlerThreads = 2;
+/// Limit of the bodies of kept answers that a stopping agent hands over.
+constexpr std::size_t maxHandedOverBytes = 1 << 20;
+/// The same for one command.
+constexpr std::size_t maxHandOverBatchBytes = 64 << 10;
+constexpr Duration handOverTimeout = std::chrono::seconds(2);
 
 const RoleRegistration registration("agent", [](const RoleContext &context) {
     return std::make_unique<AgentRole>(context);
@@ -123,6 +128,33 @@
     if (!m_requestHandler->waitUntilIdle(std::chrono::seconds(m_settings.drainSeconds)))
         logEvent(LogLevel::Warning, "drain-incomplete",
                  {{"in_flight", m_requestHandler->inFlight()}});
+    handOverAnswers();
+}
+
+void AgentRole::handOverAnswers()
+{
+    std::vector<KeptAnswer> answers = m_requestHandler->newestAnswers(maxHandedOverBytes);
+    const Incarnation incarnation = m_requestHandler->window().incarnation;
+    const std::size_t count = answers.size();
+    std::size_t handedOver = 0;
+    while (!answers.empty()) {
+        KeepAnswers command{incarnation, {}};
+        std::size_t bytes = 0;
+        while (!answers.empty() && bytes < maxHandOverBatchBytes) {
+            bytes += answers.back().body.size();
+            command.answers.push_back(std::move(answers.back()));
+            answers.pop_back();
+        }
+        const std::size_t size = command.answers.size();
+        const Result<Outcome> outcome = m_control->execute(command, handOverTimeout);
+        if (!outcome) {
+            logEvent(LogLevel::Warning, "answers-not-handed-over",
+                     {{"answers", count - handedOver}, {"error", outcome.error().message}});
+            return;
+        }
+        handedOver += size;
+    }
+    logEvent(LogLevel::Info, "answers-handed-over", {{"answers", handedOver}});
 }
 
 void AgentRole::stop()
--- a/Guavashift/Agent/AgentRole.h
+++ b/Guavashift/Agent/AgentRole.h
@@ -19,6 +19,8 @@
     void stop() override;
 
 private:
+    /// Lets control keep the answers that callers may still ask for.
+    void handOverAnswers();
     void addAdminEndpoints();
     HttpResponse serve(const HttpRequest &request);
 
--- a/Guavashift/Agent/RequestGate.cpp
+++ b/Guavashift/Agent/RequestGate.cpp
@@ -261,6 +261,23 @@
     }
 }
 
+std::vector<std::pair<RequestId, std::shared_ptr<const HttpResponse>>>
+RequestGate::newestAnswers(std::size_t maxBytes) const
+{
+    std::vector<std::pair<RequestId, std::shared_ptr<const HttpResponse>>> answers;
+    std::size_t bytes = 0;
+    for (auto id = m_answers.rbegin(); id != m_answers.rend(); ++id) {
+        std::shared_ptr<const HttpResponse> answer = answerOf(*id);
+        if (!answer)
+            continue;
+        bytes += answer->body.size();
+        if (bytes > maxBytes)
+            break;
+        answers.emplace_back(*id, std::move(answer));
+    }
+    return answers;
+}
+
 void RequestGate::forgetOldRequests()
 {
     // Above the limit of ids, the oldest windows are forgotten early. The two newest are kept.
--- a/Guavashift/Agent/RequestGate.h
+++ b/Guavashift/Agent/RequestGate.h
@@ -141,6 +141,9 @@
 
     /// The kept answer of a request, or null.
     [[nodiscard]] std::shared_ptr<const HttpResponse> answerOf(const RequestId &id) const;
+    /// The newest kept answers of requests with a key, up to that many bytes of bodies.
+    [[nodiscard]] std::vector<std::pair<RequestId, std::shared_ptr<const HttpResponse>>>
+    newestAnswers(std::size_t maxBytes) const;
     [[nodiscard]] bool isRunningOrWaiting(const RequestId &id) const;
 
     [[nodiscard]] std::uint64_t window() const { return m_window; }
--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -33,6 +33,16 @@
     return hashBytes(request.method + "\n" + request.target() + "\n" + request.body);
 }
 
+HttpResponse responseOf(const KeptAnswer &answer)
+{
+    HttpResponse response;
+    response.status = answer.status;
+    for (const auto &[name, value] : answer.headers)
+        response.headers.add(name, value);
+    response.body.assign(answer.body.begin(), answer.body.end());
+    return response;
+}
+
 bool isRefusal(const HttpResponse &response)
 {
     return response.headers.find(header::run).has_value();
@@ -99,9 +109,11 @@
         case RequestAction::Rejoin: {
             const std::optional<RouteTarget> target =
                 m_forwarder.m_routing.acquireAt(m_plan.target.worker, m_plan.target.incarnation);
-            if (!target)
-                refusal = refuse(statusUnavailable, header::runUnknown, "the agent is gone");
-            else if (!m_traits.keyed)
+            if (!target) {
+                refusal = handedOverAnswer();
+                if (!refusal)
+                    refusal = refuse(statusUnavailable, header::runUnknown, "the agent is gone");
+            } else if (!m_traits.keyed)
                 m_plan.window = target->window;
             break;
         }
@@ -113,8 +125,11 @@
             break;
         case RequestAction::Revoke:
         case RequestAction::AnswerUnknown:
-            refusal = refuse(statusTimeout, header::runUnknown,
-                             "no whole answer came; whether it ran is not known");
+            // The agent may have been stopped as planned since the claim was read.
+            refusal = handedOverAnswer();
+            if (!refusal)
+                refusal = refuse(statusTimeout, header::runUnknown,
+                                 "no whole answer came; whether it ran is not known");
             break;
         }
         if (refusal)
@@ -209,9 +224,24 @@
         *outcome);
 }
 
+std::optional<HttpResponse> RequestFlow::handedOverAnswer()
+{
+    if (!m_claim)
+        return std::nullopt;
+    // The claim exists, so this only reads it.
+    const Result<Outcome> outcome = m_forwarder.m_commands.execute(ClaimKey{*m_claim});
+    const auto *granted = outcome ? std::get_if<ClaimGranted>(&*outcome) : nullptr;
+    if (granted == nullptr || !granted->claim.answer)
+        return std::nullopt;
+    return responseOf(*granted->claim.answer);
+}
+
 std::optional<HttpResponse> RequestFlow::followClaim(const Claim &claim)
 {
     m_claim = claim;
+    m_plan.id = claim.requestId;
+    if (claim.answer)
+        return responseOf(*claim.answer);
     const std::optional<RouteTarget> target =
         m_forwarder.m_routing.acquireAt(claim.worker, claim.incarnation);
     // The record of what ran is lost with the agent's process.
--- a/Guavashift/Entry/RequestFlow.h
+++ b/Guavashift/Entry/RequestFlow.h
@@ -35,7 +35,10 @@
 
     std::optional<HttpResponse> chooseTarget();
     std::optional<HttpResponse> claim();
+    /// Returns the response that ends the request, or prepares a dispatch.
     std::optional<HttpResponse> followClaim(const Claim &claim);
+    /// The answer that a stopped agent has handed over, if the request has one.
+    std::optional<HttpResponse> handedOverAnswer();
     Result<Outcome> commitClaim(const RouteTarget &target);
     std::uint64_t windowOf(const RouteTarget &target);
 
--- a/Guavashift/State/Commands.h
+++ b/Guavashift/State/Commands.h
@@ -142,9 +142,18 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MoveClaim, from, claim)
 
+/// Keeps answers of claimed requests that an agent held when it was stopped as planned.
+struct KeepAnswers
+{
+    static constexpr std::string_view kind = "keep-answers";
+    Incarnation incarnation; ///< Of the agent.
+    std::vector<KeptAnswer> answers;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeepAnswers, incarnation, answers)
+
 using CommandBody = std::variant<SubmitPatch, AnnounceWorker, UpdateBackends, DeclareWorkerLost,
                                  DrainWorker, SubmitJob, CancelJobs, StartAttempt, EvictAttempt,
-                                 ThrottleAttempt, ReportAttempt, ClaimKey, MoveClaim>;
+                                 ThrottleAttempt, ReportAttempt, ClaimKey, MoveClaim, KeepAnswers>;
 
 /// Commands that were proposed together, with the leader's wall-clock time.
 struct CommandBatch
--- a/Guavashift/State/Records.h
+++ b/Guavashift/State/Records.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Configuration/Configuration.h>
 
+#include <optional>
 #include <set>
 
 namespace guavashift {
@@ -171,6 +172,18 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Job, spec, status, completedTasks, openTasks,
                                                 evictions, failures, submittedAt, endedAt)
 
+/// Whole answer to a request that has run. Outlives the agent that ran it.
+struct KeptAnswer
+{
+    RequestId requestId;
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<std::uint8_t> body;
+
+    bool operator==(const KeptAnswer &) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeptAnswer, requestId, status, headers, body)
+
 /// Assignment of the request with an idempotency key to the agent that may run it.
 struct Claim
 {
@@ -182,10 +195,12 @@
     Incarnation incarnation;  ///< Of the agent at the time of the claim.
     std::uint64_t window = 0; ///< Window number of the agent at that time.
     WallMs expiresAt = 0;
+    /// Handed over by the agent when it was stopped as planned.
+    std::optional<KeptAnswer> answer = std::nullopt;
 
     bool operator==(const Claim &) const = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Claim, service, key, requestHash, requestId, worker,
-                                                incarnation, window, expiresAt)
+void to_json(Json &json, const Claim &claim);   // NOLINT
+void from_json(const Json &json, Claim &claim); // NOLINT
 
 } // namespace guavashift
--- a/Guavashift/State/SnapshotCodec.cpp
+++ b/Guavashift/State/SnapshotCodec.cpp
@@ -91,8 +91,7 @@
             } else if (kind == SnapshotRecord::Claim) {
                 auto claim = value.get<Claim>();
                 const std::string key = StateMachine::claimKey(claim);
-                loaded.m_claimExpiry.emplace(claim.expiresAt, key);
-                loaded.m_claims.emplace(key, std::move(claim));
+                loaded.addClaim(key, std::move(claim));
             }
         }
     } catch (const Json::exception &error) {
--- a/Guavashift/State/StateMachine.h
+++ b/Guavashift/State/StateMachine.h
@@ -80,6 +80,7 @@
     Outcome handle(const ReportAttempt &command);
     Outcome handle(const ClaimKey &command);
     Outcome handle(const MoveClaim &command);
+    Outcome handle(const KeepAnswers &command);
 
     // Services and jobs.
     void reconcileServices();
@@ -111,6 +112,7 @@
 
     // Claims.
     void expireClaims();
+    void addClaim(const std::string &key, Claim claim);
     static std::string claimKey(const Claim &claim);
 
     StateRules m_rules;
@@ -127,6 +129,7 @@
     std::set<std::pair<WallMs, TaskId>> m_unreleased;
     std::map<TeamId, Resources> m_teamUsage;
     std::set<std::pair<WallMs, std::string>> m_claimExpiry;
+    std::size_t m_keptAnswerBytes = 0;
     std::set<std::pair<WallMs, std::string>> m_endedJobs;
 };
 
--- a/Guavashift/State/StateMachineClaims.cpp
+++ b/Guavashift/State/StateMachineClaims.cpp
@@ -4,6 +4,18 @@
 
 namespace guavashift {
 
+namespace {
+
+/// Limit of the bodies of kept answers, which are part of every snapshot.
+constexpr std::size_t maxKeptAnswerBytes = 8 << 20;
+
+std::size_t bytesOf(const Claim &claim)
+{
+    return claim.answer ? claim.answer->body.size() : 0;
+}
+
+} // namespace
+
 std::string StateMachine::claimKey(const Claim &claim)
 {
     return claim.service.value + "\n" + claim.key;
@@ -12,7 +24,9 @@
 void StateMachine::expireClaims()
 {
     while (!m_claimExpiry.empty() && m_claimExpiry.begin()->first <= m_time) {
-        m_claims.erase(m_claimExpiry.begin()->second);
+        const auto expired = m_claims.find(m_claimExpiry.begin()->second);
+        m_keptAnswerBytes -= bytesOf(expired->second);
+        m_claims.erase(expired);
         m_claimExpiry.erase(m_claimExpiry.begin());
     }
 }
@@ -28,8 +42,7 @@
     }
     Claim claim = command.claim;
     claim.expiresAt = m_time + 1000 * WallMs(m_configuration.document().limits.keyExpirySeconds);
-    m_claims.insert_or_assign(key, claim);
-    m_claimExpiry.emplace(claim.expiresAt, key);
+    addClaim(key, claim);
     return ClaimGranted{std::move(claim), true};
 }
 
@@ -88,4 +101,52 @@
     return findings;
 }
 
+Outcome StateMachine::handle(const KeepAnswers &command)
+{
+    std::map<RequestId, const KeptAnswer *> answers;
+    for (const KeptAnswer &answer : command.answers)
+        answers.emplace(answer.requestId, &answer);
+    for (auto &[key, claim] : m_claims) {
+        const auto found = answers.find(claim.requestId);
+        if (claim.incarnation != command.incarnation || claim.answer || found == answers.end()
+            || m_keptAnswerBytes + found->second->body.size() > maxKeptAnswerBytes)
+            continue;
+        claim.answer = *found->second;
+        m_keptAnswerBytes += bytesOf(claim);
+    }
+    return Applied{};
+}
+
+void StateMachine::addClaim(const std::string &key, Claim claim)
+{
+    m_claimExpiry.emplace(claim.expiresAt, key);
+    m_keptAnswerBytes += bytesOf(claim);
+    m_claims.insert_or_assign(key, std::move(claim));
+}
+
+void to_json(Json &json, const Claim &claim)
+{
+    json = {{"service", claim.service},         {"key", claim.key},
+            {"requestHash", claim.requestHash}, {"requestId", claim.requestId},
+            {"worker", claim.worker},           {"incarnation", claim.incarnation},
+            {"window", claim.window},           {"expiresAt", claim.expiresAt}};
+    if (claim.answer)
+        json["answer"] = *claim.answer;
+}
+
+void from_json(const Json &json, Claim &claim)
+{
+    const Claim none;
+    claim.service = json.value("service", none.service);
+    claim.key = json.value("key", none.key);
+    claim.requestHash = json.value("requestHash", none.requestHash);
+    claim.requestId = json.value("requestId", none.requestId);
+    claim.worker = json.value("worker", none.worker);
+    claim.incarnation = json.value("incarnation", none.incarnation);
+    claim.window = json.value("window", none.window);
+    claim.expiresAt = json.value("expiresAt", none.expiresAt);
+    if (const auto answer = json.find("answer"); answer != json.end())
+        claim.answer = answer->get<KeptAnswer>();
+}
+
 } // namespace guavashift
--- a/UnitTests/Agent/RequestGateTest.cpp
+++ b/UnitTests/Agent/RequestGateTest.cpp
@@ -181,6 +181,7 @@
     CPPUNIT_TEST(runsTwiceWithoutRememberedRequests);
     CPPUNIT_TEST(limitsSlotsAndQueue);
     CPPUNIT_TEST(limitsRememberedRequests);
+    CPPUNIT_TEST(namesTheNewestAnswersToHandOver);
     CPPUNIT_TEST(refusesNewRequestsWhileLeaving);
     CPPUNIT_TEST(joinsRunningRequestsWithoutTheLease);
     CPPUNIT_TEST(repeatsKeptAnswer);
@@ -262,6 +263,24 @@
         CPPUNIT_ASSERT(most <= 50 + 3 * 100);
     }
 
+    void namesTheNewestAnswersToHandOver()
+    {
+        RequestGate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 4);
+        for (const char *id : {"r1", "r2", "r3"}) {
+            DispatchedRequest dispatch = dispatchOf(id);
+            dispatch.keyed = std::string_view(id) != "r2";
+            CPPUNIT_ASSERT(std::holds_alternative<RunRequest>(gate.arrive(dispatch)));
+            const HttpResponse answer = HttpResponse::text(200, "four");
+            (void)gate.finish(dispatch.id, {false, std::make_shared<HttpResponse>(answer)});
+        }
+        const auto all = gate.newestAnswers(8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), all.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r3"), all[0].first.value);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), all[1].first.value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), gate.newestAnswers(7).size());
+    }
+
     void refusesNewRequestsWhileLeaving()
     {
         RequestGate gate(smallGate(), Incarnation{"i"}, Instant());
