Let activity that may interfere rise in steps

Callers saw: readings over target by turns. A best-effort task paused for a tail over its target resumed at full speed, and so did each new one; the tail followed 0.2 to 0.5 s later, and the task was paused again.

Change: the throttler charges activity that has not been in effect for 300 ms without a tail over its target with an interference of 5, against the headroom left to the target. Images with known interference below 1.5 are not limited.

Test: activityRisesInStepsAfterAPause.

--- a/Guavashift/Fleet/Throttler.cpp
+++ b/Guavashift/Fleet/Throttler.cpp
@@ -58,10 +58,66 @@
     // Throttling for one task may already be enough for the next.
     for (const TailReading &reading : latencyCritical)
         throttleFor(reading, wanted, shares);
+    limitRise(latencyCritical, wanted, shares, now);
     pauseOnViolation(latencyCritical, shares, now);
+    trackActivity(wanted, shares, now);
     return shares;
 }
 
+bool Throttler::mayInterfere(const std::string &latencyCriticalImage,
+                             const std::string &bestEffortImage) const
+{
+    return interferenceOf(latencyCriticalImage, bestEffortImage)
+        >= m_settings.minPausedInterference;
+}
+
+void Throttler::limitRise(std::span<const TailReading> latencyCritical,
+                          const BestEffortActivity &wanted, Shares &shares, Instant now)
+{
+    const bool isAnyViolating =
+        std::any_of(m_tracked.begin(), m_tracked.end(),
+                    [](const auto &each) { return each.second.isViolating; });
+    for (auto &[bestEffortImage, share] : shares) {
+        std::optional<double> spare;
+        for (const TailReading &reading : latencyCritical) {
+            if (interferenceOf(reading.image, bestEffortImage)
+                < m_settings.minThrottledInterference)
+                continue;
+            const double left =
+                reading.tailMs ? headroom(reading.targetMs, *reading.tailMs) - 1 : 0.0;
+            spare = std::min(spare.value_or(left), left);
+        }
+        TrackedActivity &activity = m_activity[bestEffortImage];
+        if (!isAnyViolating && now - activity.risenAt >= m_settings.confirmationTime)
+            activity.confirmed = std::max(activity.confirmed, activity.allowed);
+        const double demand = wanted.at(bestEffortImage);
+        if (!spare || demand <= 0)
+            continue;
+        const double rise =
+            std::max(*spare / m_settings.unconfirmedInterference, m_settings.minRise);
+        share = std::min(share, (activity.confirmed + rise) / demand);
+    }
+}
+
+void Throttler::trackActivity(const BestEffortActivity &wanted, const Shares &shares, Instant now)
+{
+    // Smaller changes need no confirmation of their own.
+    constexpr double sameActivity = 0.01;
+    for (const auto &[bestEffortImage, share] : shares) {
+        TrackedActivity &activity = m_activity[bestEffortImage];
+        const double allowed = share * wanted.at(bestEffortImage);
+        if (allowed > activity.allowed + sameActivity)
+            activity.risenAt = now;
+        activity.allowed = allowed;
+        activity.readAt = now;
+        // Activity that only ended with its runs stays confirmed.
+        if (share < 1)
+            activity.confirmed = std::min(activity.confirmed, allowed);
+    }
+    std::erase_if(m_activity,
+                  [&](const auto &each) { return now - each.second.readAt > forgetAfter; });
+}
+
 void Throttler::track(const TailReading &reading, const BestEffortActivity &used, Instant now)
 {
     TrackedTask &tracked = m_tracked[reading.task];
@@ -115,13 +171,12 @@
     startPause(latencyCritical, now);
     if (!m_paused)
         return;
-    const auto mayInterfere = [this](const std::string &bestEffortImage) {
-        return std::any_of(m_pausedFor.begin(), m_pausedFor.end(), [&](const std::string &image) {
-            return interferenceOf(image, bestEffortImage) >= m_settings.minPausedInterference;
-        });
-    };
     for (auto &[bestEffortImage, share] : shares) {
-        if (m_allPaused || mayInterfere(bestEffortImage))
+        const bool interferes =
+            std::any_of(m_pausedFor.begin(), m_pausedFor.end(), [&](const std::string &image) {
+                return mayInterfere(image, bestEffortImage);
+            });
+        if (m_allPaused || interferes)
             share = 0;
     }
 }
--- a/Guavashift/Fleet/Throttler.h
+++ b/Guavashift/Fleet/Throttler.h
@@ -18,11 +18,17 @@
     double unattainable = 1.3;
     /// Time until a new share shows in the tail: headroom is reserved for its fall until then.
     Duration headroomForecast = std::chrono::milliseconds(400);
-    /// Images with less interference are not throttled for a task: that would cost them much and
-    /// gain the task little.
+    /// Images with less interference are not throttled for a task, nor rise in steps: that would
+    /// cost them much and gain the task little.
     double minThrottledInterference = 1.5;
     /// Images with less interference are not paused for a task over its target, unless all are.
     double minPausedInterference = 0.9;
+    /// Interference assumed for activity that has not shown its effect on the tails yet.
+    double unconfirmedInterference = 5;
+    /// Time in which it shows: until a new share takes effect, and one reading more.
+    Duration confirmationTime = std::chrono::milliseconds(300);
+    /// Least rise of the activity of one image, as a part of the worker's processors.
+    double minRise = 0.02;
     /// After this long over the target, all best-effort tasks that may interfere with the task are
     /// paused. Two readings.
     Duration pauseAfter = std::chrono::milliseconds(450);
@@ -57,8 +63,10 @@
 
 /// Chooses the processor shares of the best-effort tasks on one worker, by image. Allows as much
 /// activity as keeps latency-critical tails within their limits by the learned interference, and
-/// throttles images with the most interference first. Pauses best-effort tasks when a tail stays
-/// over its target, in the end all, whatever was learned. Performs no I/O and reads no clock.
+/// throttles images with the most interference first. Lets the activity of images that may
+/// interfere rise in steps: what was learned may be wrong, and the effect shows late. Pauses
+/// best-effort tasks when a tail stays over its target, in the end all, whatever was learned.
+/// Performs no I/O and reads no clock.
 class Throttler final
 {
 public:
@@ -86,6 +94,20 @@
         Instant readAt;
     };
 
+    /// Activity of one best-effort image.
+    struct TrackedActivity
+    {
+        double confirmed = 0; ///< Was in effect without a tail over its target.
+        double allowed = 0;   ///< By the latest shares.
+        Instant risenAt;
+        Instant readAt;
+    };
+
+    [[nodiscard]] bool mayInterfere(const std::string &latencyCriticalImage,
+                                    const std::string &bestEffortImage) const;
+    void limitRise(std::span<const TailReading> latencyCritical, const BestEffortActivity &wanted,
+                   Shares &shares, Instant now);
+    void trackActivity(const BestEffortActivity &wanted, const Shares &shares, Instant now);
     [[nodiscard]] double interferenceOf(const std::string &latencyCriticalImage,
                                         const std::string &bestEffortImage) const;
     void track(const TailReading &reading, const BestEffortActivity &used, Instant now);
@@ -99,6 +121,7 @@
     ThrottlerSettings m_settings;
     std::map<std::pair<std::string, std::string>, double> m_interference;
     std::map<TaskRef, TrackedTask> m_tracked;
+    std::map<std::string, TrackedActivity> m_activity; ///< By best-effort image.
     Instant m_pausedSince;
     bool m_paused = false;
     bool m_allPaused = false;
--- a/UnitTests/Fleet/PartsTest.cpp
+++ b/UnitTests/Fleet/PartsTest.cpp
@@ -112,6 +112,7 @@
     CPPUNIT_TEST(pausesInterferingTasksFirst);
     CPPUNIT_TEST(pausesUntilSpikeIsOver);
     CPPUNIT_TEST(keepsTailBelowItsTargetWhileLoadRises);
+    CPPUNIT_TEST(activityRisesInStepsAfterAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +172,24 @@
         CPPUNIT_ASSERT_EQUAL(1.0, throttler.update(tail(20), bestEffort, at(2850)).at("feather"));
     }
 
+    /// Guards against tails over their target by turns: paused tasks resumed at full speed though
+    /// their interference was larger than what had been learned.
+    void activityRisesInStepsAfterAPause()
+    {
+        Throttler throttler;
+        throttler.learn(std::vector<InterferenceRow>{{"server", "press", 2}});
+        const std::vector<BestEffortUsage> bestEffort{{"press", 0.3, 0}};
+        throttler.update(tail(60), bestEffort, at(0));
+        CPPUNIT_ASSERT_EQUAL(0.0, throttler.update(tail(60), bestEffort, at(500)).at("press"));
+        double before = 0;
+        for (int now = 1250; before < 1; now += 250) {
+            CPPUNIT_ASSERT(now < 8000);
+            const double share = throttler.update(tail(25), bestEffort, at(now)).at("press");
+            CPPUNIT_ASSERT(share >= before && share <= before + 0.5);
+            before = share;
+        }
+    }
+
     /// Guards against tails over their target: shares followed a rising load with a lag.
     void keepsTailBelowItsTargetWhileLoadRises()
     {
