--- a/Guavashift/Fleet/Throttler.cpp
+++ b/Guavashift/Fleet/Throttler.cpp
@@ -172,10 +172,10 @@
     if (!m_paused)
         return;
     for (auto &[bestEffortImage, share] : shares) {
+        const std::string &paused = bestEffortImage;
         const bool interferes =
-            std::any_of(m_pausedFor.begin(), m_pausedFor.end(), [&](const std::string &image) {
-                return mayInterfere(image, bestEffortImage);
-            });
+            std::any_of(m_pausedFor.begin(), m_pausedFor.end(),
+                        [&](const std::string &image) { return mayInterfere(image, paused); });
         if (m_allPaused || interferes)
             share = 0;
     }
