Name values that have no name without an exception

Callers would have seen: a leader that ends when it logs the end of a run whose kind it does not know, from a damaged frame or another version. The end is committed before it is logged, so the next leader would have ended as well.

Evidence: of 2,000 damaged copies of each frame some decode with such a value; nameOf(RunEnd) threw std::out_of_range, which nothing catches.

Change: nameOf(RunEnd) and nameOf(CrashEvidence) return "other" like the names of the other frames' values.

Test: FleetMessagesTest::survivesDamagedFrames, failing before.

--- a/Guavashift/Stages/JobPlan.cpp
+++ b/Guavashift/Stages/JobPlan.cpp
@@ -27,13 +27,15 @@
 
 std::string_view nameOf(RunEnd end)
 {
-    return endNames.at(static_cast<std::size_t>(end));
+    const auto index = static_cast<std::size_t>(end);
+    return index < endNames.size() ? endNames.at(index) : "other";
 }
 
 std::string_view nameOf(CrashEvidence evidence)
 {
     constexpr std::array<std::string_view, 3> names{"none", "survived", "suspected"};
-    return names.at(static_cast<std::size_t>(evidence));
+    const auto index = static_cast<std::size_t>(evidence);
+    return index < names.size() ? names.at(index) : "other";
 }
 
 void to_json(Json &json, const StepPlan &step) // NOLINT
--- a/Guavashift/Stages/JobPlan.h
+++ b/Guavashift/Stages/JobPlan.h
@@ -99,6 +99,7 @@
     Alone,     ///< The other members of its gang did not start in time.
     NotStarted ///< The start was refused, or its order certainly never reached the worker.
 };
+/// Name for logs; "other" for a value that another version of the program sent.
 std::string_view nameOf(RunEnd end);
 
 /// What the end of a run tells about whether its task crashes workers.
@@ -108,6 +109,7 @@
     Suspected ///< The worker crashed shortly after the start, and no other run is likelier the
               ///< cause.
 };
+/// Like nameOf(RunEnd).
 std::string_view nameOf(CrashEvidence evidence);
 
 } // namespace guavashift
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -1,6 +1,7 @@
 #include <Guavashift/Fleet/FleetMessages.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <random>
 
 using namespace guavashift;
 
@@ -74,6 +75,7 @@
     CPPUNIT_TEST(decodesEncodedFrames);
     CPPUNIT_TEST(frameFormatIsUnchanged);
     CPPUNIT_TEST(rejectsInvalidFrames);
+    CPPUNIT_TEST(survivesDamagedFrames);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +114,45 @@
         CPPUNIT_ASSERT(!decodeFrame(""));
         CPPUNIT_ASSERT(!decodeFrame("\x82\x18\xff\x80"));
     }
+
+    /// Guards against a process that one malformed frame ends: values without a name were thrown
+    /// on when they were logged.
+    void survivesDamagedFrames()
+    {
+        std::mt19937 random(20262); // NOLINT: the same bytes every time
+        std::size_t decoded = 0;
+        for (const FleetMessage &message : oneOfEach()) {
+            const std::string whole = encodeFrame(message);
+            for (int i = 0; i < 2000; ++i) {
+                std::string frame = whole;
+                for (int change = 0; change < 1 + i % 3; ++change)
+                    frame[random() % frame.size()] = static_cast<char>(random() % 256);
+                const std::optional<FleetMessage> read = decodeFrame(frame);
+                if (!read)
+                    continue;
+                ++decoded;
+                logAsReceived(*read);
+            }
+        }
+        CPPUNIT_ASSERT(decoded > 1000);
+    }
+
+private:
+    /// Names the values of a message as its receivers do.
+    static void logAsReceived(const FleetMessage &message)
+    {
+        std::visit(
+            Overloaded{
+                [](const RunsEnded &ended) {
+                    for (const ListedEnd &each : ended.ends)
+                        CPPUNIT_ASSERT(!nameOf(each.end.end).empty()
+                                       && !nameOf(each.end.evidence).empty());
+                },
+                [](const FleetCall &call) { CPPUNIT_ASSERT(!nameOf(call.kind).empty()); },
+                [](const FleetAnswer &answer) { CPPUNIT_ASSERT(!nameOf(answer.result).empty()); },
+                [](const auto &) {}},
+            message);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetMessagesTest);
