--- a/Guavashift/Dispatch/HeadroomTrend.h
+++ b/Guavashift/Dispatch/HeadroomTrend.h
@@ -6,7 +6,7 @@
 
 namespace guavashift {
 
-/// Weights of the newest sample in HeadroomTrend.
+/// Parameters of HeadroomTrend. The weights are those of the newest sample.
 struct HeadroomTrendSettings
 {
     double levelWeight = 0.5; ///< Of its deviation from the forecast, in the level.
@@ -23,6 +23,7 @@
 public:
     explicit HeadroomTrend(const HeadroomTrendSettings &settings = {});
 
+    /// Takes the headroom measured at `now`, which must not be before the last sample.
     void update(double headroom, Instant now);
 
     /// Lowest headroom expected from the last sample until `ahead` after it; 0 without a sample.
--- a/Guavashift/Dispatch/InterferenceTable.h
+++ b/Guavashift/Dispatch/InterferenceTable.h
@@ -113,8 +113,10 @@
         bool changed = false;
     };
 
+    /// Differences of activity by position in `Sums::bestEffortImages`, scaled like the loss.
     using ActivityDifferences = std::vector<std::pair<std::size_t, double>>;
 
+    /// Adds one observation to the sums of the regression.
     static void add(Sums &sums, const ActivityDifferences &differences, double loss);
     static std::size_t positionOf(Sums &sums, const std::string &bestEffortImage);
     void solve(Sums &sums) const;
--- a/Guavashift/Fleet/Throttler.h
+++ b/Guavashift/Fleet/Throttler.h
@@ -103,10 +103,13 @@
         Instant readAt;
     };
 
+    /// Whether the image is paused for a task over its target.
     [[nodiscard]] bool mayInterfere(const std::string &latencyCriticalImage,
                                     const std::string &bestEffortImage) const;
+    /// Lowers shares that would raise the activity of an image by more than one step.
     void limitRise(std::span<const TailReading> latencyCritical, const BestEffortActivity &wanted,
                    Shares &shares, Instant now);
+    /// Records the activity that the shares allow, for the next update.
     void trackActivity(const BestEffortActivity &wanted, const Shares &shares, Instant now);
     [[nodiscard]] double interferenceOf(const std::string &latencyCriticalImage,
                                         const std::string &bestEffortImage) const;
