--- a/UnitTests/Dispatch/WorkerCapacityTest.cpp
+++ b/UnitTests/Dispatch/WorkerCapacityTest.cpp
@@ -1,4 +1,4 @@
-#include <Guavashift/Dispatch/Dispatch.h>
+#include "DispatchFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -8,25 +8,6 @@
 
 namespace {
 
-tl::expected<QueueTable, Findings> readAny(std::string_view document)
-{
-    QueueSettings batch;
-    batch.name = "batch";
-    batch.host = "h";
-    batch.pathPrefix = "/b/";
-    batch.service = "orders";
-    batch.timeoutMs = 1000;
-    batch.targetLatencyMs = 1000;
-    batch.stretch = 2;
-    batch.maxAttempts = 3;
-    return QueueTable(document.size(), {batch}, {{"orders", {}}});
-}
-
-Instant at(int milliseconds)
-{
-    return Instant(std::chrono::seconds(1000) + std::chrono::milliseconds(milliseconds));
-}
-
 JobPlan plan(std::uint32_t tasks, const Resources &size)
 {
     JobPlan plan;
