--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,33 +1,28 @@
 #!/usr/bin/env bash
-# A client hands in a job that repeats every minute, for ten years.
+# The connection on which a worker says goodbye is reset after the agent has read the call.
 here="$(cd "$(dirname "$0")" && pwd)"
 source "$here/../common.sh"
-sides=4 plain=00000000000000e1 repeating=00000000000000e2
-times=8
-[ "$trouble" = 0 ] || times=5256000
+sides=8 job=00000000000000d1
 
 start_deployment $sides 1
-for n in $(seq 1 $sides); do start_worker "$n" "i-$n"; done
+# The worker on side 1 reaches its agent through a proxy, which can reset a connection.
+"$tool" proxy --listen "$net.3.1:$proxy_port" --to "$net.3.1:$control_port" --reset "$trouble" \
+    >> "$work/proxy.log" 2>&1 &
+pids[proxy]=$!
+start_worker 1 i-1 --agent "$net.3.1:$proxy_port"
+for n in $(seq 2 $sides); do start_worker "$n" "i-$n"; done
 sleep 2
-# An ordinary job of another client, accepted and at work.
-submit 1 "$plain" '{"task_spec":"work_ms=8000","steps":[{"count":4,"cpu":1000,"mem_mb":500,"estimate_ms":8000}]}'
-wait_for 5 has_state "$plain" running || cannot_run "the ordinary job does not run"
-body="{\"task_spec\":\"work_ms=500\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":500,\"estimate_ms\":500}],\"repeat_count\":$times,\"first_run_ms\":$(($(now_ms) + 60000)),\"interval_ms\":60000}"
-answer=$(ask 1 POST "$repeating" "$body")
-echo "the repeating job was answered with $answer"
-# The ordinary job needs 8 s; the system has 60.
-begun=$SECONDS
-answered=0 unanswered=0
-while [ $((SECONDS - begun)) -lt 60 ]; do
-    case "$(ask 1 GET "$plain")" in
-    200*completed*) echo "the ordinary job is shown as completed"; exit 0 ;;
-    200*) answered=$((answered + 1)) ;;
-    *) unanswered=$((unanswered + 1)) ;;
-    esac
-    sleep 0.5
-done
-for name in core-1 core-2 core-3; do
-    echo "$name: $(ps -o rss= -p "${pids[$name]}") KB, $(grep -c 'event=leading ' "$work/$name.log") times leader"
-done
-echo "in 60 s $answered reads of the ordinary job were answered and $unanswered were not"
-exit 1
+# The tasks work longer than the worker still serves.
+submit 1 "$job" '{"task_spec":"work_ms=15000","steps":[{"count":16,"cpu":1000,"mem_mb":500,"estimate_ms":15000}]}'
+started() { [ "$(count '"event":"start".*"run":1,')" -ge 16 ]; }
+wait_for 10 started || cannot_run "not all tasks started"
+[ "$(count '"event":"start".*"worker":"i-1"')" -ge 1 ] || cannot_run "no task on the worker that leaves"
+sleep 0.5
+# It reports that it drains, serves for 2 s after the ack, says goodbye and ends, 3 s later if the
+# goodbye gets no answer.
+signal worker1 USR1
+gone() { [ "$(count '"event":"gone"')" -ge 1 ]; }
+wait_for 15 gone || cannot_run "the worker did not leave"
+forget worker1
+sleep 1
+"$tool" twice --record "$record"
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -131,7 +132,7 @@
 {
     const std::optional<sockaddr_in> parsed = parseAddress(address);
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const timeval timeout{timeoutMs / 1000, (timeoutMs % 1000) * 1000};
+    const timeval timeout{timeoutMs / 1000, timeoutMs % 1000 * 1000L};
     const int on = 1;
     setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
@@ -254,6 +255,7 @@
         : m_id(arguments.text("--id"))
         , m_agent(arguments.text("--agent"))
         , m_record(arguments.text("--record"))
+        , m_gangFolder(arguments.text("--gangs"))
         , m_maxHoldMs(arguments.number("--max-hold-ms", 6000))
         , m_heartbeatMs(arguments.number("--heartbeat-ms", 1500))
         , m_drainMs(arguments.number("--drain-ms", 2000))
@@ -295,8 +297,11 @@
     {
         std::int64_t number = 0;
         std::string spec;
-        std::int64_t startedAt = 0;
+        std::int64_t startedAt = 0; ///< Of its work; 0 while a member of a gang waits.
         std::int64_t stopAt = 0;
+        std::int64_t acceptedAt = 0;
+        std::int64_t resumedMs = 0; ///< Work that its checkpoint covers.
+        std::string checkpoint;     ///< With which it started.
     };
 
     struct End
@@ -305,6 +310,7 @@
         std::string task;
         std::int64_t run = 0;
         std::string how;
+        std::string saved;
     };
 
     [[nodiscard]] std::int64_t clockMs() const
@@ -322,13 +328,76 @@
         m_record.write(std::move(more));
     }
 
+    [[nodiscard]] std::int64_t workedMs(const Run &run) const
+    {
+        return run.resumedMs + (run.startedAt == 0 ? 0 : clockMs() - run.startedAt);
+    }
+
+    /// A checkpoint of the task: the work that it covers, and a part of the job's id.
+    static std::string checkpointOf(const std::string &task, std::int64_t workMs)
+    {
+        constexpr std::size_t idAt = 4;
+        constexpr std::size_t idLength = 8;
+        char covered[idLength + 1];
+        std::snprintf(covered, sizeof(covered), "%08x", static_cast<unsigned>(workMs));
+        return covered + task.substr(idAt, idLength);
+    }
+
+    /// The newest checkpoint: one for each two seconds of work.
+    [[nodiscard]] std::string savedOf(const std::string &task, const Run &run) const
+    {
+        constexpr std::int64_t checkpointMs = 2000;
+        const std::int64_t covered = workedMs(run) / checkpointMs * checkpointMs;
+        return covered <= run.resumedMs ? run.checkpoint : checkpointOf(task, covered);
+    }
+
+    /// The folder in which the members of a gang's run meet; empty for other tasks.
+    [[nodiscard]] std::string gangOf(const std::string &task, const Run &run) const
+    {
+        if (m_gangFolder.empty() || numberIn(run.spec, "gang", 0) == 0)
+            return {};
+        return m_gangFolder + "/" + task.substr(0, task.rfind('.')) + "."
+            + std::to_string(run.number);
+    }
+
+    /// Lets the members of a gang work from the moment when all are there, and ends them together.
+    /// Returns the end of this member, or nothing.
+    std::string meetGang(const std::string &task, Run &run)
+    {
+        constexpr std::int64_t gangWaitMs = 3000;
+        namespace fs = std::filesystem;
+        const std::string gang = gangOf(task, run);
+        if (gang.empty())
+            return {};
+        std::error_code ignored;
+        for (const char *how : {"broken", "done"}) {
+            if (fs::exists(gang + "/" + how, ignored))
+                return how;
+        }
+        if (run.startedAt != 0)
+            return {};
+        const auto members = std::distance(fs::directory_iterator(gang, ignored), {});
+        if (members >= numberIn(run.spec, "gang", 0))
+            run.startedAt = clockMs();
+        return run.startedAt == 0 && clockMs() - run.acceptedAt > gangWaitMs ? "alone" : "";
+    }
+
     void end(std::map<std::string, Run>::iterator run, const std::string &how)
     {
-        m_ends.push_back({++m_endCount, run->first, run->second.number, how});
+        const std::string saved = how == "done" ? std::string()
+            : how == "stopped"                  ? checkpointOf(run->first, workedMs(run->second))
+                                                : savedOf(run->first, run->second);
+        if (const std::string gang = gangOf(run->first, run->second);
+            !gang.empty() && how != "broken")
+            std::ofstream(gang + (how == "done" ? "/done" : "/broken")).put('1');
+        m_ends.push_back({++m_endCount, run->first, run->second.number, how, saved});
         m_settled[run->first] = std::max(m_settled[run->first], run->second.number);
-        record(
-            "end",
-            {{"n", m_endCount}, {"task", run->first}, {"run", run->second.number}, {"how", how}});
+        record("end",
+               {{"n", m_endCount},
+                {"task", run->first},
+                {"run", run->second.number},
+                {"how", how},
+                {"saved", saved}});
         m_runs.erase(run);
         m_ended.notify_all();
     }
@@ -350,7 +419,9 @@
                     end(run, "lapsed");
                 else if (run->second.stopAt != 0 && now >= run->second.stopAt)
                     end(run, "stopped");
-                else if (work > 0 && now >= run->second.startedAt + work)
+                else if (const std::string how = meetGang(run->first, run->second); !how.empty())
+                    end(run, how);
+                else if (work > 0 && run->second.startedAt != 0 && workedMs(run->second) >= work)
                     end(run, numberIn(run->second.spec, "fail", 0) != 0 ? "failed" : "done");
             }
         }
@@ -490,12 +561,37 @@
             reply["reason"] = "old";
         } else {
             extend(body);
-            m_runs[task] = {run, body.value("task_spec", std::string()), clockMs(), 0};
+            begin(task, run, body);
         }
-        record("start", {{"task", task}, {"run", run}, {"status", status}});
+        record("start",
+               {{"task", task},
+                {"run", run},
+                {"status", status},
+                {"checkpoint", body.value("checkpoint", std::string())}});
         return status;
     }
 
+    void begin(const std::string &task, std::int64_t number, const Json &body)
+    {
+        constexpr std::size_t coveredLength = 8;
+        constexpr int hexadecimal = 16;
+        Run run;
+        run.number = number;
+        run.spec = body.value("task_spec", std::string());
+        run.acceptedAt = clockMs();
+        run.checkpoint = body.value("checkpoint", std::string());
+        if (!run.checkpoint.empty())
+            run.resumedMs =
+                std::stoll(run.checkpoint.substr(0, coveredLength), nullptr, hexadecimal);
+        if (const std::string gang = gangOf(task, run); gang.empty()) {
+            run.startedAt = run.acceptedAt;
+        } else {
+            std::filesystem::create_directories(gang);
+            std::ofstream(gang + "/" + task.substr(task.rfind('.') + 1)).put('1');
+        }
+        m_runs[task] = run;
+    }
+
     void stop(const Json &body)
     {
         const auto task = body.value("task", std::string());
@@ -523,21 +619,22 @@
                          [this] { return !m_ends.empty(); });
         reply["running"] = Json::array();
         for (const auto &[task, run] : m_runs) {
-            const std::int64_t worked = clockMs() - run.startedAt;
+            const std::int64_t worked = workedMs(run);
             const std::int64_t work = numberIn(run.spec, "work_ms", 0);
             const std::int64_t percent = work > 0 ? std::min<std::int64_t>(99, worked * 100 / work)
                                                   : (worked >= startupMs ? 100 : 0);
-            reply["running"].push_back({task, run.number, "", percent, 1});
+            reply["running"].push_back({task, run.number, savedOf(task, run), percent, 1});
         }
         reply["ended"] = Json::array();
         for (std::size_t i = 0; i < std::min(m_ends.size(), endsPerList); ++i)
             reply["ended"].push_back(
-                {m_ends[i].number, m_ends[i].task, m_ends[i].run, m_ends[i].how, ""});
+                {m_ends[i].number, m_ends[i].task, m_ends[i].run, m_ends[i].how, m_ends[i].saved});
     }
 
     std::string m_id;
     std::string m_agent;
     Recorder m_record;
+    std::string m_gangFolder; ///< In which the members of gangs meet; workers share it.
     std::int64_t m_maxHoldMs;
     std::int64_t m_heartbeatMs;
     std::int64_t m_drainMs;
