--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -671,8 +671,11 @@
     const std::int64_t deadline = arguments.number("--deadline-ms", 3000);
     const std::string headers = "Host: " + arguments.text("--host", "a")
         + "\r\nX-Request-Deadline-Ms: " + std::to_string(deadline) + "\r\n";
-    record.write(
-        {{"event", "sent"}, {"method", method}, {"path", path}, {"to", arguments.text("--to")}});
+    record.write({{"event", "sent"},
+                  {"method", method},
+                  {"path", path},
+                  {"to", arguments.text("--to")},
+                  {"body", arguments.text("--body")}});
     std::string body;
     const int status = call(arguments.text("--to"), method, path, headers, arguments.text("--body"),
                             static_cast<int>(deadline), &body);
