Send a call to a worker on one connection only

A start that was sent while its worker was silent was carried out by the lifetime that began under the same name.

Cause: libcurl sends a request again on a new connection if an open one breaks before the first byte of the answer. The process that listens there by then may be another one, and X-Expected-Instance names the worker, not its lifetime. A refusal could also answer the second sending of a start whose first one had been carried out.

A connection that breaks is reported as no answer, which agents handle.

--- a/Guavashift/Http/AsyncHttpClient.cpp
+++ b/Guavashift/Http/AsyncHttpClient.cpp
@@ -22,6 +22,7 @@
     AsyncHttpCall call;
     AsyncHttpClient::Callback callback;
     std::string url;
+    std::size_t bodySent = 0; ///< Bytes that onSend() has passed on.
     curl_slist *headers = nullptr;
     HttpResponse response;
 
@@ -34,6 +35,16 @@
     return size * count;
 }
 
+/// Passes the body on once. Without a function to rewind it, libcurl fails a call that it would
+/// otherwise send again.
+std::size_t onSend(char *data, std::size_t size, std::size_t count, void *cls)
+{
+    auto &transfer = *static_cast<Transfer *>(cls);
+    const std::size_t sent = transfer.call.body.copy(data, size * count, transfer.bodySent);
+    transfer.bodySent += sent;
+    return sent;
+}
+
 } // namespace
 
 class AsyncHttpClient::Implementation final
@@ -127,7 +138,13 @@
         if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                              static_cast<curl_off_t>(call.body.size()));
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            if (call.mayResend) {
+                curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            } else {
+                curl_easy_setopt(easy, CURLOPT_POST, 1L);
+                curl_easy_setopt(easy, CURLOPT_READFUNCTION, &onSend);
+                curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+            }
         }
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
         curl_multi_add_handle(m_multi, easy);
--- a/Guavashift/Http/AsyncHttpClient.h
+++ b/Guavashift/Http/AsyncHttpClient.h
@@ -16,6 +16,10 @@
     HttpHeaders headers;
     std::string body;
     Duration timeout = std::chrono::seconds(2);
+    /// Whether the request may be sent again on a new connection if an open one breaks before the
+    /// first byte of the answer. The receiver may have carried it out by then, and another process
+    /// may listen at the address.
+    bool mayResend = true;
 };
 
 /// Why a call has no answer.
