Keep runs bound until the next lifetime of their worker is fenced

A worker crashes silently and is back under its name within half a second. Starts that were bound to its earlier lifetime ran in the new one, and the same tasks ran on other workers as well, until the stop of the first runs took effect.

Cause: the end of a lifetime settled all its runs, also those whose start had no answer. Such a start can be carried out by the next lifetime under the same name, which has seen no fencing token: its first poll carried the same token as the start. The answer to a start was not compared with the lifetime that the run was bound to. Late answers to polls of an earlier lifetime ended the present one.

Change: an agent raises its fencing token for each lifetime that it finds, and reads the inventory with it. Agents report which starts of an ended lifetime have no answer. The leader keeps these runs, and all runs of earlier lifetimes whose end nobody reported, until the inventory of the next lifetime: runs that it lists stay bound, on the new lifetime; the others lapse. Without a next lifetime they lapse with the longest lease. Answers to calls of an earlier lifetime are told apart by the time of the worker's start, or by its clock if the answer has no such time.

Why it works: once a poll with the higher token is answered, every start with a lower one is refused in that lifetime, and each one that came before is in its lists.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -210,18 +210,19 @@
 void Dispatcher::workerReported(const std::string &node, const WorkerFacts &facts, Instant now)
 {
     // One machine has one worker: an earlier lifetime there has ended.
-    std::vector<Lifetime> ended;
-    std::vector<Lifetime> known = m_pool.lifetimesOf(facts.lifetime.worker);
-    for (Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
-        if (lifetime.worker != facts.lifetime.worker)
-            known.push_back(std::move(lifetime));
+    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
+        if (lifetime.worker != facts.lifetime.worker
+            && lifetime.startedAt <= facts.lifetime.startedAt)
+            lifetimeEnded(lifetime, LifetimeEnd::Left, {});
     }
-    for (const Lifetime &lifetime : known) {
-        if (lifetime != facts.lifetime && lifetime.startedAt <= facts.lifetime.startedAt)
-            ended.push_back(lifetime);
+    bool followsAnother = false;
+    for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
+        if (lifetime.startedAt >= facts.lifetime.startedAt)
+            continue;
+        followsAnother = true;
+        awaitNextLifetime(*m_pool.find(lifetime), now);
+        supersede(*m_pool.find(lifetime));
     }
-    for (const Lifetime &lifetime : ended)
-        lifetimeEnded(lifetime, LifetimeEnd::Left, {});
     PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
     // The same use of processors is another share of another capacity, so no report from before
@@ -233,12 +234,28 @@
     m_pool.setNode(worker, node);
     worker.hasFacts = true;
     worker.sentInterference.clear();
-    worker.leaseEnd =
-        std::max(worker.leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
+    // A call for an earlier lifetime may have given this one a lease by another clock.
+    const Duration lease = followsAnother ? m_settings.longestLease : m_settings.workerLease;
+    worker.leaseEnd = std::max(worker.leaseEnd, now + lease + m_settings.leaseMargin);
     if (drains)
         evacuate(worker, now);
 }
 
+void Dispatcher::supersede(PoolWorker &worker)
+{
+    const Lifetime lifetime = worker.facts.lifetime;
+    reserveUnbound(worker, {});
+    worker.hasFacts = false;
+    m_pool.setNode(worker, {});
+    m_pool.removeIfIdle(lifetime);
+}
+
+void Dispatcher::awaitNextLifetime(PoolWorker &worker, Instant now) const
+{
+    worker.leaseEnd =
+        std::max(worker.leaseEnd, now + m_settings.longestLease + m_settings.leaseMargin);
+}
+
 void Dispatcher::evacuate(PoolWorker &worker, Instant)
 {
     for (auto &[task, run] : worker.runs) {
@@ -254,8 +271,10 @@
 
 void Dispatcher::leaseGranted(const std::string &node, Instant now)
 {
-    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node))
-        m_pool.find(lifetime)->leaseEnd = now + m_settings.workerLease + m_settings.leaseMargin;
+    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
+        Instant &leaseEnd = m_pool.find(lifetime)->leaseEnd;
+        leaseEnd = std::max(leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
+    }
 }
 
 void Dispatcher::nodeLost(const std::string &node)
@@ -287,6 +306,7 @@
     std::map<TaskRef, std::uint32_t> running;
     for (const RunStatus &row : rows)
         running[row.task] = std::max(running[row.task], row.run);
+    settleEarlierLifetimes(*worker, running);
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
         if (found != running.end() && found->second == run.run) {
@@ -311,6 +331,51 @@
         evacuate(*worker, boundBefore);
 }
 
+void Dispatcher::settleEarlierLifetimes(PoolWorker &worker,
+                                        const std::map<TaskRef, std::uint32_t> &running)
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    for (const Lifetime &other : m_pool.lifetimesOf(lifetime.worker)) {
+        if (other.startedAt >= lifetime.startedAt)
+            continue;
+        PoolWorker &earlier = *m_pool.find(other);
+        std::vector<TaskRef> runsHere;
+        for (const auto &[task, run] : earlier.runs) {
+            const auto found = running.find(task);
+            if (found != running.end() && found->second == run.run)
+                runsHere.push_back(task);
+            else if (run.committed)
+                queueEnd(run, RunEnd::Lapsed, evidenceOf(run));
+        }
+        for (const TaskRef &task : runsHere)
+            adopt(task, earlier, worker);
+        m_pool.removeIfIdle(other);
+    }
+}
+
+void Dispatcher::adopt(const TaskRef &task, PoolWorker &earlier, PoolWorker &worker)
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    logEvent(LogLevel::Info, "run-adopted",
+             {{"task", task.text()},
+              {"run", earlier.runs.at(task).run},
+              {"worker", lifetime.worker},
+              {"bound_to", earlier.facts.lifetime.startedAt},
+              {"runs_on", lifetime.startedAt}});
+    PlacedRun run = earlier.runs.at(task);
+    run.stopRequested = false;
+    m_pool.release(earlier.facts.lifetime, task);
+    m_pool.place(lifetime, std::move(run));
+    m_placed[task] = lifetime;
+    const StageJob *job = m_jobTable.find(task.job);
+    if (job == nullptr || job->plan.steps.empty())
+        return;
+    const std::string &label = job->plan.steps[task.step].requiredLabel;
+    if (worker.facts.service != m_jobTable.queueSettingsOf(*job).service
+        || (!label.empty() && !worker.facts.hasLabel(label)))
+        orderStop(lifetime, worker, worker.runs.at(task));
+}
+
 void Dispatcher::reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const
 {
     worker.unboundReserved = {};
@@ -329,7 +394,8 @@
 }
 
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
-                               std::span<const TaskRun> recentRuns)
+                               std::span<const TaskRun> recentRuns,
+                               std::span<const TaskRun> openStarts)
 {
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
@@ -338,21 +404,25 @@
     // have lost power.
     lapseAllRuns(lifetime,
                  end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
-                                             : std::set<TaskRef>());
-    reserveUnbound(*worker, {});
-    if (end == LifetimeEnd::Unreachable)
+                                             : std::set<TaskRef>(),
+                 openStarts);
+    if (end == LifetimeEnd::Unreachable) {
+        reserveUnbound(*worker, {});
         worker->unreachable = true;
-    else {
-        worker->hasFacts = false;
-        m_pool.setNode(*worker, {});
-        m_pool.removeIfIdle(lifetime);
+    } else {
+        if (!openStarts.empty())
+            awaitNextLifetime(*worker, m_now);
+        supersede(*worker);
     }
 }
 
-void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected)
+void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected,
+                              std::span<const TaskRun> openStarts)
 {
     for (const auto &[task, run] : m_pool.find(lifetime)->runs) {
-        if (run.committed)
+        const TaskRun open{task, run.run};
+        if (run.committed
+            && std::find(openStarts.begin(), openStarts.end(), open) == openStarts.end())
             queueEnd(run, RunEnd::Lapsed,
                      suspected.contains(task) ? CrashEvidence::Suspected : evidenceOf(run));
     }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -13,6 +13,8 @@
 {
     /// Time for which one grant lets a worker run; limit of the deployment, see FleetBounds.
     Duration workerLease = std::chrono::milliseconds(4500);
+    /// Time for which a worker may run on whatever lease end it was sent; limit of the deployment.
+    Duration longestLease = std::chrono::milliseconds(6000);
     /// Added before a lease counts as expired: allows for late timers and clocks that run 2 % slow.
     Duration leaseMargin = std::chrono::milliseconds(400);
     /// Time for which a worker gets no new runs after it refused a start.
@@ -123,20 +125,26 @@
     void start(Instant now);
     void stop();
 
-    /// Handles facts from the agent on `node`. A new lifetime there ends the previous one.
+    /// Handles facts from the agent on `node`. A new lifetime there ends the previous one. Runs of
+    /// earlier lifetimes of the same worker stay bound until inventoryReported(): a start that was
+    /// meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
     /// Records that a lease was granted to the agent on `node`.
     void leaseGranted(const std::string &node, Instant now);
     void nodeLost(const std::string &node);
     void runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows, Instant now);
-    /// Handles the full list of runs on a worker. Runs bound up to `boundBefore` that are not in it
-    /// never started.
+    /// Handles the full list of runs on a worker, read with a fencing token above that of all
+    /// starts for earlier lifetimes. Runs bound up to `boundBefore`, or to an earlier lifetime of
+    /// the worker, that are not in it never start.
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
     /// Handles that no run of that lifetime runs now or ever will again. That of an unreachable
-    /// worker stays known. `recentRuns`: started shortly before a crash.
+    /// worker stays known. `recentRuns`: started shortly before a crash. `openStarts`: runs that
+    /// the next lifetime under the same name may still carry out; these stay bound until its
+    /// inventory, a refusal, or the end of the longest lease.
     void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
-                       std::span<const TaskRun> recentRuns);
+                       std::span<const TaskRun> recentRuns,
+                       std::span<const TaskRun> openStarts = {});
     void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
                       Instant now);
     void endReported(const EndRun &end);
@@ -194,7 +202,18 @@
     void withdraw(const std::string &id);
     void scheduleOccurrences(const std::string &id, const StageJob &job);
     void beginDueOccurrences(WallMs wallNow);
-    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected);
+    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected,
+                      std::span<const TaskRun> openStarts = {});
+    /// Takes no more facts of a lifetime that has ended. It stays known while runs are bound to it.
+    void supersede(PoolWorker &worker);
+    /// Keeps the runs bound to an ended lifetime for as long as the next one under its name may
+    /// carry them out without an agent.
+    void awaitNextLifetime(PoolWorker &worker, Instant now) const;
+    /// Settles the runs of earlier lifetimes of the worker: those in `running` run on it.
+    void settleEarlierLifetimes(PoolWorker &worker,
+                                const std::map<TaskRef, std::uint32_t> &running);
+    /// Makes a run of an earlier lifetime one of `worker`, which carries it out.
+    void adopt(const TaskRef &task, PoolWorker &earlier, PoolWorker &worker);
     void queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence = CrashEvidence::None);
     /// Runs that may have crashed their worker: those that had just started. All of them count: one
     /// that crashed no worker before may be the cause as well.
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -60,6 +60,7 @@
     m_fenceStep = 0;
     m_leaseLength = std::chrono::milliseconds(session.leaseMs);
     m_inventoryDue = true;
+    m_inventoryFence = fence();
     m_listedUpTo = m_committedUpTo;
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
@@ -169,7 +170,11 @@
         m_facts = facts;
         m_listedUpTo = m_committedUpTo = 0;
         m_listedAt.clear();
+        // The worker may have restarted under its name. With a higher token, this lifetime refuses
+        // all calls that were meant for the one before it.
+        raiseFence();
         m_inventoryDue = m_link.isOpen();
+        m_inventoryFence = fence();
         m_unreachable = false;
         logEvent(LogLevel::Info, "worker-found",
                  {{"worker", facts.lifetime.worker},
@@ -199,6 +204,16 @@
     endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed);
 }
 
+std::vector<TaskRun> AgentNode::openStarts() const
+{
+    std::vector<TaskRun> open;
+    for (const auto &[key, run] : m_runs) {
+        if (run.stage != Stage::Running)
+            open.push_back({key.first, key.second});
+    }
+    return open;
+}
+
 std::vector<TaskRun> AgentNode::recentRuns() const
 {
     const Instant crashedAt = m_pollsFailSince.value_or(BootClock::now());
@@ -225,18 +240,22 @@
     const Lifetime lifetime = m_facts->lifetime;
     const std::vector<TaskRun> recent =
         end == LifetimeEnd::Crashed ? recentRuns() : std::vector<TaskRun>();
+    // The lease in a start that reaches a worker after it was unreachable has expired.
+    const std::vector<TaskRun> open =
+        end == LifetimeEnd::Unreachable ? std::vector<TaskRun>() : openStarts();
     logEvent(LogLevel::Info, "lifetime-ended",
              {{"worker", lifetime.worker},
               {"born", lifetime.startedAt},
               {"end", nameOf(end)},
               {"runs", m_runs.size()},
-              {"recent_runs", recent.size()}});
+              {"recent_runs", recent.size()},
+              {"open_starts", open.size()}});
     // A crash without such runs must not replace one with some.
     if (!recent.empty())
-        m_lastCrash = WorkerCrashed{lifetime, recent};
+        m_lastCrash = WorkerCrashed{lifetime, recent, open};
     if (end == LifetimeEnd::Crashed)
-        m_link.send(WorkerCrashed{lifetime, recent});
-    m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
+        m_link.send(WorkerCrashed{lifetime, recent, open});
+    m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable, open});
     m_runs.clear();
     if (end != LifetimeEnd::Unreachable) {
         m_facts.reset();
@@ -279,8 +298,10 @@
     ++m_openPolls;
     m_metrics.polled();
     m_port.poll(request, [this, request, now, epoch = m_pollEpoch](const WorkerReply &reply) {
-        if (epoch == m_pollEpoch)
-            --m_openPolls;
+        // The answer to a poll of an earlier lifetime says nothing about this one.
+        if (epoch != m_pollEpoch)
+            return;
+        --m_openPolls;
         handlePollReply(request, now, reply);
     });
 }
@@ -314,8 +335,9 @@
             m_unreachable = true;
             endLifetime(LifetimeEnd::Unreachable);
         }
+        // The first failure may be that of one connection only.
         if (m_openPolls == 0)
-            schedulePoll(m_agent.retryPause);
+            schedulePoll(m_pollsFailSince == now ? Duration::zero() : m_agent.retryPause);
         return;
     }
     if (reply.born != 0 && reply.born != m_facts->lifetime.startedAt) {
@@ -389,7 +411,7 @@
         else if (run.stage == Stage::Running && !run.stopWanted && sent > run.seenAt)
             m_runs.erase(current); // Its end was listed earlier.
     }
-    if (m_inventoryDue && request.fence >= m_sessionFence) {
+    if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
         m_link.send(Inventory{m_facts->lifetime, reply.running});
     }
@@ -446,22 +468,65 @@
     position->second.fence = fence();
     position->second.startSentAt = BootClock::now();
     const std::uint64_t sentUnder = fence();
-    m_port.start({sentUnder, until, order}, [this, key, sentUnder](const WorkerReply &reply) {
-        started(key, sentUnder, reply);
-    });
+    m_port.start({sentUnder, until, order},
+                 [this, lifetime = order.lifetime, key, sentUnder](const WorkerReply &reply) {
+                     started(lifetime, key, sentUnder, reply);
+                 });
 }
 
-void AgentNode::started(const RunKey &key, std::uint64_t sentUnder, const WorkerReply &reply)
+bool AgentNode::raiseFence()
+{
+    if (m_fenceStep >= m_agent.fenceSteps) {
+        m_link.renew("the session has no higher fencing token left");
+        return false;
+    }
+    ++m_fenceStep;
+    return true;
+}
+
+bool AgentNode::mayBeFromOther(const Lifetime &lifetime, const WorkerReply &reply) const
+{
+    if (reply.born != 0)
+        return reply.born != lifetime.startedAt;
+    return reply.clockMs != 0 && !m_lease.isClockOfWorker(reply.clockMs, BootClock::now());
+}
+
+void AgentNode::lateStartAnswered(const Lifetime &lifetime, const RunKey &key,
+                                  const WorkerReply &reply)
+{
+    // Without an answer, or if the present lifetime has carried the start out, the inventory of the
+    // next lifetime tells the leader whether it runs there.
+    if (reply.result == WorkerCallResult::NoAnswer
+        || (reply.result == WorkerCallResult::Done && reply.born != lifetime.startedAt))
+        return;
+    m_link.send(StartRefused{lifetime, key.first, key.second, "its lifetime has ended"});
+}
+
+void AgentNode::started(const Lifetime &lifetime, const RunKey &key, std::uint64_t sentUnder,
+                        const WorkerReply &reply)
 {
-    const auto found = m_runs.find(key);
     m_metrics.startAnswered(reply.result);
     logEvent(LogLevel::Info, "start-answered",
-             {{"task", key.first.text()}, {"run", key.second}, {"result", nameOf(reply.result)}});
+             {{"task", key.first.text()},
+              {"run", key.second},
+              {"born", reply.born},
+              {"result", nameOf(reply.result)}});
+    if (!isCurrent(lifetime))
+        return lateStartAnswered(lifetime, key, reply);
+    const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.stage != Stage::Starting
         || found->second.fence != sentUnder)
         return;
     Run &run = found->second;
-    switch (reply.result) {
+    WorkerCallResult result = reply.result;
+    if (result == WorkerCallResult::Done && mayBeFromOther(lifetime, reply)) {
+        // The worker restarted under the same name, and its next lifetime carried the start out.
+        run.stage = Stage::Unconfirmed;
+        if (reply.born != 0)
+            return endLostLifetime();
+        result = WorkerCallResult::NoAnswer;
+    }
+    switch (result) {
     case WorkerCallResult::Done:
         run.stage = Stage::Running;
         run.seenAt = BootClock::now();
@@ -473,15 +538,11 @@
     case WorkerCallResult::NoAnswer:
         // The start may still arrive, unless the worker has observed a higher token by then.
         run.stage = Stage::Unconfirmed;
-        if (run.fence < fence())
-            return poll(Duration::zero());
-        if (m_fenceStep >= m_agent.fenceSteps)
-            return m_link.renew("the session has no higher fencing token left");
-        ++m_fenceStep;
-        poll(Duration::zero());
+        if (run.fence < fence() || raiseFence())
+            poll(Duration::zero());
         return;
     default:
-        drop(key, nameOf(reply.result));
+        drop(key, nameOf(result));
     }
 }
 
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -105,7 +105,15 @@
     void processEnds(const WorkerReply &reply);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
     void startRun(const StartOrder &order);
-    void started(const RunKey &key, std::uint64_t fence, const WorkerReply &reply);
+    void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t fence,
+                 const WorkerReply &reply);
+    /// Handles the answer to a start for a lifetime that has ended meanwhile.
+    void lateStartAnswered(const Lifetime &lifetime, const RunKey &key, const WorkerReply &reply);
+    /// Whether the answer to a call may come from another lifetime of the worker.
+    [[nodiscard]] bool mayBeFromOther(const Lifetime &lifetime, const WorkerReply &reply) const;
+    /// Raises the fencing token above that of all calls so far. Returns false if the session has
+    /// none left, in which case a new session follows.
+    bool raiseFence();
     void stopRun(const StopOrder &order);
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
@@ -113,6 +121,8 @@
     /// Ends the lifetime of a worker whose program is gone or was replaced.
     void endLostLifetime();
     void endLifetime(LifetimeEnd end);
+    /// Runs whose start has no answer.
+    [[nodiscard]] std::vector<TaskRun> openStarts() const;
     /// Runs that were started shortly before the worker stopped answering.
     [[nodiscard]] std::vector<TaskRun> recentRuns() const;
     void applyThrottling();
@@ -132,6 +142,7 @@
     std::uint64_t m_sessionFence = 0;
     std::uint64_t m_fenceStep = 0;
     bool m_inventoryDue = false;
+    std::uint64_t m_inventoryFence = 0; ///< Least fencing token of the poll that it is read with.
     Duration m_leaseLength = Duration::zero();
 
     std::optional<WorkerFacts> m_facts;
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -31,6 +31,7 @@
     DispatchSettings settings;
     settings.workerLease = workerLeaseOf(bounds);
     // Worker clocks may be 2 % slow.
+    settings.longestLease = bounds.maxWorkerLease;
     settings.leaseMargin = bounds.thawSlack + settings.workerLease / 50;
     settings.remoteFactor = bounds.remoteFactor;
     return settings;
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -154,12 +154,12 @@
 
 auto fields(Is<LifetimeEnded> auto &value)
 {
-    return std::tie(value.lifetime, value.unreachable);
+    return std::tie(value.lifetime, value.unreachable, value.openStarts);
 }
 
 auto fields(Is<WorkerCrashed> auto &value)
 {
-    return std::tie(value.lifetime, value.recentRuns);
+    return std::tie(value.lifetime, value.recentRuns, value.openStarts);
 }
 
 auto fields(Is<KnownRuns> auto &value)
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -124,6 +124,8 @@
 {
     Lifetime lifetime;
     bool unreachable = false; ///< The lease ran out while the worker did not answer.
+    /// Runs whose start has no answer. The next lifetime under the same name may carry it out.
+    std::vector<TaskRun> openStarts;
 };
 
 /// The worker's program ended without notice in that lifetime. Sent before LifetimeEnded.
@@ -131,6 +133,7 @@
 {
     Lifetime lifetime;
     std::vector<TaskRun> recentRuns; ///< Started shortly before.
+    std::vector<TaskRun> openStarts; ///< See LifetimeEnded.
 };
 
 struct KnownRuns
--- a/Guavashift/Fleet/LeaseClock.cpp
+++ b/Guavashift/Fleet/LeaseClock.cpp
@@ -6,13 +6,17 @@
 
 /// Lowest rate of a worker's clock.
 constexpr double slowestClock = 0.98;
+/// Highest rate of a worker's clock.
+constexpr double fastestClock = 1.02;
+/// Longest delay of an answer on its way from the worker.
+constexpr Duration clockTolerance = std::chrono::seconds(1);
 
 } // namespace
 
 LeaseClock::LeaseClock(Duration longestLease, Instant now)
-    : m_latestEnd(now
-                  + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(
-                      static_cast<double>(longestLease.count()) / slowestClock)))
+    : m_longestLease(std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(
+        static_cast<double>(longestLease.count()) / slowestClock)))
+    , m_latestEnd(now + m_longestLease)
 {
 }
 
@@ -26,10 +30,20 @@
     }
 }
 
+bool LeaseClock::isClockOfWorker(std::int64_t clockMs, Instant now) const
+{
+    const auto passed = static_cast<double>(toMs(now - m_clockAt));
+    const auto latest =
+        m_clockMs + static_cast<std::int64_t>(passed * fastestClock) + toMs(clockTolerance);
+    // Answers may overtake each other, so an earlier value may arrive later.
+    return m_clockMs == 0 || (clockMs >= m_clockMs - toMs(clockTolerance) && clockMs <= latest);
+}
+
 void LeaseClock::workerChanged(Instant now)
 {
     m_clockMs = 0;
-    m_latestEnd = now;
+    // A call for the lifetime before carries a lease end by another clock.
+    m_latestEnd = now + m_longestLease;
 }
 
 std::int64_t LeaseClock::untilMs(Instant now)
--- a/Guavashift/Fleet/LeaseClock.h
+++ b/Guavashift/Fleet/LeaseClock.h
@@ -15,9 +15,14 @@
     /// Records that the worker's clock was at `clockMs` at a time between `sent` and `received`.
     void observe(std::int64_t clockMs, Instant sent, Instant received);
 
+    /// Whether `clockMs`, from an answer that arrived at `now`, fits what was observed of the
+    /// worker's clock. The clock of another lifetime starts anew.
+    [[nodiscard]] bool isClockOfWorker(std::int64_t clockMs, Instant now) const;
+
     /// Records that the leader has granted a lease until `end`.
     void granted(Instant end) { m_grantEnd = std::max(m_grantEnd, end); }
-    /// Records the start of another lifetime of the worker, to which no lease was sent yet.
+    /// Records the start of another lifetime of the worker. Calls for the one before may still
+    /// give it a lease.
     void workerChanged(Instant now);
 
     /// Returns the end of the granted lease on the worker's clock, so early that nothing outlives
@@ -30,6 +35,7 @@
     [[nodiscard]] bool isGranted(Instant now) const { return now < m_grantEnd; }
 
 private:
+    Duration m_longestLease; ///< On the agent's clock, while the worker's is slow.
     Instant m_grantEnd;
     Instant m_latestEnd;
     std::int64_t m_clockMs = 0;
--- /dev/null
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -0,0 +1,162 @@
+#include "DispatchFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace guavashift;
+
+/// The leader while a worker begins a new lifetime under its old name.
+class LifetimeChangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LifetimeChangeTest);
+    CPPUNIT_TEST(restartsNoRunBeforeTheNextLifetimeIsListed);
+    CPPUNIT_TEST(keepsRunThatTheNextLifetimeCarriesOut);
+    CPPUNIT_TEST(stopsRunOnALifetimeThatDoesNotSuitIt);
+    CPPUNIT_TEST(nextLeaderKeepsRunThatTheNextLifetimeCarriesOut);
+    CPPUNIT_TEST(runOfAnEarlierLifetimeLapsesWithTheNextOne);
+    CPPUNIT_TEST(restartsAtOnceWhenAnotherWorkerTookTheMachine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_jobTable = std::make_unique<JobTable>(JobTableSettings{}, readAny);
+        m_jobTable->apply(0, ReplaceConfiguration{"x"});
+        m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
+        m_dispatcher->start(at(0));
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
+    }
+
+    /// Guards against a task that runs twice: its start was on the way when the worker restarted
+    /// under its name, the new lifetime carries it out, and the task was started elsewhere as well.
+    void restartsNoRunBeforeTheNextLifetimeIsListed()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(10));
+        decideAndCommit(11);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        // The start never arrived, and no longer can.
+        m_dispatcher->inventoryReported({"w1", 2}, {}, at(5));
+        decideAndCommit(20);
+        decideAndCommit(21);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, task().lifetime.startedAt);
+    }
+
+    /// Guards against the same, once the new lifetime lists the run.
+    void keepsRunThatTheNextLifetimeCarriesOut()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(10));
+        m_dispatcher->inventoryReported({"w1", 2}, listed(), at(5));
+        decideAndCommit(20);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->traitsOf({"w1", 2}).size());
+        // It holds its capacity there, for as long as the lifetime's lease is renewed.
+        accept("wide", plan(1, 60'000));
+        for (int now = 1000; now <= 20'000; now += 1000) {
+            m_dispatcher->leaseGranted("n1", at(now));
+            decideAndCommit(now);
+        }
+        CPPUNIT_ASSERT(m_jobTable->find({"wide", 0, 0, 0})->run == 0);
+        m_dispatcher->endReported({ref, 1, RunEnd::Done, {}});
+        decideAndCommit(20'001);
+        decideAndCommit(20'002);
+        CPPUNIT_ASSERT(StageJobStatus::Completed == m_jobTable->find("j")->status);
+        CPPUNIT_ASSERT(m_jobTable->find({"wide", 0, 0, 0})->run == 1);
+    }
+
+    /// Guards against a run that goes on where the configuration does not allow it, since the new
+    /// lifetime is of another service.
+    void stopsRunOnALifetimeThatDoesNotSuitIt()
+    {
+        bindTask();
+        WorkerFacts other = worker("w1", 2);
+        other.service = "renders";
+        m_dispatcher->workerReported("n1", other, at(10));
+        m_dispatcher->inventoryReported({"w1", 2}, listed(), at(5));
+        decideAndCommit(20);
+        const auto orders = m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        const auto &stop = std::get<StopOrder>(orders[0].second);
+        CPPUNIT_ASSERT(stop.lifetime == other.lifetime && stop.task == ref && stop.run == 1);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+    }
+
+    /// Guards against the same fault after a change of leader, which knows no reports.
+    void nextLeaderKeepsRunThatTheNextLifetimeCarriesOut()
+    {
+        bindTask();
+        m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
+        m_dispatcher->start(at(10));
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(20));
+        decideAndCommit(30);
+        m_dispatcher->inventoryReported({"w1", 2}, listed(), at(15));
+        decideAndCommit(40);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+    }
+
+    /// Guards against a run that stays bound when the lifetime that carried it out ends as well.
+    void runOfAnEarlierLifetimeLapsesWithTheNextOne()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(10));
+        m_dispatcher->inventoryReported({"w1", 2}, listed(), at(5));
+        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Left, {});
+        m_dispatcher->workerReported("n2", worker("w2"), at(10));
+        decideAndCommit(20);
+        decideAndCommit(21);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), task().lifetime.worker);
+    }
+
+    /// A worker under another name refuses what is meant for the one before it.
+    void restartsAtOnceWhenAnotherWorkerTookTheMachine()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n1", worker("w9", 2), at(10));
+        decideAndCommit(11);
+        decideAndCommit(12);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+    }
+
+private:
+    void accept(const std::string &job, const JobPlan &plan)
+    {
+        commit({AcceptJob{job, "batch", plan}}, 0);
+    }
+
+    /// Binds run 1 of the task to the first lifetime.
+    void bindTask()
+    {
+        accept("j", plan(1, 10'000));
+        decideAndCommit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
+    }
+
+    [[nodiscard]] const StageTask &task() const { return *m_jobTable->find(ref); }
+    [[nodiscard]] static std::vector<RunStatus> listed() { return {{ref, 1, {}, 10, 0}}; }
+
+    void commit(const std::vector<StageCommand> &commands, int milliseconds)
+    {
+        for (const StageCommand &command : commands) {
+            const StageOutcome outcome = m_jobTable->apply(0, command);
+            m_dispatcher->applied(command, outcome, at(milliseconds));
+        }
+    }
+
+    void decideAndCommit(int milliseconds)
+    {
+        commit(m_dispatcher->decide(at(milliseconds), milliseconds), milliseconds);
+    }
+
+    static inline const TaskRef ref{"j", 0, 0, 0};
+
+    std::unique_ptr<JobTable> m_jobTable;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LifetimeChangeTest);
--- /dev/null
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -0,0 +1,89 @@
+#include <UnitTests/Fleet/AgentFixture.h>
+#include <UnitTests/Support/FreePort.h>
+
+#include <cppunit/TestAssert.h>
+
+namespace guavashift {
+
+void AgentFixture::setUp()
+{
+    m_loop = std::make_unique<EventLoop>(EventLoopSettings{256});
+    CPPUNIT_ASSERT(m_loop->open());
+    FleetSettings settings;
+    settings.node = "agent";
+    settings.ip = "127.0.0.22";
+    settings.channelPort = test::freePort();
+    const std::string leader = fmt::format("127.0.0.1:{}", settings.channelPort);
+    settings.seeds = {leader};
+    m_leader = std::make_unique<FakeLeader>(*m_loop, leader);
+    m_agent = std::make_unique<AgentNode>(*m_loop, AgentNodeSettings{}, settings, ChannelSettings{},
+                                          m_worker, m_metrics, 5);
+    CPPUNIT_ASSERT(m_agent->start());
+}
+
+void AgentFixture::tearDown()
+{
+    m_agent.reset();
+    m_leader.reset();
+    m_loop.reset();
+}
+
+WorkerFacts AgentFixture::factsOf(std::int64_t startedAt)
+{
+    WorkerFacts facts;
+    facts.lifetime = {"w1", startedAt};
+    facts.service = "orders";
+    facts.capacity = {16'000, 32'000, 0};
+    return facts;
+}
+
+WorkerReply AgentFixture::replyOf(std::int64_t born)
+{
+    WorkerReply reply;
+    reply.result = WorkerCallResult::Done;
+    reply.born = born;
+    reply.clockMs = 10'000;
+    return reply;
+}
+
+StartOrder AgentFixture::orderFor(const WorkerFacts &facts)
+{
+    StartOrder order;
+    order.lifetime = facts.lifetime;
+    order.traits.task = task;
+    order.traits.run = 1;
+    return order;
+}
+
+void AgentFixture::report(const WorkerFacts &facts, std::uint64_t sequence)
+{
+    const std::size_t before = m_worker.polls().size();
+    m_agent->workerReported(facts, sequence);
+    until([&] { return m_worker.polls().size() > before; });
+}
+
+void AgentFixture::grant()
+{
+    until([this] { return !m_leader->all<RenewLease>().empty(); });
+    m_leader->sendToAll(LeaseGranted{m_leader->all<RenewLease>().back().sentAt});
+}
+
+void AgentFixture::startOn(const WorkerFacts &facts)
+{
+    report(facts);
+    grant();
+    m_worker.polls().back().answer(replyOf(facts.lifetime.startedAt));
+    m_leader->sendToAll(orderFor(facts));
+    until([this] { return !m_worker.starts().empty(); });
+}
+
+void AgentFixture::until(const std::function<bool()> &condition)
+{
+    const Instant deadline = BootClock::now() + std::chrono::seconds(30);
+    while (!condition()) {
+        CPPUNIT_ASSERT_MESSAGE("the condition never held", BootClock::now() < deadline);
+        m_loop->runOnce(std::chrono::milliseconds(1));
+    }
+}
+
+} // namespace guavashift
--- /dev/null
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -0,0 +1,106 @@
+#include <UnitTests/Fleet/AgentFixture.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace guavashift;
+
+/// The agent of a worker that restarts under its name, and of one whose answers come late.
+class AgentLifetimeTest : public AgentFixture
+{
+    CPPUNIT_TEST_SUITE(AgentLifetimeTest);
+    CPPUNIT_TEST(fencesTheNextLifetimeAgainstEarlierStarts);
+    CPPUNIT_TEST(reportsStartsThatTheNextLifetimeMayCarryOut);
+    CPPUNIT_TEST(startAnsweredByTheNextLifetimeIsNoRunOfThisOne);
+    CPPUNIT_TEST(reportsStartOfAnEndedLifetimeThatWasRefused);
+    CPPUNIT_TEST(ignoresLateAnswersToPollsOfAnEarlierLifetime);
+    CPPUNIT_TEST(startsNothingBeforeTheLifetimeHasAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a start for an earlier lifetime that the next one accepts, because it has
+    /// only seen the fencing token that the start carries.
+    void fencesTheNextLifetimeAgainstEarlierStarts()
+    {
+        startOn(factsOf(1000));
+        report(factsOf(2000));
+        CPPUNIT_ASSERT(m_worker.polls().back().request.fence
+                       > m_worker.starts().back().request.fence);
+    }
+
+    /// Guards against a leader that starts a task elsewhere although the next lifetime may still
+    /// carry out the start of its last run.
+    void reportsStartsThatTheNextLifetimeMayCarryOut()
+    {
+        startOn(factsOf(1000));
+        report(factsOf(2000));
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        const std::vector<TaskRun> expected{{task, 1}};
+        CPPUNIT_ASSERT(m_leader->all<LifetimeEnded>().back().openStarts == expected);
+        CPPUNIT_ASSERT(m_leader->all<WorkerCrashed>().back().openStarts == expected);
+    }
+
+    /// Guards against the same if the start is answered before the restart is known otherwise.
+    void startAnsweredByTheNextLifetimeIsNoRunOfThisOne()
+    {
+        startOn(factsOf(1000));
+        m_worker.starts().back().answer(replyOf(2000));
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        const LifetimeEnded ended = m_leader->all<LifetimeEnded>().back();
+        CPPUNIT_ASSERT(ended.lifetime == factsOf(1000).lifetime);
+        CPPUNIT_ASSERT(ended.openStarts == (std::vector<TaskRun>{{task, 1}}));
+    }
+
+    /// Guards against a task that waits for a whole lease although its start was refused.
+    void reportsStartOfAnEndedLifetimeThatWasRefused()
+    {
+        startOn(factsOf(1000));
+        report(factsOf(2000));
+        WorkerReply refused = replyOf(2000);
+        refused.result = WorkerCallResult::TooLate;
+        m_worker.starts().back().answer(refused);
+        until([this] { return !m_leader->all<StartRefused>().empty(); });
+        const StartRefused refusal = m_leader->all<StartRefused>().back();
+        CPPUNIT_ASSERT(refusal.lifetime == factsOf(1000).lifetime);
+        CPPUNIT_ASSERT(refusal.task == task && refusal.run == 1);
+    }
+
+    /// Guards against a lifetime that is given up because of an answer that belongs to the one
+    /// before it.
+    void ignoresLateAnswersToPollsOfAnEarlierLifetime()
+    {
+        report(factsOf(1000));
+        const std::size_t first = m_worker.polls().size() - 1;
+        report(factsOf(2000));
+        m_worker.polls()[first].answer(replyOf(1000));
+        report(factsOf(3000));
+        WorkerReply gone;
+        gone.result = WorkerCallResult::NoProgram;
+        m_worker.polls()[first + 1].answer(gone);
+        m_worker.polls().back().answer(replyOf(3000));
+        grant();
+        m_leader->sendToAll(orderFor(factsOf(3000)));
+        until([this] { return !m_worker.starts().empty(); });
+        for (const LifetimeEnded &ended : m_leader->all<LifetimeEnded>())
+            CPPUNIT_ASSERT(ended.lifetime != factsOf(3000).lifetime);
+    }
+
+    /// Guards against starts for a lifetime that was reported again after its end, by a report
+    /// that was delayed on its way.
+    void startsNothingBeforeTheLifetimeHasAnswered()
+    {
+        report(factsOf(1000));
+        grant();
+        m_worker.polls().back().answer(replyOf(1000));
+        WorkerReply gone;
+        gone.result = WorkerCallResult::NoProgram;
+        until([this] { return m_worker.polls().size() == 2; });
+        m_worker.polls().back().answer(gone);
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        report(factsOf(1000), 2);
+        m_leader->sendToAll(orderFor(factsOf(1000)));
+        until([this] { return !m_leader->all<StartRefused>().empty(); });
+        CPPUNIT_ASSERT(m_worker.starts().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentLifetimeTest);
--- a/UnitTests/Fleet/FakeLeader.cpp
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -26,6 +26,7 @@
 {
     const std::optional<FleetMessage> message = decodeFrame(frame);
     CPPUNIT_ASSERT(message);
+    m_messages.push_back(*message);
     std::visit(Overloaded{[&](const LeaderQuery &) {
                               send(connection, LeaderReply{true, {}});
                           },
--- a/UnitTests/Fleet/FakeLeader.h
+++ b/UnitTests/Fleet/FakeLeader.h
@@ -24,6 +24,16 @@
     [[nodiscard]] const std::vector<RunTable> &tables() const { return m_tables; }
     /// Reports of workers received from agents.
     [[nodiscard]] const std::vector<WorkerFacts> &workers() const { return m_workers; }
+    /// All messages of one kind received in sessions, in order.
+    template <typename Message> [[nodiscard]] std::vector<Message> all() const
+    {
+        std::vector<Message> found;
+        for (const FleetMessage &each : m_messages) {
+            if (const auto *message = std::get_if<Message>(&each))
+                found.push_back(*message);
+        }
+        return found;
+    }
     /// Number of calls received, including resent ones.
     [[nodiscard]] std::size_t calls() const { return m_calls.size(); }
 
@@ -43,6 +53,7 @@
     std::map<std::uint64_t, std::unique_ptr<FrameConnection>> m_connections;
     std::uint64_t m_nextConnection = 1;
     std::vector<Received> m_calls;
+    std::vector<FleetMessage> m_messages;
     std::vector<RunTable> m_tables;
     std::vector<WorkerFacts> m_workers;
     std::optional<CallResult> m_result;
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -54,7 +54,7 @@
         RunsEnded{lifetime, {{6, {task, 4, RunEnd::Failed, "saved"}}}},
         EndsCommitted{lifetime, 6},
         StartRefused{lifetime, task, 4, "no-room"},
-        LifetimeEnded{lifetime, true},
+        LifetimeEnded{lifetime, true, {{task, 5}}},
         KnownRuns{{traits}},
         StartOrder{lifetime, traits, "payload", "saved", "ticket"},
         StopOrder{lifetime, task, 4},
@@ -62,7 +62,7 @@
         FleetCall{9, CallKind::Query, "host", "/p/id", std::nullopt, "", "request"},
         FleetAnswer{9, CallResult::State, "running", 2},
         InterferenceReport{{{"server", "press", 7.5}}},
-        WorkerCrashed{lifetime, {{task, 4}}},
+        WorkerCrashed{lifetime, {{task, 4}}, {{task, 5}}},
     };
 }
 
--- /dev/null
+++ b/UnitTests/Fleet/HeldWorker.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <Guavashift/Fleet/WorkerPort.h>
+
+#include <utility>
+
+namespace guavashift {
+
+/// A worker that keeps the calls that it gets, so that the test answers them one by one. Stops and
+/// throttle calls are only counted.
+class HeldWorker final : public WorkerPort
+{
+public:
+    template <typename Request> struct Call
+    {
+        Request request;
+        Callback callback;
+
+        /// Answers the call, unless it was answered before. Invalidates references to calls.
+        void answer(const WorkerReply &reply)
+        {
+            if (const Callback answered = std::exchange(callback, nullptr))
+                answered(reply);
+        }
+    };
+
+    void poll(const PollRequest &request, Callback callback) override
+    {
+        m_polls.push_back({request, std::move(callback)});
+    }
+    void start(const StartRequest &request, Callback callback) override
+    {
+        m_starts.push_back({request, std::move(callback)});
+    }
+    void stop(const StopRequest &, Callback) override { ++m_stops; }
+    void throttle(const ThrottleRequest &, Callback) override { }
+
+    /// Answers all open polls.
+    void answerPolls(const WorkerReply &reply)
+    {
+        // An answer may lead to further polls.
+        for (std::size_t i = 0; i < m_polls.size(); ++i) {
+            if (Callback callback = std::exchange(m_polls[i].callback, nullptr))
+                callback(reply);
+        }
+    }
+    /// All polls so far, including answered ones.
+    [[nodiscard]] std::vector<Call<PollRequest>> &polls() { return m_polls; }
+    /// All starts so far, including answered ones.
+    [[nodiscard]] std::vector<Call<StartRequest>> &starts() { return m_starts; }
+    [[nodiscard]] int stops() const { return m_stops; }
+
+private:
+    std::vector<Call<PollRequest>> m_polls;
+    std::vector<Call<StartRequest>> m_starts;
+    int m_stops = 0;
+};
+
+} // namespace guavashift
