Settle runs only once all ends of a worker are listed

A worker lists 500 ends at a time. After an agent was killed and started again while more ends waited, tasks whose ends were not among the first 500 were started again, though they were done; failed ends beyond them did not count as attempts.

Cause: the agent took a run that is in neither list of an answer for one that does not exist. It derived from this the inventory of a session, the end of starts without an answer, and the end of runs that were stopped before they began.

Change: the answer of a worker says whether it lists all ends that are not acknowledged. The agent draws these conclusions only from such an answer. The ends of a part are sent and committed as before, and the acknowledgement brings the next part.

Why it works: in a complete answer each run that the worker knows is running or ended, and its end was sent to the leader before the inventory.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -398,6 +398,9 @@
             run.tail.update(row.measurement, BootClock::now());
         run.seenAt = std::max(run.seenAt, sent);
     }
+    // Until all ends are listed, a run that is in neither list may have ended.
+    if (!reply.listsAllEnds)
+        return;
     resolveUnconfirmed(request, running);
     // processEnds() has removed the runs with a listed end. A run that a poll sent after an
     // answered stop does not list never ran.
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -28,6 +28,9 @@
     std::int64_t clockMs = 0; ///< The worker's steady clock; 0: not in the answer.
     std::vector<RunStatus> running;
     std::vector<ListedEnd> ended;
+    /// Whether `ended` holds all ends that are not acknowledged. If not, a run that is in neither
+    /// list may have ended.
+    bool listsAllEnds = true;
 };
 
 /// Extends the lease of all runs, acknowledges ends up to `seenUpTo`, and reads the lists of
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -128,6 +128,9 @@
                      for (const auto &[key, endsAt] : m_running)
                          answer.running.push_back({key.first, key.second, {}, 100, 0});
                      answer.ended = m_listed;
+                     if (m_listed.size() > m_endsPerList)
+                         answer.ended.resize(m_endsPerList);
+                     answer.listsAllEnds = answer.ended.size() < m_endsPerList;
                      callback(answer);
                  });
 }
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -16,6 +16,8 @@
     void dropStarts(int count) { m_startsToDrop = count; }
     /// Drops the answers to open polls, as if the agent's connections had closed.
     void disconnect() { ++m_connectionEpoch; }
+    /// Sets how many ends it lists at a time.
+    void setEndsPerList(std::size_t count) { m_endsPerList = count; }
     void setTaskTime(Duration time) { m_taskTime = time; }
     /// Sets whether polls get no answer. Starts are still carried out.
     void ignorePolls(bool ignore) { m_ignoresPolls = ignore; }
@@ -68,6 +70,7 @@
     std::int64_t m_born;
     Instant m_startedAt;
     Duration m_taskTime = std::chrono::milliseconds(50);
+    std::size_t m_endsPerList = 500;
     int m_startsToDrop = 0;
     bool m_ignoresPolls = false;
     std::optional<WorkerCallResult> m_failsWith;
--- a/UnitTests/Platform/WireFormatTest.cpp
+++ b/UnitTests/Platform/WireFormatTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(refusesBrokenConfigurations);
     CPPUNIT_TEST(readsReports);
     CPPUNIT_TEST(readsWorkerReplies);
+    CPPUNIT_TEST(tellsWhetherAllEndsAreListed);
     CPPUNIT_TEST(survivesAnyBytes);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST(reportsAllFindingsInSettings);
@@ -130,6 +131,18 @@
         CPPUNIT_ASSERT(WorkerCallResult::Unhealthy == readWorkerReply(503, "x").result);
     }
 
+    /// Guards against a part of a worker's ends that is taken for all of them.
+    void tellsWhetherAllEndsAreListed()
+    {
+        Json ended = Json::array();
+        for (int number = 1; number < 500; ++number)
+            ended.push_back({number, "j.0.1.9", 1, "done", ""});
+        CPPUNIT_ASSERT(readWorkerReply(200, Json{{"ended", ended}}.dump()).listsAllEnds);
+        // Entries that cannot be read count as well.
+        ended.push_back({500, "unreadable", 1, "done", ""});
+        CPPUNIT_ASSERT(!readWorkerReply(200, Json{{"ended", ended}}.dump()).listsAllEnds);
+    }
+
     void survivesAnyBytes()
     {
         std::mt19937 random(20261); // NOLINT: the same bytes every time
