Limit the work that one submission causes in one step

After a job with 5,256,000 occurrences was accepted, no call was answered any more, on any leader, and each control process used some 650 MB.

Cause: when a job was accepted, and again when a leader started, all its occurrences were entered into the list of due ones within one step of the event loop, in which no heartbeat is sent. The state recorded each occurrence that was done. The same class elsewhere: the chains of steps were followed anew for each task (20,000 steps), the crashes of a gang were counted anew for each member, and each end of a run went through all tasks of its job.

Change: a job has one entry, of its next occurrence. At most 20,000 tasks of a job are open, or become ready in one round; further occurrences begin as others end. Done occurrences are stored as a number and exceptions. Chains are computed once for all tasks of a job. An end makes only the steps ready that waited for its step. A number that does not fit its field, and a last occurrence beyond the range of times, are refused as invalid; before, upper digits were lost.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -4,34 +4,6 @@
 
 namespace {
 
-/// Duration of the longest chain of steps, by the declared estimates.
-std::int64_t longestChainMs(const JobPlan &plan)
-{
-    std::vector<std::int64_t> ends(plan.steps.size(), 0);
-    std::int64_t longest = 0;
-    for (std::size_t i = 0; i < plan.steps.size(); ++i) {
-        std::int64_t start = 0;
-        for (const std::uint32_t earlier : plan.steps[i].after)
-            start = std::max(start, ends[earlier]);
-        ends[i] = start + plan.steps[i].estimateMs;
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
-/// Duration of the longest chain of steps that begins with `step`.
-std::int64_t remainingMs(const JobPlan &plan, std::uint32_t step)
-{
-    std::vector<std::int64_t> remaining(plan.steps.size(), 0);
-    for (std::size_t i = plan.steps.size(); i > step; --i) {
-        const std::size_t at = i - 1;
-        remaining[at] += plan.steps[at].estimateMs;
-        for (const std::uint32_t earlier : plan.steps[at].after)
-            remaining[earlier] = std::max(remaining[earlier], remaining[at]);
-    }
-    return remaining[step];
-}
-
 /// The completion of a job has a value until this multiple of the time that its objective allows.
 constexpr std::int64_t worthlessFactor = 3;
 
@@ -82,6 +54,7 @@
     m_readyByTask.clear();
     m_placed.clear();
     m_lastListed.clear();
+    m_schedules.clear();
     m_due.clear();
     m_comparedSteps.clear();
     m_failureRecords.clear();
@@ -106,18 +79,33 @@
     return placed;
 }
 
-ReadyTask Dispatcher::readyTask(const StageJob &job, const TaskRef &ref) const
+Dispatcher::Chains Dispatcher::chainsOf(const JobPlan &plan)
+{
+    Chains chains;
+    std::vector<std::int64_t> &remaining = chains.remaining;
+    remaining.resize(plan.steps.size(), 0);
+    for (std::size_t i = plan.steps.size(); i > 0; --i) {
+        const std::size_t at = i - 1;
+        remaining[at] += plan.steps[at].estimateMs;
+        for (const std::uint32_t earlier : plan.steps[at].after)
+            remaining[earlier] = std::max(remaining[earlier], remaining[at]);
+        chains.longest = std::max(chains.longest, remaining[at]);
+    }
+    return chains;
+}
+
+ReadyTask Dispatcher::readyTask(const StageJob &job, const TaskRef &ref, const Chains &chains) const
 {
     ReadyTask ready;
     ready.task = ref;
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const WallMs due = job.plan.occurrences == 0 ? 0 : job.plan.dueAt(ref.occurrence);
     const auto allowed = queue.targetLatencyMs
-        + static_cast<std::int64_t>(queue.stretch * static_cast<double>(longestChainMs(job.plan)));
+        + static_cast<std::int64_t>(queue.stretch * static_cast<double>(chains.longest));
     ready.priority = queue.priority;
     ready.objective = std::max(job.acceptedAt, due) + allowed;
     ready.worthlessAt = ready.objective + (worthlessFactor - 1) * allowed;
-    ready.remainingMs = remainingMs(job.plan, ref.step);
+    ready.remainingMs = chains.remaining[ref.step];
     ready.longRunning = job.plan.steps[ref.step].longRunning;
     ready.suspected = crashesOf(ref) > 0;
     return ready;
@@ -126,10 +114,21 @@
 void Dispatcher::enqueue(const TaskRef &ref, std::optional<Instant> since)
 {
     const StageJob *job = m_jobTable.find(ref.job);
-    if (job == nullptr || !job->isActive() || m_placed.contains(ref) || m_readyByTask.contains(ref))
-        return;
-    ReadyTask ready = readyTask(*job, ref);
-    ready.readyAt = since.value_or(m_now);
+    if (mayEnqueue(job, ref))
+        enqueue(*job, ref, chainsOf(job->plan), since.value_or(m_now));
+}
+
+bool Dispatcher::mayEnqueue(const StageJob *job, const TaskRef &ref) const
+{
+    return job != nullptr && job->isActive() && !m_placed.contains(ref)
+        && !m_readyByTask.contains(ref);
+}
+
+void Dispatcher::enqueue(const StageJob &job, const TaskRef &ref, const Chains &chains,
+                         Instant since)
+{
+    ReadyTask ready = readyTask(job, ref, chains);
+    ready.readyAt = since;
     m_ready.insert(ready);
     m_readyByTask.emplace(ref, ready);
     if (ready.longRunning)
@@ -137,51 +136,111 @@
 }
 
 void Dispatcher::enqueueStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
-                             std::uint32_t step)
+                             std::uint32_t step, const Chains &chains)
 {
     for (std::uint32_t t = 0; t < job.plan.steps[step].tasks; ++t) {
         const TaskRef ref{id, occurrence, step, t};
         const StageTask *task = m_jobTable.find(ref);
-        if (task == nullptr || task->stage == TaskStage::Waiting)
-            enqueue(ref);
+        if ((task == nullptr || task->stage == TaskStage::Waiting) && mayEnqueue(&job, ref))
+            enqueue(job, ref, chains, m_now);
     }
 }
 
 void Dispatcher::enqueueReadySteps(const std::string &id, const StageJob &job)
 {
+    const Chains chains = chainsOf(job.plan);
     for (const auto &[number, occurrence] : job.occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
             if (!occurrence.steps[s].isDone() && JobTable::isReady(job, number, s))
-                enqueueStep(id, job, number, s);
+                enqueueStep(id, job, number, s, chains);
         }
     }
 }
 
-void Dispatcher::scheduleOccurrences(const std::string &id, const StageJob &job)
+void Dispatcher::enqueueFollowers(const StageJob &job, const TaskRef &ref)
 {
-    for (std::uint32_t k = 0; k < job.plan.occurrences; ++k) {
-        if (!job.occurrencesDone.contains(k) && !job.occurrences.contains(k))
-            m_due.emplace(job.plan.dueAt(k), std::pair(id, k));
+    const auto found = job.occurrences.find(ref.occurrence);
+    if (found == job.occurrences.end() || !found->second.steps[ref.step].isDone())
+        return;
+    const Chains chains = chainsOf(job.plan);
+    for (std::uint32_t s = ref.step + 1; s < job.plan.steps.size(); ++s) {
+        const std::vector<std::uint32_t> &after = job.plan.steps[s].after;
+        if (std::find(after.begin(), after.end(), ref.step) != after.end()
+            && JobTable::isReady(job, ref.occurrence, s))
+            enqueueStep(ref.job, job, ref.occurrence, s, chains);
     }
 }
 
+void Dispatcher::scheduleOccurrences(const std::string &id, const StageJob &job)
+{
+    if (job.plan.occurrences == 0)
+        return;
+    Schedule &schedule = m_schedules[id];
+    schedule.next = job.occurrencesDone.firstMissing();
+    schedule.open = static_cast<std::uint32_t>(job.occurrences.size());
+    scheduleNext(id, job, schedule);
+}
+
+void Dispatcher::scheduleNext(const std::string &id, const StageJob &job, Schedule &schedule)
+{
+    // Occurrences of which an earlier leader has bound a task are open already.
+    while (
+        schedule.next < job.plan.occurrences
+        && (job.occurrencesDone.contains(schedule.next) || job.occurrences.contains(schedule.next)))
+        ++schedule.next;
+    const std::uint32_t most =
+        std::max(m_settings.maxOpenTasks / std::max(job.plan.taskCount(), 1U), 1U);
+    if (schedule.next >= job.plan.occurrences || schedule.open >= most)
+        return;
+    schedule.due = job.plan.dueAt(schedule.next);
+    m_due.emplace(*schedule.due, id);
+}
+
 void Dispatcher::beginDueOccurrences(WallMs wallNow)
 {
-    while (!m_due.empty() && m_due.begin()->first <= wallNow) {
-        const auto [id, occurrence] = m_due.begin()->second;
+    std::uint32_t tasks = 0;
+    while (!m_due.empty() && m_due.begin()->first <= wallNow && tasks < m_settings.maxOpenTasks) {
+        const std::string id = m_due.begin()->second;
         m_due.erase(m_due.begin());
-        const StageJob *job = m_jobTable.find(id);
-        if (job == nullptr || !job->isActive())
-            continue;
-        for (std::uint32_t s = 0; s < job->plan.steps.size(); ++s) {
-            if (job->plan.steps[s].after.empty())
-                enqueueStep(id, *job, occurrence, s);
+        Schedule &schedule = m_schedules.at(id);
+        const StageJob &job = *m_jobTable.find(id);
+        const std::uint32_t occurrence = schedule.next++;
+        ++schedule.open;
+        schedule.due.reset();
+        const Chains chains = chainsOf(job.plan);
+        for (std::uint32_t s = 0; s < job.plan.steps.size(); ++s) {
+            if (job.plan.steps[s].after.empty())
+                enqueueStep(id, job, occurrence, s, chains);
         }
+        tasks += job.plan.taskCount();
+        scheduleNext(id, job, schedule);
     }
 }
 
+void Dispatcher::occurrenceEnded(const std::string &id, const StageJob &job)
+{
+    const auto found = m_schedules.find(id);
+    if (found == m_schedules.end())
+        return;
+    Schedule &schedule = found->second;
+    --schedule.open;
+    if (!schedule.due)
+        scheduleNext(id, job, schedule);
+}
+
+void Dispatcher::removeSchedule(const std::string &id)
+{
+    const auto found = m_schedules.find(id);
+    if (found == m_schedules.end())
+        return;
+    if (found->second.due)
+        m_due.erase({*found->second.due, id});
+    m_schedules.erase(found);
+}
+
 void Dispatcher::withdraw(const std::string &id)
 {
+    removeSchedule(id);
     const TaskRef first{id, 0, 0, 0};
     for (auto at = m_readyByTask.lower_bound(first);
          at != m_readyByTask.end() && at->first.job == id;) {
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -73,6 +73,9 @@
     Duration maxReportGap = std::chrono::milliseconds(1100);
     /// Interval at which interference is computed and sent to agents.
     Duration interferenceInterval = std::chrono::milliseconds(500);
+    /// Tasks of one scheduled job in occurrences that have begun and are not done. Further
+    /// occurrences begin as these end, and in one round no more tasks than this become ready.
+    std::uint32_t maxOpenTasks = 20'000;
     /// Time over which the headroom of a latency-critical task must suffice for a best-effort task.
     Duration headroomForecast = std::chrono::seconds(1);
     /// Smaller changes of an estimate are not sent.
@@ -179,13 +182,34 @@
     [[nodiscard]] std::vector<RunTraits> traitsOf(const Lifetime &lifetime) const;
 
 private:
-    [[nodiscard]] ReadyTask readyTask(const StageJob &job, const TaskRef &ref) const;
+    /// Durations of a plan's chains of steps, by the declared estimates in milliseconds.
+    struct Chains
+    {
+        std::int64_t longest = 0;
+        std::vector<std::int64_t> remaining; ///< Of the longest chain that begins with each step.
+    };
+    /// Progress of a scheduled job's occurrences.
+    struct Schedule
+    {
+        std::uint32_t next = 0;    ///< Number of the next occurrence to begin.
+        std::uint32_t open = 0;    ///< Occurrences that have begun and are not done.
+        std::optional<WallMs> due; ///< When `next` begins; empty if it waits for open ones to end.
+    };
+
+    [[nodiscard]] static Chains chainsOf(const JobPlan &plan);
+    [[nodiscard]] ReadyTask readyTask(const StageJob &job, const TaskRef &ref,
+                                      const Chains &chains) const;
     [[nodiscard]] PlacedRun placedRun(const TaskRef &ref, std::uint32_t run) const;
     /// `since`: when the task became ready, if not now.
     void enqueue(const TaskRef &ref, std::optional<Instant> since = std::nullopt);
+    /// Whether the task may become ready: its job is active, and it is neither ready nor placed.
+    [[nodiscard]] bool mayEnqueue(const StageJob *job, const TaskRef &ref) const;
+    void enqueue(const StageJob &job, const TaskRef &ref, const Chains &chains, Instant since);
     void enqueueStep(const std::string &id, const StageJob &job, std::uint32_t occurrence,
-                     std::uint32_t step);
+                     std::uint32_t step, const Chains &chains);
     void enqueueReadySteps(const std::string &id, const StageJob &job);
+    /// Makes the steps ready that waited for the step of `ref`, if that step is done.
+    void enqueueFollowers(const StageJob &job, const TaskRef &ref);
     void jobAccepted(const std::string &id);
     void runBound(const StartRun &start, Instant now);
     /// Takes a binding back that the job table refused. If the job has ended, none of its other
@@ -201,6 +225,10 @@
     [[nodiscard]] RunTraits traitsOf(const TaskRef &task, std::uint32_t run) const;
     void withdraw(const std::string &id);
     void scheduleOccurrences(const std::string &id, const StageJob &job);
+    /// Enters the next occurrence of the job, if it has one and not too many are open.
+    void scheduleNext(const std::string &id, const StageJob &job, Schedule &schedule);
+    void occurrenceEnded(const std::string &id, const StageJob &job);
+    void removeSchedule(const std::string &id);
     void beginDueOccurrences(WallMs wallNow);
     void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected,
                       std::span<const TaskRun> openStarts = {});
@@ -304,8 +332,9 @@
     WorkerPool m_pool;
     std::set<ReadyTask> m_ready;
     std::map<TaskRef, ReadyTask> m_readyByTask;
-    std::map<TaskRef, Lifetime> m_placed; ///< Bound or proposed.
-    std::set<std::pair<WallMs, std::pair<std::string, std::uint32_t>>> m_due;
+    std::map<TaskRef, Lifetime> m_placed;           ///< Bound or proposed.
+    std::map<std::string, Schedule> m_schedules;    ///< By job.
+    std::set<std::pair<WallMs, std::string>> m_due; ///< Next occurrences, one of a job.
     using StepRef = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
     InterferenceTable m_interference;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -147,11 +147,13 @@
         return;
     if (!job->isActive())
         return withdraw(end.task.job);
+    if (job->occurrencesDone.contains(end.task.occurrence))
+        occurrenceEnded(end.task.job, *job);
     const StageTask *task = m_jobTable.find(end.task);
     if (task != nullptr && task->stage == TaskStage::Waiting)
         return enqueue(end.task);
     withdrawDone(*job, end.task);
-    enqueueReadySteps(end.task.job, *job);
+    enqueueFollowers(*job, end.task);
 }
 
 void Dispatcher::withdrawDone(const StageJob &job, const TaskRef &ref)
--- a/Guavashift/Dispatch/DispatcherCrashes.cpp
+++ b/Guavashift/Dispatch/DispatcherCrashes.cpp
@@ -12,8 +12,11 @@
     const StageJob &job = *m_jobTable.find(ref.job);
     if (!job.plan.steps[ref.step].gang)
         return task->crashes;
+    const StageStep &step = job.occurrences.at(ref.occurrence).steps[ref.step];
+    if (step.suspected == 0)
+        return 0;
     std::uint32_t crashes = 0;
-    for (const StageTask &member : job.occurrences.at(ref.occurrence).steps[ref.step].tasks)
+    for (const StageTask &member : step.tasks)
         crashes = std::max(crashes, member.crashes);
     return crashes;
 }
--- a/Guavashift/Stages/JobPlan.cpp
+++ b/Guavashift/Stages/JobPlan.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace guavashift {
 
@@ -10,6 +11,9 @@
 constexpr std::array<std::string_view, 7> endNames{"done",   "failed", "stopped",    "lapsed",
                                                    "broken", "alone",  "not-started"};
 
+/// Latest time at which an occurrence may be due. Sums with durations stay far below an overflow.
+constexpr WallMs latestTime = std::numeric_limits<WallMs>::max() / 4;
+
 std::optional<std::uint32_t> takeNumber(std::string_view &text)
 {
     if (text.empty() || text.front() != '.')
@@ -72,6 +76,14 @@
     json.at(12).get_to(step.maxUnavailable);
 }
 
+std::uint32_t JobPlan::taskCount() const
+{
+    std::uint32_t count = 0;
+    for (const StepPlan &step : steps)
+        count += step.tasks;
+    return count;
+}
+
 Findings JobPlan::check() const
 {
     Findings findings;
@@ -88,6 +100,8 @@
     }
     if (occurrences > 0 && (firstAt < 0 || intervalMs < 0))
         findings.push_back({"/schedule", "times must not be negative"});
+    else if (occurrences > 0 && intervalMs > (latestTime - firstAt) / occurrences)
+        findings.push_back({"/schedule", "the last occurrence is too far in the future"});
     return findings;
 }
 
--- a/Guavashift/Stages/JobPlan.h
+++ b/Guavashift/Stages/JobPlan.h
@@ -53,12 +53,14 @@
     bool operator==(const JobPlan &) const = default;
 
     [[nodiscard]] std::uint32_t occurrenceCount() const { return std::max(occurrences, 1U); }
+    /// Number of tasks in one occurrence.
+    [[nodiscard]] std::uint32_t taskCount() const;
     [[nodiscard]] WallMs dueAt(std::uint32_t occurrence) const
     {
         return occurrences == 0 ? 0 : firstAt + intervalMs * occurrence;
     }
     /// Checks that the job has a step, that every step has tasks, that every `after` names an
-    /// earlier step and that times are not negative. Returns the violations.
+    /// earlier step, and that times are neither negative nor too large. Returns the violations.
     [[nodiscard]] Findings check() const;
 };
 void to_json(Json &json, const JobPlan &plan);   // NOLINT
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Stages/OccurrenceSet.h>
 #include <Guavashift/Stages/QueueTable.h>
 #include <Guavashift/Stages/StageCommands.h>
 
@@ -58,7 +59,7 @@
     std::uint32_t bound = 0; ///< Tasks with a bound run.
     bool started = false;    ///< Whether a task was ever started.
     std::map<std::uint32_t, StageOccurrence> occurrences;
-    std::set<std::uint32_t> occurrencesDone;
+    OccurrenceSet occurrencesDone;
 
     [[nodiscard]] bool isActive() const { return status == StageJobStatus::Active; }
 };
--- a/UnitTests/Platform/WireFormatTest.cpp
+++ b/UnitTests/Platform/WireFormatTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST_SUITE(WireFormatTest);
     CPPUNIT_TEST(readsAJob);
     CPPUNIT_TEST(refusesBrokenJobs);
+    CPPUNIT_TEST(refusesNumbersThatDoNotFit);
     CPPUNIT_TEST(readsAConfiguration);
     CPPUNIT_TEST(refusesBrokenConfigurations);
     CPPUNIT_TEST(readsReports);
@@ -70,6 +71,20 @@
         CPPUNIT_ASSERT(!readJob("[]"));
     }
 
+    /// Guards against a job that runs a few times instead of some thousand million times, since the
+    /// upper digits of a number were lost.
+    void refusesNumbersThatDoNotFit()
+    {
+        const auto read = [](const std::string &schedule) {
+            return readJob(R"({"task_spec":"t","steps":[{"count":1}],"first_run_ms":1,)" + schedule
+                           + "}");
+        };
+        CPPUNIT_ASSERT(read(R"("repeat_count":4294967295,"interval_ms":60000)"));
+        CPPUNIT_ASSERT(!read(R"("repeat_count":4294967297,"interval_ms":60000)"));
+        // The last occurrence would be due beyond the range of times.
+        CPPUNIT_ASSERT(!read(R"("repeat_count":4294967295,"interval_ms":4503599627370496)"));
+    }
+
     void readsAConfiguration()
     {
         const auto table = readConfiguration(configurationText);
--- a/UnitTests/Stages/JobTableTest.cpp
+++ b/UnitTests/Stages/JobTableTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(oneEndSettlesTheGang);
     CPPUNIT_TEST(restartsLongRunningTasksWhateverTheirEnd);
     CPPUNIT_TEST(countsOccurrences);
+    CPPUNIT_TEST(storesDoneOccurrencesInLittleSpace);
     CPPUNIT_TEST(keepsTheHighestConfiguration);
     CPPUNIT_TEST(removesEndedJobsAfterTheRetentionTime);
     CPPUNIT_TEST(restoresTheSameStateFromASnapshot);
@@ -342,6 +343,30 @@
         CPPUNIT_ASSERT(StageJobStatus::Completed == m_jobTable->find("j")->status);
     }
 
+    /// Guards against a state that grows with each occurrence of a job that repeats for years.
+    void storesDoneOccurrencesInLittleSpace()
+    {
+        constexpr std::uint32_t count = 2000;
+        JobPlan plan;
+        plan.steps.resize(1);
+        plan.occurrences = 2 * count;
+        accept(plan);
+        const std::size_t before = m_jobTable->save().size();
+        // Neighbours end in the other order, and one lasts.
+        for (std::uint32_t k = 0; k < count; ++k) {
+            const TaskRef ref = task(0, 0, k ^ 1U);
+            CPPUNIT_ASSERT(ref.occurrence == 0 || (start(ref, 1) && end(ref, 1, RunEnd::Done)));
+        }
+        CPPUNIT_ASSERT(start(task(0, 0, 0), 1) && end(task(0, 0, 0), 1, RunEnd::Done));
+        CPPUNIT_ASSERT(m_jobTable->save().size() < before + 100);
+        CPPUNIT_ASSERT(!start(task(0, 0, 5), 2));
+        JobTable copy(JobTableSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_jobTable->save()));
+        CPPUNIT_ASSERT(copy.find("j")->occurrencesDone.contains(count - 1));
+        CPPUNIT_ASSERT(!copy.find("j")->occurrencesDone.contains(count));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{count}, copy.find("j")->occurrencesDone.size());
+    }
+
     void keepsTheHighestConfiguration()
     {
         CPPUNIT_ASSERT(!m_jobTable->apply(1, ReplaceConfiguration{"3"}).applied);
