Let a cancel hold for a submission that arrives after it

A client handed a job in at an entry that was frozen, got no answer, and cancelled it through another entry, which answered 410. The frozen entry then passed the submission on, and the job ran.

Cause: the cancel of an unknown job was answered and left no trace. The same happened to a cancel that reached the leader while the submission was proposed but not committed: it was answered as for an unknown job, and the job ran.

Change: the leader proposes every cancel. The replicated state records that of an unknown job, for as long as ended jobs are kept and 10,000 of them at most. A submission that arrives later is accepted as a job that is cancelled, as if it had come first. The cancel is answered once it is committed, by what the state holds then: 410 if no submission has arrived, which also holds for reads of the job.

Why it works: cancel and submission have one order in the log, and both orders end the same way.

--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -427,11 +427,17 @@
 
 void FleetLeader::cancel(const FleetCall &call, std::string_view job, const Answer &answer)
 {
-    if (m_jobTable.find(job) == nullptr)
+    if (!isJobId(job))
         return answer({call.id, CallResult::NoJob, {}, 0});
-    m_driver.propose({CancelJob{std::string(job)}}, [answer, id = call.id](bool committed, auto) {
-        answer({id, committed ? CallResult::Done : CallResult::Unknown, {}, 0});
-    });
+    // Also for a job that is not known: its submission may be proposed already, or still on its
+    // way.
+    m_driver.propose({CancelJob{std::string(job)}},
+                     [this, answer, id = call.id, job = std::string(job)](bool committed, auto) {
+                         if (!committed)
+                             return answer({id, CallResult::Unknown, "leadership was lost", 0});
+                         const bool isKnown = m_jobTable.find(job) != nullptr;
+                         answer({id, isKnown ? CallResult::Done : CallResult::NoJob, {}, 0});
+                     });
 }
 
 void FleetLeader::replaceConfiguration(const FleetCall &call, const Answer &answer)
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -30,7 +30,7 @@
 /// This covers one request, not earlier requests for the same job, through this entry or another:
 /// after an answer of `Unknown`, or none, the job may be accepted although a later request for it
 /// is refused. A caller finds out by sending the job again until it is accepted, or by cancelling
-/// it.
+/// it: a cancel that was answered also holds for a submission that arrives after it.
 class GatewayNode final
 {
 public:
--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -23,6 +23,7 @@
 JobTable::JobTable(const JobTableSettings &settings, QueueTableReader reader)
     : m_settings(settings)
     , m_reader(std::move(reader))
+    , m_earlyCancels(settings.maxEarlyCancels)
 {
 }
 
@@ -113,6 +114,10 @@
     if (const QueueSettings *queue = m_queues.find(command.queue))
         job.queueSettings = *queue;
     ++m_pending[job.queue];
+    if (m_earlyCancels.take(command.job)) {
+        endJob(command.job, job, StageJobStatus::Cancelled);
+        return {false, "the job was cancelled before"};
+    }
     if (job.plan.occurrences == 0)
         occurrenceOf(job, 0);
     return {true};
@@ -121,8 +126,10 @@
 StageOutcome JobTable::handle(const CancelJob &command)
 {
     const auto found = m_jobs.find(command.job);
-    if (found == m_jobs.end())
+    if (found == m_jobs.end()) {
+        m_earlyCancels.record(command.job, m_time);
         return {false, "there is no such job"};
+    }
     if (!found->second.isActive())
         return {false, "the job has ended"};
     endJob(command.job, found->second, StageJobStatus::Cancelled);
@@ -286,6 +293,7 @@
 
 void JobTable::removeExpired()
 {
+    m_earlyCancels.removeBefore(m_time - m_settings.endedJobRetentionMs);
     while (!m_ended.empty() && m_ended.begin()->first + m_settings.endedJobRetentionMs < m_time) {
         const auto found = m_jobs.find(m_ended.begin()->second);
         // A job with bound runs is kept until their ends are known.
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Stages/EarlyCancels.h>
 #include <Guavashift/Stages/OccurrenceSet.h>
 #include <Guavashift/Stages/QueueTable.h>
 #include <Guavashift/Stages/StageCommands.h>
@@ -68,6 +69,8 @@
 {
     /// Time for which the state of an ended job is kept for queries.
     std::int64_t endedJobRetentionMs = 150'000;
+    /// Most cancels of unknown jobs that are kept. They are kept no longer than ended jobs.
+    std::size_t maxEarlyCancels = 10'000;
     /// A job fails once so many workers have crashed under one of its tasks.
     std::uint32_t maxCrashes = 2;
 };
@@ -140,6 +143,7 @@
     std::string m_document;
     QueueTable m_queues;
     std::map<std::string, StageJob, std::less<>> m_jobs;
+    EarlyCancels m_earlyCancels;
     std::uint64_t m_digest = 0;
 
     // Derived from the members above.
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -130,7 +130,8 @@
     for (const auto &[id, job] : m_jobs)
         jobs.push_back(saveJob(id, job));
     std::string bytes;
-    Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs)}),
+    Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
+                               m_earlyCancels.entries()}),
                   bytes);
     return bytes;
 }
@@ -154,6 +155,11 @@
                 ++loaded.m_pending[job.queue];
             loaded.m_jobs.emplace(id, std::move(job));
         }
+        // Snapshots of earlier versions have no early cancels.
+        if (json.size() > 5) {
+            for (const Json &entry : json.at(5))
+                loaded.m_earlyCancels.record(entry.at(1).get<std::string>(), entry.at(0));
+        }
     } catch (const Json::exception &error) {
         return fail(ErrorCode::InvalidArgument, error.what());
     }
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -20,7 +20,8 @@
     JobPlan plan;
 };
 
-/// Cancels an active job.
+/// Cancels an active job. For an unknown one, its submission is accepted as cancelled if it
+/// arrives later.
 struct CancelJob
 {
     std::string job;
--- a/UnitTests/Stages/JobTableTest.cpp
+++ b/UnitTests/Stages/JobTableTest.cpp
@@ -65,6 +65,8 @@
     CPPUNIT_TEST(oneEndSettlesTheGang);
     CPPUNIT_TEST(restartsLongRunningTasksWhateverTheirEnd);
     CPPUNIT_TEST(countsOccurrences);
+    CPPUNIT_TEST(cancelHoldsForALaterSubmission);
+    CPPUNIT_TEST(forgetsCancelsOfUnknownJobs);
     CPPUNIT_TEST(storesDoneOccurrencesInLittleSpace);
     CPPUNIT_TEST(keepsTheHighestConfiguration);
     CPPUNIT_TEST(removesEndedJobsAfterTheRetentionTime);
@@ -343,6 +345,41 @@
         CPPUNIT_ASSERT(StageJobStatus::Completed == m_jobTable->find("j")->status);
     }
 
+    /// Guards against a job that runs although its cancel was answered.
+    void cancelHoldsForALaterSubmission()
+    {
+        CPPUNIT_ASSERT(!m_jobTable->apply(10, CancelJob{"j"}).applied);
+        CPPUNIT_ASSERT(m_jobTable->find("j") == nullptr);
+        JobTable copy(JobTableSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_jobTable->save()));
+        for (JobTable *table : {m_jobTable.get(), &copy}) {
+            CPPUNIT_ASSERT(!table->apply(900, AcceptJob{"j", "counter", twoSteps()}).applied);
+            CPPUNIT_ASSERT(StageJobStatus::Cancelled == table->find("j")->status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table->pendingIn("counter"));
+            CPPUNIT_ASSERT(!table->apply(901, StartRun{task(0, 0), 1, here}).applied);
+            CPPUNIT_ASSERT(table->apply(902, AcceptJob{"other", "counter", twoSteps()}).applied);
+            // The job is forgotten like any other that has ended.
+            table->apply(2000, ReplaceConfiguration{"4"});
+            CPPUNIT_ASSERT(table->find("j") == nullptr);
+        }
+    }
+
+    /// Guards against a state that grows with cancels of jobs that nobody submits.
+    void forgetsCancelsOfUnknownJobs()
+    {
+        m_jobTable->apply(10, CancelJob{"j"});
+        CPPUNIT_ASSERT(m_jobTable->apply(1011, AcceptJob{"j", "counter", twoSteps()}).applied);
+        JobTableSettings settings{1000};
+        settings.maxEarlyCancels = 2;
+        JobTable table(settings, readVersion);
+        table.apply(0, ReplaceConfiguration{"3"});
+        for (const std::string job : {"a", "b", "c"})
+            table.apply(10, CancelJob{job});
+        CPPUNIT_ASSERT(table.apply(11, AcceptJob{"a", "counter", twoSteps()}).applied);
+        CPPUNIT_ASSERT(!table.apply(11, AcceptJob{"b", "counter", twoSteps()}).applied);
+        CPPUNIT_ASSERT(!table.apply(11, AcceptJob{"c", "counter", twoSteps()}).applied);
+    }
+
     /// Guards against a state that grows with each occurrence of a job that repeats for years.
     void storesDoneOccurrencesInLittleSpace()
     {
