Grant a lease to one lifetime of a worker

An agent was killed and started again, opened a session, and was cut off from the leader before it found its worker. The leader started the worker's tasks elsewhere while they still ran.

Cause: a lease was granted to the agent of a node, and recorded on the lifetimes that this agent had reported in its session: none, after a restart. The agent passed the lease on to the worker that it found later. The same grant survived a restart of the worker, and a leader that had just started recorded none on a worker that it knew from the replicated state only.

Change: a renewal names the lifetime, the leader records the lease on it, reported or not, and the grant names it again. An agent passes a grant on to that lifetime only, and asks for a lease as soon as it finds a worker. Without a worker it asks for none.

Why it works: what an agent may tell a worker is at most what the leader has recorded for that lifetime, whatever happens to reports, sessions and agents in between.

In AgentLifetimeTest both passesOnNoLease tests failed before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -328,12 +328,13 @@
     }
 }
 
-void Dispatcher::leaseGranted(const std::string &node, Instant now)
+void Dispatcher::leaseGranted(const Lifetime &lifetime, Instant now)
 {
-    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
-        Instant &leaseEnd = m_pool.find(lifetime)->leaseEnd;
-        leaseEnd = std::max(leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
-    }
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    worker->leaseEnd =
+        std::max(worker->leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
 }
 
 void Dispatcher::nodeLost(const std::string &node)
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -132,8 +132,9 @@
     /// earlier lifetimes of the same worker stay bound until inventoryReported(): a start that was
     /// meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
-    /// Records that a lease was granted to the agent on `node`.
-    void leaseGranted(const std::string &node, Instant now);
+    /// Records that a lease was granted to a lifetime, whether or not its agent has reported it in
+    /// this session.
+    void leaseGranted(const Lifetime &lifetime, Instant now);
     void nodeLost(const std::string &node);
     void runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows, Instant now);
     /// Handles the full list of runs on a worker, read with a fencing token above that of all
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -82,8 +82,8 @@
 
 void AgentNode::renewLease()
 {
-    if (m_link.isOpen())
-        m_link.send(RenewLease{BootClock::now().time_since_epoch().count()});
+    if (m_link.isOpen() && m_facts)
+        m_link.send(RenewLease{BootClock::now().time_since_epoch().count(), m_facts->lifetime});
 }
 
 void AgentNode::renewRegularly()
@@ -96,7 +96,8 @@
 {
     std::visit(
         Overloaded{[this](const LeaseGranted &granted) {
-                       m_lease.granted(Instant(Duration(granted.sentAt)) + m_leaseLength);
+                       if (isCurrent(granted.lifetime))
+                           m_lease.granted(Instant(Duration(granted.sentAt)) + m_leaseLength);
                    },
                    [this](const StartOrder &order) { startRun(order); },
                    [this](const StopOrder &order) { stopRun(order); },
@@ -189,8 +190,10 @@
     if (drains)
         logEvent(LogLevel::Info, "worker-drains", {{"worker", facts.lifetime.worker}});
     m_link.send(WorkerReport{facts});
-    if (isNew)
+    if (isNew) {
+        renewLease();
         poll(Duration::zero());
+    }
 }
 
 void AgentNode::workerStopping(const std::string &worker)
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -132,8 +132,8 @@
     std::visit(Overloaded{[&](const RenewLease &renew) {
                               if (!m_driver.mayAnswer())
                                   return;
-                              m_dispatcher.leaseGranted(session.node, now);
-                              session.send(LeaseGranted{renew.sentAt});
+                              m_dispatcher.leaseGranted(renew.lifetime, now);
+                              session.send(LeaseGranted{renew.sentAt, renew.lifetime});
                           },
                           [&](const WorkerReport &report) {
                               session.lifetime = report.facts.lifetime;
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -114,12 +114,12 @@
 
 auto fields(Is<RenewLease> auto &value)
 {
-    return std::tie(value.sentAt);
+    return std::tie(value.sentAt, value.lifetime);
 }
 
 auto fields(Is<LeaseGranted> auto &value)
 {
-    return std::tie(value.sentAt);
+    return std::tie(value.sentAt, value.lifetime);
 }
 
 auto fields(Is<WorkerReport> auto &value)
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -64,14 +64,18 @@
     Member member;
 };
 
+/// Asks for a lease for one lifetime of a worker.
 struct RenewLease
 {
     std::int64_t sentAt = 0; ///< On the sender's clock; returned in LeaseGranted.
+    Lifetime lifetime;
 };
 
+/// The leader has recorded the lease for that lifetime, so it must not be passed on to another one.
 struct LeaseGranted
 {
     std::int64_t sentAt = 0;
+    Lifetime lifetime;
 };
 
 struct WorkerReport
--- a/Guavashift/Fleet/LeaseClock.cpp
+++ b/Guavashift/Fleet/LeaseClock.cpp
@@ -42,6 +42,7 @@
 void LeaseClock::workerChanged(Instant now)
 {
     m_clockMs = 0;
+    m_grantEnd = {};
     // A call for the lifetime before carries a lease end by another clock.
     m_latestEnd = now + m_longestLease;
 }
--- a/Guavashift/Fleet/LeaseClock.h
+++ b/Guavashift/Fleet/LeaseClock.h
@@ -19,7 +19,7 @@
     /// worker's clock. The clock of another lifetime starts anew.
     [[nodiscard]] bool isClockOfWorker(std::int64_t clockMs, Instant now) const;
 
-    /// Records that the leader has granted a lease until `end`.
+    /// Records that the leader has granted this lifetime a lease until `end`.
     void granted(Instant end) { m_grantEnd = std::max(m_grantEnd, end); }
     /// Records the start of another lifetime of the worker. Calls for the one before may still
     /// give it a lease.
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -58,14 +58,18 @@
 void AgentFixture::report(const WorkerFacts &facts, std::uint64_t sequence)
 {
     const std::size_t before = m_worker.polls().size();
+    m_reported = facts.lifetime;
     m_agent->workerReported(facts, sequence);
     until([&] { return m_worker.polls().size() > before; });
 }
 
 void AgentFixture::grant()
 {
-    until([this] { return !m_leader->all<RenewLease>().empty(); });
-    m_leader->sendToAll(LeaseGranted{m_leader->all<RenewLease>().back().sentAt});
+    until([this] {
+        const std::vector<RenewLease> asked = m_leader->all<RenewLease>();
+        return !asked.empty() && asked.back().lifetime == m_reported;
+    });
+    m_leader->grantAll();
 }
 
 void AgentFixture::startOn(const WorkerFacts &facts)
@@ -77,6 +81,13 @@
     until([this] { return !m_worker.starts().empty(); });
 }
 
+void AgentFixture::runFor(Duration time)
+{
+    const Instant end = BootClock::now() + time;
+    while (BootClock::now() < end)
+        m_loop->runOnce(std::chrono::milliseconds(1));
+}
+
 void AgentFixture::until(const std::function<bool()> &condition)
 {
     const Instant deadline = BootClock::now() + std::chrono::seconds(30);
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -26,11 +26,12 @@
 
     /// Reports a lifetime and waits for the first poll of it.
     void report(const WorkerFacts &facts, std::uint64_t sequence = 1);
-    /// Grants a lease as the agent asked for it last.
+    /// Grants the lease that the agent asked for, for the lifetime reported last.
     void grant();
     /// Reports a lifetime, answers its first poll and has the agent send a start, which stays
     /// unanswered.
     void startOn(const WorkerFacts &facts);
+    void runFor(Duration time);
     /// Runs the event loop until the condition holds. Fails after 30 s, far more than any test
     /// needs.
     void until(const std::function<bool()> &condition);
@@ -42,6 +43,7 @@
     HeldWorker m_worker;
     std::unique_ptr<FakeLeader> m_leader;
     std::unique_ptr<AgentNode> m_agent;
+    Lifetime m_reported; ///< By report().
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(reportsStartOfAnEndedLifetimeThatWasRefused);
     CPPUNIT_TEST(ignoresLateAnswersToPollsOfAnEarlierLifetime);
     CPPUNIT_TEST(startsNothingBeforeTheLifetimeHasAnswered);
+    CPPUNIT_TEST(passesOnNoLeaseGrantedBeforeTheWorkerWasKnown);
+    CPPUNIT_TEST(passesOnNoLeaseOfAnEarlierLifetime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +103,36 @@
         until([this] { return !m_leader->all<StartRefused>().empty(); });
         CPPUNIT_ASSERT(m_worker.starts().empty());
     }
+
+    /// Guards against a worker that runs on a lease that its leader has not recorded for it: the
+    /// agent had restarted, and was cut off before it could report the worker.
+    void passesOnNoLeaseGrantedBeforeTheWorkerWasKnown()
+    {
+        until([this] { return !m_leader->all<OpenSession>().empty(); });
+        // Longer than the interval at which leases are renewed.
+        runFor(std::chrono::milliseconds(700));
+        m_leader->grantAll();
+        runFor(std::chrono::milliseconds(50));
+        report(factsOf(1000));
+        m_worker.answerPolls(replyOf(1000));
+        until([this] { return m_worker.polls().size() >= 2; });
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_worker.polls().back().request.untilMs);
+        // The lease that is asked for with the report is passed on.
+        grant();
+        runFor(std::chrono::milliseconds(50));
+        m_worker.answerPolls(replyOf(1000));
+        until([this] { return m_worker.polls().back().request.untilMs > 0; });
+    }
+
+    /// Guards against the same for a worker that restarted under its name.
+    void passesOnNoLeaseOfAnEarlierLifetime()
+    {
+        startOn(factsOf(1000));
+        report(factsOf(2000));
+        m_worker.answerPolls(replyOf(2000));
+        until([this] { return m_worker.polls().size() >= 4; });
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_worker.polls().back().request.untilMs);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLifetimeTest);
--- a/UnitTests/Fleet/FakeLeader.cpp
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -50,6 +50,12 @@
         connection->send(encodeFrame(message));
 }
 
+void FakeLeader::grantAll()
+{
+    for (const RenewLease &each : all<RenewLease>())
+        sendToAll(LeaseGranted{each.sentAt, each.lifetime});
+}
+
 void FakeLeader::answerAll(CallResult result)
 {
     for (const Received &each : m_calls)
--- a/UnitTests/Fleet/FakeLeader.h
+++ b/UnitTests/Fleet/FakeLeader.h
@@ -20,6 +20,8 @@
     void disconnect() { m_connections.clear(); }
     /// Sends a message to all peers.
     void sendToAll(const FleetMessage &message);
+    /// Grants all leases that were asked for so far.
+    void grantAll();
     /// Lists of runs received from agents.
     [[nodiscard]] const std::vector<RunTable> &tables() const { return m_tables; }
     /// Reports of workers received from agents.
