Keep the frames between processes of two versions readable

Change: the frames are as they were. Open starts have a message of their own, sent before the end of their lifetime, which earlier versions ignore. A lease is granted only to a node that has reported a worker in its session, and recorded on that worker's lifetime. An agent asks for a lease only after it has reported the worker, and takes a grant only if it asked for it since it found the lifetime. So the rule is the same as with a named lifetime: no grant is passed on that its leader has not recorded.

The tests of the dispatcher use the node again, as before, and check the result.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -328,13 +328,14 @@
     }
 }
 
-void Dispatcher::leaseGranted(const Lifetime &lifetime, Instant now)
+bool Dispatcher::leaseGranted(const std::string &node, Instant now)
 {
-    PoolWorker *worker = m_pool.find(lifetime);
-    if (worker == nullptr)
-        return;
-    worker->leaseEnd =
-        std::max(worker->leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
+    const std::vector<Lifetime> lifetimes = m_pool.lifetimesReportedBy(node);
+    for (const Lifetime &lifetime : lifetimes) {
+        Instant &leaseEnd = m_pool.find(lifetime)->leaseEnd;
+        leaseEnd = std::max(leaseEnd, now + m_settings.workerLease + m_settings.leaseMargin);
+    }
+    return !lifetimes.empty();
 }
 
 void Dispatcher::nodeLost(const std::string &node)
@@ -424,6 +425,7 @@
               {"runs_on", lifetime.startedAt}});
     PlacedRun run = earlier.runs.at(task);
     run.stopRequested = false;
+    run.startIsOpen = false;
     m_pool.release(earlier.facts.lifetime, task);
     m_pool.place(lifetime, std::move(run));
     m_placed[task] = lifetime;
@@ -453,9 +455,21 @@
     }
 }
 
+void Dispatcher::startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    for (const TaskRun &open : runs) {
+        const auto found = worker->runs.find(open.task);
+        if (found != worker->runs.end() && found->second.run == open.run)
+            found->second.startIsOpen = true;
+    }
+    awaitNextLifetime(*worker, m_now);
+}
+
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
-                               std::span<const TaskRun> recentRuns,
-                               std::span<const TaskRun> openStarts)
+                               std::span<const TaskRun> recentRuns)
 {
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
@@ -464,25 +478,19 @@
     // have lost power.
     lapseAllRuns(lifetime,
                  end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
-                                             : std::set<TaskRef>(),
-                 openStarts);
+                                             : std::set<TaskRef>());
     if (end == LifetimeEnd::Unreachable) {
         reserveUnbound(*worker, {});
         worker->unreachable = true;
     } else {
-        if (!openStarts.empty())
-            awaitNextLifetime(*worker, m_now);
         supersede(*worker);
     }
 }
 
-void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected,
-                              std::span<const TaskRun> openStarts)
+void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected)
 {
     for (const auto &[task, run] : m_pool.find(lifetime)->runs) {
-        const TaskRun open{task, run.run};
-        if (run.committed
-            && std::find(openStarts.begin(), openStarts.end(), open) == openStarts.end())
+        if (run.committed && !run.startIsOpen)
             queueEnd(run, RunEnd::Lapsed,
                      suspected.contains(task) ? CrashEvidence::Suspected : evidenceOf(run));
     }
@@ -569,6 +577,8 @@
             expired.push_back(lifetime);
     }
     for (const Lifetime &lifetime : expired) {
+        for (auto &[task, run] : m_pool.find(lifetime)->runs)
+            run.startIsOpen = false;
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
         // usable again. It would not be reported again if its lifetime were removed here.
         if (m_pool.find(lifetime)->node.empty())
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -132,9 +132,9 @@
     /// earlier lifetimes of the same worker stay bound until inventoryReported(): a start that was
     /// meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
-    /// Records that a lease was granted to a lifetime, whether or not its agent has reported it in
-    /// this session.
-    void leaseGranted(const Lifetime &lifetime, Instant now);
+    /// Records a lease on the lifetimes that the agent on `node` has reported in its session. Returns
+    /// false if there is none: then no lease may be granted.
+    [[nodiscard]] bool leaseGranted(const std::string &node, Instant now);
     void nodeLost(const std::string &node);
     void runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows, Instant now);
     /// Handles the full list of runs on a worker, read with a fencing token above that of all
@@ -143,12 +143,13 @@
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
     /// Handles that no run of that lifetime runs now or ever will again. That of an unreachable
-    /// worker stays known. `recentRuns`: started shortly before a crash. `openStarts`: runs that
-    /// the next lifetime under the same name may still carry out; these stay bound until its
-    /// inventory, a refusal, or the end of the longest lease.
+    /// worker stays known. `recentRuns`: started shortly before a crash.
     void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
-                       std::span<const TaskRun> recentRuns,
-                       std::span<const TaskRun> openStarts = {});
+                       std::span<const TaskRun> recentRuns);
+    /// Handles that these runs of a lifetime may still be carried out by the next one under the
+    /// same name. They stay bound after the end of the lifetime, until the inventory of the next
+    /// one, a refusal, or the end of the longest lease.
+    void startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs);
     void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
                       Instant now);
     void endReported(const EndRun &end);
@@ -231,8 +232,8 @@
     void occurrenceEnded(const std::string &id, const StageJob &job);
     void removeSchedule(const std::string &id);
     void beginDueOccurrences(WallMs wallNow);
-    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected,
-                      std::span<const TaskRun> openStarts = {});
+    /// Ends all runs of a lifetime but those whose start is open.
+    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected);
     /// Takes no more facts of a lifetime that has ended. It stays known while runs are bound to it.
     void supersede(PoolWorker &worker);
     /// Keeps the runs bound to an ended lifetime for as long as the next one under its name may
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -20,7 +20,8 @@
     bool longRunning = false;
     bool committed = false;
     bool stopRequested = false;
-    bool suspected = false; ///< A worker had crashed under the task before.
+    bool startIsOpen = false; ///< The start has no answer, and its lifetime has ended.
+    bool suspected = false;   ///< A worker had crashed under the task before.
     Instant boundAt;
     Instant readyAt; ///< When the task became ready; 0 if an earlier leader bound the run.
     Instant decidedAt;
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -65,6 +65,8 @@
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
     m_unreachable = false;
+    if (m_lastOpenStarts)
+        m_link.send(*m_lastOpenStarts);
     if (m_lastCrash)
         m_link.send(*m_lastCrash);
     if (m_facts)
@@ -82,8 +84,9 @@
 
 void AgentNode::renewLease()
 {
-    if (m_link.isOpen() && m_facts)
-        m_link.send(RenewLease{BootClock::now().time_since_epoch().count(), m_facts->lifetime});
+    // The leader records the lease on the lifetime that it was told of before.
+    if (m_facts)
+        m_link.send(RenewLease{BootClock::now().time_since_epoch().count()});
 }
 
 void AgentNode::renewRegularly()
@@ -95,10 +98,7 @@
 void AgentNode::received(const FleetMessage &message)
 {
     std::visit(
-        Overloaded{[this](const LeaseGranted &granted) {
-                       if (isCurrent(granted.lifetime))
-                           m_lease.granted(Instant(Duration(granted.sentAt)) + m_leaseLength);
-                   },
+        Overloaded{[this](const LeaseGranted &granted) { leaseGranted(granted); },
                    [this](const StartOrder &order) { startRun(order); },
                    [this](const StopOrder &order) { stopRun(order); },
                    [this](const EndsCommitted &committed) { endsCommitted(committed); },
@@ -114,6 +114,14 @@
         message);
 }
 
+void AgentNode::leaseGranted(const LeaseGranted &granted)
+{
+    const Instant sentAt{Duration(granted.sentAt)};
+    // A lease that was asked for earlier is that of another lifetime.
+    if (m_facts && sentAt >= m_foundAt)
+        m_lease.granted(sentAt + m_leaseLength);
+}
+
 void AgentNode::endsCommitted(const EndsCommitted &committed)
 {
     if (!isCurrent(committed.lifetime) || committed.upTo <= m_committedUpTo)
@@ -169,6 +177,7 @@
         ++m_pollEpoch;
         m_openPolls = 0;
         m_facts = facts;
+        m_foundAt = BootClock::now();
         m_listedUpTo = m_committedUpTo = 0;
         m_listedAt.clear();
         // The worker may have restarted under its name. With a higher token, this lifetime refuses
@@ -255,10 +264,14 @@
               {"open_starts", open.size()}});
     // A crash without such runs must not replace one with some.
     if (!recent.empty())
-        m_lastCrash = WorkerCrashed{lifetime, recent, open};
+        m_lastCrash = WorkerCrashed{lifetime, recent};
+    if (!open.empty()) {
+        m_lastOpenStarts = OpenStarts{lifetime, open};
+        m_link.send(*m_lastOpenStarts);
+    }
     if (end == LifetimeEnd::Crashed)
-        m_link.send(WorkerCrashed{lifetime, recent, open});
-    m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable, open});
+        m_link.send(WorkerCrashed{lifetime, recent});
+    m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
     m_runs.clear();
     if (end != LifetimeEnd::Unreachable) {
         m_facts.reset();
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -90,6 +90,7 @@
     void opened(const SessionOpened &session);
     void lost();
     void received(const FleetMessage &message);
+    void leaseGranted(const LeaseGranted &granted);
     void endsCommitted(const EndsCommitted &committed);
     void renewLease();
     void renewRegularly();
@@ -146,8 +147,10 @@
     Duration m_leaseLength = Duration::zero();
 
     std::optional<WorkerFacts> m_facts;
+    Instant m_foundAt; ///< When the present lifetime was found.
     std::uint64_t m_sequence = 0;
-    /// Sent again in each session: the leader may have lost it with its leadership.
+    /// Sent again in each session: the leader may have lost them with its leadership.
+    std::optional<OpenStarts> m_lastOpenStarts;
     std::optional<WorkerCrashed> m_lastCrash;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
     bool m_answersPolls = true; ///< The last poll was answered.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -129,62 +129,63 @@
 void FleetLeader::receiveFromAgent(Session &session, const FleetMessage &message)
 {
     const Instant now = BootClock::now();
-    std::visit(Overloaded{[&](const RenewLease &renew) {
-                              if (!m_driver.mayAnswer())
-                                  return;
-                              m_dispatcher.leaseGranted(renew.lifetime, now);
-                              session.send(LeaseGranted{renew.sentAt, renew.lifetime});
-                          },
-                          [&](const WorkerReport &report) {
-                              session.lifetime = report.facts.lifetime;
-                              m_dispatcher.workerReported(session.node, report.facts, now);
-                              logEvent(LogLevel::Info, "worker-reported",
-                                       {{"node", session.node},
-                                        {"worker", report.facts.lifetime.worker},
-                                        {"born", report.facts.lifetime.startedAt},
-                                        {"draining", report.facts.draining}});
-                          },
-                          [&](const Inventory &inventory) {
-                              m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
-                                                             session.openedAt);
-                              session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
-                          },
-                          [&](const RunTable &table) {
-                              m_dispatcher.runsReported(table.lifetime, table.rows, now);
-                          },
-                          [&](const InterferenceReport &report) {
-                              m_dispatcher.interferenceReported(report.rows);
-                          },
-                          [&](const StartRefused &refused) {
-                              m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run,
-                                                        now);
-                              logEvent(LogLevel::Info, "start-refused",
-                                       {{"task", refused.task.text()},
-                                        {"run", refused.run},
-                                        {"worker", refused.lifetime.worker},
-                                        {"reason", refused.reason}});
-                          },
-                          [&](const WorkerCrashed &crashed) {
-                              // An agent reports its last crash again in each session.
-                              if (m_dispatcher.runsOn(crashed.lifetime) == 0)
-                                  return;
-                              logCrash(session, crashed);
-                              m_dispatcher.lifetimeEnded(crashed.lifetime, LifetimeEnd::Crashed,
-                                                         crashed.recentRuns, crashed.openStarts);
-                          },
-                          [&](const LifetimeEnded &ended) {
-                              m_dispatcher.lifetimeEnded(
-                                  ended.lifetime,
-                                  ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left,
-                                  {}, ended.openStarts);
-                              logEvent(LogLevel::Info, "worker-ended",
-                                       {{"worker", ended.lifetime.worker},
-                                        {"born", ended.lifetime.startedAt},
-                                        {"silent", ended.unreachable},
-                                        {"open_starts", ended.openStarts.size()}});
-                          },
-                          [](const auto &) {}},
-               message);
+    std::visit(
+        Overloaded{
+            [&](const RenewLease &renew) {
+                if (!m_driver.mayAnswer())
+                    return;
+                // An agent would pass on a lease that is recorded nowhere.
+                if (m_dispatcher.leaseGranted(session.node, now))
+                    session.send(LeaseGranted{renew.sentAt});
+            },
+            [&](const WorkerReport &report) {
+                session.lifetime = report.facts.lifetime;
+                m_dispatcher.workerReported(session.node, report.facts, now);
+                logEvent(LogLevel::Info, "worker-reported",
+                         {{"node", session.node},
+                          {"worker", report.facts.lifetime.worker},
+                          {"born", report.facts.lifetime.startedAt},
+                          {"draining", report.facts.draining}});
+            },
+            [&](const Inventory &inventory) {
+                m_dispatcher.inventoryReported(inventory.lifetime, inventory.rows,
+                                               session.openedAt);
+                session.send(KnownRuns{m_dispatcher.traitsOf(inventory.lifetime)});
+            },
+            [&](const RunTable &table) {
+                m_dispatcher.runsReported(table.lifetime, table.rows, now);
+            },
+            [&](const InterferenceReport &report) {
+                m_dispatcher.interferenceReported(report.rows);
+            },
+            [&](const StartRefused &refused) {
+                m_dispatcher.startRefused(refused.lifetime, refused.task, refused.run, now);
+                logEvent(LogLevel::Info, "start-refused",
+                         {{"task", refused.task.text()},
+                          {"run", refused.run},
+                          {"worker", refused.lifetime.worker},
+                          {"reason", refused.reason}});
+            },
+            [&](const OpenStarts &open) { m_dispatcher.startsOpen(open.lifetime, open.runs); },
+            [&](const WorkerCrashed &crashed) {
+                // An agent reports its last crash again in each session.
+                if (m_dispatcher.runsOn(crashed.lifetime) == 0)
+                    return;
+                logCrash(session, crashed);
+                m_dispatcher.lifetimeEnded(crashed.lifetime, LifetimeEnd::Crashed,
+                                           crashed.recentRuns);
+            },
+            [&](const LifetimeEnded &ended) {
+                m_dispatcher.lifetimeEnded(
+                    ended.lifetime,
+                    ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left, {});
+                logEvent(LogLevel::Info, "worker-ended",
+                         {{"worker", ended.lifetime.worker},
+                          {"born", ended.lifetime.startedAt},
+                          {"silent", ended.unreachable}});
+            },
+            [](const auto &) {}},
+        message);
 }
 
 void FleetLeader::logCrash(const Session &session, const WorkerCrashed &crashed) const
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -114,12 +114,12 @@
 
 auto fields(Is<RenewLease> auto &value)
 {
-    return std::tie(value.sentAt, value.lifetime);
+    return std::tie(value.sentAt);
 }
 
 auto fields(Is<LeaseGranted> auto &value)
 {
-    return std::tie(value.sentAt, value.lifetime);
+    return std::tie(value.sentAt);
 }
 
 auto fields(Is<WorkerReport> auto &value)
@@ -154,12 +154,17 @@
 
 auto fields(Is<LifetimeEnded> auto &value)
 {
-    return std::tie(value.lifetime, value.unreachable, value.openStarts);
+    return std::tie(value.lifetime, value.unreachable);
 }
 
 auto fields(Is<WorkerCrashed> auto &value)
 {
-    return std::tie(value.lifetime, value.recentRuns, value.openStarts);
+    return std::tie(value.lifetime, value.recentRuns);
+}
+
+auto fields(Is<OpenStarts> auto &value)
+{
+    return std::tie(value.lifetime, value.runs);
 }
 
 auto fields(Is<KnownRuns> auto &value)
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -64,18 +64,16 @@
     Member member;
 };
 
-/// Asks for a lease for one lifetime of a worker.
+/// Asks for a lease for the lifetime of the worker that the agent reported last in this session.
 struct RenewLease
 {
     std::int64_t sentAt = 0; ///< On the sender's clock; returned in LeaseGranted.
-    Lifetime lifetime;
 };
 
-/// The leader has recorded the lease for that lifetime, so it must not be passed on to another one.
+/// The leader has recorded the lease on that lifetime, so it must not be passed on to another one.
 struct LeaseGranted
 {
     std::int64_t sentAt = 0;
-    Lifetime lifetime;
 };
 
 struct WorkerReport
@@ -128,8 +126,6 @@
 {
     Lifetime lifetime;
     bool unreachable = false; ///< The lease ran out while the worker did not answer.
-    /// Runs whose start has no answer. The next lifetime under the same name may carry it out.
-    std::vector<TaskRun> openStarts;
 };
 
 /// The worker's program ended without notice in that lifetime. Sent before LifetimeEnded.
@@ -137,7 +133,14 @@
 {
     Lifetime lifetime;
     std::vector<TaskRun> recentRuns; ///< Started shortly before.
-    std::vector<TaskRun> openStarts; ///< See LifetimeEnded.
+};
+
+/// Runs of that lifetime whose start has no answer. The next lifetime under the same name may carry
+/// it out. Sent before WorkerCrashed and LifetimeEnded.
+struct OpenStarts
+{
+    Lifetime lifetime;
+    std::vector<TaskRun> runs;
 };
 
 struct KnownRuns
@@ -201,7 +204,8 @@
     std::variant<LeaderQuery, LeaderReply, OpenSession, SessionOpened, Directory, RelayTo,
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
-                 StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed>;
+                 StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
+                 OpenStarts>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -106,7 +106,7 @@
         m_dispatcher->nodeLost("n1");
         m_dispatcher->workerReported("n2", worker("w2"), at(10));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(4500));
-        m_dispatcher->leaseGranted(worker("w2").lifetime, at(4500));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(4500)));
         // The lease and its margin have expired: the run ends first, then the task starts
         // elsewhere.
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5000));
@@ -162,7 +162,7 @@
         decideAndCommit(1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5000));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decideAndCommit(5001));
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(5002));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5002)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5003));
     }
 
@@ -293,7 +293,7 @@
         longRunning.steps[0].longRunning = true;
         accept("lasting", longRunning);
         decideAndCommit(1);
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(60'000));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(60'000)));
         accept("proof", plan(1, 60'000), 60'000);
         end({"lasting", 0, 0, 0}, 1, RunEnd::Failed, 60'001);
         decideAndCommit(60'100);
@@ -342,8 +342,8 @@
         m_dispatcher->workerReported("n2", worker("w2"), at(3));
         int now = 2000;
         for (int i = 0; i < 4; ++i, now += 600) {
-            m_dispatcher->leaseGranted(worker("w1").lifetime, at(now));
-            m_dispatcher->leaseGranted(worker("w2").lifetime, at(now));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(now)));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
             m_dispatcher->runsReported(worker("w1").lifetime,
                                        std::vector<RunStatus>{{{"s", 0, 0, 0}, 1, {}, 100, 45.0},
                                                               {{"f", 0, 0, 0}, 1, "c", 100, 0},
@@ -426,7 +426,7 @@
         for (const auto &[name, facts] : workers) {
             m_dispatcher->workerReported(name, facts, at(0));
             if (name != "unleased")
-                m_dispatcher->leaseGranted(facts.lifetime, at(4000));
+                CPPUNIT_ASSERT(m_dispatcher->leaseGranted(name, at(4000)));
         }
         m_dispatcher->nodeLost("lost");
         m_dispatcher->lifetimeEnded(workers["silent"].lifetime, LifetimeEnd::Unreachable, {});
@@ -490,7 +490,7 @@
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
         accept("lasting", longRunningPlan(1, 8000));
         for (int now = 1000; now <= 4000; now += 1000) {
-            m_dispatcher->leaseGranted(worker("w1").lifetime, at(now));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(now)));
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(now));
             end({"lasting", 0, 0, 0}, static_cast<std::uint32_t>(now / 1000), RunEnd::NotStarted,
                 now + 100);
@@ -627,7 +627,7 @@
         accept("lasting", longRunningPlan(1, 1000));
         for (int born = 1; born < 6; ++born) {
             const int now = born * 10'000;
-            m_dispatcher->leaseGranted(worker("w1", born).lifetime, at(now));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(now)));
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(now));
             if (born % 2 == 0)
                 report("w1", born, now + 1500);
@@ -869,7 +869,7 @@
         const std::vector<StageCommand> ends = m_dispatcher->takeCommands();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
         commit(ends, 5001);
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(5002));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5002)));
         expectOnlyTheSecondStepStarts(5003);
     }
 
@@ -897,7 +897,7 @@
     void lateDoneEndBeforeTheProposedNextRun()
     {
         lapseFirstRun();
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(5001));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5001)));
         const std::vector<StageCommand> next = m_dispatcher->decide(at(5002), 5002);
         CPPUNIT_ASSERT_EQUAL(2U, onlyStart(next).run);
         m_dispatcher->endReported({m_firstTask, 1, RunEnd::Done, {}});
@@ -910,7 +910,7 @@
     void lateDoneEndAfterTheProposedNextRun()
     {
         lapseFirstRun();
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(5001));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5001)));
         const std::vector<StageCommand> next = m_dispatcher->decide(at(5002), 5002);
         m_dispatcher->endReported({m_firstTask, 1, RunEnd::Done, {}});
         const std::vector<StageCommand> late = m_dispatcher->takeCommands();
@@ -938,7 +938,7 @@
             accept("j", gangs);
             CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
             CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(5000));
-            m_dispatcher->leaseGranted(worker("w1").lifetime, at(5001));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5001)));
             std::vector<StageCommand> next;
             if (proposed)
                 next = m_dispatcher->decide(at(5002), 5002);
@@ -1035,7 +1035,7 @@
         constexpr int stepMs = 5;
         for (int now = from; now < from + lengthMs; now += stepMs) {
             for (int i = 0; i < fullWorkers; ++i)
-                m_dispatcher->leaseGranted(worker(fmt::format("w{}", i)).lifetime, at(now));
+                (void)m_dispatcher->leaseGranted(fmt::format("n{}", i), at(now));
             if (now / shortTasks.intervalMs >= shortTasks.jobs)
                 accept(fmt::format("short{}", shortTasks.jobs++), plan(10, 1600, 640), now);
             while (!shortTasks.ends.empty() && shortTasks.ends.begin()->first <= now) {
--- a/UnitTests/Dispatch/InterferenceLearningTest.cpp
+++ b/UnitTests/Dispatch/InterferenceLearningTest.cpp
@@ -106,7 +106,7 @@
         if (name != m_bestEffortWorker)
             rows.clear();
         rows.push_back({{"server", 0, 0, m_servers.at(name)}, 1, {}, 100, targetMs / headroom});
-        m_dispatcher.leaseGranted(worker(name).lifetime, at(m_nowMs));
+        CPPUNIT_ASSERT(m_dispatcher.leaseGranted(name == "w1" ? "n1" : "n2", at(m_nowMs)));
         m_dispatcher.runsReported(worker(name).lifetime, rows, at(m_nowMs));
     }
 
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -14,8 +14,9 @@
     CPPUNIT_TEST(nextLeaderKeepsRunThatTheNextLifetimeCarriesOut);
     CPPUNIT_TEST(runOfAnEarlierLifetimeLapsesWithTheNextOne);
     CPPUNIT_TEST(restartsAtOnceWhenAnotherWorkerTookTheMachine);
-    CPPUNIT_TEST(waitsForALeaseGrantedBeforeTheWorkerWasReported);
-    CPPUNIT_TEST(nextLeaderWaitsForALeaseThatItGrantsBeforeAReport);
+    CPPUNIT_TEST(keepsRunWithAnOpenStartForTheLongestLease);
+    CPPUNIT_TEST(restartsRunWhoseOpenStartWasRefused);
+    CPPUNIT_TEST(grantsNoLeaseToANodeWithoutAReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,7 +60,7 @@
         // It holds its capacity there, for as long as the lifetime's lease is renewed.
         accept("wide", plan(1, 60'000));
         for (int now = 1000; now <= 20'000; now += 1000) {
-            m_dispatcher->leaseGranted(worker("w1", 2).lifetime, at(now));
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(now)));
             decideAndCommit(now);
         }
         CPPUNIT_ASSERT(m_jobTable->find({"wide", 0, 0, 0})->run == 0);
@@ -125,42 +126,51 @@
         CPPUNIT_ASSERT_EQUAL(2U, task().run);
     }
 
-    /// Guards against a task that is started elsewhere while its worker still runs it, on a lease
-    /// that was granted in a session in which the worker was not reported.
-    void waitsForALeaseGrantedBeforeTheWorkerWasReported()
+    /// Guards against a run that lapses although the next lifetime may carry it out, and against
+    /// one that stays bound for ever if there is none.
+    void keepsRunWithAnOpenStartForTheLongestLease()
     {
         bindTask();
         m_dispatcher->workerReported("n2", worker("w2"), at(1));
-        m_dispatcher->nodeLost("n1");
-        m_dispatcher->leaseGranted({"w1", 1}, at(3000));
-        assertRestartsOnlyAfter(3000 + leaseMs);
+        m_dispatcher->startsOpen({"w1", 1}, std::vector<TaskRun>{{ref, 1}});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        const auto longest = static_cast<int>(toMs(DispatchSettings{}.longestLease));
+        for (int now = 100; now <= longest + 2000; now += 100) {
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
+            decideAndCommit(now);
+            CPPUNIT_ASSERT(now > longest || task().run == 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
     }
 
-    /// Guards against the same with a leader that knows the worker from the state only.
-    void nextLeaderWaitsForALeaseThatItGrantsBeforeAReport()
+    /// A refusal shows that no lifetime will carry the start out.
+    void restartsRunWhoseOpenStartWasRefused()
     {
         bindTask();
-        m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
-        m_dispatcher->start(at(10));
-        m_dispatcher->workerReported("n2", worker("w2"), at(20));
-        m_dispatcher->leaseGranted({"w1", 1}, at(4000));
-        assertRestartsOnlyAfter(4000 + leaseMs);
+        m_dispatcher->workerReported("n2", worker("w2"), at(1));
+        m_dispatcher->startsOpen({"w1", 1}, std::vector<TaskRun>{{ref, 1}});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->startRefused({"w1", 1}, ref, 1, at(10));
+        decideAndCommit(11);
+        decideAndCommit(12);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
     }
 
-private:
-    static inline const auto leaseMs = static_cast<int>(toMs(DispatchSettings{}.workerLease));
-
-    /// Checks that the task runs elsewhere soon after that time, and not before.
-    void assertRestartsOnlyAfter(int milliseconds)
+    /// Guards against a task that is started elsewhere while its worker still runs it, on a lease
+    /// that was granted in a session in which the worker was not reported.
+    void grantsNoLeaseToANodeWithoutAReport()
     {
-        for (int now = 100; now <= milliseconds + 1000; now += 100) {
-            m_dispatcher->leaseGranted({"w2", 1}, at(now));
-            decideAndCommit(now);
-            CPPUNIT_ASSERT(now > milliseconds || task().run == 1);
-        }
-        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+        bindTask();
+        m_dispatcher->nodeLost("n1");
+        CPPUNIT_ASSERT(!m_dispatcher->leaseGranted("n1", at(3000)));
+        // Nor does a leader that knows the worker from the state only.
+        m_dispatcher->start(at(3000));
+        CPPUNIT_ASSERT(!m_dispatcher->leaseGranted("n1", at(3001)));
+        m_dispatcher->workerReported("n1", worker("w1"), at(3002));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(3003)));
     }
 
+private:
     void accept(const std::string &job, const JobPlan &plan)
     {
         commit({AcceptJob{job, "batch", plan}}, 0);
--- a/UnitTests/Dispatch/WorkerCapacityTest.cpp
+++ b/UnitTests/Dispatch/WorkerCapacityTest.cpp
@@ -240,7 +240,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(5000));
         m_dispatcher->takeOrders();
-        m_dispatcher->leaseGranted(worker("w1").lifetime, at(5001));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(5001)));
     }
 
     void expectWaits(int milliseconds)
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -58,7 +58,7 @@
 void AgentFixture::report(const WorkerFacts &facts, std::uint64_t sequence)
 {
     const std::size_t before = m_worker.polls().size();
-    m_reported = facts.lifetime;
+    m_reportedAt = BootClock::now();
     m_agent->workerReported(facts, sequence);
     until([&] { return m_worker.polls().size() > before; });
 }
@@ -67,7 +67,7 @@
 {
     until([this] {
         const std::vector<RenewLease> asked = m_leader->all<RenewLease>();
-        return !asked.empty() && asked.back().lifetime == m_reported;
+        return !asked.empty() && asked.back().sentAt >= m_reportedAt.time_since_epoch().count();
     });
     m_leader->grantAll();
 }
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -43,7 +43,7 @@
     HeldWorker m_worker;
     std::unique_ptr<FakeLeader> m_leader;
     std::unique_ptr<AgentNode> m_agent;
-    Lifetime m_reported; ///< By report().
+    Instant m_reportedAt; ///< By report().
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -35,10 +35,11 @@
     {
         startOn(factsOf(1000));
         report(factsOf(2000));
-        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
-        const std::vector<TaskRun> expected{{task, 1}};
-        CPPUNIT_ASSERT(m_leader->all<LifetimeEnded>().back().openStarts == expected);
-        CPPUNIT_ASSERT(m_leader->all<WorkerCrashed>().back().openStarts == expected);
+        assertReportsOpenStart();
+        // A new leader is told as well.
+        m_leader->disconnect();
+        const std::size_t before = m_leader->all<OpenStarts>().size();
+        until([&] { return m_leader->all<OpenStarts>().size() > before; });
     }
 
     /// Guards against the same if the start is answered before the restart is known otherwise.
@@ -46,10 +47,7 @@
     {
         startOn(factsOf(1000));
         m_worker.starts().back().answer(replyOf(2000));
-        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
-        const LifetimeEnded ended = m_leader->all<LifetimeEnded>().back();
-        CPPUNIT_ASSERT(ended.lifetime == factsOf(1000).lifetime);
-        CPPUNIT_ASSERT(ended.openStarts == (std::vector<TaskRun>{{task, 1}}));
+        assertReportsOpenStart();
     }
 
     /// Guards against a task that waits for a whole lease although its start was refused.
@@ -133,6 +131,26 @@
         until([this] { return m_worker.polls().size() >= 4; });
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_worker.polls().back().request.untilMs);
     }
+
+private:
+    /// Checks that the leader is told that the start of the first lifetime is open before it is
+    /// told that this lifetime has ended.
+    void assertReportsOpenStart()
+    {
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        CPPUNIT_ASSERT(m_leader->all<LifetimeEnded>().back().lifetime == factsOf(1000).lifetime);
+        const std::vector<TaskRun> expected{{task, 1}};
+        bool isToldOpen = false;
+        for (const FleetMessage &message : m_leader->messages()) {
+            if (std::holds_alternative<OpenSession>(message))
+                isToldOpen = false;
+            else if (const auto *open = std::get_if<OpenStarts>(&message))
+                isToldOpen = open->lifetime == factsOf(1000).lifetime && open->runs == expected;
+            else if (std::holds_alternative<WorkerCrashed>(message)
+                     || std::holds_alternative<LifetimeEnded>(message))
+                CPPUNIT_ASSERT(isToldOpen);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLifetimeTest);
--- a/UnitTests/Fleet/FakeLeader.cpp
+++ b/UnitTests/Fleet/FakeLeader.cpp
@@ -53,7 +53,7 @@
 void FakeLeader::grantAll()
 {
     for (const RenewLease &each : all<RenewLease>())
-        sendToAll(LeaseGranted{each.sentAt, each.lifetime});
+        sendToAll(LeaseGranted{each.sentAt});
 }
 
 void FakeLeader::answerAll(CallResult result)
--- a/UnitTests/Fleet/FakeLeader.h
+++ b/UnitTests/Fleet/FakeLeader.h
@@ -26,6 +26,7 @@
     [[nodiscard]] const std::vector<RunTable> &tables() const { return m_tables; }
     /// Reports of workers received from agents.
     [[nodiscard]] const std::vector<WorkerFacts> &workers() const { return m_workers; }
+    [[nodiscard]] const std::vector<FleetMessage> &messages() const { return m_messages; }
     /// All messages of one kind received in sessions, in order.
     template <typename Message> [[nodiscard]] std::vector<Message> all() const
     {
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -46,15 +46,15 @@
         RelayTo{"10.0.0.3:7240"},
         ReplicaMessages{"10.0.0.4:7240", {}},
         JoinRequest{},
-        RenewLease{123, lifetime},
-        LeaseGranted{124, lifetime},
+        RenewLease{123},
+        LeaseGranted{124},
         WorkerReport{facts()},
         Inventory{lifetime, {row}},
         RunTable{lifetime, {row, row}},
         RunsEnded{lifetime, {{6, {task, 4, RunEnd::Failed, "saved"}}}},
         EndsCommitted{lifetime, 6},
         StartRefused{lifetime, task, 4, "no-room"},
-        LifetimeEnded{lifetime, true, {{task, 5}}},
+        LifetimeEnded{lifetime, true},
         KnownRuns{{traits}},
         StartOrder{lifetime, traits, "payload", "saved", "ticket"},
         StopOrder{lifetime, task, 4},
@@ -62,7 +62,8 @@
         FleetCall{9, CallKind::Query, "host", "/p/id", std::nullopt, "", "request"},
         FleetAnswer{9, CallResult::State, "running", 2},
         InterferenceReport{{{"server", "press", 7.5}}},
-        WorkerCrashed{lifetime, {{task, 4}}, {{task, 5}}},
+        WorkerCrashed{lifetime, {{task, 4}}},
+        OpenStarts{lifetime, {{task, 5}}},
     };
 }
 
