Count jobs as waiting until a worker lists one of their runs

A queue was said to hold few waiting jobs or none while many had not begun.

Cause: a job counted as begun from the binding of its first run, which is committed before the start is sent. The start may have no answer, never arrive, or be carried out seconds later.

Change: the leader counts a job with a bound run as waiting until a list of running or ended runs shows one of its runs, and shows it as queued. One counter a queue; a read walks over no jobs. A new leader learns it from ends in the replicated state and from the inventories of its sessions.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Dispatch/HeadroomTrend.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
+#include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
 #include <Guavashift/Dispatch/WorkerPool.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -20,10 +20,17 @@
     stop();
     m_now = now;
     for (const auto &[id, job] : m_jobTable.jobs()) {
+        if (job.isActive() && job.started)
+            m_progress.bound(id, job.queue);
+        if (job.occurrencesDone.size() > 0)
+            m_progress.begun(id);
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 for (std::uint32_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
                     const StageTask &task = occurrence.steps[s].tasks[t];
+                    if (task.stage == TaskStage::Done || task.failures > 0
+                        || !task.checkpoint.empty())
+                        m_progress.begun(id);
                     if (task.stage != TaskStage::Bound)
                         continue;
                     const TaskRef ref{id, number, s, t};
@@ -54,6 +61,7 @@
     m_readyByTask.clear();
     m_placed.clear();
     m_lastListed.clear();
+    m_progress.clear();
     m_schedules.clear();
     m_due.clear();
     m_comparedSteps.clear();
@@ -240,6 +248,7 @@
 
 void Dispatcher::withdraw(const std::string &id)
 {
+    m_progress.ended(id);
     removeSchedule(id);
     const TaskRef first{id, 0, 0, 0};
     for (auto at = m_readyByTask.lower_bound(first);
@@ -365,8 +374,10 @@
         return;
     worker->unreachable = false;
     std::map<TaskRef, std::uint32_t> running;
-    for (const RunStatus &row : rows)
+    for (const RunStatus &row : rows) {
         running[row.task] = std::max(running[row.task], row.run);
+        m_progress.begun(row.task.job);
+    }
     settleEarlierLifetimes(*worker, running);
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
@@ -554,6 +565,8 @@
 
 void Dispatcher::endReported(const EndRun &end)
 {
+    if (end.end != RunEnd::NotStarted)
+        m_progress.begun(end.task.job);
     const PlacedRun *run = committedRun(end.task, end.run);
     // This leader or an earlier one may have settled the run before it read the report.
     if (run == nullptr && !isLateDone(end))
@@ -609,6 +622,16 @@
     return {task, run, step.image, step.tailTargetMs, step.bestEffort, step.size.milliCores};
 }
 
+std::size_t Dispatcher::waitingIn(std::string_view queue) const
+{
+    return m_jobTable.pendingIn(queue) + m_progress.onlyBoundIn(queue);
+}
+
+bool Dispatcher::hasBegun(std::string_view id, const StageJob &job) const
+{
+    return job.started && !m_progress.isOnlyBound(id);
+}
+
 std::size_t Dispatcher::runsOn(const Lifetime &lifetime) const
 {
     const auto found = m_pool.workers().find(lifetime);
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Guavashift/Dispatch/HeldWorkers.h>
+#include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 
 #include <set>
@@ -132,8 +133,8 @@
     /// earlier lifetimes of the same worker stay bound until inventoryReported(): a start that was
     /// meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
-    /// Records a lease on the lifetimes that the agent on `node` has reported in its session. Returns
-    /// false if there is none: then no lease may be granted.
+    /// Records a lease on the lifetimes that the agent on `node` has reported in its session.
+    /// Returns false if there is none: then no lease may be granted.
     [[nodiscard]] bool leaseGranted(const std::string &node, Instant now);
     void nodeLost(const std::string &node);
     void runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows, Instant now);
@@ -177,6 +178,12 @@
     /// Times of a run's placement; nothing for runs that another leader placed.
     [[nodiscard]] std::optional<BindingTimes> timesOf(const StartRun &start) const;
 
+    /// Number of accepted jobs of a queue that have not ended and of which no task is known to have
+    /// started on a worker.
+    [[nodiscard]] std::size_t waitingIn(std::string_view queue) const;
+    /// Whether a task of the job is known to have started on a worker.
+    [[nodiscard]] bool hasBegun(std::string_view id, const StageJob &job) const;
+
     /// Number of runs placed on a lifetime.
     [[nodiscard]] std::size_t runsOn(const Lifetime &lifetime) const;
 
@@ -339,6 +346,7 @@
     std::set<std::pair<WallMs, std::string>> m_due; ///< Next occurrences, one of a job.
     using StepRef = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
+    JobProgress m_progress;
     InterferenceTable m_interference;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -72,6 +72,7 @@
 
 void Dispatcher::runBound(const StartRun &start, Instant now)
 {
+    m_progress.bound(start.task.job, m_jobTable.find(start.task.job)->queue);
     if (!m_placed.contains(start.task))
         return;
     PoolWorker &worker = *m_pool.find(start.lifetime);
--- a/Guavashift/Dispatch/DispatcherInterference.cpp
+++ b/Guavashift/Dispatch/DispatcherInterference.cpp
@@ -35,6 +35,8 @@
             run.ownHeadroom.update(currentHeadroom + m_interference.total(run.image, activity),
                                    now);
         }
+        if (run.lastStatusAt == Instant())
+            m_progress.begun(row.task.job);
         run.lastStatus = row;
         run.lastStatusAt = now;
     }
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -15,7 +15,7 @@
     return {call.id, CallResult::Unavailable, std::move(reason), retryAfterSeconds};
 }
 
-std::string_view stateName(const StageJob &job)
+std::string_view stateName(const StageJob &job, bool hasBegun)
 {
     switch (job.status) {
     case StageJobStatus::Completed:
@@ -27,7 +27,7 @@
     case StageJobStatus::Active:
         break;
     }
-    return job.started ? "running" : "queued";
+    return hasBegun ? "running" : "queued";
 }
 
 bool isJobId(std::string_view text)
@@ -405,7 +405,7 @@
         return logged({call.id,
                        CallResult::Pending,
                        {},
-                       static_cast<std::int64_t>(m_jobTable.pendingIn(match->queue->name))});
+                       static_cast<std::int64_t>(m_dispatcher.waitingIn(match->queue->name))});
     logged(stateOf(call, match->remainder));
 }
 
@@ -466,7 +466,8 @@
     const StageJob *found = m_jobTable.find(job);
     if (found == nullptr)
         return {call.id, CallResult::NoJob, {}, 0};
-    return {call.id, CallResult::State, std::string(stateName(*found)), 0};
+    return {call.id, CallResult::State,
+            std::string(stateName(*found, m_dispatcher.hasBegun(job, *found))), 0};
 }
 
 void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -58,7 +58,7 @@
     WallMs acceptedAt = 0;
     WallMs endedAt = 0;
     std::uint32_t bound = 0; ///< Tasks with a bound run.
-    bool started = false;    ///< Whether a task was ever started.
+    bool started = false;    ///< Whether a run of a task was ever bound.
     std::map<std::uint32_t, StageOccurrence> occurrences;
     OccurrenceSet occurrencesDone;
 
@@ -105,7 +105,7 @@
     [[nodiscard]] const QueueSettings &queueSettingsOf(const StageJob &job) const;
     /// The configuration as the operator sent it; empty before the first one.
     [[nodiscard]] const std::string &document() const { return m_document; }
-    /// Number of accepted jobs of a queue that have not ended and of which no task ever started.
+    /// Number of accepted jobs of a queue that have not ended and of which no run was ever bound.
     [[nodiscard]] std::size_t pendingIn(std::string_view queue) const;
     /// Hash chained over the kind and outcome of every command; equal on all replicas that applied
     /// the same commands.
