Write log lines in chunks of whole lines

Cause: on the large site about a hundred lines of the leader's log broke off in their middle where the next batch began, and the lines between were lost without a notice.

Change: a write is at most PIPE_BUF bytes and ends with a line.

Before: LineWriterTest::endsEachWriteWithALine fails at its first message. After: the five tests of LineWriterTest pass.

--- a/Guavashift/Core/LineWriter.cpp
+++ b/Guavashift/Core/LineWriter.cpp
@@ -108,12 +108,22 @@
     return true;
 }
 
+std::string_view LineWriter::nextWrite() const
+{
+    const std::string_view unwritten = std::string_view(m_batch).substr(m_written);
+    if (unwritten.size() <= m_settings.maxBytesPerWrite)
+        return unwritten;
+    const std::string_view bytes = unwritten.substr(0, m_settings.maxBytesPerWrite);
+    const std::size_t lineFeed = bytes.rfind('\n');
+    return lineFeed == std::string_view::npos ? bytes : bytes.substr(0, lineFeed + 1);
+}
+
 bool LineWriter::writeBatch()
 {
     bool isFull = false;
     while (m_written < m_batch.size() && !isFull) {
-        const ssize_t count =
-            ::write(m_descriptor, m_batch.data() + m_written, m_batch.size() - m_written);
+        const std::string_view bytes = nextWrite();
+        const ssize_t count = ::write(m_descriptor, bytes.data(), bytes.size());
         if (count > 0)
             m_written += static_cast<std::size_t>(count);
         else if (count == 0 || errno == EAGAIN || errno == EWOULDBLOCK)
--- a/Guavashift/Core/LineWriter.h
+++ b/Guavashift/Core/LineWriter.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Core/Time.h>
 
+#include <climits>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -17,6 +18,9 @@
 {
     /// Maximum number of bytes queued for writing; lines beyond this are dropped and counted.
     std::size_t maxQueuedBytes = 1 << 20;
+    /// Limit of one write, which ends with a line unless a line is longer. A pipe takes a write of
+    /// this size whole or not at all, and some readers take no more than a few kB of each write.
+    std::size_t maxBytesPerWrite = PIPE_BUF;
     /// Time for which lines are collected before they are written as one batch.
     Duration batchDelay = std::chrono::milliseconds(20);
     /// Delay before the next write to a descriptor that accepts no more bytes.
@@ -57,6 +61,8 @@
     /// Moves the queue into the batch if the previous batch is finished. Returns false if there is
     /// nothing to write.
     bool takeBatch();
+    /// Returns the next bytes of the batch that are written at once.
+    [[nodiscard]] std::string_view nextWrite() const;
     /// Writes the batch. Returns false if the descriptor accepts no more bytes now.
     bool writeBatch();
     /// Drops and counts the unwritten rest of the batch.
--- a/UnitTests/Core/LineWriterTest.cpp
+++ b/UnitTests/Core/LineWriterTest.cpp
@@ -4,11 +4,13 @@
 #include <atomic>
 #include <cerrno>
 #include <charconv>
+#include <climits>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -118,6 +120,7 @@
     CPPUNIT_TEST(dropsWholeLinesAndReportsTheirNumber);
     CPPUNIT_TEST(continuesAfterSignals);
     CPPUNIT_TEST(neverWaitsForAReader);
+    CPPUNIT_TEST(endsEachWriteWithALine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -209,6 +212,32 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
     }
 
+    /// Guards against lines that are lost where a reader takes only a part of a large write.
+    void endsEachWriteWithALine()
+    {
+        constexpr std::uint64_t lines = 2000;
+        std::array<int, 2> ends{-1, -1};
+        CPPUNIT_ASSERT_EQUAL(0, ::socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends.data()));
+        std::string text;
+        {
+            LineWriter writer(ends[1], {}, dropNotice);
+            for (std::uint64_t i = 0; i < lines; ++i)
+                writer.write(testLine(i));
+            // Each write is one message.
+            std::vector<char> message(1 << 20);
+            pollfd poll{ends[0], POLLIN, 0};
+            while (::poll(&poll, 1, pollMs) > 0) {
+                const ssize_t count = ::read(ends[0], message.data(), message.size());
+                CPPUNIT_ASSERT(count > 0 && count <= PIPE_BUF);
+                text.append(message.data(), static_cast<std::size_t>(count));
+                CPPUNIT_ASSERT_EQUAL('\n', text.back());
+            }
+        }
+        ::close(ends[0]);
+        ::close(ends[1]);
+        CPPUNIT_ASSERT_EQUAL(lines, check(text).lines);
+    }
+
 private:
     /// Reads slowly until no more output arrives.
     static void readAll(const Pipe &pipe, std::string &text)
