Log why the leader settles a run and what its agent knew

Change: each run that is settled without an end listed by its worker has a line with the reason, the lifetime, the age of the binding and of the last list that had it. Agents log when polls begin to fail and are answered again, each inventory with its fencing token, and a start's token and clock.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -7,5 +7,6 @@
 #include <Guavashift/Dispatch/InterferenceTable.h>
 #include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
+#include <Guavashift/Dispatch/SettleReason.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
 #include <Guavashift/Dispatch/WorkerPool.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -7,6 +7,19 @@
 /// The completion of a job has a value until this multiple of the time that its objective allows.
 constexpr std::int64_t worthlessFactor = 3;
 
+SettleReason settleReasonOf(LifetimeEnd end)
+{
+    switch (end) {
+    case LifetimeEnd::Crashed:
+        return SettleReason::LifetimeCrashed;
+    case LifetimeEnd::Unreachable:
+        return SettleReason::LifetimeUnreachable;
+    case LifetimeEnd::Left:
+        break;
+    }
+    return SettleReason::LifetimeLeft;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
@@ -390,7 +403,7 @@
             continue;
         }
         if (run.committed && run.boundAt <= boundBefore)
-            queueEnd(run, RunEnd::NotStarted);
+            queueEnd(run, RunEnd::NotStarted, SettleReason::NotInInventory);
     }
     // A run that is reported but not bound there was already settled with another end.
     for (const RunStatus &row : rows) {
@@ -417,7 +430,7 @@
             if (found != running.end() && found->second == run.run)
                 runsHere.push_back(task);
             else if (run.committed)
-                queueEnd(run, RunEnd::Lapsed, evidenceOf(run));
+                queueEnd(run, RunEnd::Lapsed, SettleReason::EarlierLifetime, evidenceOf(run));
         }
         for (const TaskRef &task : runsHere)
             adopt(task, earlier, worker);
@@ -487,7 +500,7 @@
         return;
     // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
     // have lost power.
-    lapseAllRuns(lifetime,
+    lapseAllRuns(lifetime, settleReasonOf(end),
                  end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
                                              : std::set<TaskRef>());
     if (end == LifetimeEnd::Unreachable) {
@@ -498,22 +511,41 @@
     }
 }
 
-void Dispatcher::lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected)
+void Dispatcher::lapseAllRuns(const Lifetime &lifetime, SettleReason reason,
+                              const std::set<TaskRef> &suspected)
 {
     for (const auto &[task, run] : m_pool.find(lifetime)->runs) {
         if (run.committed && !run.startIsOpen)
-            queueEnd(run, RunEnd::Lapsed,
+            queueEnd(run, RunEnd::Lapsed, reason,
                      suspected.contains(task) ? CrashEvidence::Suspected : evidenceOf(run));
     }
 }
 
-void Dispatcher::queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence)
+void Dispatcher::queueEnd(const PlacedRun &run, RunEnd end, SettleReason reason,
+                          CrashEvidence evidence)
 {
     if (!recordProposedEnd(run.task, run.run, end))
         return;
+    logSettled(run, end, reason);
     m_commands.emplace_back(EndRun{run.task, run.run, end, run.lastStatus.checkpoint, evidence});
 }
 
+void Dispatcher::logSettled(const PlacedRun &run, RunEnd end, SettleReason reason) const
+{
+    const Lifetime &lifetime = m_placed.at(run.task);
+    const std::string listedMs =
+        run.lastStatusAt == Instant() ? "never" : std::to_string(toMs(m_now - run.lastStatusAt));
+    logEvent(LogLevel::Info, "run-settled",
+             {{"task", run.task.text()},
+              {"run", run.run},
+              {"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"end", nameOf(end)},
+              {"reason", nameOf(reason)},
+              {"bound_ms", toMs(m_now - run.boundAt)},
+              {"listed_ms", listedMs}});
+}
+
 bool Dispatcher::recordProposedEnd(const TaskRef &task, std::uint32_t run, RunEnd end)
 {
     const auto [position, added] = m_endsProposed.try_emplace({task, run}, end);
@@ -539,7 +571,7 @@
     worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
     const auto found = worker->runs.find(task);
     if (found != worker->runs.end() && found->second.run == run && found->second.committed)
-        queueEnd(found->second, RunEnd::NotStarted);
+        queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
 }
 
 const PlacedRun *Dispatcher::committedRun(const TaskRef &ref, std::uint32_t run)
@@ -597,7 +629,7 @@
         if (m_pool.find(lifetime)->node.empty())
             lifetimeEnded(lifetime, LifetimeEnd::Left, {});
         else
-            lapseAllRuns(lifetime, {});
+            lapseAllRuns(lifetime, SettleReason::LeaseExpired, {});
     }
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -3,6 +3,7 @@
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
+#include <Guavashift/Dispatch/SettleReason.h>
 
 #include <set>
 #include <tuple>
@@ -240,7 +241,8 @@
     void removeSchedule(const std::string &id);
     void beginDueOccurrences(WallMs wallNow);
     /// Ends all runs of a lifetime but those whose start is open.
-    void lapseAllRuns(const Lifetime &lifetime, const std::set<TaskRef> &suspected);
+    void lapseAllRuns(const Lifetime &lifetime, SettleReason reason,
+                      const std::set<TaskRef> &suspected);
     /// Takes no more facts of a lifetime that has ended. It stays known while runs are bound to it.
     void supersede(PoolWorker &worker);
     /// Keeps the runs bound to an ended lifetime for as long as the next one under its name may
@@ -251,7 +253,10 @@
                                 const std::map<TaskRef, std::uint32_t> &running);
     /// Makes a run of an earlier lifetime one of `worker`, which carries it out.
     void adopt(const TaskRef &task, PoolWorker &earlier, PoolWorker &worker);
-    void queueEnd(const PlacedRun &run, RunEnd end, CrashEvidence evidence = CrashEvidence::None);
+    /// Proposes the end of a run that its worker has not listed.
+    void queueEnd(const PlacedRun &run, RunEnd end, SettleReason reason,
+                  CrashEvidence evidence = CrashEvidence::None);
+    void logSettled(const PlacedRun &run, RunEnd end, SettleReason reason) const;
     /// Runs that may have crashed their worker: those that had just started. All of them count: one
     /// that crashed no worker before may be the cause as well.
     [[nodiscard]] std::set<TaskRef> suspectedRuns(const PoolWorker &worker,
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -81,7 +81,7 @@
     run.boundAt = now;
     // The order is sent at the commit or never: no later session of an agent receives it.
     if (worker.node.empty())
-        return queueEnd(run, RunEnd::NotStarted);
+        return queueEnd(run, RunEnd::NotStarted, SettleReason::NoSession);
     const StageJob &job = *m_jobTable.find(start.task.job);
     // Members of a gang are ordered all the same: the others would wait for one that is missing.
     if (worker.isOverCapacity() && !job.plan.steps[start.task.step].gang) {
@@ -90,7 +90,7 @@
                   {"run", start.run},
                   {"worker", start.lifetime.worker},
                   {"reason", "over its capacity"}});
-        return queueEnd(run, RunEnd::NotStarted);
+        return queueEnd(run, RunEnd::NotStarted, SettleReason::OverCapacity);
     }
     m_orders.emplace_back(worker.node,
                           StartOrder{start.lifetime,
--- /dev/null
+++ b/Guavashift/Dispatch/SettleReason.cpp
@@ -0,0 +1,21 @@
+#include <Guavashift/Dispatch/SettleReason.h>
+
+#include <array>
+
+namespace guavashift {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> reasonNames{
+    "start-refused", "not-in-inventory", "earlier-lifetime",
+    "lifetime-left", "lifetime-crashed", "lifetime-unreachable",
+    "lease-expired", "no-session",       "over-capacity"};
+
+} // namespace
+
+std::string_view nameOf(SettleReason reason)
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -328,7 +328,11 @@
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
     m_answersPolls = reply.result != WorkerCallResult::NoAnswer;
-    if (reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff)
+    const bool succeeds =
+        reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff;
+    if (succeeds == m_pollsFailSince.has_value())
+        logPollChange(reply, now);
+    if (succeeds)
         m_pollsFailSince.reset();
     else if (!m_pollsFailSince)
         m_pollsFailSince = now;
@@ -372,6 +376,18 @@
         schedulePoll(pauseAfter(request));
 }
 
+void AgentNode::logPollChange(const WorkerReply &reply, Instant now) const
+{
+    logEvent(LogLevel::Info, m_pollsFailSince ? "polls-answered" : "polls-fail",
+             {{"worker", m_facts->lifetime.worker},
+              {"born", m_facts->lifetime.startedAt},
+              {"result", nameOf(reply.result)},
+              {"reply_born", reply.born},
+              {"failed_ms", toMs(now - m_pollsFailSince.value_or(now))},
+              {"lease_left_ms", toMs(m_lease.latestEnd() - now)},
+              {"unreachable", m_unreachable}});
+}
+
 Duration AgentNode::pauseAfter(const PollRequest &request) const
 {
     // The worker answers at once while it lists ends: another poll would return the same.
@@ -433,6 +449,11 @@
     if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
         m_link.send(Inventory{m_facts->lifetime, reply.running});
+        logEvent(LogLevel::Info, "inventory-sent",
+                 {{"worker", m_facts->lifetime.worker},
+                  {"born", m_facts->lifetime.startedAt},
+                  {"fence", request.fence},
+                  {"runs", reply.running.size()}});
     }
 }
 
@@ -528,7 +549,10 @@
     logEvent(LogLevel::Info, "start-answered",
              {{"task", key.first.text()},
               {"run", key.second},
+              {"bound_to", lifetime.startedAt},
               {"born", reply.born},
+              {"fence", sentUnder},
+              {"clock_ms", reply.clockMs},
               {"result", nameOf(reply.result)}});
     if (!isCurrent(lifetime))
         return lateStartAnswered(lifetime, key, reply);
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -102,6 +102,8 @@
     /// Returns the pause before the poll that follows `request`.
     [[nodiscard]] Duration pauseAfter(const PollRequest &request) const;
     void handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply);
+    /// Logs that polls begin to fail or are answered again.
+    void logPollChange(const WorkerReply &reply, Instant now) const;
     void processRunning(const PollRequest &request, Instant sent, const WorkerReply &reply);
     void processEnds(const WorkerReply &reply);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
