Refuse orders that an agent's report may already have settled

Runs were started on another worker, or again on the same one, while they worked.

Cause: the leader settles all runs of a lifetime that its agent reports as unreachable, also a run that it ordered before it read the report. When the worker answers again before that order arrives, the agent carries it out.

Change: the agent refuses orders for a lifetime that it reported as ended until the leader has answered an inventory sent after the report. A session keeps the order of messages, so an order that arrives after the answer was sent by a leader that had handled the report. The same holds for a lifetime that ended otherwise and is found again by a late report of its worker.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -61,6 +61,7 @@
     m_leaseLength = std::chrono::milliseconds(session.leaseMs);
     m_inventoryDue = true;
     m_inventoryFence = fence();
+    m_barrier.sessionOpened();
     m_listedUpTo = m_committedUpTo;
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
@@ -104,6 +105,7 @@
                    [this](const EndsCommitted &committed) { endsCommitted(committed); },
                    [this](const InterferenceReport &report) { m_throttler.learn(report.rows); },
                    [this](const KnownRuns &known) {
+                       m_barrier.inventoryAnswered();
                        for (const RunTraits &traits : known.runs) {
                            const auto run = m_runs.find({traits.task, traits.run});
                            if (run != m_runs.end())
@@ -272,6 +274,7 @@
     if (end == LifetimeEnd::Crashed)
         m_link.send(WorkerCrashed{lifetime, recent});
     m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
+    m_barrier.lifetimeEnded(lifetime);
     m_runs.clear();
     if (end != LifetimeEnd::Unreachable) {
         m_facts.reset();
@@ -449,6 +452,7 @@
     if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
         m_link.send(Inventory{m_facts->lifetime, reply.running});
+        m_barrier.inventorySent(m_facts->lifetime);
         logEvent(LogLevel::Info, "inventory-sent",
                  {{"worker", m_facts->lifetime.worker},
                   {"born", m_facts->lifetime.startedAt},
@@ -497,6 +501,8 @@
     // that is bound to the old one.
     if (!m_answersPolls)
         return refuse(order, "no answer");
+    if (!m_barrier.mayCarryOut(order.lifetime))
+        return refuse(order, "ordered before its end was handled");
     const std::int64_t until = m_lease.untilMs(BootClock::now());
     if (until == 0)
         return refuse(order, "no lease");
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/LeaseClock.h>
+#include <Guavashift/Fleet/OrderBarrier.h>
 #include <Guavashift/Fleet/Relay.h>
 #include <Guavashift/Fleet/RoundMonitor.h>
 #include <Guavashift/Fleet/TailFilter.h>
@@ -154,6 +155,7 @@
     /// Sent again in each session: the leader may have lost them with its leadership.
     std::optional<OpenStarts> m_lastOpenStarts;
     std::optional<WorkerCrashed> m_lastCrash;
+    OrderBarrier m_barrier;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
     bool m_answersPolls = true; ///< The last poll was answered.
     std::optional<Instant> m_pollsFailSince;
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -15,6 +15,7 @@
     settings.channelPort = test::freePort();
     const std::string leader = fmt::format("127.0.0.1:{}", settings.channelPort);
     settings.seeds = {leader};
+    settings.bounds = m_bounds;
     m_leader = std::make_unique<FakeLeader>(*m_loop, leader);
     m_agent = std::make_unique<AgentNode>(*m_loop, AgentNodeSettings{}, settings, ChannelSettings{},
                                           m_worker, m_metrics, 5);
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -38,6 +38,7 @@
 
     static inline const TaskRef task{"j", 0, 0, 0};
 
+    FleetBounds m_bounds; ///< Of the agent. Set before setUp().
     std::unique_ptr<EventLoop> m_loop;
     FleetMetrics m_metrics;
     HeldWorker m_worker;
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(reportsStartOfAnEndedLifetimeThatWasRefused);
     CPPUNIT_TEST(ignoresLateAnswersToPollsOfAnEarlierLifetime);
     CPPUNIT_TEST(startsNothingBeforeTheLifetimeHasAnswered);
+    CPPUNIT_TEST(startsNoRunThatTheLeaderMaySettleWithALifetimeFoundAgain);
     CPPUNIT_TEST(passesOnNoLeaseGrantedBeforeTheWorkerWasKnown);
     CPPUNIT_TEST(passesOnNoLeaseOfAnEarlierLifetime);
     CPPUNIT_TEST_SUITE_END();
@@ -102,6 +103,28 @@
         CPPUNIT_ASSERT(m_worker.starts().empty());
     }
 
+    /// Guards against a task that is started elsewhere while its run works: its order was on its
+    /// way when the agent reported that the lifetime had ended, and the worker answered again.
+    void startsNoRunThatTheLeaderMaySettleWithALifetimeFoundAgain()
+    {
+        report(factsOf(1000));
+        m_worker.polls().back().answer(replyOf(1000));
+        until([this] { return m_worker.polls().size() == 2; });
+        WorkerReply gone;
+        gone.result = WorkerCallResult::NoProgram;
+        m_worker.polls().back().answer(gone);
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        report(factsOf(1000), 2);
+        m_worker.answerPolls(replyOf(1000));
+        until([this] { return m_leader->all<Inventory>().size() == 2; });
+        grant();
+        m_leader->sendToAll(orderFor(factsOf(1000)));
+        until([this] {
+            return !m_leader->all<StartRefused>().empty() || !m_worker.starts().empty();
+        });
+        CPPUNIT_ASSERT(m_worker.starts().empty());
+    }
+
     /// Guards against a worker that runs on a lease that its leader has not recorded for it: the
     /// agent had restarted, and was cut off before it could report the worker.
     void passesOnNoLeaseGrantedBeforeTheWorkerWasKnown()
