Withdraw the order of a run that is settled before it is sent

Runs were started elsewhere while they worked.

Cause: a round of the leader ends with commits whose orders are sent at the end of the next round. If that round reads that an agent's worker is unreachable, and the inventory that followed, the runs are settled, the inventory is answered at once, and the orders leave after the answer: the agent takes them for new ones.

Change: settling a run removes its order if it was not sent.

Before: LifetimeChangeTest::sendsNoOrderForARunThatWasSettled fails. After: all 90 tests of the dispatcher pass.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -527,9 +527,18 @@
     if (!recordProposedEnd(run.task, run.run, end))
         return;
     logSettled(run, end, reason);
+    withdrawStart(run);
     m_commands.emplace_back(EndRun{run.task, run.run, end, run.lastStatus.checkpoint, evidence});
 }
 
+void Dispatcher::withdrawStart(const PlacedRun &run)
+{
+    std::erase_if(m_orders, [&](const auto &each) {
+        const auto *start = std::get_if<StartOrder>(&each.second);
+        return start != nullptr && start->traits.run == run.run && start->traits.task == run.task;
+    });
+}
+
 void Dispatcher::logSettled(const PlacedRun &run, RunEnd end, SettleReason reason) const
 {
     const Lifetime &lifetime = m_placed.at(run.task);
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -257,6 +257,8 @@
     void queueEnd(const PlacedRun &run, RunEnd end, SettleReason reason,
                   CrashEvidence evidence = CrashEvidence::None);
     void logSettled(const PlacedRun &run, RunEnd end, SettleReason reason) const;
+    /// Removes the order of a run that was committed after the orders were last taken.
+    void withdrawStart(const PlacedRun &run);
     /// Runs that may have crashed their worker: those that had just started. All of them count: one
     /// that crashed no worker before may be the cause as well.
     [[nodiscard]] std::set<TaskRef> suspectedRuns(const PoolWorker &worker,
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(keepsRunWithAnOpenStartForTheLongestLease);
     CPPUNIT_TEST(restartsRunWhoseOpenStartWasRefused);
     CPPUNIT_TEST(grantsNoLeaseToANodeWithoutAReport);
+    CPPUNIT_TEST(sendsNoOrderForARunThatWasSettled);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,24 @@
         CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(3003)));
     }
 
+    /// Guards against a task that is started elsewhere while its run works: the run was bound in
+    /// the round in which its worker was reported as unreachable, and its order was sent after the
+    /// agent's next inventory was answered.
+    void sendsNoOrderForARunThatWasSettled()
+    {
+        accept("j", plan(1, 10'000));
+        decideAndCommit(1);
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Unreachable, {});
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+        decideAndCommit(2);
+        decideAndCommit(3);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+        const auto orders = m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL(2U, std::get<StartOrder>(orders[0].second).traits.run);
+    }
+
 private:
     void accept(const std::string &job, const JobPlan &plan)
     {
