Do not repeat the crash of a worker that was found again

What callers see: runs that work are given up and started elsewhere when the leader or a session changes.

Cause: an agent repeats its last report of a crash in each session. If nothing listened at the worker's port for a moment and the worker then reports the same lifetime again, the leader applies the repeated report to the runs that it has bound since.

Evidence: by reading and by the test; not seen in a play.

Change: the agent forgets the report when it finds that lifetime again.

Before: AgentLifetimeTest::repeatsNoCrashOfALifetimeFoundAgain fails. After: all tests of the class pass.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -185,6 +185,9 @@
         // The worker may have restarted under its name. With a higher token, this lifetime refuses
         // all calls that were meant for the one before it.
         raiseFence();
+        // Repeated to the next leader, the report would settle runs that were bound since.
+        if (m_lastCrash && m_lastCrash->lifetime == facts.lifetime)
+            m_lastCrash.reset();
         m_inventoryDue = m_link.isOpen();
         m_inventoryFence = fence();
         m_unreachable = false;
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(ignoresLateAnswersToPollsOfAnEarlierLifetime);
     CPPUNIT_TEST(startsNothingBeforeTheLifetimeHasAnswered);
     CPPUNIT_TEST(startsNoRunThatTheLeaderMaySettleWithALifetimeFoundAgain);
+    CPPUNIT_TEST(repeatsNoCrashOfALifetimeFoundAgain);
     CPPUNIT_TEST(passesOnNoLeaseGrantedBeforeTheWorkerWasKnown);
     CPPUNIT_TEST(passesOnNoLeaseOfAnEarlierLifetime);
     CPPUNIT_TEST_SUITE_END();
@@ -125,6 +126,20 @@
         CPPUNIT_ASSERT(m_worker.starts().empty());
     }
 
+    /// Guards against runs that are started elsewhere while they work: the agent had taken their
+    /// worker for crashed before they were started, and told the next session's leader so again.
+    void repeatsNoCrashOfALifetimeFoundAgain()
+    {
+        startOn(factsOf(1000));
+        m_worker.starts().back().answer(replyOf(1000));
+        loseAndFindAgain();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<WorkerCrashed>().size());
+        const std::size_t reports = m_leader->all<WorkerReport>().size();
+        m_leader->disconnect();
+        until([&] { return m_leader->all<WorkerReport>().size() > reports; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<WorkerCrashed>().size());
+    }
+
     /// Guards against a worker that runs on a lease that its leader has not recorded for it: the
     /// agent had restarted, and was cut off before it could report the worker.
     void passesOnNoLeaseGrantedBeforeTheWorkerWasKnown()
@@ -156,6 +171,20 @@
     }
 
 private:
+    /// Has the agent take the first lifetime for crashed, and find it again by a late report.
+    void loseAndFindAgain()
+    {
+        WorkerReply gone;
+        gone.result = WorkerCallResult::NoProgram;
+        until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+        m_worker.polls().back().answer(gone);
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        report(factsOf(1000), 2);
+        const std::size_t before = m_leader->all<Inventory>().size();
+        m_worker.answerPolls(replyOf(1000));
+        until([&] { return m_leader->all<Inventory>().size() > before; });
+    }
+
     /// Checks that the leader is told that the start of the first lifetime is open before it is
     /// told that this lifetime has ended.
     void assertReportsOpenStart()
