Find out what became of open starts when a lifetime is found again

What callers see: a task that neither runs nor is started again until the session of an agent ends.

Cause: an agent reports starts without an answer when their lifetime ends, and the leader keeps these runs bound until the inventory of the next lifetime, a refusal or the end of the lease. If the same lifetime is found again, none of these follows: the agent has forgotten the starts, its inventory says nothing on runs that were bound in its session, and the lease is renewed.

Change: the agent takes these starts back as unconfirmed. The next poll, with a higher fencing token, shows whether they arrived.

Before: AgentLifetimeTest::resolvesOpenStartsOfALifetimeFoundAgain fails. After: all tests of the class pass.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -184,10 +184,8 @@
         m_listedAt.clear();
         // The worker may have restarted under its name. With a higher token, this lifetime refuses
         // all calls that were meant for the one before it.
+        recallLifetime();
         raiseFence();
-        // Repeated to the next leader, the report would settle runs that were bound since.
-        if (m_lastCrash && m_lastCrash->lifetime == facts.lifetime)
-            m_lastCrash.reset();
         m_inventoryDue = m_link.isOpen();
         m_inventoryFence = fence();
         m_unreachable = false;
@@ -210,6 +208,25 @@
     }
 }
 
+void AgentNode::recallLifetime()
+{
+    const Lifetime &lifetime = m_facts->lifetime;
+    // Repeated to the next leader, the report would settle runs that were bound since.
+    if (m_lastCrash && m_lastCrash->lifetime == lifetime)
+        m_lastCrash.reset();
+    if (!m_lastOpenStarts || m_lastOpenStarts->lifetime != lifetime)
+        return;
+    // The leader waits for their outcome, which the next poll with a higher token shows.
+    for (const TaskRun &open : m_lastOpenStarts->runs) {
+        Run &run = m_runs[{open.task, open.run}];
+        run.traits.task = open.task;
+        run.traits.run = open.run;
+        run.stage = Stage::Unconfirmed;
+        run.fence = fence();
+    }
+    m_lastOpenStarts.reset();
+}
+
 void AgentNode::workerStopping(const std::string &worker)
 {
     if (m_facts && m_facts->lifetime.worker == worker)
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -125,6 +125,8 @@
     /// Ends the lifetime of a worker whose program is gone or was replaced.
     void endLostLifetime();
     void endLifetime(LifetimeEnd end);
+    /// Withdraws what was reported of the end of the present lifetime, if that was found again.
+    void recallLifetime();
     /// Runs whose start has no answer.
     [[nodiscard]] std::vector<TaskRun> openStarts() const;
     /// Runs that were started shortly before the worker stopped answering.
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(startsNothingBeforeTheLifetimeHasAnswered);
     CPPUNIT_TEST(startsNoRunThatTheLeaderMaySettleWithALifetimeFoundAgain);
     CPPUNIT_TEST(repeatsNoCrashOfALifetimeFoundAgain);
+    CPPUNIT_TEST(resolvesOpenStartsOfALifetimeFoundAgain);
     CPPUNIT_TEST(passesOnNoLeaseGrantedBeforeTheWorkerWasKnown);
     CPPUNIT_TEST(passesOnNoLeaseOfAnEarlierLifetime);
     CPPUNIT_TEST_SUITE_END();
@@ -140,6 +141,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<WorkerCrashed>().size());
     }
 
+    /// Guards against a task that stays bound to a worker that never got its start: the agent had
+    /// reported the start as open when it took the worker for crashed.
+    void resolvesOpenStartsOfALifetimeFoundAgain()
+    {
+        startOn(factsOf(1000));
+        loseAndFindAgain();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<OpenStarts>().size());
+        until([this] {
+            m_worker.answerPolls(replyOf(1000));
+            return !m_leader->all<StartRefused>().empty();
+        });
+        const StartRefused refusal = m_leader->all<StartRefused>().back();
+        CPPUNIT_ASSERT(refusal.lifetime == factsOf(1000).lifetime);
+        CPPUNIT_ASSERT(refusal.task == task && refusal.run == 1);
+    }
+
     /// Guards against a worker that runs on a lease that its leader has not recorded for it: the
     /// agent had restarted, and was cut off before it could report the worker.
     void passesOnNoLeaseGrantedBeforeTheWorkerWasKnown()
