Grant no lease to a worker whose loss is proposed

What callers see: an attempt of a task works beside the next one, in the plain daemon, when the heartbeat of an agent arrives between the proposal that its worker is lost and its commit.

Cause: the leader concludes from an expired lease that nothing runs on the worker. Until this is committed the worker counts as up, so a heartbeat is answered with a new lease and orders, which the commit then gives to other workers.

Change: such a heartbeat is answered without lease and orders. A worker that has announced itself again before the next decision gets the time of one lease for its first heartbeat, as otherwise it would be declared lost again and never granted one.

Before: LeaderDutiesTest::grantsNoLeaseWhileALossIsProposed fails; grantsLeasesAgainAfterALoss holds the second half of the change. After: all 12 tests of the control process pass. The process tests were not run.

--- a/Guavashift/Control/LeaderDuties.cpp
+++ b/Guavashift/Control/LeaderDuties.cpp
@@ -56,6 +56,7 @@
     m_leases.start(now);
     m_epoch = epoch;
     m_nodes.clear();
+    m_lossProposed.clear();
 }
 
 HeartbeatReply LeaderDuties::heartbeat(const StateMachine &state, const HeartbeatRequest &request,
@@ -84,6 +85,9 @@
         return reply;
     }
     const Worker &worker = found->second;
+    // Its tasks are started elsewhere once the loss is committed.
+    if (m_lossProposed.contains(worker.id))
+        return reply;
     m_leases.recordGrant(worker.id, now);
     reply.workerLeaseMs = toMs(m_leases.settings().workerLease);
     if (request.ordersVersion != worker.ordersVersion)
@@ -144,10 +148,19 @@
 std::vector<CommandBody> LeaderDuties::decide(const StateMachine &state, Instant now,
                                               WallMs wallNow)
 {
+    // Everything proposed is applied by now: a worker that is up has announced itself again since,
+    // and gets the time of one lease for its first heartbeat.
+    for (const WorkerId &id : std::exchange(m_lossProposed, {})) {
+        const auto found = state.workers().find(id);
+        if (found != state.workers().end() && found->second.status != WorkerStatus::Lost)
+            m_leases.recordGrant(id, now);
+    }
     std::vector<CommandBody> commands;
     for (const auto &[id, worker] : state.workers()) {
-        if (worker.status != WorkerStatus::Lost && m_leases.isExpired(id, now))
-            commands.emplace_back(DeclareWorkerLost{id, worker.facts.incarnation});
+        if (worker.status == WorkerStatus::Lost || !m_leases.isExpired(id, now))
+            continue;
+        m_lossProposed.insert(id);
+        commands.emplace_back(DeclareWorkerLost{id, worker.facts.incarnation});
     }
     std::vector<CommandBody> decisions = m_scheduler.decide(state, wallNow);
     commands.insert(commands.end(), std::make_move_iterator(decisions.begin()),
--- a/Guavashift/Control/LeaderDuties.h
+++ b/Guavashift/Control/LeaderDuties.h
@@ -25,7 +25,8 @@
     HeartbeatReply heartbeat(const StateMachine &state, const HeartbeatRequest &request,
                              Instant now, std::vector<CommandBody> &commands);
 
-    /// Returns the commands that the leader must propose now.
+    /// Returns the commands that the leader must propose now. Those returned before must have been
+    /// applied.
     std::vector<CommandBody> decide(const StateMachine &state, Instant now, WallMs wallNow);
 
     /// Lists the configuration version in each node's last heartbeat, and the heartbeat's age.
@@ -52,6 +53,8 @@
     Scheduler m_scheduler;
     std::uint64_t m_epoch = 0;
     std::map<std::string, Node> m_nodes;
+    /// Workers whose loss was proposed by the last decision.
+    std::set<WorkerId> m_lossProposed;
 };
 
 } // namespace guavashift
