Log why entries and agents refuse a request and what ends a dispatch

Callers saw: orders refused as unknown during planned stops. The logs of entries and agents held no line about them, so the causes could not be told apart.

Change: an entry logs a refusal (id, hash of the key, claim, attempts, time left), a dispatch without an answer (worker, incarnation, window, refusal, failure), a revocation with its outcome, and a claim that has moved or is read again. An agent logs its refusals. The load tool logs requests that were refused or got no answer by their token.

--- a/Guavashift/Agent/AgentRequestHandler.cpp
+++ b/Guavashift/Agent/AgentRequestHandler.cpp
@@ -136,6 +136,15 @@
         m_gate.setLeaseHeld(leaseHeld);
         decision = m_gate.arrive(parsed->dispatch);
     }
+    if (const auto *refusal = std::get_if<RefuseRequest>(&decision))
+        logEvent(LogLevel::Info, "request-refused",
+                 {{"request", parsed->dispatch.id},
+                  {"keyed", parsed->dispatch.keyed},
+                  {"reason", nameOf(refusal->reason)},
+                  {"not_run", refusal->certainlyNotRun},
+                  {"incarnation", parsed->dispatch.incarnation},
+                  {"window", parsed->dispatch.window},
+                  {"lease_held", leaseHeld}});
     HttpResponse response = std::visit(
         Overloaded{[&](const RunRequest &now) { return run(*parsed, request, now.backend); },
                    [&](const WaitForSlot &) { return waitAndRun(*parsed, request, deadline); },
--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -43,6 +43,35 @@
     return response;
 }
 
+std::string_view nameOf(const DispatchEvent &event)
+{
+    return std::visit(
+        Overloaded{[](const Answered &) -> std::string_view { return "answered"; },
+                   [](const CertainlyNotRun &) -> std::string_view { return "not-run"; },
+                   [](const ContactLost &) -> std::string_view { return "contact-lost"; },
+                   [](const RunUnknown &) -> std::string_view { return "run-unknown"; },
+                   [](const RevokedAtAgent &) -> std::string_view { return "revoked"; },
+                   [](const StillRunning &) -> std::string_view { return "still-running"; },
+                   [](const RanToCompletion &) -> std::string_view { return "ran"; },
+                   [](const RevokeUnanswered &) -> std::string_view { return "unanswered"; }},
+        event);
+}
+
+std::string_view nameOf(RevokeOutcome outcome)
+{
+    switch (outcome) {
+    case RevokeOutcome::Revoked:
+        return "revoked";
+    case RevokeOutcome::Running:
+        return "running";
+    case RevokeOutcome::Done:
+        return "done";
+    case RevokeOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 bool isRefusal(const HttpResponse &response)
 {
     return response.headers.find(header::run).has_value();
@@ -231,6 +260,12 @@
     // The claim exists, so this only reads it.
     const Result<Outcome> outcome = m_forwarder.m_commands.execute(ClaimKey{*m_claim});
     const auto *granted = outcome ? std::get_if<ClaimGranted>(&*outcome) : nullptr;
+    logEvent(LogLevel::Info, "claim-read-again",
+             {{"request", m_claim->requestId},
+              {"found", granted != nullptr},
+              {"answer", granted != nullptr && granted->claim.answer.has_value()},
+              {"now_request", granted != nullptr ? granted->claim.requestId : RequestId()},
+              {"failure", outcome ? std::string() : outcome.error().message}});
     if (granted == nullptr || !granted->claim.answer)
         return std::nullopt;
     return responseOf(*granted->claim.answer);
@@ -238,6 +273,12 @@
 
 std::optional<HttpResponse> RequestFlow::followClaim(const Claim &claim)
 {
+    if (m_claim)
+        logEvent(LogLevel::Info, "claim-moved",
+                 {{"from_request", m_claim->requestId},
+                  {"request", claim.requestId},
+                  {"worker", claim.worker},
+                  {"incarnation", claim.incarnation}});
     m_claim = claim;
     m_plan.id = claim.requestId;
     if (claim.answer)
@@ -357,7 +398,23 @@
     call.timeout = timeLeft;
     call.reuseConnection = !once;
 
-    DispatchOutcome outcome = classify(traits, plan, forwarder.m_client.send(call));
+    tl::expected<HttpResponse, HttpFailure> answer = forwarder.m_client.send(call);
+    const std::string failure = answer ? std::string() : answer.error().message;
+    DispatchOutcome outcome = classify(traits, plan, std::move(answer));
+    if (!std::holds_alternative<Answered>(outcome.event)) {
+        const HttpHeaders &headers = outcome.response.headers;
+        logEvent(LogLevel::Info, "dispatch-failed",
+                 {{"request", plan.id},
+                  {"keyed", traits.keyed},
+                  {"worker", plan.target.worker},
+                  {"incarnation", plan.target.incarnation},
+                  {"window", plan.window},
+                  {"outcome", nameOf(outcome.event)},
+                  {"status", outcome.response.status},
+                  {"refusal", headers.find(header::refusal).value_or("")},
+                  {"failure", failure},
+                  {"elapsed_ms", toMs(BootClock::now() - started)}});
+    }
     if (const auto window = outcome.response.headers.find(header::window)) {
         std::uint64_t number = 0;
         std::from_chars(window->data(), window->data() + window->size(), number);
@@ -417,6 +474,13 @@
                                 m_traits.keyed};
     const Result<RevokeReply> reply = m_forwarder.m_agents.revoke(
         m_plan.target.rpcAddress, request, m_forwarder.m_settings.revokeTimeout);
+    logEvent(LogLevel::Info, "request-revoked",
+             {{"request", m_plan.id},
+              {"worker", m_plan.target.worker},
+              {"incarnation", m_plan.target.incarnation},
+              {"window", m_plan.window},
+              {"outcome", reply ? nameOf(reply->outcome) : "no-answer"},
+              {"failure", reply ? std::string() : reply.error().message}});
     if (!reply)
         return RevokeUnanswered{};
     m_forwarder.m_routing.updateWindow(m_plan.target.worker, reply->window);
@@ -436,6 +500,19 @@
 HttpResponse RequestFlow::refuse(int status, std::string_view run, const std::string &message) const
 {
     m_forwarder.m_refusals.Increment();
+    const Claim none;
+    const Claim &claim = m_claim ? *m_claim : none;
+    logEvent(LogLevel::Info, "request-refused",
+             {{"request", m_plan.id},
+              {"key_hash", m_traits.keyed ? hexOf(hashBytes(m_key)) : std::string()},
+              {"run", run},
+              {"status", status},
+              {"reason", message},
+              {"attempts", m_attempts},
+              {"claim_worker", claim.worker},
+              {"claim_incarnation", claim.incarnation},
+              {"claim_window", claim.window},
+              {"time_left_ms", toMs(m_deadline - BootClock::now())}});
     HttpResponse response = HttpResponse::json(status, {{"error", message}, {"run", run}});
     response.headers.set(header::run, std::string(run));
     return response;
--- a/PerformanceTest/LoadRun.cpp
+++ b/PerformanceTest/LoadRun.cpp
@@ -11,6 +11,22 @@
 constexpr std::size_t maxRefusalTextBytes = 100;
 constexpr Duration resendDelay = std::chrono::milliseconds(100);
 constexpr std::string_view runHeader = "Guavashift-Run";
+constexpr std::string_view requestIdHeader = "Guavashift-Request-Id";
+
+std::string_view nameOf(HttpFailureStage stage)
+{
+    switch (stage) {
+    case HttpFailureStage::NotConnected:
+        return "not-connected";
+    case HttpFailureStage::Broken:
+        return "broken";
+    case HttpFailureStage::TimedOut:
+        return "timed-out";
+    case HttpFailureStage::TooLarge:
+        break;
+    }
+    return "too-large";
+}
 
 } // namespace
 
@@ -106,6 +122,7 @@
                    std::string_view &outcome)
 {
     ++state.result.sent;
+    const Instant started = BootClock::now();
     HttpCall first = call;
     first.reuseConnection = !m_settings.freshConnections;
     tl::expected<HttpResponse, HttpFailure> answer = m_client.send(first);
@@ -123,12 +140,24 @@
     outcome = "lost";
     if (!answer) {
         ++state.result.lost;
+        logEvent(LogLevel::Info, "no-answer",
+                 {{"token", token},
+                  {"entry", call.address},
+                  {"stage", nameOf(answer.error().stage)},
+                  {"failure", answer.error().message},
+                  {"elapsed_ms", toMs(BootClock::now() - started)}});
         return false;
     }
     if (const auto header = answer->headers.find(runHeader)) {
         outcome = *header == "not-run" ? "not-run" : "unknown";
         ++state.result.refusals[answer->body.substr(0, maxRefusalTextBytes)];
         ++(outcome == "not-run" ? state.result.notRun : state.result.unknown);
+        logEvent(LogLevel::Info, "refused",
+                 {{"token", token},
+                  {"entry", call.address},
+                  {"request", answer->headers.find(requestIdHeader).value_or("")},
+                  {"run", *header},
+                  {"elapsed_ms", toMs(BootClock::now() - started)}});
         return false;
     }
     outcome = "ran";
