Count a request as not sent if its kept connection was closed before

A call over a kept connection to a process that had stopped was reported as broken, although libcurl had found the connection closed and had sent nothing. A quote then used up the retry budget at an entry, or was refused as unknown without it, and a caller did not try the next entry.

Cause: HttpClient took every refused connection after a kept one as "may have arrived". libcurl also checks kept connections before it sends.

Change: the number of bytes sent in the call decides (CURLINFO_REQUEST_SIZE).

--- a/Guavashift/Http/HttpClient.cpp
+++ b/Guavashift/Http/HttpClient.cpp
@@ -21,13 +21,6 @@
 using CurlHandle = std::unique_ptr<CURL, CurlDeleter>;
 using HeaderList = std::unique_ptr<curl_slist, HeaderListDeleter>;
 
-/// A libcurl handle and whether it may hold an open connection.
-struct PooledHandle
-{
-    CurlHandle curl;
-    bool hasConnection = false; ///< A call on it succeeded, so a connection may be kept open.
-};
-
 /// An answer that is being received.
 struct IncomingResponse
 {
@@ -89,15 +82,14 @@
         || response.headers.find("Transfer-Encoding");
 }
 
-/// @param newConnection whether no kept connection was used, so that "cannot connect" means that
-/// nothing was sent
-HttpFailure failureOf(CURL *handle, CURLcode code, const IncomingResponse &incoming,
-                      bool newConnection)
+HttpFailure failureOf(CURL *handle, CURLcode code, const IncomingResponse &incoming)
 {
-    // libcurl sends again over a new connection if a kept one turns out to be closed, although the
-    // first copy may have arrived.
+    // libcurl sends again over a new connection if a kept one is closed meanwhile, although the
+    // first copy may have arrived. If it finds the kept one closed before, nothing was sent.
+    long sentBytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
     const HttpFailureStage connectFailureStage =
-        newConnection ? HttpFailureStage::NotConnected : HttpFailureStage::Broken;
+        sentBytes == 0 ? HttpFailureStage::NotConnected : HttpFailureStage::Broken;
     curl_off_t connectTime = 0;
     curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connectTime);
     const std::string message = curl_easy_strerror(code);
@@ -124,16 +116,15 @@
 
     tl::expected<HttpResponse, HttpFailure> send(const HttpCall &call)
     {
-        PooledHandle pooled = acquireHandle(call.address);
-        CURL *handle = pooled.curl.get();
-        const bool newConnection = !pooled.hasConnection || !call.reuseConnection;
+        CurlHandle pooled = acquireHandle(call.address);
+        CURL *handle = pooled.get();
         IncomingResponse incoming;
         incoming.maxBytes = m_settings.maxAnswerBytes;
         const HeaderList headers = makeHeaderList(call.headers);
         configure(handle, call, headers.get(), incoming);
         const CURLcode code = curl_easy_perform(handle);
         if (code != CURLE_OK)
-            return tl::unexpected(failureOf(handle, code, incoming, newConnection));
+            return tl::unexpected(failureOf(handle, code, incoming));
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         incoming.response.status = static_cast<int>(status);
@@ -141,7 +132,6 @@
         if (call.method != "HEAD" && !hasKnownLength(incoming.response))
             return tl::unexpected(
                 HttpFailure{HttpFailureStage::Broken, "the answer has no length"});
-        pooled.hasConnection = true;
         releaseHandle(call.address, std::move(pooled));
         return std::move(incoming.response);
     }
@@ -180,28 +170,28 @@
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     }
 
-    PooledHandle acquireHandle(const std::string &address)
+    CurlHandle acquireHandle(const std::string &address)
     {
         const std::lock_guard lock(m_mutex);
-        std::vector<PooledHandle> &idle = m_idle[address];
+        std::vector<CurlHandle> &idle = m_idle[address];
         if (idle.empty())
-            return {CurlHandle(curl_easy_init()), false};
-        PooledHandle handle = std::move(idle.back());
+            return CurlHandle(curl_easy_init());
+        CurlHandle handle = std::move(idle.back());
         idle.pop_back();
         return handle;
     }
 
-    void releaseHandle(const std::string &address, PooledHandle handle)
+    void releaseHandle(const std::string &address, CurlHandle handle)
     {
         const std::lock_guard lock(m_mutex);
-        std::vector<PooledHandle> &idle = m_idle[address];
+        std::vector<CurlHandle> &idle = m_idle[address];
         if (idle.size() < m_settings.maxIdlePerAddress)
             idle.push_back(std::move(handle));
     }
 
     HttpClientSettings m_settings;
     std::mutex m_mutex;
-    std::map<std::string, std::vector<PooledHandle>> m_idle;
+    std::map<std::string, std::vector<CurlHandle>> m_idle;
 };
 
 HttpClient::HttpClient(const HttpClientSettings &settings)
