Claim an order for another agent if one tells no window

Cause: before its first claim for an agent an entry asks it for its window. If the agent had just been stopped, the entry refused the order without trying another agent, although nothing had been claimed yet. An entry that was itself just started knows no window at all.

Change: the agent is excluded and another is asked, as often as a request may be dispatched and until its deadline. Earlier claims of the key are found as before, since the claim is still committed first.

Tests: claimsForAnotherAgentIfOneTellsNoWindow (test-entry) failed before (503), passes now.

--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -211,7 +211,7 @@
     return reply->window;
 }
 
-Result<Outcome> RequestFlow::commitClaim(const RouteTarget &target)
+Result<Outcome> RequestFlow::commitClaim(const RouteTarget &target, std::uint64_t window)
 {
     Claim proposed;
     proposed.service = m_route.service;
@@ -220,23 +220,43 @@
     proposed.requestId = m_forwarder.newRequestId();
     proposed.worker = target.worker;
     proposed.incarnation = target.incarnation;
-    proposed.window = windowOf(target);
-    if (proposed.window == 0)
-        return fail(ErrorCode::Unavailable, "the agent does not answer");
+    proposed.window = window;
     if (m_claim)
         return m_forwarder.m_commands.execute(MoveClaim{m_claim->requestId, proposed});
     return m_forwarder.m_commands.execute(ClaimKey{proposed});
 }
 
+bool RequestFlow::mayClaimAgain() const
+{
+    return m_claimAttempts < m_forwarder.m_settings.maxAttempts
+        && BootClock::now() + m_forwarder.m_settings.minTimeForRetry < m_deadline;
+}
+
 std::optional<HttpResponse> RequestFlow::claim()
 {
+    ++m_claimAttempts;
     // A claim needs a backend server. If there is none, an earlier claim may still exist, so
     // whether the request ran is unknown.
     if (chooseTarget())
         return refuse(statusUnavailable, header::runUnknown,
                       "no backend server can take it; whether an earlier copy ran is not known");
     const RouteTarget target = m_plan.target;
-    Result<Outcome> outcome = commitClaim(target);
+    const std::uint64_t window = windowOf(target);
+    if (window == 0) {
+        // The agent may have been stopped. Nothing has been claimed for it by this request.
+        m_forwarder.m_routing.release(m_route.service, target.worker, DispatchResult::Failed, {});
+        m_triedWorkers.push_back(target.worker);
+        logEvent(LogLevel::Info, "agent-without-window",
+                 {{"key_hash", hexOf(hashBytes(m_key))},
+                  {"worker", target.worker},
+                  {"incarnation", target.incarnation},
+                  {"claim_attempts", m_claimAttempts}});
+        if (mayClaimAgain())
+            return claim();
+        return refuse(statusUnavailable, header::runUnknown,
+                      "the key could not be claimed: the agent does not answer");
+    }
+    Result<Outcome> outcome = commitClaim(target, window);
     m_forwarder.m_routing.release(m_route.service, target.worker, DispatchResult::Busy, {});
     if (!outcome)
         return refuse(statusUnavailable, header::runUnknown,
--- a/Guavashift/Entry/RequestFlow.h
+++ b/Guavashift/Entry/RequestFlow.h
@@ -39,7 +39,9 @@
     std::optional<HttpResponse> followClaim(const Claim &claim);
     /// The answer that a stopped agent has handed over, if the request has one.
     std::optional<HttpResponse> handedOverAnswer();
-    Result<Outcome> commitClaim(const RouteTarget &target);
+    Result<Outcome> commitClaim(const RouteTarget &target, std::uint64_t window);
+    /// Whether another worker may be tried for the claim.
+    [[nodiscard]] bool mayClaimAgain() const;
     std::uint64_t windowOf(const RouteTarget &target);
 
     DispatchOutcome dispatch();
@@ -68,6 +70,7 @@
     std::string m_key;
     Instant m_deadline;
     unsigned m_attempts = 0;
+    unsigned m_claimAttempts = 0;
     /// An idempotent dispatch may have run although its answer was lost.
     bool m_mayHaveRun = false;
     std::vector<WorkerId> m_triedWorkers;
