Move claims that an agent which was stopped as planned never ran

Cause: the claim of an order is committed before its dispatch. An agent that stopped in between handed over its answers, but nothing said that it had not run the others. A claim without an answer had to count as "may have run".

Change: a stopping agent reports its answers, then the ids that may have run without one, and closes its incarnation last. Claims of it that were not reported, and later ones for it, are marked as not run, and entries move them. Claims from windows that the agent may have forgotten stay unknown, and all do if a part of the report was not committed. An entry also follows a claim that another entry has moved meanwhile.

--- a/Guavashift/Agent/AgentRequestHandler.cpp
+++ b/Guavashift/Agent/AgentRequestHandler.cpp
@@ -318,10 +318,14 @@
     return m_changed.wait_for(lock, timeout, [this] { return m_gate.inFlight() == 0; });
 }
 
-std::vector<KeptAnswer> AgentRequestHandler::newestAnswers(std::size_t maxBytes) const
+HandOver AgentRequestHandler::handOver(std::size_t maxBytes)
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<KeptAnswer> answers;
+    m_gate.advance(BootClock::now());
+    HandOver report;
+    report.incarnation = m_gate.incarnation();
+    report.oldestWindow = m_gate.oldestWindow(true);
+    std::set<RequestId> answered;
     for (const auto &[id, response] : m_gate.newestAnswers(maxBytes)) {
         KeptAnswer answer;
         answer.requestId = id;
@@ -329,9 +333,16 @@
         for (const HttpHeader &each : response->headers.all())
             answer.headers.emplace_back(each.name, each.value);
         answer.body.assign(response->body.begin(), response->body.end());
-        answers.push_back(std::move(answer));
+        answered.insert(id);
+        report.answers.push_back(std::move(answer));
+    }
+    // The state keeps answers while there is room; the newest come last.
+    std::reverse(report.answers.begin(), report.answers.end());
+    for (RequestId &id : m_gate.acceptedKeyedRequests()) {
+        if (!answered.contains(id))
+            report.withoutAnswer.push_back(std::move(id));
     }
-    return answers;
+    return report;
 }
 
 std::size_t AgentRequestHandler::inFlight() const
--- a/Guavashift/Agent/AgentRequestHandler.h
+++ b/Guavashift/Agent/AgentRequestHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Guavashift/Agent/BackendRegistry.h>
+#include <Guavashift/Agent/HandOver.h>
 #include <Guavashift/Agent/RequestGate.h>
 
 #include <condition_variable>
@@ -35,8 +36,9 @@
     /// Waits until no request is in flight, at most for `timeout`. Returns whether that is so.
     bool waitUntilIdle(Duration timeout);
 
-    /// See RequestGate::newestAnswers().
-    [[nodiscard]] std::vector<KeptAnswer> newestAnswers(std::size_t maxBytes) const;
+    /// Reports the requests with a key, with the newest answers up to that many bytes of bodies.
+    /// Complete only after startLeaving().
+    [[nodiscard]] HandOver handOver(std::size_t maxBytes);
 
     [[nodiscard]] std::size_t inFlight() const;
     [[nodiscard]] std::size_t remembered() const;
--- a/Guavashift/Agent/AgentRole.cpp
+++ b/Guavashift/Agent/AgentRole.cpp
@@ -12,8 +12,6 @@
 constexpr unsigned rpcHandlerThreads = 2;
 /// Limit of the bodies of kept answers that a stopping agent hands over.
 constexpr std::size_t maxHandedOverBytes = 1 << 20;
-/// The same for one command.
-constexpr std::size_t maxHandOverBatchBytes = 64 << 10;
 constexpr Duration handOverTimeout = std::chrono::seconds(2);
 
 const RoleRegistration registration("agent", [](const RoleContext &context) {
@@ -128,33 +126,31 @@
     if (!m_requestHandler->waitUntilIdle(std::chrono::seconds(m_settings.drainSeconds)))
         logEvent(LogLevel::Warning, "drain-incomplete",
                  {{"in_flight", m_requestHandler->inFlight()}});
-    handOverAnswers();
+    handOver();
 }
 
-void AgentRole::handOverAnswers()
+void AgentRole::handOver()
 {
-    std::vector<KeptAnswer> answers = m_requestHandler->newestAnswers(maxHandedOverBytes);
-    const Incarnation incarnation = m_requestHandler->window().incarnation;
-    const std::size_t count = answers.size();
-    std::size_t handedOver = 0;
-    while (!answers.empty()) {
-        KeepAnswers command{incarnation, {}};
-        std::size_t bytes = 0;
-        while (!answers.empty() && bytes < maxHandOverBatchBytes) {
-            bytes += answers.back().body.size();
-            command.answers.push_back(std::move(answers.back()));
-            answers.pop_back();
-        }
-        const std::size_t size = command.answers.size();
-        const Result<Outcome> outcome = m_control->execute(command, handOverTimeout);
+    const HandOver report = m_requestHandler->handOver(maxHandedOverBytes);
+    const std::vector<CommandBody> commands = report.commands(WorkerId{m_settings.vm});
+    for (std::size_t i = 0; i < commands.size(); ++i) {
+        const Result<Outcome> outcome = m_control->execute(commands[i], handOverTimeout);
         if (!outcome) {
-            logEvent(LogLevel::Warning, "answers-not-handed-over",
-                     {{"answers", count - handedOver}, {"error", outcome.error().message}});
+            logEvent(LogLevel::Warning, "hand-over-failed",
+                     {{"incarnation", report.incarnation},
+                      {"answers", report.answers.size()},
+                      {"without_answer", report.withoutAnswer.size()},
+                      {"commands", commands.size()},
+                      {"committed", i},
+                      {"error", outcome.error().message}});
             return;
         }
-        handedOver += size;
     }
-    logEvent(LogLevel::Info, "answers-handed-over", {{"answers", handedOver}});
+    logEvent(LogLevel::Info, "handed-over",
+             {{"incarnation", report.incarnation},
+              {"answers", report.answers.size()},
+              {"without_answer", report.withoutAnswer.size()},
+              {"oldest_window", report.oldestWindow}});
 }
 
 void AgentRole::stop()
--- a/Guavashift/Agent/AgentRole.h
+++ b/Guavashift/Agent/AgentRole.h
@@ -19,8 +19,8 @@
     void stop() override;
 
 private:
-    /// Lets control keep the answers that callers may still ask for.
-    void handOverAnswers();
+    /// Reports to control what has run, with the answers that callers may still ask for.
+    void handOver();
     void addAdminEndpoints();
     HttpResponse serve(const HttpRequest &request);
 
--- a/Guavashift/Agent/RequestGate.cpp
+++ b/Guavashift/Agent/RequestGate.cpp
@@ -278,6 +278,16 @@
     return answers;
 }
 
+std::vector<RequestId> RequestGate::acceptedKeyedRequests() const
+{
+    std::vector<RequestId> accepted;
+    for (const auto &[id, request] : m_requests) {
+        if (request.keyed && request.phase != Phase::NotRun)
+            accepted.push_back(id);
+    }
+    return accepted;
+}
+
 void RequestGate::forgetOldRequests()
 {
     // Above the limit of ids, the oldest windows are forgotten early. The two newest are kept.
--- a/Guavashift/Agent/RequestGate.h
+++ b/Guavashift/Agent/RequestGate.h
@@ -144,6 +144,10 @@
     /// The newest kept answers of requests with a key, up to that many bytes of bodies.
     [[nodiscard]] std::vector<std::pair<RequestId, std::shared_ptr<const HttpResponse>>>
     newestAnswers(std::size_t maxBytes) const;
+    /// The remembered requests with a key that have run, or may still run.
+    [[nodiscard]] std::vector<RequestId> acceptedKeyedRequests() const;
+    /// From which on all requests with a key, or without, are remembered.
+    [[nodiscard]] std::uint64_t oldestWindow(bool keyed) const;
     [[nodiscard]] bool isRunningOrWaiting(const RequestId &id) const;
 
     [[nodiscard]] std::uint64_t window() const { return m_window; }
@@ -171,7 +175,6 @@
         bool announced = true;
     };
 
-    [[nodiscard]] std::uint64_t oldestWindow(bool keyed) const;
     [[nodiscard]] Backend *freeBackend(const ServiceId &service);
     [[nodiscard]] std::optional<RefusalReason>
     refusalForNewRequest(const DispatchedRequest &dispatch) const;
--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -72,6 +72,22 @@
     return "unknown";
 }
 
+/// What a claim says of its request.
+std::string_view nameOf(const Claim &claim)
+{
+    if (claim.answer)
+        return "answer";
+    switch (claim.end) {
+    case ClaimEnd::NotRun:
+        return "not-run";
+    case ClaimEnd::MayHaveRun:
+        return "may-have-run";
+    case ClaimEnd::Open:
+        break;
+    }
+    return "open";
+}
+
 bool isRefusal(const HttpResponse &response)
 {
     return response.headers.find(header::run).has_value();
@@ -139,9 +155,7 @@
             const std::optional<RouteTarget> target =
                 m_forwarder.m_routing.acquireAt(m_plan.target.worker, m_plan.target.incarnation);
             if (!target) {
-                refusal = handedOverAnswer();
-                if (!refusal)
-                    refusal = refuse(statusUnavailable, header::runUnknown, "the agent is gone");
+                refusal = followClaimAgain(statusUnavailable, "the agent is gone");
             } else if (!m_traits.keyed)
                 m_plan.window = target->window;
             break;
@@ -155,10 +169,8 @@
         case RequestAction::Revoke:
         case RequestAction::AnswerUnknown:
             // The agent may have been stopped as planned since the claim was read.
-            refusal = handedOverAnswer();
-            if (!refusal)
-                refusal = refuse(statusTimeout, header::runUnknown,
-                                 "no whole answer came; whether it ran is not known");
+            refusal = followClaimAgain(statusTimeout,
+                                       "no whole answer came; whether it ran is not known");
             break;
         }
         if (refusal)
@@ -273,27 +285,34 @@
         *outcome);
 }
 
-std::optional<HttpResponse> RequestFlow::handedOverAnswer()
+std::optional<HttpResponse> RequestFlow::followClaimAgain(int status, const std::string &refusal)
 {
     if (!m_claim)
-        return std::nullopt;
+        return refuse(status, header::runUnknown, refusal);
+    ++m_claimAttempts;
     // The claim exists, so this only reads it.
     const Result<Outcome> outcome = m_forwarder.m_commands.execute(ClaimKey{*m_claim});
     const auto *granted = outcome ? std::get_if<ClaimGranted>(&*outcome) : nullptr;
+    const Claim none;
+    const Claim &claim = granted != nullptr ? granted->claim : none;
     logEvent(LogLevel::Info, "claim-read-again",
-             {{"request", m_claim->requestId},
-              {"found", granted != nullptr},
-              {"answer", granted != nullptr && granted->claim.answer.has_value()},
-              {"now_request", granted != nullptr ? granted->claim.requestId : RequestId()},
+             {{"from_request", m_claim->requestId},
+              {"request", claim.requestId},
+              {"worker", claim.worker},
+              {"incarnation", claim.incarnation},
+              {"end", nameOf(claim)},
               {"failure", outcome ? std::string() : outcome.error().message}});
-    if (granted == nullptr || !granted->claim.answer)
-        return std::nullopt;
-    return responseOf(*granted->claim.answer);
+    // A claim with another expiry replaces one that has expired and tells nothing about that one.
+    const bool known = granted != nullptr && claim.expiresAt == m_claim->expiresAt;
+    const bool goesOn = claim.end == ClaimEnd::NotRun || claim.requestId != m_claim->requestId;
+    if (known && (claim.answer || (goesOn && mayClaimAgain())))
+        return followClaim(claim);
+    return refuse(status, header::runUnknown, refusal);
 }
 
 std::optional<HttpResponse> RequestFlow::followClaim(const Claim &claim)
 {
-    if (m_claim)
+    if (m_claim && m_claim->requestId != claim.requestId)
         logEvent(LogLevel::Info, "claim-moved",
                  {{"from_request", m_claim->requestId},
                   {"request", claim.requestId},
@@ -303,12 +322,22 @@
     m_plan.id = claim.requestId;
     if (claim.answer)
         return responseOf(*claim.answer);
+    if (claim.end == ClaimEnd::NotRun && mayClaimAgain()) {
+        // Its agent was stopped as planned and has not run it: the claim moves to another.
+        m_triedWorkers.push_back(claim.worker);
+        return this->claim();
+    }
+    if (claim.end != ClaimEnd::Open)
+        return refuse(statusBadGateway, header::runUnknown,
+                      "the agent that may have run it was stopped, and its answer is not kept");
     const std::optional<RouteTarget> target =
         m_forwarder.m_routing.acquireAt(claim.worker, claim.incarnation);
-    // The record of what ran is lost with the agent's process.
-    if (!target)
-        return refuse(statusConflict, header::runUnknown,
-                      "the agent that may have run it is gone; it will not be run again");
+    if (!target) {
+        // The record of what ran is lost with the agent's process, unless it was stopped as
+        // planned since the claim was read.
+        return followClaimAgain(statusConflict,
+                                "the agent that may have run it is gone; it will not be run again");
+    }
     m_plan = {*target, claim.requestId, claim.window};
     return std::nullopt;
 }
--- a/Guavashift/Entry/RequestFlow.h
+++ b/Guavashift/Entry/RequestFlow.h
@@ -37,8 +37,9 @@
     std::optional<HttpResponse> claim();
     /// Returns the response that ends the request, or prepares a dispatch.
     std::optional<HttpResponse> followClaim(const Claim &claim);
-    /// The answer that a stopped agent has handed over, if the request has one.
-    std::optional<HttpResponse> handedOverAnswer();
+    /// Reads the claim again if its agent cannot tell whether the request ran. If the claim does,
+    /// or names another agent by now, the request goes on; otherwise it is refused as unknown.
+    std::optional<HttpResponse> followClaimAgain(int status, const std::string &refusal);
     Result<Outcome> commitClaim(const RouteTarget &target, std::uint64_t window);
     /// Whether another worker may be tried for the claim.
     [[nodiscard]] bool mayClaimAgain() const;
--- a/Guavashift/State/Commands.h
+++ b/Guavashift/State/Commands.h
@@ -148,12 +148,26 @@
     static constexpr std::string_view kind = "keep-answers";
     Incarnation incarnation; ///< Of the agent.
     std::vector<KeptAnswer> answers;
+    /// Further requests with a key that have run or may have run there, without an answer.
+    std::vector<RequestId> withoutAnswer;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeepAnswers, incarnation, answers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KeepAnswers, incarnation, answers, withoutAnswer)
 
-using CommandBody = std::variant<SubmitPatch, AnnounceWorker, UpdateBackends, DeclareWorkerLost,
-                                 DrainWorker, SubmitJob, CancelJobs, StartAttempt, EvictAttempt,
-                                 ThrottleAttempt, ReportAttempt, ClaimKey, MoveClaim, KeepAnswers>;
+/// Ends the claims of an agent that accepts no new request any more and has reported all that have
+/// run: what it has not reported never runs there.
+struct CloseAgent
+{
+    static constexpr std::string_view kind = "close-agent";
+    WorkerId worker;
+    Incarnation incarnation;
+    std::uint64_t oldestWindow = 0; ///< From which on the agent remembers requests with a key.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CloseAgent, worker, incarnation, oldestWindow)
+
+using CommandBody =
+    std::variant<SubmitPatch, AnnounceWorker, UpdateBackends, DeclareWorkerLost, DrainWorker,
+                 SubmitJob, CancelJobs, StartAttempt, EvictAttempt, ThrottleAttempt, ReportAttempt,
+                 ClaimKey, MoveClaim, KeepAnswers, CloseAgent>;
 
 /// Commands that were proposed together, with the leader's wall-clock time.
 struct CommandBatch
--- a/Guavashift/State/Records.h
+++ b/Guavashift/State/Records.h
@@ -61,10 +61,12 @@
     WallMs quarantinedUntil = 0;
     std::uint32_t quarantines = 0; ///< Consecutive ones; each doubles the length of the next.
     bool probation = false;        ///< After a quarantine, until one task succeeds.
+    Incarnation closedIncarnation; ///< Of the last agent that was stopped as planned.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Worker, id, facts, status, reserved, tasks,
                                                 backends, ordersVersion, routingVersion, failedJobs,
-                                                quarantinedUntil, quarantines, probation)
+                                                quarantinedUntil, quarantines, probation,
+                                                closedIncarnation)
 
 enum class TaskKind { LatencyCritical, Batch };
 NLOHMANN_JSON_SERIALIZE_ENUM(TaskKind,
@@ -184,6 +186,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeptAnswer, requestId, status, headers, body)
 
+/// What an agent that was stopped as planned has reported about a claimed request.
+enum class ClaimEnd {
+    Open,       ///< Nothing: it may run or have run.
+    MayHaveRun, ///< It has run or may have run there; its answer is not kept.
+    NotRun,     ///< It did not run there and never will.
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(ClaimEnd,
+                             {{ClaimEnd::Open, "open"},
+                              {ClaimEnd::MayHaveRun, "may-have-run"},
+                              {ClaimEnd::NotRun, "not-run"}})
+
 /// Assignment of the request with an idempotency key to the agent that may run it.
 struct Claim
 {
@@ -197,6 +210,7 @@
     WallMs expiresAt = 0;
     /// Handed over by the agent when it was stopped as planned.
     std::optional<KeptAnswer> answer = std::nullopt;
+    ClaimEnd end = ClaimEnd::Open;
 
     bool operator==(const Claim &) const = default;
 };
--- a/Guavashift/State/StateMachine.h
+++ b/Guavashift/State/StateMachine.h
@@ -81,6 +81,7 @@
     Outcome handle(const ClaimKey &command);
     Outcome handle(const MoveClaim &command);
     Outcome handle(const KeepAnswers &command);
+    Outcome handle(const CloseAgent &command);
 
     // Services and jobs.
     void reconcileServices();
@@ -114,6 +115,8 @@
     void expireClaims();
     void addClaim(const std::string &key, Claim claim);
     static std::string claimKey(const Claim &claim);
+    /// Of a claim that names its agent now.
+    [[nodiscard]] ClaimEnd endOfNewClaim(const Claim &claim) const;
 
     StateRules m_rules;
     WallMs m_time = 0;
--- a/Guavashift/State/StateMachineClaims.cpp
+++ b/Guavashift/State/StateMachineClaims.cpp
@@ -42,6 +42,8 @@
     }
     Claim claim = command.claim;
     claim.expiresAt = m_time + 1000 * WallMs(m_configuration.document().limits.keyExpirySeconds);
+    claim.end = endOfNewClaim(claim);
+    claim.answer.reset();
     addClaim(key, claim);
     return ClaimGranted{std::move(claim), true};
 }
@@ -59,9 +61,19 @@
     claim.worker = command.claim.worker;
     claim.incarnation = command.claim.incarnation;
     claim.window = command.claim.window;
+    claim.end = endOfNewClaim(claim);
     return ClaimGranted{claim, true};
 }
 
+ClaimEnd StateMachine::endOfNewClaim(const Claim &claim) const
+{
+    // An entry that has not heard yet that the agent was stopped names it still.
+    const auto worker = m_workers.find(claim.worker);
+    const bool closed = worker != m_workers.end() && !claim.incarnation.isEmpty()
+        && worker->second.closedIncarnation == claim.incarnation;
+    return closed ? ClaimEnd::NotRun : ClaimEnd::Open;
+}
+
 Findings StateMachine::checkInvariants() const
 {
     Findings findings;
@@ -106,17 +118,37 @@
     std::map<RequestId, const KeptAnswer *> answers;
     for (const KeptAnswer &answer : command.answers)
         answers.emplace(answer.requestId, &answer);
+    for (const RequestId &id : command.withoutAnswer)
+        answers.emplace(id, nullptr);
     for (auto &[key, claim] : m_claims) {
         const auto found = answers.find(claim.requestId);
-        if (claim.incarnation != command.incarnation || claim.answer || found == answers.end()
-            || m_keptAnswerBytes + found->second->body.size() > maxKeptAnswerBytes)
+        if (claim.incarnation != command.incarnation || claim.answer || found == answers.end())
             continue;
-        claim.answer = *found->second;
+        claim.end = ClaimEnd::MayHaveRun;
+        const KeptAnswer *answer = found->second;
+        if (answer == nullptr || m_keptAnswerBytes + answer->body.size() > maxKeptAnswerBytes)
+            continue;
+        claim.answer = *answer;
         m_keptAnswerBytes += bytesOf(claim);
     }
     return Applied{};
 }
 
+Outcome StateMachine::handle(const CloseAgent &command)
+{
+    const auto worker = m_workers.find(command.worker);
+    if (worker == m_workers.end())
+        return Rejected{"there is no such worker"};
+    worker->second.closedIncarnation = command.incarnation;
+    for (auto &[key, claim] : m_claims) {
+        // The agent may have forgotten requests of older windows.
+        if (claim.worker == command.worker && claim.incarnation == command.incarnation
+            && claim.end == ClaimEnd::Open && claim.window >= command.oldestWindow)
+            claim.end = ClaimEnd::NotRun;
+    }
+    return Applied{};
+}
+
 void StateMachine::addClaim(const std::string &key, Claim claim)
 {
     m_claimExpiry.emplace(claim.expiresAt, key);
@@ -132,6 +164,8 @@
             {"window", claim.window},           {"expiresAt", claim.expiresAt}};
     if (claim.answer)
         json["answer"] = *claim.answer;
+    if (claim.end != ClaimEnd::Open)
+        json["end"] = claim.end;
 }
 
 void from_json(const Json &json, Claim &claim)
@@ -145,6 +179,7 @@
     claim.incarnation = json.value("incarnation", none.incarnation);
     claim.window = json.value("window", none.window);
     claim.expiresAt = json.value("expiresAt", none.expiresAt);
+    claim.end = json.value("end", none.end);
     if (const auto answer = json.find("answer"); answer != json.end())
         claim.answer = answer->get<KeptAnswer>();
 }
--- a/UnitTests/Agent/RequestGateTest.cpp
+++ b/UnitTests/Agent/RequestGateTest.cpp
@@ -69,14 +69,38 @@
         m_running.clear();
     }
 
+    /// A planned stop: the agent reports what may have run, and the rest counts as not run.
+    void stopAsPlanned()
+    {
+        constexpr int copies = 10;
+        m_gate->startLeaving();
+        const auto copiesArrive = [this] {
+            for (int i = 0; i < copies; ++i) {
+                sendCopy();
+                finish();
+            }
+        };
+        copiesArrive();
+        const std::vector<RequestId> list = m_gate->acceptedKeyedRequests();
+        const std::set<RequestId> accepted(list.begin(), list.end());
+        for (const DispatchedRequest &dispatch : m_sent) {
+            if (dispatch.keyed && dispatch.incarnation == m_gate->incarnation()
+                && dispatch.window >= m_gate->oldestWindow(true) && !accepted.contains(dispatch.id))
+                m_observed[dispatch.id.value].reportedNotRun = true;
+        }
+        copiesArrive();
+    }
+
     void step()
     {
         m_now += std::chrono::milliseconds(below(300));
         m_gate->advance(m_now);
         const std::size_t kind = below(40);
-        if (kind == 0)
+        if (kind == 0) {
+            if (below(2) == 0)
+                stopAsPlanned();
             restart();
-        else if (kind < 12)
+        } else if (kind < 12)
             sendNewRequest();
         else if (kind < 24)
             sendCopy();
@@ -182,6 +206,7 @@
     CPPUNIT_TEST(limitsSlotsAndQueue);
     CPPUNIT_TEST(limitsRememberedRequests);
     CPPUNIT_TEST(namesTheNewestAnswersToHandOver);
+    CPPUNIT_TEST(namesAllRequestsThatMayHaveRun);
     CPPUNIT_TEST(refusesNewRequestsWhileLeaving);
     CPPUNIT_TEST(joinsRunningRequestsWithoutTheLease);
     CPPUNIT_TEST(repeatsKeptAnswer);
@@ -281,6 +306,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), gate.newestAnswers(7).size());
     }
 
+    /// Guards against claims that move elsewhere although their requests ran or still run here.
+    void namesAllRequestsThatMayHaveRun()
+    {
+        RequestGate gate(smallGate(), Incarnation{"i"}, Instant());
+        announce(gate, 2);
+        DispatchedRequest dispatch;
+        for (const char *id : {"done", "running", "waiting", "withdrawn", "revoked"}) {
+            dispatch = dispatchOf(id);
+            dispatch.keyed = true;
+            if (dispatch.id.value == "revoked")
+                (void)gate.revoke({dispatch.id, dispatch.incarnation, dispatch.window, true});
+            (void)gate.arrive(dispatch);
+            if (dispatch.id.value == "done")
+                (void)gate.finish(dispatch.id, {false, nullptr});
+            else if (dispatch.id.value == "running")
+                announce(gate, 1);
+        }
+        CPPUNIT_ASSERT(gate.withdraw(RequestId{"withdrawn"}));
+        std::vector<RequestId> accepted = gate.acceptedKeyedRequests();
+        std::sort(accepted.begin(), accepted.end());
+        const std::vector<RequestId> expected{RequestId{"done"}, RequestId{"running"},
+                                              RequestId{"waiting"}};
+        CPPUNIT_ASSERT(expected == accepted);
+    }
+
     void refusesNewRequestsWhileLeaving()
     {
         RequestGate gate(smallGate(), Incarnation{"i"}, Instant());
--- a/UnitTests/Entry/RequestFlowTest.cpp
+++ b/UnitTests/Entry/RequestFlowTest.cpp
@@ -82,7 +82,9 @@
         m_rpc.add(method::window, [incarnation](const Json &) -> Result<Json> {
             return Json(WindowReply{incarnation, window});
         });
-        m_rpc.add(method::revoke, [](const Json &) -> Result<Json> {
+        m_rpc.add(method::revoke, [this](const Json &) -> Result<Json> {
+            if (m_beforeRevocation)
+                m_beforeRevocation();
             return Json(RevokeReply{RevokeOutcome::Unknown, window});
         });
         CPPUNIT_ASSERT(m_rpc.start());
@@ -97,11 +99,18 @@
         }
     }
 
+    /// What happens between a dispatch and the answer to its revocation.
+    void setBeforeRevocation(std::function<void()> action)
+    {
+        m_beforeRevocation = std::move(action);
+    }
+
     [[nodiscard]] const WorkerRoute &route() const { return m_route; }
     [[nodiscard]] int runs() const { return m_runs; }
 
 private:
     std::atomic<int> m_runs = 0;
+    std::function<void()> m_beforeRevocation;
     HttpServer m_http;
     RpcServer m_rpc;
     WorkerRoute m_route;
@@ -170,6 +179,10 @@
 {
     CPPUNIT_TEST_SUITE(RequestFlowTest);
     CPPUNIT_TEST(claimsForAnotherAgentIfOneTellsNoWindow);
+    CPPUNIT_TEST(movesTheClaimOfAnAgentThatIsStoppedMeanwhile);
+    CPPUNIT_TEST(movesTheClaimOfAnAgentThatWasStopped);
+    CPPUNIT_TEST(movesNoClaimOfARequestThatMayHaveRun);
+    CPPUNIT_TEST(movesNoClaimOfAnAgentThatReportedNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,7 +199,65 @@
         CPPUNIT_ASSERT_EQUAL(count, m_working.runs());
     }
 
+    /// Guards against refusals as unknown of orders that were claimed for an agent just before it
+    /// was stopped as planned, and never reached it.
+    void movesTheClaimOfAnAgentThatIsStoppedMeanwhile()
+    {
+        m_entry.route({m_stopped.route()});
+        m_stopped.setBeforeRevocation([this] {
+            m_control.apply(CloseAgent{stopped, stoppedIncarnation, window});
+            m_entry.route({m_working.route()});
+        });
+        CPPUNIT_ASSERT_EQUAL(200, m_entry.order("k").status);
+        CPPUNIT_ASSERT_EQUAL(200, m_entry.order("k").status);
+    }
+
+    /// The same for a copy that arrives after the agent has returned with another incarnation.
+    void movesTheClaimOfAnAgentThatWasStopped()
+    {
+        claimForTheStoppedAgent();
+        m_control.apply(CloseAgent{stopped, stoppedIncarnation, window});
+        CPPUNIT_ASSERT_EQUAL(200, m_entry.order("k").status);
+        CPPUNIT_ASSERT_EQUAL(1, m_working.runs());
+    }
+
+    void movesNoClaimOfARequestThatMayHaveRun()
+    {
+        const RequestId request = claimForTheStoppedAgent();
+        m_control.apply(KeepAnswers{stoppedIncarnation, {}, {request}});
+        m_control.apply(CloseAgent{stopped, stoppedIncarnation, window});
+        expectUnknown(m_entry.order("k"));
+        CPPUNIT_ASSERT_EQUAL(0, m_working.runs());
+    }
+
+    void movesNoClaimOfAnAgentThatReportedNothing()
+    {
+        claimForTheStoppedAgent();
+        expectUnknown(m_entry.order("k"));
+        CPPUNIT_ASSERT_EQUAL(0, m_working.runs());
+    }
+
 private:
+    static void expectUnknown(const HttpResponse &response)
+    {
+        const std::string_view run = response.headers.find(header::run).value_or("");
+        CPPUNIT_ASSERT_EQUAL(std::string(header::runUnknown), std::string(run));
+    }
+
+    /// Sends the order while only the stopped agent is known, and lets the entry learn the working
+    /// one afterwards. Returns the id of the claimed request.
+    RequestId claimForTheStoppedAgent()
+    {
+        m_entry.route({m_stopped.route()});
+        const HttpResponse refusal = m_entry.order("k");
+        expectUnknown(refusal);
+        WorkerRoute returned = m_stopped.route();
+        returned.incarnation.value = "i3";
+        returned.backends.clear();
+        m_entry.route({returned, m_working.route()});
+        return RequestId{std::string(*refusal.headers.find(header::requestId))};
+    }
+
     TestControl m_control;
     TestAgent m_stopped{stopped, stoppedIncarnation, false};
     TestAgent m_working{working, workingIncarnation, true};
