Answer what has arrived on kept connections before a server stops

Cause: a stopping HttpServer waited until no request was in progress, and then closed all connections. A request that had arrived and was not read yet counted as none.

Change: a stopping server ends the reading of waiting connections (SHUT_RD), which leaves what has arrived readable, and closes a connection when that is answered. A new connection gets 0.5 s for its first request. A request that arrives after the server has read the end can still be lost; HTTP has no answer to that.

--- a/Guavashift/Http/HttpServer.cpp
+++ b/Guavashift/Http/HttpServer.cpp
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <charconv>
 #include <condition_variable>
+#include <map>
 #include <mutex>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace guavashift {
@@ -14,6 +16,21 @@
 constexpr std::size_t threadStackBytes = 256 << 10;
 /// Longest wait of a stopping server for requests in flight.
 constexpr Duration drainTimeout = std::chrono::seconds(5);
+/// Time in which the first request on a new connection must arrive at a stopping server.
+constexpr Duration firstRequestTimeout = std::chrono::milliseconds(500);
+
+/// One connection of a caller.
+struct CallerConnection
+{
+    enum class Phase {
+        New,     ///< No request has been read yet.
+        Active,  ///< A request is being read or answered.
+        Waiting, ///< For the next request.
+    };
+
+    MHD_socket socket = MHD_INVALID_SOCKET;
+    Phase phase = Phase::New;
+};
 
 /// One request in progress.
 struct Transfer
@@ -63,7 +80,7 @@
             MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
             httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_UNESCAPE_CALLBACK,
             &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted, this,
-            MHD_OPTION_END);
+            MHD_OPTION_NOTIFY_CONNECTION, &Implementation::onConnection, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
             return tl::unexpected(listenError(m_settings));
         return {};
@@ -79,10 +96,17 @@
         const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
         if (listening != MHD_INVALID_SOCKET)
             ::close(listening);
-        // Waits until the answers to requests in flight are sent.
+        // Waits until the answers to requests in flight are sent, also to those that have arrived
+        // and are not read yet.
         {
             std::unique_lock lock(m_mutex);
-            m_idle.wait_for(lock, drainTimeout, [this] { return m_active == 0; });
+            const auto allClosed = [this] { return m_connections.empty(); };
+            m_ending = true;
+            endReading(CallerConnection::Phase::Waiting);
+            if (!m_closed.wait_for(lock, firstRequestTimeout, allClosed)) {
+                endReading(CallerConnection::Phase::New);
+                m_closed.wait_for(lock, drainTimeout, allClosed);
+            }
         }
         MHD_stop_daemon(m_daemon);
         m_daemon = nullptr;
@@ -105,20 +129,58 @@
                                                           uploadSize, context);
     }
 
-    static void onCompleted(void *cls, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    static void onCompleted(void *cls, MHD_Connection *connection, void **context,
+                            MHD_RequestTerminationCode)
     {
         if (*context == nullptr)
             return;
         delete static_cast<Transfer *>(*context);
         *context = nullptr;
-        static_cast<Implementation *>(cls)->completed();
+        static_cast<Implementation *>(cls)->completed(connection);
+    }
+
+    static void onConnection(void *cls, MHD_Connection *connection, void **,
+                             MHD_ConnectionNotificationCode code)
+    {
+        auto &server = *static_cast<Implementation *>(cls);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            server.opened(connection);
+        else
+            server.closed(connection);
+    }
+
+    void opened(MHD_Connection *connection)
+    {
+        const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        const std::lock_guard lock(m_mutex);
+        m_connections[connection].socket = info->connect_fd;
+    }
+
+    void closed(MHD_Connection *connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(connection);
+        m_closed.notify_all();
     }
 
-    void completed()
+    void completed(MHD_Connection *connection)
     {
         const std::lock_guard lock(m_mutex);
-        --m_active;
-        m_idle.notify_all();
+        CallerConnection &caller = m_connections.at(connection);
+        caller.phase = CallerConnection::Phase::Waiting;
+        if (m_ending)
+            ::shutdown(caller.socket, SHUT_RD);
+    }
+
+    /// Connections in that phase end once what has arrived is answered. Expects the lock.
+    void endReading(CallerConnection::Phase phase)
+    {
+        // What has arrived before is still read after SHUT_RD, unlike after a close.
+        for (const auto &[connection, caller] : m_connections) {
+            if (caller.phase == phase)
+                ::shutdown(caller.socket, SHUT_RD);
+        }
     }
 
     MHD_Result access(MHD_Connection *connection, const char *url, const char *method,
@@ -137,7 +199,7 @@
             *context = transfer.release();
             {
                 const std::lock_guard lock(m_mutex);
-                ++m_active;
+                m_connections.at(connection).phase = CallerConnection::Phase::Active;
             }
             return tooLarge ? respond(connection, tooLargeResponse()) : MHD_YES;
         }
@@ -178,8 +240,9 @@
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<bool> m_closing = false;
     std::mutex m_mutex;
-    std::condition_variable m_idle;
-    std::size_t m_active = 0; ///< Requests whose answer is not sent completely.
+    std::condition_variable m_closed;
+    std::map<MHD_Connection *, CallerConnection> m_connections;
+    bool m_ending = false; ///< Connections end after their request.
 };
 
 HttpServer::HttpServer(const HttpServerSettings &settings, Handler handler)
--- a/Guavashift/Http/HttpServer.h
+++ b/Guavashift/Http/HttpServer.h
@@ -32,8 +32,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     Result<void> start();
-    /// Stops accepting connections, waits a limited time for requests in flight, then closes all
-    /// connections.
+    /// Stops accepting connections, waits a limited time until what has arrived is answered, then
+    /// closes all connections.
     void stop();
     /// Answers carry "Connection: close" from now on, so that callers connect elsewhere.
     void startClosing();
