Accept pending connections before a server stops listening

Cause: closing the listening socket resets connections that callers have made and the server has not accepted yet, with the requests on them.

Change: a stopping HttpServer accepts what is pending and answers it, then closes the listening socket.

--- a/Guavashift/Http/HttpServer.cpp
+++ b/Guavashift/Http/HttpServer.cpp
@@ -4,8 +4,10 @@
 #include <atomic>
 #include <charconv>
 #include <condition_variable>
+#include <fcntl.h>
 #include <map>
 #include <mutex>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -94,13 +96,15 @@
         // From here on new connections are refused, which callers can distinguish from a broken
         // answer.
         const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
-        if (listening != MHD_INVALID_SOCKET)
+        if (listening != MHD_INVALID_SOCKET) {
+            acceptPending(listening);
             ::close(listening);
+        }
         // Waits until the answers to requests in flight are sent, also to those that have arrived
         // and are not read yet.
         {
             std::unique_lock lock(m_mutex);
-            const auto allClosed = [this] { return m_connections.empty(); };
+            const auto allClosed = [this] { return m_connections.empty() && m_pending.empty(); };
             m_ending = true;
             endReading(CallerConnection::Phase::Waiting);
             if (!m_closed.wait_for(lock, firstRequestTimeout, allClosed)) {
@@ -149,12 +153,37 @@
             server.closed(connection);
     }
 
+    /// Accepts what has connected already; closing the listening socket would reset it.
+    void acceptPending(MHD_socket listening)
+    {
+        ::fcntl(listening, F_SETFL, ::fcntl(listening, F_GETFL) | O_NONBLOCK);
+        for (;;) {
+            sockaddr_storage address{};
+            socklen_t length = sizeof(address);
+            auto *caller = reinterpret_cast<sockaddr *>(&address);
+            const MHD_socket accepted =
+                ::accept4(listening, caller, &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+            if (accepted == MHD_INVALID_SOCKET)
+                return;
+            {
+                const std::lock_guard lock(m_mutex);
+                m_pending.insert(accepted);
+            }
+            // Closes the socket if it fails.
+            if (MHD_add_connection(m_daemon, accepted, caller, length) != MHD_YES) {
+                const std::lock_guard lock(m_mutex);
+                m_pending.erase(accepted);
+            }
+        }
+    }
+
     void opened(MHD_Connection *connection)
     {
         const MHD_ConnectionInfo *info =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
         const std::lock_guard lock(m_mutex);
         m_connections[connection].socket = info->connect_fd;
+        m_pending.erase(info->connect_fd);
     }
 
     void closed(MHD_Connection *connection)
@@ -242,7 +271,8 @@
     std::mutex m_mutex;
     std::condition_variable m_closed;
     std::map<MHD_Connection *, CallerConnection> m_connections;
-    bool m_ending = false; ///< Connections end after their request.
+    std::set<MHD_socket> m_pending; ///< Given to the daemon, which has not started them yet.
+    bool m_ending = false;          ///< Connections end after their request.
 };
 
 HttpServer::HttpServer(const HttpServerSettings &settings, Handler handler)
--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpServerTest);
     CPPUNIT_TEST(requestsThatArriveBeforeTheStopAreAnswered);
+    CPPUNIT_TEST(requestsOnNewConnectionsAreAnswered);
     CPPUNIT_TEST(connectionsWithoutARequestDoNotHoldUpTheStop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -41,6 +42,28 @@
         CPPUNIT_ASSERT_EQUAL(rounds * callerCount, answered);
     }
 
+    /// Guards against resets of connections that were made before the stop and not accepted yet.
+    void requestsOnNewConnectionsAreAnswered()
+    {
+        constexpr int rounds = 20;
+        constexpr std::size_t callerCount = 32;
+        std::size_t answered = 0;
+        for (int round = 0; round < rounds; ++round) {
+            HttpServer server({},
+                              [](const HttpRequest &) { return HttpResponse::text(200, "ok"); });
+            CPPUNIT_ASSERT(server.start());
+            std::vector<std::unique_ptr<HttpCaller>> callers;
+            for (std::size_t i = 0; i < callerCount; ++i) {
+                callers.push_back(std::make_unique<HttpCaller>(server.port()));
+                callers.back()->send("/first");
+            }
+            server.stop();
+            for (const auto &caller : callers)
+                answered += caller->receive() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(rounds * callerCount, answered);
+    }
+
     void connectionsWithoutARequestDoNotHoldUpTheStop()
     {
         HttpServer server({}, [](const HttpRequest &) { return HttpResponse::text(200, "ok"); });
