--- a/Guavashift/Entry/RequestFlow.cpp
+++ b/Guavashift/Entry/RequestFlow.cpp
@@ -43,6 +43,51 @@
     return response;
 }
 
+std::string_view nameOf(const DispatchEvent &event)
+{
+    return std::visit(
+        Overloaded{[](const Answered &) -> std::string_view { return "answered"; },
+                   [](const CertainlyNotRun &) -> std::string_view { return "not-run"; },
+                   [](const ContactLost &) -> std::string_view { return "contact-lost"; },
+                   [](const RunUnknown &) -> std::string_view { return "run-unknown"; },
+                   [](const RevokedAtAgent &) -> std::string_view { return "revoked"; },
+                   [](const StillRunning &) -> std::string_view { return "still-running"; },
+                   [](const RanToCompletion &) -> std::string_view { return "ran"; },
+                   [](const RevokeUnanswered &) -> std::string_view { return "unanswered"; }},
+        event);
+}
+
+std::string_view nameOf(RevokeOutcome outcome)
+{
+    switch (outcome) {
+    case RevokeOutcome::Revoked:
+        return "revoked";
+    case RevokeOutcome::Running:
+        return "running";
+    case RevokeOutcome::Done:
+        return "done";
+    case RevokeOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+/// What a claim says of its request.
+std::string_view nameOf(const Claim &claim)
+{
+    if (claim.answer)
+        return "answer";
+    switch (claim.end) {
+    case ClaimEnd::NotRun:
+        return "not-run";
+    case ClaimEnd::MayHaveRun:
+        return "may-have-run";
+    case ClaimEnd::Open:
+        break;
+    }
+    return "open";
+}
+
 bool isRefusal(const HttpResponse &response)
 {
     return response.headers.find(header::run).has_value();
@@ -110,9 +155,7 @@
             const std::optional<RouteTarget> target =
                 m_forwarder.m_routing.acquireAt(m_plan.target.worker, m_plan.target.incarnation);
             if (!target) {
-                refusal = handedOverAnswer();
-                if (!refusal)
-                    refusal = refuse(statusUnavailable, header::runUnknown, "the agent is gone");
+                refusal = followClaimAgain(statusUnavailable, "the agent is gone");
             } else if (!m_traits.keyed)
                 m_plan.window = target->window;
             break;
@@ -126,10 +169,8 @@
         case RequestAction::Revoke:
         case RequestAction::AnswerUnknown:
             // The agent may have been stopped as planned since the claim was read.
-            refusal = handedOverAnswer();
-            if (!refusal)
-                refusal = refuse(statusTimeout, header::runUnknown,
-                                 "no whole answer came; whether it ran is not known");
+            refusal = followClaimAgain(statusTimeout,
+                                       "no whole answer came; whether it ran is not known");
             break;
         }
         if (refusal)
@@ -182,7 +223,7 @@
     return reply->window;
 }
 
-Result<Outcome> RequestFlow::commitClaim(const RouteTarget &target)
+Result<Outcome> RequestFlow::commitClaim(const RouteTarget &target, std::uint64_t window)
 {
     Claim proposed;
     proposed.service = m_route.service;
@@ -191,23 +232,43 @@
     proposed.requestId = m_forwarder.newRequestId();
     proposed.worker = target.worker;
     proposed.incarnation = target.incarnation;
-    proposed.window = windowOf(target);
-    if (proposed.window == 0)
-        return fail(ErrorCode::Unavailable, "the agent does not answer");
+    proposed.window = window;
     if (m_claim)
         return m_forwarder.m_commands.execute(MoveClaim{m_claim->requestId, proposed});
     return m_forwarder.m_commands.execute(ClaimKey{proposed});
 }
 
+bool RequestFlow::mayClaimAgain() const
+{
+    return m_claimAttempts < m_forwarder.m_settings.maxAttempts
+        && BootClock::now() + m_forwarder.m_settings.minTimeForRetry < m_deadline;
+}
+
 std::optional<HttpResponse> RequestFlow::claim()
 {
+    ++m_claimAttempts;
     // A claim needs a backend server. If there is none, an earlier claim may still exist, so
     // whether the request ran is unknown.
     if (chooseTarget())
         return refuse(statusUnavailable, header::runUnknown,
                       "no backend server can take it; whether an earlier copy ran is not known");
     const RouteTarget target = m_plan.target;
-    Result<Outcome> outcome = commitClaim(target);
+    const std::uint64_t window = windowOf(target);
+    if (window == 0) {
+        // The agent may have been stopped. Nothing has been claimed for it by this request.
+        m_forwarder.m_routing.release(m_route.service, target.worker, DispatchResult::Failed, {});
+        m_triedWorkers.push_back(target.worker);
+        logEvent(LogLevel::Info, "agent-without-window",
+                 {{"key_hash", hexOf(hashBytes(m_key))},
+                  {"worker", target.worker},
+                  {"incarnation", target.incarnation},
+                  {"claim_attempts", m_claimAttempts}});
+        if (mayClaimAgain())
+            return claim();
+        return refuse(statusUnavailable, header::runUnknown,
+                      "the key could not be claimed: the agent does not answer");
+    }
+    Result<Outcome> outcome = commitClaim(target, window);
     m_forwarder.m_routing.release(m_route.service, target.worker, DispatchResult::Busy, {});
     if (!outcome)
         return refuse(statusUnavailable, header::runUnknown,
@@ -224,30 +285,59 @@
         *outcome);
 }
 
-std::optional<HttpResponse> RequestFlow::handedOverAnswer()
+std::optional<HttpResponse> RequestFlow::followClaimAgain(int status, const std::string &refusal)
 {
     if (!m_claim)
-        return std::nullopt;
+        return refuse(status, header::runUnknown, refusal);
+    ++m_claimAttempts;
     // The claim exists, so this only reads it.
     const Result<Outcome> outcome = m_forwarder.m_commands.execute(ClaimKey{*m_claim});
     const auto *granted = outcome ? std::get_if<ClaimGranted>(&*outcome) : nullptr;
-    if (granted == nullptr || !granted->claim.answer)
-        return std::nullopt;
-    return responseOf(*granted->claim.answer);
+    const Claim none;
+    const Claim &claim = granted != nullptr ? granted->claim : none;
+    logEvent(LogLevel::Info, "claim-read-again",
+             {{"from_request", m_claim->requestId},
+              {"request", claim.requestId},
+              {"worker", claim.worker},
+              {"incarnation", claim.incarnation},
+              {"end", nameOf(claim)},
+              {"failure", outcome ? std::string() : outcome.error().message}});
+    // A claim with another expiry replaces one that has expired and tells nothing about that one.
+    const bool known = granted != nullptr && claim.expiresAt == m_claim->expiresAt;
+    const bool goesOn = claim.end == ClaimEnd::NotRun || claim.requestId != m_claim->requestId;
+    if (known && (claim.answer || (goesOn && mayClaimAgain())))
+        return followClaim(claim);
+    return refuse(status, header::runUnknown, refusal);
 }
 
 std::optional<HttpResponse> RequestFlow::followClaim(const Claim &claim)
 {
+    if (m_claim && m_claim->requestId != claim.requestId)
+        logEvent(LogLevel::Info, "claim-moved",
+                 {{"from_request", m_claim->requestId},
+                  {"request", claim.requestId},
+                  {"worker", claim.worker},
+                  {"incarnation", claim.incarnation}});
     m_claim = claim;
     m_plan.id = claim.requestId;
     if (claim.answer)
         return responseOf(*claim.answer);
+    if (claim.end == ClaimEnd::NotRun && mayClaimAgain()) {
+        // Its agent was stopped as planned and has not run it: the claim moves to another.
+        m_triedWorkers.push_back(claim.worker);
+        return this->claim();
+    }
+    if (claim.end != ClaimEnd::Open)
+        return refuse(statusBadGateway, header::runUnknown,
+                      "the agent that may have run it was stopped, and its answer is not kept");
     const std::optional<RouteTarget> target =
         m_forwarder.m_routing.acquireAt(claim.worker, claim.incarnation);
-    // The record of what ran is lost with the agent's process.
-    if (!target)
-        return refuse(statusConflict, header::runUnknown,
-                      "the agent that may have run it is gone; it will not be run again");
+    if (!target) {
+        // The record of what ran is lost with the agent's process, unless it was stopped as
+        // planned since the claim was read.
+        return followClaimAgain(statusConflict,
+                                "the agent that may have run it is gone; it will not be run again");
+    }
     m_plan = {*target, claim.requestId, claim.window};
     return std::nullopt;
 }
@@ -357,7 +447,23 @@
     call.timeout = timeLeft;
     call.reuseConnection = !once;
 
-    DispatchOutcome outcome = classify(traits, plan, forwarder.m_client.send(call));
+    tl::expected<HttpResponse, HttpFailure> answer = forwarder.m_client.send(call);
+    const std::string failure = answer ? std::string() : answer.error().message;
+    DispatchOutcome outcome = classify(traits, plan, std::move(answer));
+    if (!std::holds_alternative<Answered>(outcome.event)) {
+        const HttpHeaders &headers = outcome.response.headers;
+        logEvent(LogLevel::Info, "dispatch-failed",
+                 {{"request", plan.id},
+                  {"keyed", traits.keyed},
+                  {"worker", plan.target.worker},
+                  {"incarnation", plan.target.incarnation},
+                  {"window", plan.window},
+                  {"outcome", nameOf(outcome.event)},
+                  {"status", outcome.response.status},
+                  {"refusal", headers.find(header::refusal).value_or("")},
+                  {"failure", failure},
+                  {"elapsed_ms", toMs(BootClock::now() - started)}});
+    }
     if (const auto window = outcome.response.headers.find(header::window)) {
         std::uint64_t number = 0;
         std::from_chars(window->data(), window->data() + window->size(), number);
@@ -417,6 +523,13 @@
                                 m_traits.keyed};
     const Result<RevokeReply> reply = m_forwarder.m_agents.revoke(
         m_plan.target.rpcAddress, request, m_forwarder.m_settings.revokeTimeout);
+    logEvent(LogLevel::Info, "request-revoked",
+             {{"request", m_plan.id},
+              {"worker", m_plan.target.worker},
+              {"incarnation", m_plan.target.incarnation},
+              {"window", m_plan.window},
+              {"outcome", reply ? nameOf(reply->outcome) : "no-answer"},
+              {"failure", reply ? std::string() : reply.error().message}});
     if (!reply)
         return RevokeUnanswered{};
     m_forwarder.m_routing.updateWindow(m_plan.target.worker, reply->window);
@@ -436,6 +549,19 @@
 HttpResponse RequestFlow::refuse(int status, std::string_view run, const std::string &message) const
 {
     m_forwarder.m_refusals.Increment();
+    const Claim none;
+    const Claim &claim = m_claim ? *m_claim : none;
+    logEvent(LogLevel::Info, "request-refused",
+             {{"request", m_plan.id},
+              {"key_hash", m_traits.keyed ? hexOf(hashBytes(m_key)) : std::string()},
+              {"run", run},
+              {"status", status},
+              {"reason", message},
+              {"attempts", m_attempts},
+              {"claim_worker", claim.worker},
+              {"claim_incarnation", claim.incarnation},
+              {"claim_window", claim.window},
+              {"time_left_ms", toMs(m_deadline - BootClock::now())}});
     HttpResponse response = HttpResponse::json(status, {{"error", message}, {"run", run}});
     response.headers.set(header::run, std::string(run));
     return response;
