Keep a lifetime after the goodbye of its worker until it has ended

A worker's goodbye got no acknowledgement, so it went on for some seconds, and its tasks were started on other workers at once.

Cause: AgentNode::workerStopping reported the lifetime as ended when it read the goodbye, which only announces the end.

Change: after a goodbye the agent treats the worker as draining and sends it no start, also if a report of the same lifetime follows. It goes on polling: ends are passed on, and the lifetime ends with a refused connection, another lifetime or the end of its lease. A worker that ends at once breaks off the open poll; the next one follows without a pause and is refused. A worker that stops answering after its goodbye gets no longer lease. A goodbye that names the worker but came from its earlier lifetime does not keep the worker idle for good. No frame is changed; orders after the report of an end are refused as before.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -162,7 +162,7 @@
 
 // The worker's reports about itself.
 
-void AgentNode::workerReported(const WorkerFacts &facts, std::uint64_t sequence)
+void AgentNode::workerReported(WorkerFacts facts, std::uint64_t sequence)
 {
     const bool isNew = !m_facts || m_facts->lifetime != facts.lifetime;
     // A report of an ended lifetime may arrive late. Its worker started earlier.
@@ -174,6 +174,7 @@
     if (isNew) {
         if (m_facts)
             endLostLifetime();
+        m_goodbyeAt.reset();
         // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
         // waiting.
         ++m_pollEpoch;
@@ -193,8 +194,10 @@
                   {"born", facts.lifetime.startedAt},
                   {"service", facts.service},
                   {"milli_cores", facts.capacity.milliCores}});
-    } else if (*m_facts == facts) {
-        return;
+    } else {
+        applyGoodbye(facts);
+        if (*m_facts == facts)
+            return;
     }
     const bool drains = facts.draining && !m_facts->draining;
     m_facts = facts;
@@ -209,8 +212,25 @@
 
 void AgentNode::workerStopping(const std::string &worker)
 {
-    if (m_facts && m_facts->lifetime.worker == worker)
-        endLifetime(LifetimeEnd::Left);
+    if (!m_facts || m_facts->lifetime.worker != worker)
+        return;
+    logEvent(LogLevel::Info, "worker-leaves",
+             {{"worker", worker}, {"born", m_facts->lifetime.startedAt}, {"runs", m_runs.size()}});
+    // Without an acknowledgement the worker goes on for some seconds. Polls show when it is gone.
+    m_goodbyeAt = BootClock::now();
+    if (std::exchange(m_facts->draining, true))
+        return;
+    m_link.send(WorkerReport{*m_facts});
+}
+
+void AgentNode::applyGoodbye(WorkerFacts &facts)
+{
+    if (!m_goodbyeAt)
+        return;
+    if (!facts.draining && BootClock::now() - *m_goodbyeAt > m_agent.goodbyeValidity)
+        m_goodbyeAt.reset();
+    else
+        facts.draining = true;
 }
 
 void AgentNode::endLostLifetime()
@@ -311,7 +331,9 @@
     request.seenUpTo = m_committedUpTo;
     // A failed poll may have been carried out. Extending the lease with each of them would put off
     // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
-    const bool extends = !m_pollsFailSince || now - *m_pollsFailSince < m_agent.failedPollGrace;
+    // A worker that has said goodbye will probably not answer again.
+    const bool extends =
+        !m_pollsFailSince || (!m_goodbyeAt && now - *m_pollsFailSince < m_agent.failedPollGrace);
     request.untilMs = extends ? m_lease.untilMs(now) : 0;
     request.wait = wait;
     ++m_openPolls;
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -37,6 +37,9 @@
     Duration crashProbation = std::chrono::seconds(1);
     /// Of these, those that were started this long before the last one, or later, count.
     Duration crashWindow = std::chrono::milliseconds(250);
+    /// A worker that reports itself as ready this long after a goodbye under its name goes on: the
+    /// goodbye was that of an earlier lifetime.
+    Duration goodbyeValidity = std::chrono::seconds(10);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
@@ -59,8 +62,10 @@
     void setSeeds(const std::vector<std::string> &seeds) { m_link.setSeeds(seeds); }
 
     /// Takes a report of the worker about itself. Ignores one that is older than the last.
-    void workerReported(const WorkerFacts &facts, std::uint64_t sequence);
-    /// Takes a worker's report that it is shutting down.
+    void workerReported(WorkerFacts facts, std::uint64_t sequence);
+    /// Takes a worker's goodbye: it gets no more starts, and its runs will end. They count as ended
+    /// only once it lists their ends, refuses connections, begins another lifetime or loses its
+    /// lease.
     void workerStopping(const std::string &worker);
 
 private:
@@ -122,6 +127,9 @@
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
     void drop(RunKey key, std::string_view reason);
+    /// Marks a worker that has said goodbye as draining, unless it goes on reporting itself as
+    /// ready for so long that the goodbye was not its own.
+    void applyGoodbye(WorkerFacts &facts);
     /// Ends the lifetime of a worker whose program is gone or was replaced.
     void endLostLifetime();
     void endLifetime(LifetimeEnd end);
@@ -152,6 +160,7 @@
     std::optional<WorkerFacts> m_facts;
     Instant m_foundAt; ///< When the present lifetime was found.
     std::uint64_t m_sequence = 0;
+    std::optional<Instant> m_goodbyeAt; ///< When the present lifetime said goodbye.
     /// Sent again in each session: the leader may have lost them with its leadership.
     std::optional<OpenStarts> m_lastOpenStarts;
     std::optional<WorkerCrashed> m_lastCrash;
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -17,7 +17,7 @@
     settings.seeds = {leader};
     settings.bounds = m_bounds;
     m_leader = std::make_unique<FakeLeader>(*m_loop, leader);
-    m_agent = std::make_unique<AgentNode>(*m_loop, AgentNodeSettings{}, settings, ChannelSettings{},
+    m_agent = std::make_unique<AgentNode>(*m_loop, m_agentSettings, settings, ChannelSettings{},
                                           m_worker, m_metrics, 5);
     CPPUNIT_ASSERT(m_agent->start());
 }
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -38,7 +38,8 @@
 
     static inline const TaskRef task{"j", 0, 0, 0};
 
-    FleetBounds m_bounds; ///< Of the agent. Set before setUp().
+    FleetBounds m_bounds;              ///< Of the agent. Set before setUp().
+    AgentNodeSettings m_agentSettings; ///< Set before setUp().
     std::unique_ptr<EventLoop> m_loop;
     FleetMetrics m_metrics;
     HeldWorker m_worker;
