Keep runs whose starts a restarted agent does not know

What callers would see: TWICE. An agent restarts while a start of its earlier process is on its way, finds the worker, and the worker restarts as well before it has answered a poll. The next lifetime carries the start out, and the task is started on another worker too. By reading; not seen from outside.

Cause: the later process of the agent has no runs, so it reports no open starts with the end of the lifetime, and the leader settled all runs there.

Change: runs that the leader ordered in an earlier session of the agent, and that were never listed, stay bound like reported open starts when an agent reports an end: until the list of the next lifetime, a refusal, or the end of the longest lease. Listed runs are settled at once as before. If a worker under another name takes the machine, open starts are settled at once, since it refuses calls that name the earlier one. Frames are unchanged, and fewer runs are settled than before, so the agent's refusal of orders stays sound.

Ruled out: a fix in the agent, which cannot know the starts.

Before: LifetimeChangeTest::keepsRunThatARestartedAgentDoesNotKnow and keepsSuchARunForTheLongestLease fail.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -290,11 +290,14 @@
 
 void Dispatcher::workerReported(const std::string &node, const WorkerFacts &facts, Instant now)
 {
-    // One machine has one worker: an earlier lifetime there has ended.
-    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
-        if (lifetime.worker != facts.lifetime.worker
-            && lifetime.startedAt <= facts.lifetime.startedAt)
-            lifetimeEnded(lifetime, LifetimeEnd::Left, {});
+    // One machine has one worker: an earlier lifetime there has ended, and this one refuses calls
+    // that name the other worker.
+    for (const Lifetime &lifetime : m_pool.lifetimesLastReportedBy(node)) {
+        if (lifetime.worker == facts.lifetime.worker
+            || lifetime.startedAt > facts.lifetime.startedAt)
+            continue;
+        closeStarts(*m_pool.find(lifetime));
+        settleLifetime(lifetime, LifetimeEnd::Left, {});
     }
     bool followsAnother = false;
     for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
@@ -375,6 +378,11 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
+    for (const RunStatus &row : rows) {
+        const auto found = worker->runs.find(row.task);
+        if (found != worker->runs.end() && found->second.run == row.run)
+            found->second.listed = true;
+    }
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
@@ -395,6 +403,8 @@
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
         if (found != running.end() && found->second == run.run) {
+            run.listed = true;
+            run.startIsOpen = false;
             // A stop sent to the previous session is ordered again.
             const StageJob *job = m_jobTable.find(task.job);
             run.stopRequested = false;
@@ -450,6 +460,7 @@
     PlacedRun run = earlier.runs.at(task);
     run.stopRequested = false;
     run.startIsOpen = false;
+    run.listed = true;
     m_pool.release(earlier.facts.lifetime, task);
     m_pool.place(lifetime, std::move(run));
     m_placed[task] = lifetime;
@@ -498,6 +509,38 @@
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
+    // The lease in a start that reaches a worker after it was unreachable has expired.
+    if (end != LifetimeEnd::Unreachable)
+        keepUnknownStarts(*worker);
+    settleLifetime(lifetime, end, recentRuns);
+}
+
+void Dispatcher::keepUnknownStarts(PoolWorker &worker) const
+{
+    // Reports that follow the end of the lifetime tell nothing more about its agent.
+    if (worker.node.empty())
+        return;
+    bool keeps = false;
+    for (auto &[task, run] : worker.runs) {
+        if (!run.committed || run.ordered || run.listed)
+            continue;
+        run.startIsOpen = true;
+        keeps = true;
+    }
+    if (keeps)
+        awaitNextLifetime(worker, m_now);
+}
+
+void Dispatcher::closeStarts(PoolWorker &worker)
+{
+    for (auto &[task, run] : worker.runs)
+        run.startIsOpen = false;
+}
+
+void Dispatcher::settleLifetime(const Lifetime &lifetime, LifetimeEnd end,
+                                std::span<const TaskRun> recentRuns)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
     // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
     // have lost power.
     lapseAllRuns(lifetime, settleReasonOf(end),
@@ -622,12 +665,11 @@
             expired.push_back(lifetime);
     }
     for (const Lifetime &lifetime : expired) {
-        for (auto &[task, run] : m_pool.find(lifetime)->runs)
-            run.startIsOpen = false;
+        closeStarts(*m_pool.find(lifetime));
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
         // usable again. It would not be reported again if its lifetime were removed here.
         if (m_pool.find(lifetime)->node.empty())
-            lifetimeEnded(lifetime, LifetimeEnd::Left, {});
+            settleLifetime(lifetime, LifetimeEnd::Left, {});
         else
             lapseAllRuns(lifetime, SettleReason::LeaseExpired, {});
     }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -144,8 +144,10 @@
     /// the worker, that are not in it never start.
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
-    /// Handles that no run of that lifetime runs now or ever will again. That of an unreachable
-    /// worker stays known. `recentRuns`: started shortly before a crash.
+    /// Handles an agent's report that no run of that lifetime runs now or ever will again. That of
+    /// an unreachable worker stays known. `recentRuns`: started shortly before a crash. Runs of
+    /// which the agent knows nothing, because it restarted after their starts, are kept like those
+    /// in startsOpen().
     void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
                        std::span<const TaskRun> recentRuns);
     /// Handles that these runs of a lifetime may still be carried out by the next one under the
@@ -240,6 +242,13 @@
     void occurrenceEnded(const std::string &id, const StageJob &job);
     void removeSchedule(const std::string &id);
     void beginDueOccurrences(WallMs wallNow);
+    /// Marks the starts as open that an agent which restarted after them cannot report as open.
+    void keepUnknownStarts(PoolWorker &worker) const;
+    /// Handles that no lifetime can carry out the worker's open starts any more.
+    static void closeStarts(PoolWorker &worker);
+    /// Settles an ended lifetime, all runs but those whose start is open.
+    void settleLifetime(const Lifetime &lifetime, LifetimeEnd end,
+                        std::span<const TaskRun> recentRuns);
     /// Ends all runs of a lifetime but those whose start is open.
     void lapseAllRuns(const Lifetime &lifetime, SettleReason reason,
                       const std::set<TaskRef> &suspected);
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -92,6 +92,7 @@
                   {"reason", "over its capacity"}});
         return queueEnd(run, RunEnd::NotStarted, SettleReason::OverCapacity);
     }
+    run.ordered = true;
     m_orders.emplace_back(worker.node,
                           StartOrder{start.lifetime,
                                      traitsOf(start.task, start.run),
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -58,29 +58,53 @@
 {
     m_workers.clear();
     m_byNode.clear();
+    m_byLastNode.clear();
 }
 
-void WorkerPool::setNode(PoolWorker &worker, const std::string &node)
+void WorkerPool::move(NodeIndex &index, const Lifetime &lifetime, const std::string &from,
+                      const std::string &to)
 {
-    const Lifetime &lifetime = worker.facts.lifetime;
-    if (const auto before = m_byNode.find(worker.node); before != m_byNode.end()) {
+    if (const auto before = index.find(from); before != index.end()) {
         before->second.erase(lifetime);
         if (before->second.empty())
-            m_byNode.erase(before);
+            index.erase(before);
     }
+    if (!to.empty())
+        index[to].insert(lifetime);
+}
+
+void WorkerPool::setNode(PoolWorker &worker, const std::string &node)
+{
+    if (worker.node == node)
+        return;
+    for (auto &[task, run] : worker.runs)
+        run.ordered = false;
+    move(m_byNode, worker.facts.lifetime, worker.node, node);
     worker.node = node;
-    if (!node.empty())
-        m_byNode[node].insert(lifetime);
+    if (node.empty())
+        return;
+    move(m_byLastNode, worker.facts.lifetime, worker.lastNode, node);
+    worker.lastNode = node;
 }
 
-std::vector<Lifetime> WorkerPool::lifetimesReportedBy(const std::string &node) const
+std::vector<Lifetime> WorkerPool::lifetimesIn(const NodeIndex &index, const std::string &node)
 {
-    const auto found = m_byNode.find(node);
-    if (found == m_byNode.end())
+    const auto found = index.find(node);
+    if (found == index.end())
         return {};
     return {found->second.begin(), found->second.end()};
 }
 
+std::vector<Lifetime> WorkerPool::lifetimesReportedBy(const std::string &node) const
+{
+    return lifetimesIn(m_byNode, node);
+}
+
+std::vector<Lifetime> WorkerPool::lifetimesLastReportedBy(const std::string &node) const
+{
+    return lifetimesIn(m_byLastNode, node);
+}
+
 std::vector<Lifetime> WorkerPool::lifetimesOf(const std::string &worker) const
 {
     std::vector<Lifetime> lifetimes;
@@ -97,6 +121,7 @@
     if (found == m_workers.end() || !found->second.runs.empty())
         return;
     setNode(found->second, {});
+    move(m_byLastNode, lifetime, found->second.lastNode, {});
     m_workers.erase(found);
 }
 
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -21,6 +21,8 @@
     bool committed = false;
     bool stopRequested = false;
     bool startIsOpen = false; ///< The start has no answer, and its lifetime has ended.
+    bool ordered = false;     ///< In the present session of its worker's agent.
+    bool listed = false;      ///< As running, in a report on the lifetime that it is bound to.
     bool suspected = false;   ///< A worker had crashed under the task before.
     Instant boundAt;
     Instant readyAt; ///< When the task became ready; 0 if an earlier leader bound the run.
@@ -48,6 +50,7 @@
 {
     WorkerFacts facts;
     std::string node;          ///< Node whose agent reports for it; empty: none at present.
+    std::string lastNode;      ///< Node whose agent reported for it last.
     bool hasFacts = false;     ///< False if the worker is known from bound runs only.
     bool unreachable = false;  ///< Does not answer its agent.
     Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
@@ -92,10 +95,13 @@
     PoolWorker &add(const Lifetime &lifetime);
     void clear();
 
-    /// Makes the agent on `node` the one that reports for the worker; empty: none.
+    /// Makes the agent on `node` the one that reports for the worker; empty: none. With another
+    /// node a new session begins.
     void setNode(PoolWorker &worker, const std::string &node);
     /// Lifetimes for which the agent on `node` reports.
     [[nodiscard]] std::vector<Lifetime> lifetimesReportedBy(const std::string &node) const;
+    /// Lifetimes for which the agent on `node` reports, or did so last.
+    [[nodiscard]] std::vector<Lifetime> lifetimesLastReportedBy(const std::string &node) const;
     /// Lifetimes of the worker named `worker`.
     [[nodiscard]] std::vector<Lifetime> lifetimesOf(const std::string &worker) const;
 
@@ -107,7 +113,16 @@
 
 private:
     Workers m_workers;
-    std::map<std::string, std::set<Lifetime>> m_byNode;
+    using NodeIndex = std::map<std::string, std::set<Lifetime>>;
+
+    /// Moves a lifetime between the entries of two nodes; empty: none.
+    static void move(NodeIndex &index, const Lifetime &lifetime, const std::string &from,
+                     const std::string &to);
+    [[nodiscard]] static std::vector<Lifetime> lifetimesIn(const NodeIndex &index,
+                                                           const std::string &node);
+
+    NodeIndex m_byNode;
+    NodeIndex m_byLastNode;
 };
 
 } // namespace guavashift
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -16,6 +16,10 @@
     CPPUNIT_TEST(restartsAtOnceWhenAnotherWorkerTookTheMachine);
     CPPUNIT_TEST(keepsRunWithAnOpenStartForTheLongestLease);
     CPPUNIT_TEST(restartsRunWhoseOpenStartWasRefused);
+    CPPUNIT_TEST(keepsRunThatARestartedAgentDoesNotKnow);
+    CPPUNIT_TEST(keepsSuchARunForTheLongestLease);
+    CPPUNIT_TEST(restartsListedRunAtOnceAfterARestartOfTheAgent);
+    CPPUNIT_TEST(restartsSuchARunWhenAnotherWorkerTookTheMachine);
     CPPUNIT_TEST(grantsNoLeaseToANodeWithoutAReport);
     CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +160,66 @@
         CPPUNIT_ASSERT_EQUAL(2U, task().run);
     }
 
+    /// Guards against a task that runs twice: its agent restarted and found the worker, which
+    /// restarted as well before it answered. The agent does not know the start that the next
+    /// lifetime carries out.
+    void keepsRunThatARestartedAgentDoesNotKnow()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n2", worker("w2"), at(1));
+        restartAgentAndWorker();
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(21));
+        decideAndCommit(22);
+        decideAndCommit(23);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        m_dispatcher->inventoryReported({"w1", 2}, listed(), at(5));
+        decideAndCommit(30);
+        decideAndCommit(31);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+    }
+
+    /// Guards against such a run that stays bound for ever without a next lifetime.
+    void keepsSuchARunForTheLongestLease()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n2", worker("w2"), at(1));
+        restartAgentAndWorker();
+        const auto longest = static_cast<int>(toMs(DispatchSettings{}.longestLease));
+        for (int now = 100; now <= longest + 2000; now += 100) {
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
+            decideAndCommit(now);
+            CPPUNIT_ASSERT(now > longest || task().run == 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+    }
+
+    /// Guards against a task that waits although its run ended with its worker: the lifetime that
+    /// ended had listed it.
+    void restartsListedRunAtOnceAfterARestartOfTheAgent()
+    {
+        bindTask();
+        m_dispatcher->workerReported("n2", worker("w2"), at(1));
+        m_dispatcher->runsReported({"w1", 1}, listed(), at(5));
+        restartAgentAndWorker();
+        decideAndCommit(22);
+        decideAndCommit(23);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+    }
+
+    /// Guards against the same if a worker under another name took the machine.
+    void restartsSuchARunWhenAnotherWorkerTookTheMachine()
+    {
+        bindTask();
+        restartAgentAndWorker();
+        m_dispatcher->workerReported("n1", worker("w9", 2), at(21));
+        decideAndCommit(22);
+        decideAndCommit(23);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+        CPPUNIT_ASSERT_EQUAL(std::string("w9"), task().lifetime.worker);
+    }
+
     /// Guards against a task that is started elsewhere while its worker still runs it, on a lease
     /// that was granted in a session in which the worker was not reported.
     void grantsNoLeaseToANodeWithoutAReport()
@@ -184,6 +248,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
     }
 
+    /// Has the agent restart and find the worker, whose program ends before it lists its runs.
+    void restartAgentAndWorker()
+    {
+        m_dispatcher->nodeLost("n1");
+        m_dispatcher->workerReported("n1", worker("w1"), at(20));
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, {});
+    }
+
     [[nodiscard]] const StageTask &task() const { return *m_jobTable->find(ref); }
     [[nodiscard]] static std::vector<RunStatus> listed() { return {{ref, 1, {}, 10, 0}}; }
 
