Take a poll's answer without readable lists for no answer

A worker answers a poll with status 200 and a body that is no JSON object, all its runs are settled as never started, and their tasks run on other workers as well.

Cause: answers to polls were read like those to starts, whose body may be short: an unreadable body is an object without fields, and an absent list is empty.

Before: WireFormatTest::takesUnreadableListsForNoAnswer fails.

--- a/UnitTests/Platform/WireFormatTest.cpp
+++ b/UnitTests/Platform/WireFormatTest.cpp
@@ -42,6 +42,8 @@
     CPPUNIT_TEST(readsReports);
     CPPUNIT_TEST(readsWorkerReplies);
     CPPUNIT_TEST(tellsWhetherAllEndsAreListed);
+    CPPUNIT_TEST(takesUnreadableListsForNoAnswer);
+    CPPUNIT_TEST(readsAnswersWithoutLists);
     CPPUNIT_TEST(survivesAnyBytes);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST(reportsAllFindingsInSettings);
@@ -158,6 +160,38 @@
         CPPUNIT_ASSERT(!readWorkerReply(200, Json{{"ended", ended}}.dump()).listsAllEnds);
     }
 
+    /// Guards against runs that are settled as never started although they work: their worker's
+    /// list could not be read.
+    void takesUnreadableListsForNoAnswer()
+    {
+        for (const std::string_view body :
+             {"", "x", "[]", "null", "7", R"({"clock_ms":5,"running":[)", "{}", R"({"running":[]})",
+              R"({"clock_ms":"5","running":[],"ended":[]})",
+              R"({"clock_ms":5,"running":null,"ended":[]})",
+              R"({"clock_ms":5,"running":{},"ended":[]})",
+              R"({"clock_ms":5,"running":[],"ended":null})"}) {
+            const WorkerReply reply = readLists(200, body);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(body),
+                                         std::string(nameOf(WorkerCallResult::NoAnswer)),
+                                         std::string(nameOf(reply.result)));
+        }
+        const WorkerReply reply =
+            readLists(200, R"({"clock_ms":5,"running":[["j.0.1.17",2,"",41]],"ended":[]})");
+        CPPUNIT_ASSERT(WorkerCallResult::Done == reply.result);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reply.running.size());
+        // Refusals have no lists.
+        CPPUNIT_ASSERT(WorkerCallResult::FencedOff
+                       == readLists(409, R"({"clock_ms":5,"reason":"fence"})").result);
+        CPPUNIT_ASSERT(WorkerCallResult::OtherLifetime == readLists(421, "").result);
+    }
+
+    /// Guards against a start that counts as unanswered because its answer is short.
+    void readsAnswersWithoutLists()
+    {
+        for (const std::string_view body : {"", "{}", R"({"clock_ms":482113})"})
+            CPPUNIT_ASSERT(WorkerCallResult::Done == readWorkerReply(200, body).result);
+    }
+
     void survivesAnyBytes()
     {
         std::mt19937 random(20261); // NOLINT: the same bytes every time
@@ -170,6 +204,7 @@
             (void)readConfiguration(text);
             (void)readReport("i", text);
             (void)readWorkerReply(200, text);
+            (void)readLists(200, text);
             (void)decodeFrame(text);
         }
     }
