Refuse a job whose queue is removed before its commit

What callers would see: LOST. A job that is handed in while a configuration that removes its queue is being committed is acknowledged and never runs.

Cause: the leader looks the queue up when the call arrives; JobTable stored the job without the queue's settings when its entry was applied after that of the configuration, so no worker fits.

Change: JobTable refuses such a job when its entry is applied, and the caller learns that there is no such queue.

--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -420,9 +420,12 @@
     if (m_jobTable.find(job) != nullptr)
         return answer({call.id, CallResult::Done, {}, 0});
     m_driver.propose({AcceptJob{job, match.queue->name, *call.plan}},
-                     [answer, id = call.id](bool committed, auto) {
-                         answer({id, committed ? CallResult::Done : CallResult::Unknown,
-                                 committed ? "" : "leadership was lost", 0});
+                     [this, answer, id = call.id, job](bool committed, auto) {
+                         if (!committed)
+                             return answer({id, CallResult::Unknown, "leadership was lost", 0});
+                         // A configuration that removes the queue may have been committed first.
+                         const bool isKnown = m_jobTable.find(job) != nullptr;
+                         answer({id, isKnown ? CallResult::Done : CallResult::NoQueue, {}, 0});
                      });
 }
 
--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -104,14 +104,16 @@
 
 StageOutcome JobTable::handle(const AcceptJob &command)
 {
-    const auto [position, added] = m_jobs.try_emplace(command.job);
-    if (!added)
+    if (m_jobs.contains(command.job))
         return {false, "the job is known"};
-    StageJob &job = position->second;
+    const QueueSettings *queue = m_queues.find(command.queue);
+    if (queue == nullptr && !command.mayLackQueue)
+        return {false, "there is no such queue"};
+    StageJob &job = m_jobs[command.job];
     job.queue = command.queue;
     job.plan = command.plan;
     job.acceptedAt = m_time;
-    if (const QueueSettings *queue = m_queues.find(command.queue))
+    if (queue != nullptr)
         job.queueSettings = *queue;
     ++m_pending[job.queue];
     if (m_earlyCancels.take(command.job)) {
--- a/Guavashift/Stages/StageCommands.cpp
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -19,25 +19,26 @@
 
 Json encodeCommand(const StageCommand &command)
 {
-    return std::visit(
-        Overloaded{[](const ReplaceConfiguration &replace) {
-                       return Json::array({Kind::Configuration, replace.document});
-                   },
-                   [](const AcceptJob &accept) {
-                       return Json::array({Kind::Accept, accept.job, accept.queue, accept.plan});
-                   },
-                   [](const CancelJob &cancel) {
-                       return Json::array({Kind::Cancel, cancel.job});
-                   },
-                   [](const StartRun &start) {
-                       return Json::array({Kind::Start, encodeTask(start.task), start.run,
-                                           start.lifetime.worker, start.lifetime.startedAt});
-                   },
-                   [](const EndRun &end) {
-                       return Json::array({Kind::End, encodeTask(end.task), end.run, end.end,
-                                           end.checkpoint, end.evidence});
-                   }},
-        command);
+    return std::visit(Overloaded{[](const ReplaceConfiguration &replace) {
+                                     return Json::array({Kind::Configuration, replace.document});
+                                 },
+                                 [](const AcceptJob &accept) {
+                                     return Json::array({Kind::Accept, accept.job, accept.queue,
+                                                         accept.plan, accept.mayLackQueue});
+                                 },
+                                 [](const CancelJob &cancel) {
+                                     return Json::array({Kind::Cancel, cancel.job});
+                                 },
+                                 [](const StartRun &start) {
+                                     return Json::array({Kind::Start, encodeTask(start.task),
+                                                         start.run, start.lifetime.worker,
+                                                         start.lifetime.startedAt});
+                                 },
+                                 [](const EndRun &end) {
+                                     return Json::array({Kind::End, encodeTask(end.task), end.run,
+                                                         end.end, end.checkpoint, end.evidence});
+                                 }},
+                      command);
 }
 
 StageCommand decodeCommand(const Json &json)
@@ -47,7 +48,7 @@
         return ReplaceConfiguration{json.at(1).get<std::string>()};
     case Kind::Accept:
         return AcceptJob{json.at(1).get<std::string>(), json.at(2).get<std::string>(),
-                         json.at(3).get<JobPlan>()};
+                         json.at(3).get<JobPlan>(), json.size() <= 4 || json.at(4).get<bool>()};
     case Kind::Cancel:
         return CancelJob{json.at(1).get<std::string>()};
     case Kind::Start:
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -12,12 +12,14 @@
     std::string document; ///< As the operator sent it.
 };
 
-/// Accepts a job under a new id.
+/// Accepts a job under a new id, if its queue is configured.
 struct AcceptJob
 {
     std::string job;
     std::string queue;
     JobPlan plan;
+    /// In entries of earlier versions, which accepted jobs also for a queue that had been removed.
+    bool mayLackQueue = false;
 };
 
 /// Cancels an active job. For an unknown one, its submission is accepted as cancelled if it
--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -9,9 +9,12 @@
 namespace {
 
 /// Reads the configuration documents of these tests, which hold only a version, as a table with one
-/// queue.
-tl::expected<QueueTable, Findings> readVersion(std::string_view text)
+/// queue, or with none from `noQueueVersion` on.
+tl::expected<QueueTable, Findings> readVersion(std::string_view text, std::uint64_t noQueueVersion)
 {
+    const std::uint64_t version = std::stoull(std::string(text));
+    if (version >= noQueueVersion)
+        return QueueTable(version, {}, {{"orders", {}}});
     QueueSettings queue;
     queue.name = "counter";
     queue.host = "desk.example";
@@ -19,7 +22,7 @@
     queue.service = "orders";
     queue.timeoutMs = 1000;
     queue.maxAttempts = 3;
-    return QueueTable(std::stoull(std::string(text)), {queue}, {{"orders", {}}});
+    return QueueTable(version, {queue}, {{"orders", {}}});
 }
 
 /// Answer to a call, set by the thread of the node that was called.
@@ -88,7 +91,8 @@
     settings.firstStart = first;
     auto &core = m_cores[static_cast<std::size_t>(number)];
     core = std::make_unique<Hosted<CoreNode>>([&](EventLoop &loop) {
-        return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, readVersion, m_metrics,
+        const auto read = [](std::string_view text) { return readVersion(text, noQueueVersion); };
+        return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, read, m_metrics,
                                           static_cast<std::uint64_t>(number) + 77,
                                           openerOf(m_isDiskFull[static_cast<std::size_t>(number)]));
     });
--- a/UnitTests/Fleet/FleetFixture.h
+++ b/UnitTests/Fleet/FleetFixture.h
@@ -22,6 +22,8 @@
 
 protected:
     static constexpr int cores = 3;
+    /// Configurations from this version on have no queue.
+    static constexpr std::uint64_t noQueueVersion = 1000;
 
     enum class CoreLoops : std::uint8_t { InTestThread, InOwnThreads };
 
--- a/UnitTests/Stages/JobTableTest.cpp
+++ b/UnitTests/Stages/JobTableTest.cpp
@@ -8,6 +8,8 @@
 
 /// From this version on, a task has one attempt instead of two.
 constexpr std::uint64_t oneAttemptVersion = 100;
+/// From this version on, there is no queue.
+constexpr std::uint64_t noQueueVersion = 200;
 
 /// Reads documents that consist of a version number.
 tl::expected<QueueTable, Findings> readVersion(std::string_view text)
@@ -22,6 +24,8 @@
     queue.timeoutMs = 1000;
     const std::uint64_t version = std::stoull(std::string(text));
     queue.maxAttempts = version < oneAttemptVersion ? 2 : 1;
+    if (version >= noQueueVersion)
+        return QueueTable(version, {}, {{"orders", {}}});
     return QueueTable(version, {queue}, {{"orders", {}}});
 }
 
@@ -68,6 +72,8 @@
     CPPUNIT_TEST(cancelHoldsForALaterSubmission);
     CPPUNIT_TEST(forgetsCancelsOfUnknownJobs);
     CPPUNIT_TEST(storesDoneOccurrencesInLittleSpace);
+    CPPUNIT_TEST(acceptsNoJobForARemovedQueue);
+    CPPUNIT_TEST(loadsJobsThatEarlierVersionsAcceptedWithoutAQueue);
     CPPUNIT_TEST(keepsTheHighestConfiguration);
     CPPUNIT_TEST(removesEndedJobsAfterTheRetentionTime);
     CPPUNIT_TEST(restoresTheSameStateFromASnapshot);
@@ -404,6 +410,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{count}, copy.find("j")->occurrencesDone.size());
     }
 
+    /// Guards against a job that was accepted and never runs: the configuration that removes its
+    /// queue was committed between its submission and its own commit.
+    void acceptsNoJobForARemovedQueue()
+    {
+        const StageBatch batch =
+            StageBatch::decode(StageBatch{0, {AcceptJob{"j", "removed", twoSteps()}}}.encode());
+        CPPUNIT_ASSERT(!m_jobTable->apply(0, batch.commands.front()).applied);
+        CPPUNIT_ASSERT(m_jobTable->find("j") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_jobTable->pendingIn("removed"));
+        // A known job stays known when its queue is removed.
+        accept(twoSteps());
+        CPPUNIT_ASSERT(m_jobTable->apply(0, ReplaceConfiguration{"200"}).applied);
+        CPPUNIT_ASSERT(m_jobTable->queues().find("counter") == nullptr);
+        CPPUNIT_ASSERT(!m_jobTable->apply(0, AcceptJob{"j", "counter", twoSteps()}).applied);
+        CPPUNIT_ASSERT(m_jobTable->find("j")->isActive());
+    }
+
+    /// Guards against a job that is lost with an update: an earlier version has acknowledged it.
+    void loadsJobsThatEarlierVersionsAcceptedWithoutAQueue()
+    {
+        Json json =
+            Json::from_cbor(StageBatch{0, {AcceptJob{"j", "removed", twoSteps()}}}.encode());
+        // Entries of earlier versions end with the plan.
+        while (json[1][0].size() > 4)
+            json[1][0].erase(4);
+        std::string bytes;
+        Json::to_cbor(json, bytes);
+        CPPUNIT_ASSERT(m_jobTable->apply(0, StageBatch::decode(bytes).commands[0]).applied);
+        JobTable copy(JobTableSettings{1000}, readVersion);
+        CPPUNIT_ASSERT(copy.load(m_jobTable->save()));
+        CPPUNIT_ASSERT(copy.find("j")->isActive());
+    }
+
     void keepsTheHighestConfiguration()
     {
         CPPUNIT_ASSERT(!m_jobTable->apply(1, ReplaceConfiguration{"3"}).applied);
