Start all members of a gang with one checkpoint

What callers saw: after one member of a gang was stopped, it resumed from a newer checkpoint than the others.

Cause: Dispatcher::runBound gave each member the checkpoint of its own last end.

Change: all members get the greatest, as text, of the checkpoints of all members. Each is valid for the gang, and no end of a member is applied between the bindings of one run. The replicated state is unchanged.

Before: DispatcherTest::startsAllMembersOfAGangWithOneCheckpoint fails with three checkpoints.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -224,6 +224,8 @@
     void enqueueFollowers(const StageJob &job, const TaskRef &ref);
     void jobAccepted(const std::string &id);
     void runBound(const StartRun &start, Instant now);
+    /// Checkpoint that a bound run resumes from. All members of a gang resume from the same one.
+    [[nodiscard]] std::string checkpointFor(const StageJob &job, const TaskRef &ref) const;
     /// Takes a binding back that the job table refused. If the job has ended, none of its other
     /// tasks may stay in the queue: the plan of an ended job is discarded.
     void startNotApplied(const StartRun &start);
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -97,10 +97,22 @@
                           StartOrder{start.lifetime,
                                      traitsOf(start.task, start.run),
                                      job.plan.payload,
-                                     m_jobTable.find(start.task)->checkpoint,
+                                     checkpointFor(job, start.task),
                                      {}});
 }
 
+std::string Dispatcher::checkpointFor(const StageJob &job, const TaskRef &ref) const
+{
+    if (!job.plan.steps[ref.step].gang)
+        return m_jobTable.find(ref)->checkpoint;
+    // Any member's checkpoint is valid for the gang, and no end of a member comes between the
+    // bindings of one run of it: the greatest is the same for all.
+    std::string greatest;
+    for (const StageTask &member : job.occurrences.at(ref.occurrence).steps[ref.step].tasks)
+        greatest = std::max(greatest, member.checkpoint);
+    return greatest;
+}
+
 void Dispatcher::startNotApplied(const StartRun &start)
 {
     proposalLost(start);
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(startsLongRunningTasksBeforeJobsThatAreInTime);
     CPPUNIT_TEST(movesNoMoreLongRunningTasksThanMayBeUnavailable);
     CPPUNIT_TEST(endedGangReleasesAllItsCapacity);
+    CPPUNIT_TEST(startsAllMembersOfAGangWithOneCheckpoint);
     CPPUNIT_TEST(recordsWhenATaskBecameReady);
     CPPUNIT_TEST(recordsWhenAGangBecameReady);
     CPPUNIT_TEST(restartsLongRunningTaskInTheRoomItHad);
@@ -319,6 +320,31 @@
         CPPUNIT_ASSERT(TaskStage::Bound == m_jobTable->find({"wide", 0, 0, 0})->stage);
     }
 
+    /// Guards against members of a gang that resume from different points: one of them was stopped
+    /// and has a newer checkpoint than the others, and one has none.
+    void startsAllMembersOfAGangWithOneCheckpoint()
+    {
+        m_dispatcher->workerReported("n1", worker("w1"), at(0));
+        JobPlan gang = plan(3, 10'000);
+        gang.steps[0].gang = true;
+        gang.steps[0].checkpoints = true;
+        accept("j", gang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1));
+        m_dispatcher->endReported({{"j", 0, 0, 0}, 1, RunEnd::Broken, "4000"});
+        m_dispatcher->endReported({{"j", 0, 0, 1}, 1, RunEnd::Stopped, "4655"});
+        m_dispatcher->endReported({{"j", 0, 0, 2}, 1, RunEnd::Broken, {}});
+        commit(m_dispatcher->takeCommands(), 100);
+        m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(101));
+        std::set<std::string> checkpoints;
+        const auto orders = m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, orders.size());
+        for (const auto &order : orders)
+            checkpoints.insert(std::get<StartOrder>(order.second).checkpoint);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, checkpoints.size());
+        CPPUNIT_ASSERT(checkpoints.contains("4000") || checkpoints.contains("4655"));
+    }
+
     /// Moves make no more tasks of a long-running step unavailable than its job allows.
     void movesNoMoreLongRunningTasksThanMayBeUnavailable()
     {
