Finish connecting to a replica within a long round

Cause: a connection that is established counts as such once the loop handles its event, and is closed if that takes more than 0.7 s. The leader handles 64 of its events a round, and a round lasted about 0.3 s with 300 connections that have input. The time limit of silent peers was made safe against a busy loop before; that of connecting was not.

Change: the time limit first looks whether the connection is established, and the leader also does so when it serves the other replicas.

Before: EventLoopTest::finishesConnectingBeforeItTimesOut and sendsToANewPeerWithinARound fail. After: the 10 tests of the channel pass.

--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -105,8 +106,15 @@
     m_keepAliveTimer = m_loop.after(m_settings.keepAliveInterval / checksPerKeepAlive, [this] {
         m_keepAliveTimer = 0;
         const Instant now = BootClock::now();
-        if (m_connecting && now - m_connectStarted > m_settings.connectTimeout)
-            return closeAndNotify("connecting timed out");
+        if (m_connecting && now - m_connectStarted > m_settings.connectTimeout) {
+            // A busy loop may not have handled yet that the connection is established.
+            const std::shared_ptr<bool> alive = m_alive;
+            finishConnecting();
+            if (!*alive || !isOpen())
+                return;
+            if (m_connecting)
+                return closeAndNotify("connecting timed out");
+        }
         if (!m_connecting && now - m_lastInput > m_settings.peerTimeout) {
             // A busy loop may not have read yet what has arrived.
             const std::shared_ptr<bool> alive = m_alive;
@@ -165,6 +173,13 @@
                               wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
 }
 
+void FrameConnection::finishConnecting()
+{
+    pollfd state{m_handle, POLLOUT, 0};
+    if (::poll(&state, 1, 0) > 0)
+        handle_output(m_handle);
+}
+
 int FrameConnection::handle_output(ACE_HANDLE)
 {
     if (m_connecting) {
@@ -218,7 +233,9 @@
 
 void FrameConnection::sendQueued()
 {
-    if (isOpen() && !m_connecting && !m_output.empty())
+    if (isOpen() && m_connecting)
+        finishConnecting();
+    else if (isOpen() && !m_output.empty())
         flush();
 }
 
--- a/Guavashift/Channel/FrameConnection.h
+++ b/Guavashift/Channel/FrameConnection.h
@@ -48,7 +48,8 @@
     /// Reads the input that has arrived, without waiting for the loop's next event. Not to be
     /// called from a handler of this connection.
     void readAvailable();
-    /// Sends what is queued, as far as possible without waiting for the loop's next event.
+    /// Sends what is queued, as far as possible without waiting for the loop's next event. Not to
+    /// be called from a handler of this connection.
     void sendQueued();
     /// Closes without calling onClosed.
     void close();
@@ -62,6 +63,9 @@
 
 private:
     void start(ACE_HANDLE handle, bool connecting);
+    /// Finishes connecting if the connection is established or has failed, without waiting for the
+    /// loop's next event.
+    void finishConnecting();
     void flush();
     void setWriteInterest(bool wanted);
     void dispatchFrames();
--- a/UnitTests/Channel/EventLoopTest.cpp
+++ b/UnitTests/Channel/EventLoopTest.cpp
@@ -2,8 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace guavashift;
 
@@ -28,6 +32,36 @@
     FrameConnection far;
 };
 
+/// A listening socket on a free port. The kernel establishes connections to it by itself.
+class ListeningSocket final
+{
+public:
+    ListeningSocket()
+        : m_handle(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_handle, generic, length));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(m_handle, 1));
+        CPPUNIT_ASSERT_EQUAL(0, ::getsockname(m_handle, generic, &length));
+        m_port = ntohs(address.sin_port);
+    }
+    ~ListeningSocket() { ::close(m_handle); }
+    ListeningSocket(const ListeningSocket &) = delete;
+    ListeningSocket &operator=(const ListeningSocket &) = delete;
+
+    [[nodiscard]] std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
+    /// Waits for a connection and returns its handle.
+    [[nodiscard]] int accept() const { return ::accept(m_handle, nullptr, nullptr); }
+
+private:
+    int m_handle;
+    std::uint16_t m_port = 0;
+};
+
 } // namespace
 
 /// Rounds of the event loop: which events share one, and that every round ends.
@@ -40,6 +74,8 @@
     CPPUNIT_TEST(runsUrgentWorkWithinARound);
     CPPUNIT_TEST(postedWorkDoesNotProlongTheRound);
     CPPUNIT_TEST(readsInputBeforeAPeerCountsAsSilent);
+    CPPUNIT_TEST(finishesConnectingBeforeItTimesOut);
+    CPPUNIT_TEST(sendsToANewPeerWithinARound);
     CPPUNIT_TEST(measuresEachPartOfARound);
     CPPUNIT_TEST(measuresNoWait);
     CPPUNIT_TEST_SUITE_END();
@@ -181,6 +217,49 @@
         CPPUNIT_ASSERT_EQUAL(0, m_closed);
     }
 
+    /// Guards against a leader under load that never reaches a replica which has returned: the
+    /// connection is established, but times out before the loop handles that.
+    void finishesConnectingBeforeItTimesOut()
+    {
+        EventLoopSettings settings{256};
+        settings.minEventsPerRound = 1;
+        settings.maxRoundDuration = Duration::zero();
+        m_loop.reset();
+        open(settings);
+        ChannelSettings channel;
+        channel.keepAliveInterval = std::chrono::milliseconds(20);
+        channel.connectTimeout = std::chrono::milliseconds(100);
+        connectAll(channel);
+        m_echo = true;
+        // Handling the events of all peers takes longer than the timeout.
+        m_unitTime = 2 * channel.connectTimeout / static_cast<int>(connections);
+        for (const auto &pair : m_pairs)
+            pair->far.send("frame");
+        const ListeningSocket listener;
+        FrameConnection connection(*m_loop, channel);
+        bool closed = false;
+        connection.setHandlers({}, [&closed](std::string_view) { closed = true; });
+        connection.connect(listener.address());
+        constexpr std::size_t turns = 4;
+        while (m_frames < turns * connections && !closed)
+            m_loop->runOnce(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(!closed);
+    }
+
+    /// Guards against the same if each round of the loop takes long.
+    void sendsToANewPeerWithinARound()
+    {
+        const ListeningSocket listener;
+        FrameConnection connection(*m_loop, ChannelSettings{});
+        connection.connect(listener.address());
+        connection.send("frame");
+        const int accepted = listener.accept();
+        connection.sendQueued();
+        char byte = 0;
+        CPPUNIT_ASSERT_EQUAL(ssize_t{1}, ::recv(accepted, &byte, 1, MSG_DONTWAIT));
+        ::close(accepted);
+    }
+
 private:
     void open(const EventLoopSettings &settings)
     {
