Send what is queued for replicas at every task of a round

Cause: a connection takes about 16 kB at a time, and the leader offered more every 25 ms.

Change: between two tasks, and two entries that are applied, the leader sends what is queued for replicas also if 25 ms have not passed.

--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -218,17 +218,24 @@
     m_observer.readReplicas();
     m_replica->tick(BootClock::now());
     storeAndSend();
+    sendQueued();
+    m_servedReplicasAt = BootClock::now();
+}
+
+void ReplicaDriver::sendQueued()
+{
     for (const auto &[address, peer] : m_peers) {
         if (peer.connection)
             peer.connection->sendQueued();
     }
-    m_servedReplicasAt = BootClock::now();
 }
 
 void ReplicaDriver::serveReplicasIfDue()
 {
     if (BootClock::now() - m_servedReplicasAt >= m_settings.tick)
         serveReplicas();
+    else
+        sendQueued();
 }
 
 bool ReplicaDriver::mayAnswer() const
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -75,7 +75,8 @@
     /// every `tick` while a round lasts, since a leader that sends no heartbeats and a voter that
     /// reads none cause an election.
     void serveReplicas();
-    /// Does so if it was not done for `tick`.
+    /// Does so if it was not done for `tick`, otherwise only sends what is queued: a connection may
+    /// take a small part of a long message at a time.
     void serveReplicasIfDue();
 
     [[nodiscard]] bool leads() const { return m_replica && m_replica->isLeader() && !m_stopped; }
@@ -148,6 +149,8 @@
     /// Stores and sends what the replica asks for. What changes the job table or the role is left
     /// to applyDeferred().
     void storeAndSend();
+    /// Sends to the other replicas what their connections take now.
+    void sendQueued();
     void applyDeferred();
     void applyAll(std::span<const LogEntry> entries);
     void storeAll(const std::vector<Effect> &effects);
