Send what holds for one lifetime of a worker to that lifetime only

What callers saw: tasks ran again although they were done, all tasks of one worker at once, after a change of leader.

Cause: a poll names its worker by id. After a restart under the same id, the next lifetime carried out a poll that was meant for the one before, and took its acknowledgement of ends for its own: ends up to that number were forgotten before they were listed. The next leader found the runs neither running nor ended and started their tasks again. The lease end in such a poll is by the clock of the lifetime before, too.

Change: a connection belongs to one lifetime. Polls acknowledge ends and extend the lease only on connections on which the present lifetime has answered. If none is open, a poll without these fields finds out who answers. The client numbers its connections and sends a call on those that it names only. A worker that closes its connections after each answer gets polls on any of them, as before.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> resultNames{
+constexpr std::array<std::string_view, 12> resultNames{
     "done",      "fenced-off", "too-old",        "too-late",   "no-room",  "no-approval",
-    "unhealthy", "wrong",      "other-lifetime", "no-program", "no-answer"};
+    "unhealthy", "wrong",      "other-lifetime", "no-program", "not-sent", "no-answer"};
 
 } // namespace
 
@@ -179,6 +179,8 @@
         // waiting.
         ++m_pollEpoch;
         m_openPolls = 0;
+        m_isIdentifying = false;
+        m_connections.lifetimeChanged();
         m_facts = facts;
         m_foundAt = BootClock::now();
         m_listedUpTo = m_committedUpTo = 0;
@@ -344,10 +346,10 @@
     // of the first one.
     if (!m_facts || m_sessionFence == 0)
         return;
+    if (!m_connections.isKnown())
+        return identify();
     const Instant now = BootClock::now();
     PollRequest request;
-    request.worker = m_facts->lifetime.worker;
-    request.fence = fence();
     request.seenUpTo = m_committedUpTo;
     // A failed poll may have been carried out. Extending the lease with each of them would put off
     // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
@@ -356,15 +358,50 @@
         !m_pollsFailSince || (!m_goodbyeAt && now - *m_pollsFailSince < m_agent.failedPollGrace);
     request.untilMs = extends ? m_lease.untilMs(now) : 0;
     request.wait = wait;
+    request.connections = m_connections.allowed();
+    sendPoll(std::move(request));
+}
+
+void AgentNode::identify()
+{
+    if (std::exchange(m_isIdentifying, true))
+        return;
+    sendPoll({});
+}
+
+void AgentNode::sendPoll(PollRequest request)
+{
+    request.worker = m_facts->lifetime.worker;
+    request.fence = fence();
     ++m_openPolls;
     m_metrics.polled();
-    m_port.poll(request, [this, request, now, epoch = m_pollEpoch](const WorkerReply &reply) {
-        // The answer to a poll of an earlier lifetime says nothing about this one.
-        if (epoch != m_pollEpoch)
-            return;
-        --m_openPolls;
-        handlePollReply(request, now, reply);
-    });
+    m_port.poll(
+        request,
+        [this, request, now = BootClock::now(), epoch = m_pollEpoch](const WorkerReply &reply) {
+            // The answer to a poll of an earlier lifetime says nothing about this one.
+            if (epoch != m_pollEpoch)
+                return;
+            --m_openPolls;
+            if (!request.connections)
+                m_isIdentifying = false;
+            if (reply.result == WorkerCallResult::NotSent)
+                return pollNotSent();
+            handlePollReply(request, now, reply);
+        });
+}
+
+void AgentNode::pollNotSent()
+{
+    if (!m_facts)
+        return;
+    // Another open poll may hold the only connection.
+    if (m_openPolls == 0) {
+        m_connections.pollNotSent();
+        if (!m_connections.staysOpen())
+            logEvent(LogLevel::Warning, "connections-closed",
+                     {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
+    }
+    identify();
 }
 
 void AgentNode::handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply)
@@ -413,6 +450,10 @@
         m_unreachable = false;
         m_inventoryDue = true;
     }
+    if (!mayBeFromOther(m_facts->lifetime, reply))
+        m_connections.answered(reply.connection);
+    if (request.connections)
+        m_connections.pollAnswered();
     m_lease.observe(reply.clockMs, sent, now);
     processEnds(reply);
     processRunning(request, sent, reply);
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/LeaseClock.h>
+#include <Guavashift/Fleet/LifetimeConnections.h>
 #include <Guavashift/Fleet/OrderBarrier.h>
 #include <Guavashift/Fleet/Relay.h>
 #include <Guavashift/Fleet/RoundMonitor.h>
@@ -103,7 +104,14 @@
     void sendTable();
 
     // Worker.
+    /// Polls the worker on a connection on which its present lifetime has answered. Before there is
+    /// one, and whenever none is open and idle, identify() follows instead.
     void poll(Duration wait);
+    /// Polls the worker on any connection, to learn which lifetime answers there: without the
+    /// fields that hold for one lifetime only.
+    void identify();
+    void sendPoll(PollRequest request);
+    void pollNotSent();
     void schedulePoll(Duration delay);
     /// Returns the pause before the poll that follows `request`.
     [[nodiscard]] Duration pauseAfter(const PollRequest &request) const;
@@ -179,6 +187,8 @@
     std::uint64_t m_pollNumber = 0;
     std::uint64_t m_pollEpoch = 0; ///< Number of lifetimes found.
     std::size_t m_openPolls = 0;   ///< Of the present lifetime.
+    bool m_isIdentifying = false;  ///< One of them is that of identify().
+    LifetimeConnections m_connections;
     EventLoop::TimerId m_pollTimer = 0;
 };
 
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -16,16 +16,24 @@
     Wrong,         ///< The worker could not read the order.
     OtherLifetime, ///< Another worker answers at the address.
     NoProgram,     ///< Nothing listens at the address.
+    NotSent,       ///< None of the connections that the call names is open and idle.
     NoAnswer       ///< It is unknown whether the call was carried out or still will be.
 };
 std::string_view nameOf(WorkerCallResult result);
 
+/// Identifies a connection to the worker, which belongs to one of its lifetimes; 0: none.
+using WorkerConnection = std::uint64_t;
+
+/// The connections on which a call may be sent; none: any, also a new one.
+using WorkerConnections = std::optional<std::vector<WorkerConnection>>;
+
 /// A worker's answer to a call.
 struct WorkerReply
 {
     WorkerCallResult result = WorkerCallResult::NoAnswer;
-    std::int64_t born = 0;    ///< Start of the worker's lifetime; 0: not in the answer.
-    std::int64_t clockMs = 0; ///< The worker's steady clock; 0: not in the answer.
+    std::int64_t born = 0;           ///< Start of the worker's lifetime; 0: not in the answer.
+    std::int64_t clockMs = 0;        ///< The worker's steady clock; 0: not in the answer.
+    WorkerConnection connection = 0; ///< On which the answer came.
     std::vector<RunStatus> running;
     std::vector<ListedEnd> ended;
     /// Whether `ended` holds all ends that are not acknowledged. If not, a run that is in neither
@@ -42,6 +50,7 @@
     std::uint64_t seenUpTo = 0;
     std::int64_t untilMs = 0; ///< On the worker's clock; 0: do not extend.
     Duration wait = Duration::zero();
+    WorkerConnections connections;
 };
 
 struct StartRequest
--- a/Guavashift/Http/AsyncHttpClient.cpp
+++ b/Guavashift/Http/AsyncHttpClient.cpp
@@ -1,5 +1,6 @@
 #include <Guavashift/Http/AsyncHttpClient.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <curl/curl.h>
 #include <deque>
@@ -16,10 +17,31 @@
 /// Idle connections kept open to all addresses together.
 constexpr long maxIdleConnections = 32;
 
+/// Numbers the connections of a client. Open connections differ in their local port.
+class ConnectionNumbers final
+{
+public:
+    HttpConnectionId numberOf(int localPort, bool isNew)
+    {
+        HttpConnectionId &number = m_byLocalPort[localPort];
+        if (isNew || number == 0)
+            number = ++m_last;
+        return number;
+    }
+
+private:
+    HttpConnectionId m_last = 0;
+    std::map<int, HttpConnectionId> m_byLocalPort;
+};
+
 /// One call with all data that libcurl refers to while it is in progress.
 struct Transfer
 {
     AsyncHttpCall call;
+    ConnectionNumbers *numbers = nullptr;
+    HttpConnectionId connection = 0;
+    bool opensConnection = false;
+    bool isSent = false; ///< Perhaps in part.
     AsyncHttpClient::Callback callback;
     std::string url;
     std::size_t bodySent = 0; ///< Bytes that onSend() has passed on.
@@ -45,6 +67,26 @@
     return sent;
 }
 
+int onOpening(void *cls, curl_socket_t, curlsocktype)
+{
+    auto &transfer = *static_cast<Transfer *>(cls);
+    transfer.opensConnection = true;
+    return transfer.call.connections ? CURL_SOCKOPT_ERROR : CURL_SOCKOPT_OK;
+}
+
+/// Called when the connection for a call is known, before anything is sent on it.
+int onConnected(void *cls, char *, char *, int, int localPort)
+{
+    auto &transfer = *static_cast<Transfer *>(cls);
+    transfer.connection = transfer.numbers->numberOf(localPort, transfer.opensConnection);
+    const auto &allowed = transfer.call.connections;
+    if (allowed
+        && std::find(allowed->begin(), allowed->end(), transfer.connection) == allowed->end())
+        return CURL_PREREQFUNC_ABORT;
+    transfer.isSent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
 } // namespace
 
 class AsyncHttpClient::Implementation final
@@ -119,6 +161,7 @@
             m_idleHandles.pop_back();
         }
         const AsyncHttpCall &call = transfer->call;
+        transfer->numbers = &m_numbers;
         transfer->url = "http://" + call.address + call.target;
         for (const HttpHeader &header : call.headers.all())
             transfer->headers =
@@ -135,6 +178,10 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onOpening);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onConnected);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
         if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                              static_cast<curl_off_t>(call.body.size()));
@@ -167,11 +214,13 @@
             curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
             curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
             curl_multi_remove_handle(m_multi, easy);
-            curl_easy_reset(easy);
-            m_idleHandles.push_back(easy);
+            recycle(easy, code);
             if (code == CURLE_OK) {
                 transfer->response.status = static_cast<int>(status);
-                transfer->callback(std::move(transfer->response));
+                transfer->callback(
+                    AsyncHttpAnswer{std::move(transfer->response), transfer->connection});
+            } else if (transfer->call.connections && !transfer->isSent) {
+                transfer->callback(tl::unexpected(HttpCallFailure::NotSent));
             } else {
                 const bool refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
                 transfer->callback(
@@ -180,11 +229,21 @@
         }
     }
 
+    void recycle(CURL *easy, CURLcode code)
+    {
+        // A reset does not clear that a body has to be sent anew, which fails the next call.
+        if (code != CURLE_OK)
+            return curl_easy_cleanup(easy);
+        curl_easy_reset(easy);
+        m_idleHandles.push_back(easy);
+    }
+
     CURLM *m_multi = nullptr;
     std::mutex m_mutex;
     std::deque<std::unique_ptr<Transfer>> m_queued;
     bool m_stopping = false;
     std::map<CURL *, std::unique_ptr<Transfer>> m_running;
+    ConnectionNumbers m_numbers; ///< Used by the thread only.
     std::vector<CURL *> m_idleHandles;
     std::thread m_thread;
 };
--- a/Guavashift/Http/AsyncHttpClient.h
+++ b/Guavashift/Http/AsyncHttpClient.h
@@ -7,6 +7,9 @@
 
 namespace guavashift {
 
+/// Identifies a connection of one client, from its opening on; 0: none.
+using HttpConnectionId = std::uint64_t;
+
 /// One request to an address, owned by the client until it is completed.
 struct AsyncHttpCall
 {
@@ -20,12 +23,21 @@
     /// first byte of the answer. The receiver may have carried it out by then, and another process
     /// may listen at the address.
     bool mayResend = true;
+    /// If set, the request is sent only on one of these connections while it is open and idle.
+    std::optional<std::vector<HttpConnectionId>> connections;
 };
 
 /// Why a call has no answer.
 enum class HttpCallFailure {
     Refused,  ///< The port answered with a reset: no process listens there.
     NoAnswer, ///< Timeout or broken connection; whether the request arrived is unknown.
+    NotSent,  ///< None of the connections that the call names is open and idle.
+};
+
+struct AsyncHttpAnswer
+{
+    HttpResponse response;
+    HttpConnectionId connection = 0; ///< On which the call was sent.
 };
 
 /// Sends requests with libcurl's multi interface on a thread of its own, on which callbacks run.
@@ -33,7 +45,7 @@
 class AsyncHttpClient final
 {
 public:
-    using Answer = tl::expected<HttpResponse, HttpCallFailure>;
+    using Answer = tl::expected<AsyncHttpAnswer, HttpCallFailure>;
     using Callback = std::function<void(Answer)>;
 
     AsyncHttpClient();
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -44,6 +44,7 @@
     reply.result = WorkerCallResult::Done;
     reply.born = born;
     reply.clockMs = 10'000;
+    reply.connection = static_cast<WorkerConnection>(born);
     return reply;
 }
 
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -19,7 +19,7 @@
 protected:
     /// A lifetime of the worker.
     [[nodiscard]] static WorkerFacts factsOf(std::int64_t startedAt);
-    /// The successful answer of that lifetime to any call.
+    /// The successful answer of that lifetime to any call, on the connection of the same number.
     [[nodiscard]] static WorkerReply replyOf(std::int64_t born);
     /// The order to start run 1 of `task` in that lifetime.
     [[nodiscard]] static StartOrder orderFor(const WorkerFacts &facts);
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -31,6 +31,7 @@
     reply.result = result;
     reply.born = m_born;
     reply.clockMs = clockMs();
+    reply.connection = connection();
     return reply;
 }
 
@@ -57,7 +58,8 @@
     m_running.erase(ended);
     if (result == RunEnd::Done)
         m_done.insert(ended.first);
-    m_listed.push_back({++m_ends, {ended.first, ended.second, result, {}}});
+    if (++m_ends > m_acknowledgedUpTo || !m_keepsAcknowledgements)
+        m_listed.push_back({m_ends, {ended.first, ended.second, result, {}}});
 }
 
 void FakeWorker::finishAll(RunEnd result)
@@ -71,13 +73,7 @@
     if (m_failsWith)
         return;
     ++m_crashes;
-    ++m_born;
-    m_running.clear();
-    m_listed.clear();
-    m_highestRun.clear();
-    m_fence = 0;
-    m_untilMs = 0;
-    m_ends = 0;
+    beginLifetime();
     m_failsWith = WorkerCallResult::NoProgram;
     m_loop.after(downtime, [this] {
         m_failsWith.reset();
@@ -87,11 +83,44 @@
     });
 }
 
+WorkerConnection FakeWorker::connection() const
+{
+    constexpr WorkerConnection maxEpochs = 1000;
+    return static_cast<WorkerConnection>(m_born) * maxEpochs
+        + static_cast<WorkerConnection>(m_connectionEpoch);
+}
+
+void FakeWorker::beginLifetime()
+{
+    ++m_born;
+    m_running.clear();
+    m_listed.clear();
+    m_highestRun.clear();
+    m_fence = 0;
+    m_untilMs = 0;
+    m_ends = 0;
+    m_seenUpTo = 0;
+    m_acknowledgedUpTo = 0;
+}
+
+void FakeWorker::restart()
+{
+    beginLifetime();
+    m_startedAt = BootClock::now();
+}
+
 void FakeWorker::poll(const PollRequest &request, Callback callback)
 {
     ++m_polls;
     if (m_failsWith)
         return fail(callback);
+    if (request.connections
+        && std::find(request.connections->begin(), request.connections->end(), connection())
+            == request.connections->end()) {
+        WorkerReply notSent;
+        notSent.result = WorkerCallResult::NotSent;
+        return callback(notSent);
+    }
     const Instant now = BootClock::now();
     if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_polledAt != Instant()) {
         const Duration since = now - m_polledAt;
@@ -102,6 +131,7 @@
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     m_untilMs = std::max(m_untilMs, request.untilMs);
+    m_acknowledgedUpTo = std::max(m_acknowledgedUpTo, request.seenUpTo);
     std::erase_if(m_listed, [&](const ListedEnd &each) { return each.number <= request.seenUpTo; });
     answerPoll(now + request.wait, callback);
 }
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -16,6 +16,10 @@
     void dropStarts(int count) { m_startsToDrop = count; }
     /// Drops the answers to open polls, as if the agent's connections had closed.
     void disconnect() { ++m_connectionEpoch; }
+    /// Whether an acknowledgement also holds for ends of lower numbers that come after it.
+    void setKeepsAcknowledgements(bool keeps) { m_keepsAcknowledgements = keeps; }
+    /// Begins another lifetime at once. Open calls get no answer.
+    void restart();
     /// Sets how many ends it lists at a time.
     void setEndsPerList(std::size_t count) { m_endsPerList = count; }
     void setTaskTime(Duration time) { m_taskTime = time; }
@@ -58,6 +62,9 @@
 
     [[nodiscard]] std::int64_t clockMs() const;
     [[nodiscard]] WorkerReply reply(WorkerCallResult result) const;
+    /// The connection on which the agent's calls arrive now.
+    [[nodiscard]] WorkerConnection connection() const;
+    void beginLifetime();
     bool acceptFence(std::uint64_t fence);
     void fail(const Callback &callback);
     /// Answers a poll once an end is listed or its wait is over.
@@ -73,6 +80,7 @@
     std::size_t m_endsPerList = 500;
     int m_startsToDrop = 0;
     bool m_ignoresPolls = false;
+    bool m_keepsAcknowledgements = false;
     std::optional<WorkerCallResult> m_failsWith;
     std::string m_deadlyJob;
     std::function<void()> m_restarted;
@@ -80,6 +88,7 @@
     std::uint64_t m_fence = 0;
     std::int64_t m_untilMs = 0;
     std::uint64_t m_ends = 0;
+    std::uint64_t m_acknowledgedUpTo = 0; ///< The highest of the lifetime.
     std::map<Key, Instant> m_running;
     std::map<TaskRef, std::uint32_t> m_highestRun;
     std::vector<ListedEnd> m_listed;
--- a/UnitTests/Http/AsyncHttpClientTest.cpp
+++ b/UnitTests/Http/AsyncHttpClientTest.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST_SUITE(AsyncHttpClientTest);
     CPPUNIT_TEST(sendsACallOnceIfItMustNotBeResent);
     CPPUNIT_TEST(resendsOtherCalls);
+    CPPUNIT_TEST(sendsACallOnTheConnectionsThatItNamesOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,10 +112,29 @@
         CPPUNIT_ASSERT_EQUAL(3, m_server.requests());
     }
 
+    /// Guards against an acknowledgement for one lifetime of a worker that reaches the next one on
+    /// a new connection.
+    void sendsACallOnTheConnectionsThatItNamesOnly()
+    {
+        const HttpConnectionId first = send(false)->connection;
+        const AsyncHttpClient::Answer broken = send(false, std::vector{first});
+        CPPUNIT_ASSERT(HttpCallFailure::NoAnswer == broken.error());
+        CPPUNIT_ASSERT_EQUAL(2, m_server.requests());
+        CPPUNIT_ASSERT(HttpCallFailure::NotSent == send(false, std::vector{first}).error());
+        const HttpConnectionId second = send(false)->connection;
+        CPPUNIT_ASSERT(second != first);
+        CPPUNIT_ASSERT_EQUAL(second, send(false, std::vector{first, second})->connection);
+        CPPUNIT_ASSERT_EQUAL(4, m_server.requests());
+        CPPUNIT_ASSERT(HttpCallFailure::NotSent == send(false, std::vector{first}).error());
+        CPPUNIT_ASSERT_EQUAL(4, m_server.requests());
+    }
+
 private:
-    AsyncHttpClient::Answer send(bool mayResend)
+    AsyncHttpClient::Answer
+    send(bool mayResend, std::optional<std::vector<HttpConnectionId>> connections = std::nullopt)
     {
         AsyncHttpCall call;
+        call.connections = std::move(connections);
         call.address = m_server.address();
         call.body = "ping";
         call.timeout = std::chrono::seconds(10);
