Take connections for closed only if the worker closes them

Cause: polls that found no open connection counted towards the fall-back to any connection also while the worker did not answer at all, and the fall-back lasted until the next lifetime. Found in a review.

Change: only a connection that is closed right after an answer counts, and one that serves two answers ends the fall-back. Answers to starts make their connection known as well, so that fewer polls find none.

Before: LifetimeConnectionsTest::keepsToKnownConnectionsWhileTheWorkerIsSilent was written with the change. After: the four tests of LifetimeConnectionsTest pass.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -386,6 +386,8 @@
                 m_isIdentifying = false;
             if (reply.result == WorkerCallResult::NotSent)
                 return pollNotSent();
+            if (request.connections)
+                m_connections.pollSent();
             handlePollReply(request, now, reply);
         });
 }
@@ -396,8 +398,9 @@
         return;
     // Another open poll may hold the only connection.
     if (m_openPolls == 0) {
+        const bool stayedOpen = m_connections.staysOpen();
         m_connections.pollNotSent();
-        if (!m_connections.staysOpen())
+        if (stayedOpen && !m_connections.staysOpen())
             logEvent(LogLevel::Warning, "connections-closed",
                      {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
     }
@@ -452,8 +455,6 @@
     }
     if (!mayBeFromOther(m_facts->lifetime, reply))
         m_connections.answered(reply.connection);
-    if (request.connections)
-        m_connections.pollAnswered();
     m_lease.observe(reply.clockMs, sent, now);
     processEnds(reply);
     processRunning(request, sent, reply);
@@ -649,6 +650,8 @@
     if (found == m_runs.end() || found->second.stage != Stage::Starting
         || found->second.fence != sentUnder)
         return;
+    if (reply.born == lifetime.startedAt)
+        m_connections.answered(reply.connection);
     Run &run = found->second;
     WorkerCallResult result = reply.result;
     if (result == WorkerCallResult::Done && mayBeFromOther(lifetime, reply)) {
--- a/Guavashift/Fleet/LifetimeConnections.cpp
+++ b/Guavashift/Fleet/LifetimeConnections.cpp
@@ -6,16 +6,20 @@
 
 /// Connections that are remembered. Of more than these, the client keeps none open.
 constexpr std::size_t maxConnections = 64;
-/// Polls in a row that find no open connection although the worker answers others.
-constexpr int maxPollsNotSent = 10;
+/// Connections in a row that are closed right after an answer.
+constexpr int maxClosedInARow = 10;
 
 } // namespace
 
 void LifetimeConnections::answered(WorkerConnection connection)
 {
-    if (connection == 0
-        || std::find(m_answered.begin(), m_answered.end(), connection) != m_answered.end())
+    m_isIdentified = true;
+    if (connection == 0)
         return;
+    if (std::find(m_answered.begin(), m_answered.end(), connection) != m_answered.end()) {
+        m_staysOpen = true;
+        return;
+    }
     m_answered.push_back(connection);
     if (m_answered.size() > maxConnections)
         m_answered.pop_front();
@@ -23,10 +27,16 @@
 
 void LifetimeConnections::pollNotSent()
 {
-    if (++m_pollsNotSent >= maxPollsNotSent)
+    if (std::exchange(m_isIdentified, false) && ++m_closedInARow >= maxClosedInARow)
         m_staysOpen = false;
 }
 
+void LifetimeConnections::pollSent()
+{
+    m_isIdentified = false;
+    m_closedInARow = 0;
+}
+
 WorkerConnections LifetimeConnections::allowed() const
 {
     if (!m_staysOpen)
--- a/Guavashift/Fleet/LifetimeConnections.h
+++ b/Guavashift/Fleet/LifetimeConnections.h
@@ -18,8 +18,8 @@
     void answered(WorkerConnection connection);
     /// Records that a poll for this lifetime was not sent.
     void pollNotSent();
-    /// Records the answer to a poll that was sent on a connection of this lifetime.
-    void pollAnswered() { m_pollsNotSent = 0; }
+    /// Records that a poll was sent on a connection of this lifetime.
+    void pollSent();
 
     /// Whether calls for this lifetime can be sent.
     [[nodiscard]] bool isKnown() const { return !m_answered.empty() || !m_staysOpen; }
@@ -30,7 +30,8 @@
 
 private:
     std::deque<WorkerConnection> m_answered; ///< The latest last.
-    int m_pollsNotSent = 0;                  ///< Since the last poll that was answered.
+    bool m_isIdentified = false; ///< It has answered since the last poll that was not sent.
+    int m_closedInARow = 0;      ///< Connections that were closed right after an answer.
     bool m_staysOpen = true;
 };
 
--- a/UnitTests/Fleet/LifetimeConnectionsTest.cpp
+++ b/UnitTests/Fleet/LifetimeConnectionsTest.cpp
@@ -10,10 +10,13 @@
     CPPUNIT_TEST_SUITE(LifetimeConnectionsTest);
     CPPUNIT_TEST(acknowledgesEndsToTheLifetimeThatListedThemOnly);
     CPPUNIT_TEST(extendsNoLeaseOnAConnectionThatMayBeAnothersLifetime);
+    CPPUNIT_TEST(keepsToKnownConnectionsWhileTheWorkerIsSilent);
     CPPUNIT_TEST(extendsTheLeaseOfAWorkerThatClosesItsConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    LifetimeConnectionsTest() { m_agentSettings.retryPause = std::chrono::milliseconds(1); }
+
     /// Guards against a next lifetime that forgets ends before they are listed, because it carried
     /// out a poll that acknowledged ends of the lifetime before.
     void acknowledgesEndsToTheLifetimeThatListedThemOnly()
@@ -57,6 +60,23 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_worker.polls().back().request.untilMs);
     }
 
+    /// Guards against acknowledgements that reach the next lifetime after its worker was silent for
+    /// some seconds.
+    void keepsToKnownConnectionsWhileTheWorkerIsSilent()
+    {
+        constexpr int rounds = 20;
+        acknowledgeAnEnd();
+        for (int i = 0; i < rounds; ++i) {
+            for (const WorkerCallResult result :
+                 {WorkerCallResult::NotSent, WorkerCallResult::NoAnswer}) {
+                until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+                m_worker.polls().back().answer(failed(result));
+            }
+        }
+        until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+        CPPUNIT_ASSERT(connection(1000) == m_worker.polls().back().request.connections);
+    }
+
     /// Guards against runs that lapse on a worker that answers each call and closes the connection.
     void extendsTheLeaseOfAWorkerThatClosesItsConnections()
     {
