Keep ends that a worker has listed until the leader has committed them

What callers would see: tasks run again although they are done, after a change of leader.

Cause: an agent passed an end on once in a session, and relied on its worker to list it again in the next one. A worker that has forgotten it, or has restarted meanwhile, does not. A run that the agent knew to be at work and that was neither running nor among the ends was dropped without a report: its task waited until the next inventory, which then counted the run as never started.

Change: the agent sends uncommitted ends again at the start of each session, before the inventory, those of ended lifetimes as well. It reports a run that vanished as lapsed, with its last checkpoint, and logs it; runs whose end was listed shortly before are not taken up again from an answer that was overtaken.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -62,7 +62,8 @@
     m_inventoryDue = true;
     m_inventoryFence = fence();
     m_barrier.sessionOpened();
-    m_listedUpTo = m_committedUpTo;
+    for (const RunsEnded &ended : m_uncommittedEnds.messages())
+        m_link.send(ended);
     // If it was found unreachable without a session, the leader was not informed. It is found
     // again if that still holds.
     m_unreachable = false;
@@ -126,6 +127,7 @@
 
 void AgentNode::endsCommitted(const EndsCommitted &committed)
 {
+    m_uncommittedEnds.committed(committed.lifetime, committed.upTo);
     if (!isCurrent(committed.lifetime) || committed.upTo <= m_committedUpTo)
         return;
     m_committedUpTo = committed.upTo;
@@ -185,6 +187,7 @@
         m_foundAt = BootClock::now();
         m_listedUpTo = m_committedUpTo = 0;
         m_listedAt.clear();
+        m_endedAt.clear();
         // The worker may have restarted under its name. With a higher token, this lifetime refuses
         // all calls that were meant for the one before it.
         recallLifetime();
@@ -484,14 +487,18 @@
 
 void AgentNode::processEnds(const WorkerReply &reply)
 {
+    const Instant now = BootClock::now();
+    std::erase_if(m_endedAt,
+                  [&](const auto &each) { return now - each.second > m_agent.longestAnswerDelay; });
     RunsEnded ended{m_facts->lifetime, {}};
     for (const ListedEnd &each : reply.ended) {
         m_runs.erase({each.end.task, each.end.run});
+        m_endedAt[{each.end.task, each.end.run}] = now;
         if (each.number <= m_listedUpTo)
             continue;
         m_listedUpTo = each.number;
-        // The time of an end that is listed again in a new session counts from its first listing.
-        m_listedAt.try_emplace(each.number, BootClock::now());
+        m_listedAt.try_emplace(each.number, now);
+        m_uncommittedEnds.add(m_facts->lifetime, each);
         ended.ends.push_back(each);
         logEvent(
             LogLevel::Info, "run-listed",
@@ -507,6 +514,9 @@
     for (const RunStatus &row : reply.running) {
         const RunKey key{row.task, row.run};
         running.insert(key);
+        // An answer that another one overtook lists runs whose end is known.
+        if (m_endedAt.contains(key))
+            continue;
         const auto [position, added] = m_runs.try_emplace(key);
         Run &run = position->second;
         if (added)
@@ -531,7 +541,7 @@
         if (run.stopAnswered && sent > run.stopSentAt)
             drop(current->first, "stopped before it ran");
         else if (run.stage == Stage::Running && !run.stopWanted && sent > run.seenAt)
-            m_runs.erase(current); // Its end was listed earlier.
+            reportVanished(current->first);
     }
     if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
@@ -545,6 +555,20 @@
     }
 }
 
+// NOLINTNEXTLINE(performance-unnecessary-value-param): the element of the key is erased.
+void AgentNode::reportVanished(RunKey key)
+{
+    const std::string checkpoint = m_runs.at(key).row.checkpoint;
+    m_runs.erase(key);
+    logEvent(LogLevel::Warning, "run-vanished",
+             {{"task", key.first.text()},
+              {"run", key.second},
+              {"worker", m_facts->lifetime.worker},
+              {"born", m_facts->lifetime.startedAt}});
+    m_link.send(
+        RunsEnded{m_facts->lifetime, {{0, {key.first, key.second, RunEnd::Lapsed, checkpoint}}}});
+}
+
 void AgentNode::resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running)
 {
     // The worker has observed a higher token, so it rejects a start that arrives with a lower one.
@@ -703,11 +727,11 @@
         return;
     m_port.stop({fence(), {m_facts->lifetime, key.first, key.second}},
                 [this, key](const WorkerReply &reply) {
-                    const auto run = m_runs.find(key);
                     logEvent(LogLevel::Info, "stop-answered",
                              {{"task", key.first.text()},
                               {"run", key.second},
                               {"result", nameOf(reply.result)}});
+                    const auto run = m_runs.find(key);
                     if (run == m_runs.end())
                         return;
                     if (reply.result == WorkerCallResult::Done) {
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -8,6 +8,7 @@
 #include <Guavashift/Fleet/RoundMonitor.h>
 #include <Guavashift/Fleet/TailFilter.h>
 #include <Guavashift/Fleet/Throttler.h>
+#include <Guavashift/Fleet/UncommittedEnds.h>
 #include <Guavashift/Fleet/WorkerPort.h>
 
 #include <set>
@@ -41,6 +42,8 @@
     /// A worker that reports itself as ready this long after a goodbye under its name goes on: the
     /// goodbye was that of an earlier lifetime.
     Duration goodbyeValidity = std::chrono::seconds(10);
+    /// Longest time for which the answer to a poll is awaited.
+    Duration longestAnswerDelay = std::chrono::seconds(3);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
@@ -120,6 +123,9 @@
     void logPollChange(const WorkerReply &reply, Instant now) const;
     void processRunning(const PollRequest &request, Instant sent, const WorkerReply &reply);
     void processEnds(const WorkerReply &reply);
+    /// Reports that a run which worked in this lifetime is neither running nor among the ends. It
+    /// may have been done.
+    void reportVanished(RunKey key);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
     void startRun(const StartOrder &order);
     void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t fence,
@@ -179,9 +185,11 @@
     bool m_answersPolls = true; ///< The last poll was answered.
     std::optional<Instant> m_pollsFailSince;
     LeaseClock m_lease;
-    std::uint64_t m_listedUpTo = 0;              ///< Ends sent to the leader in this session.
+    std::uint64_t m_listedUpTo = 0;              ///< Ends read from the present lifetime.
     std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
     std::map<std::uint64_t, Instant> m_listedAt; ///< Ends that are not committed, by number.
+    UncommittedEnds m_uncommittedEnds;
+    std::map<RunKey, Instant> m_endedAt; ///< Of ends that were listed a short time ago.
     std::map<RunKey, Run> m_runs;
     Throttler m_throttler;
     std::uint64_t m_pollNumber = 0;
--- /dev/null
+++ b/Guavashift/Fleet/UncommittedEnds.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <Guavashift/Fleet/FleetMessages.h>
+
+namespace guavashift {
+
+/// Ends that a worker has listed and the leader has not committed yet. Its agent keeps them, since
+/// the leader may be lost before the commit, and the worker or its lifetime may be gone by the time
+/// of the next session. Reads no clock.
+class UncommittedEnds final
+{
+public:
+    /// Keeps an end. Forgets those of the earliest lifetime if there are too many lifetimes.
+    void add(const Lifetime &lifetime, const ListedEnd &end);
+    /// Forgets the ends of a lifetime up to that number.
+    void committed(const Lifetime &lifetime, std::uint64_t upTo);
+    /// All ends in the order of their numbers, in messages of limited size.
+    [[nodiscard]] std::vector<RunsEnded> messages() const;
+
+private:
+    std::map<Lifetime, std::map<std::uint64_t, ListedEnd>> m_ends;
+};
+
+} // namespace guavashift
