Ignore answers to stops of an earlier lifetime

The callback knew the task and run only. A run that the next lifetime had taken over was taken for stopped by the answer of the one before, and a stop that had no answer was sent again to the next one.

Change: the answer counts for the lifetime that the stop was sent to.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -726,13 +726,14 @@
     if (found == m_runs.end() || !m_facts || !m_link.isOpen())
         return;
     m_port.stop({fence(), {m_facts->lifetime, key.first, key.second}},
-                [this, key](const WorkerReply &reply) {
+                [this, key, lifetime = m_facts->lifetime](const WorkerReply &reply) {
                     logEvent(LogLevel::Info, "stop-answered",
                              {{"task", key.first.text()},
                               {"run", key.second},
                               {"result", nameOf(reply.result)}});
+                    // The next lifetime may run the same task and run.
                     const auto run = m_runs.find(key);
-                    if (run == m_runs.end())
+                    if (run == m_runs.end() || !isCurrent(lifetime))
                         return;
                     if (reply.result == WorkerCallResult::Done) {
                         run->second.stopAnswered = true;
