Send starts on connections of the present lifetime only

What callers would see: two runs of one task at once. A worker restarts under its name, and its next lifetime carries out a start of the one before, which the agent had given up as never arrived: the higher token that proves this is not known to the next lifetime.

Cause: as with acknowledgements, a start names its worker, and a new connection may lead to the next lifetime. It also brought a lease end by another clock.

Change: starts are sent like polls. One that finds no open connection is kept until the lifetime has answered on another one. It is dropped with its session or lifetime, and refused if the worker stops answering, drains or has no lease.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -82,6 +82,8 @@
 void AgentNode::lost()
 {
     m_inventoryDue = false;
+    // The next leader finds that they do not run.
+    std::erase_if(m_runs, [](const auto &each) { return each.second.unsent.has_value(); });
 }
 
 void AgentNode::renewLease()
@@ -267,7 +269,7 @@
 {
     std::vector<TaskRun> open;
     for (const auto &[key, run] : m_runs) {
-        if (run.stage != Stage::Running)
+        if (run.stage != Stage::Running && !run.unsent)
             open.push_back({key.first, key.second});
     }
     return open;
@@ -438,6 +440,7 @@
             schedulePoll(m_agent.retryPause);
         return;
     default:
+        refuseUnsentStarts("no answer");
         // Once the lease has expired without an answer, nothing runs on the worker any more.
         if (now > m_lease.latestEnd() && !m_unreachable) {
             m_unreachable = true;
@@ -461,6 +464,7 @@
     m_lease.observe(reply.clockMs, sent, now);
     processEnds(reply);
     processRunning(request, sent, reply);
+    sendUnsentStarts();
     applyThrottling();
     if (m_openPolls == 0)
         schedulePoll(pauseAfter(request));
@@ -611,23 +615,74 @@
         return refuse(order, "no answer");
     if (!m_barrier.mayCarryOut(order.lifetime))
         return refuse(order, "ordered before its end was handled");
-    const std::int64_t until = m_lease.untilMs(BootClock::now());
-    if (until == 0)
+    if (m_lease.untilMs(BootClock::now()) == 0)
         return refuse(order, "no lease");
     const RunKey key{order.traits.task, order.traits.run};
     const auto [position, added] = m_runs.try_emplace(key);
     if (!added)
         return;
     position->second.traits = order.traits;
-    position->second.fence = fence();
-    position->second.startSentAt = BootClock::now();
+    sendStart(position->second, order);
+}
+
+void AgentNode::sendStart(Run &run, const StartOrder &order)
+{
+    const Instant now = BootClock::now();
+    const RunKey key{order.traits.task, order.traits.run};
     const std::uint64_t sentUnder = fence();
-    m_port.start({sentUnder, until, order},
-                 [this, lifetime = order.lifetime, key, sentUnder](const WorkerReply &reply) {
-                     started(lifetime, key, sentUnder, reply);
+    run.unsent.reset();
+    run.fence = sentUnder;
+    run.startSentAt = now;
+    m_port.start({sentUnder, m_lease.untilMs(now), order, m_connections.allowed()},
+                 [this, order, key, sentUnder](const WorkerReply &reply) {
+                     if (reply.result == WorkerCallResult::NotSent)
+                         return startNotSent(order, sentUnder);
+                     started(order.lifetime, key, sentUnder, reply);
                  });
 }
 
+void AgentNode::startNotSent(const StartOrder &order, std::uint64_t sentUnder)
+{
+    const auto found = m_runs.find({order.traits.task, order.traits.run});
+    if (!isCurrent(order.lifetime) || found == m_runs.end()
+        || found->second.stage != Stage::Starting || found->second.fence != sentUnder)
+        return refuse(order, "its lifetime or session has ended");
+    // The leader of a later session has settled the run, or will do so.
+    if (sentUnder < m_sessionFence || !m_link.isOpen()) {
+        m_runs.erase(found);
+        return;
+    }
+    if (found->second.stopWanted)
+        return drop(found->first, "stopped before it was sent");
+    found->second.unsent = order;
+    identify();
+}
+
+void AgentNode::sendUnsentStarts()
+{
+    for (auto at = m_runs.begin(); at != m_runs.end();) {
+        const auto current = at++;
+        Run &run = current->second;
+        if (!run.unsent)
+            continue;
+        if (m_facts->draining)
+            drop(current->first, "draining");
+        else if (m_lease.untilMs(BootClock::now()) == 0)
+            drop(current->first, "no lease");
+        else
+            sendStart(run, StartOrder(*run.unsent));
+    }
+}
+
+void AgentNode::refuseUnsentStarts(std::string_view reason)
+{
+    for (auto at = m_runs.begin(); at != m_runs.end();) {
+        const auto current = at++;
+        if (current->second.unsent)
+            drop(current->first, reason);
+    }
+}
+
 bool AgentNode::raiseFence()
 {
     if (m_fenceStep >= m_agent.fenceSteps) {
@@ -716,6 +771,8 @@
         position->second.traits.run = order.run;
         position->second.stage = Stage::Running;
     }
+    if (position->second.unsent)
+        return drop(key, "stopped before it was sent");
     position->second.stopWanted = true;
     sendStop(key);
 }
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -79,7 +79,8 @@
     {
         RunTraits traits;
         Stage stage = Stage::Starting;
-        std::uint64_t fence = 0; ///< Fencing token that the start was sent with.
+        std::uint64_t fence = 0;          ///< Fencing token that the start was sent with.
+        std::optional<StartOrder> unsent; ///< Set while no connection for its start is open.
         bool stopWanted = false;
         bool stopAnswered = false;
         Instant stopSentAt;
@@ -128,6 +129,13 @@
     void reportVanished(RunKey key);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
     void startRun(const StartOrder &order);
+    /// Sends a start on a connection on which the present lifetime has answered, so that no other
+    /// lifetime carries it out.
+    void sendStart(Run &run, const StartOrder &order);
+    /// Keeps a start until the lifetime has answered on another connection.
+    void startNotSent(const StartOrder &order, std::uint64_t sentUnder);
+    void sendUnsentStarts();
+    void refuseUnsentStarts(std::string_view reason);
     void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t fence,
                  const WorkerReply &reply);
     /// Handles the answer to a start for a lifetime that has ended meanwhile.
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -90,6 +90,19 @@
         + static_cast<WorkerConnection>(m_connectionEpoch);
 }
 
+bool FakeWorker::reaches(const WorkerConnections &connections) const
+{
+    return !connections
+        || std::find(connections->begin(), connections->end(), connection()) != connections->end();
+}
+
+void FakeWorker::notSent(const Callback &callback)
+{
+    WorkerReply notSent;
+    notSent.result = WorkerCallResult::NotSent;
+    m_loop.after(Duration::zero(), [callback, notSent] { callback(notSent); });
+}
+
 void FakeWorker::beginLifetime()
 {
     ++m_born;
@@ -114,13 +127,8 @@
     ++m_polls;
     if (m_failsWith)
         return fail(callback);
-    if (request.connections
-        && std::find(request.connections->begin(), request.connections->end(), connection())
-            == request.connections->end()) {
-        WorkerReply notSent;
-        notSent.result = WorkerCallResult::NotSent;
-        return callback(notSent);
-    }
+    if (!reaches(request.connections))
+        return notSent(callback);
     const Instant now = BootClock::now();
     if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_polledAt != Instant()) {
         const Duration since = now - m_polledAt;
@@ -181,6 +189,8 @@
         --m_startsToDrop;
         return callback(WorkerReply{});
     }
+    if (!reaches(request.connections))
+        return notSent(callback);
     const Key key{request.order.traits.task, request.order.traits.run};
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -64,6 +64,8 @@
     [[nodiscard]] WorkerReply reply(WorkerCallResult result) const;
     /// The connection on which the agent's calls arrive now.
     [[nodiscard]] WorkerConnection connection() const;
+    [[nodiscard]] bool reaches(const WorkerConnections &connections) const;
+    void notSent(const Callback &callback);
     void beginLifetime();
     bool acceptFence(std::uint64_t fence);
     void fail(const Callback &callback);
