Count no acknowledgement that follows a lapse in the simulation

Change: the model worker notes up to which end its lease has lapsed; the judge does not count acknowledgements of these. All else is checked as before.

--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -231,6 +231,7 @@
         m_seen = 0;
         m_ended.clear();
         m_endsListed = 0;
+        m_lapsedUpTo = 0;
         m_lowest.clear();
         m_world.trace("{} born {} begins", m_name, m_born);
     }
@@ -372,6 +373,7 @@
             const auto runs = m_running;
             for (const auto &[task, run] : runs)
                 this->end(task, run, RunEnd::Lapsed);
+            m_lapsedUpTo = m_endsListed;
         });
     }
     void end(const TaskRef &task, std::uint32_t run, RunEnd how)
@@ -396,7 +398,9 @@
         std::erase_if(m_ended, [&](const ListedEnd &each) {
             if (each.number > upTo)
                 return false;
-            m_judge.acknowledged(each.end);
+            // An acknowledgement after the lease has lapsed does not count.
+            if (each.number > m_lapsedUpTo)
+                m_judge.acknowledged(each.end);
             return true;
         });
     }
@@ -423,6 +427,7 @@
     Ms m_leaseEnd = 0;
     std::uint64_t m_seen = 0;
     std::uint64_t m_endsListed = 0;
+    std::uint64_t m_lapsedUpTo = 0; ///< The lease has lapsed since these ends.
     std::map<TaskRef, std::uint32_t> m_running;
     std::map<TaskRef, std::uint32_t> m_lowest; ///< Highest run stopped or ended there.
     std::vector<ListedEnd> m_ended;
@@ -958,7 +963,7 @@
             return;
         position->second.fence = fence();
         position->second.startSentAt = m_world.now();
-        m_machine.start({fence(), until, order},
+        m_machine.start({fence(), until, order, {}},
                         guardedReply([this, lifetime = order.lifetime, key,
                                       sentUnder = fence()](const WorkerReply &reply) {
                             started(lifetime, key, sentUnder, reply);
