Send kept starts from a list of their own

An answer that comes at once may change the runs while they are walked through. A connection that serves two answers also ends the count of closed ones: in a burst of starts each new connection is taken by the next start, so that polls find none.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -660,27 +660,34 @@
 
 void AgentNode::sendUnsentStarts()
 {
-    for (auto at = m_runs.begin(); at != m_runs.end();) {
-        const auto current = at++;
-        Run &run = current->second;
-        if (!run.unsent)
+    // An answer may come at once and change m_runs.
+    for (const StartOrder &order : unsentStarts()) {
+        const auto found = m_runs.find({order.traits.task, order.traits.run});
+        if (found == m_runs.end() || !found->second.unsent)
             continue;
         if (m_facts->draining)
-            drop(current->first, "draining");
+            drop(found->first, "draining");
         else if (m_lease.untilMs(BootClock::now()) == 0)
-            drop(current->first, "no lease");
+            drop(found->first, "no lease");
         else
-            sendStart(run, StartOrder(*run.unsent));
+            sendStart(found->second, order);
     }
 }
 
 void AgentNode::refuseUnsentStarts(std::string_view reason)
 {
-    for (auto at = m_runs.begin(); at != m_runs.end();) {
-        const auto current = at++;
-        if (current->second.unsent)
-            drop(current->first, reason);
+    for (const StartOrder &order : unsentStarts())
+        drop({order.traits.task, order.traits.run}, reason);
+}
+
+std::vector<StartOrder> AgentNode::unsentStarts() const
+{
+    std::vector<StartOrder> orders;
+    for (const auto &[key, run] : m_runs) {
+        if (run.unsent)
+            orders.push_back(*run.unsent);
     }
+    return orders;
 }
 
 bool AgentNode::raiseFence()
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -136,6 +136,7 @@
     void startNotSent(const StartOrder &order, std::uint64_t sentUnder);
     void sendUnsentStarts();
     void refuseUnsentStarts(std::string_view reason);
+    [[nodiscard]] std::vector<StartOrder> unsentStarts() const;
     void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t fence,
                  const WorkerReply &reply);
     /// Handles the answer to a start for a lifetime that has ended meanwhile.
--- a/Guavashift/Fleet/LifetimeConnections.cpp
+++ b/Guavashift/Fleet/LifetimeConnections.cpp
@@ -18,6 +18,7 @@
         return;
     if (std::find(m_answered.begin(), m_answered.end(), connection) != m_answered.end()) {
         m_staysOpen = true;
+        m_closedInARow = 0;
         return;
     }
     m_answered.push_back(connection);
