Keep starts and known connections when one poll fails

What callers would see: starts that are refused, and their workers left out for a while, because one connection broke; calls on any connection during a burst of starts.

Cause: any failed poll refused all kept starts. Polls that found no connection while starts held all of them counted as connections that the worker closes. A stop without an answer was sent again to the next lifetime.

Change: only the failure of the poll that finds out who answers refuses kept starts; polls count only while no start is open; a stop is sent again to its lifetime only.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -401,8 +401,11 @@
 {
     if (!m_facts)
         return;
-    // Another open poll may hold the only connection.
-    if (m_openPolls == 0) {
+    // An open call may hold the only connection.
+    const bool startsAreOpen = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &each) {
+        return each.second.stage == Stage::Starting && !each.second.unsent;
+    });
+    if (m_openPolls == 0 && !startsAreOpen) {
         const bool stayedOpen = m_connections.staysOpen();
         m_connections.pollNotSent();
         if (stayedOpen && !m_connections.staysOpen())
@@ -440,7 +443,9 @@
             schedulePoll(m_agent.retryPause);
         return;
     default:
-        refuseUnsentStarts("no answer");
+        // The failure of another poll may be that of one connection only.
+        if (!request.connections)
+            refuseUnsentStarts("no answer");
         // Once the lease has expired without an answer, nothing runs on the worker any more.
         if (now > m_lease.latestEnd() && !m_unreachable) {
             m_unreachable = true;
@@ -805,7 +810,10 @@
                         poll(Duration::zero());
                         return;
                     }
-                    m_loop.after(m_agent.stopRetry, [this, key] { sendStop(key); });
+                    m_loop.after(m_agent.stopRetry, [this, key, lifetime] {
+                        if (isCurrent(lifetime))
+                            sendStop(key);
+                    });
                 });
 }
 
--- a/UnitTests/Fleet/LifetimeConnectionsTest.cpp
+++ b/UnitTests/Fleet/LifetimeConnectionsTest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(startsRunsOnConnectionsOfTheLifetimeOnly);
     CPPUNIT_TEST(sendsNoStartOfAnEarlierSession);
     CPPUNIT_TEST(startsNothingOnAWorkerThatStopsAnswering);
+    CPPUNIT_TEST(keepsAStartWhenOneOtherPollFails);
+    CPPUNIT_TEST(keepsToKnownConnectionsWhileStartsHoldThem);
     CPPUNIT_TEST(extendsTheLeaseOfAWorkerThatClosesItsConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -123,6 +125,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.starts().size());
     }
 
+    /// Guards against a start that is refused because one connection broke.
+    void keepsAStartWhenOneOtherPollFails()
+    {
+        startOn(factsOf(1000));
+        until([this] {
+            const auto &last = m_worker.polls().back();
+            return last.callback && last.request.connections;
+        });
+        const std::size_t waiting = m_worker.polls().size() - 1;
+        m_worker.starts().back().answer(failed(WorkerCallResult::NotSent));
+        until([&] { return m_worker.polls().size() > waiting + 1; });
+        m_worker.polls()[waiting].answer(failed(WorkerCallResult::NoAnswer));
+        m_worker.answerPolls(replyOf(1000));
+        until([this] { return m_worker.starts().size() == 2; });
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
+    /// Guards against acknowledgements that reach the next lifetime after a burst of starts.
+    void keepsToKnownConnectionsWhileStartsHoldThem()
+    {
+        constexpr int rounds = 40; // Each connection takes two.
+        startOn(factsOf(1000));
+        for (int i = 0; i < rounds; ++i) {
+            until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+            WorkerReply reply = failed(WorkerCallResult::NotSent);
+            if (!m_worker.polls().back().request.connections) {
+                reply = replyOf(1000);
+                reply.connection = 2000U + static_cast<WorkerConnection>(i);
+            }
+            m_worker.polls().back().answer(reply);
+        }
+        until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+        if (!m_worker.polls().back().request.connections)
+            m_worker.polls().back().answer(replyOf(1000));
+        until([this] {
+            const auto &last = m_worker.polls().back();
+            return last.callback && last.request.connections;
+        });
+    }
+
     /// Guards against runs that lapse on a worker that answers each call and closes the connection.
     void extendsTheLeaseOfAWorkerThatClosesItsConnections()
     {
