--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -387,8 +387,6 @@
         if (found != worker->runs.end() && found->second.run == row.run)
             found->second.listed = true;
     }
-    // Its end may have been proposed when it was listed in the inventory.
-    stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
@@ -421,9 +419,12 @@
         if (run.committed && run.boundAt <= boundBefore)
             queueEnd(run, RunEnd::NotStarted, SettleReason::NotInInventory);
     }
-    // A stop sent to the previous session is ordered again.
-    worker->unboundStopped.clear();
-    stopUnbound(*worker, rows);
+    // A run that is reported but not bound there was already settled with another end.
+    for (const RunStatus &row : rows) {
+        const auto found = worker->runs.find(row.task);
+        if (found == worker->runs.end() || found->second.run != row.run)
+            m_orders.emplace_back(worker->node, StopOrder{lifetime, row.task, row.run});
+    }
     reserveUnbound(*worker, rows);
     if (worker->facts.draining)
         evacuate(*worker, boundBefore);
@@ -493,38 +494,6 @@
     }
 }
 
-void Dispatcher::stopUnbound(PoolWorker &worker, std::span<const RunStatus> rows)
-{
-    if (worker.node.empty())
-        return;
-    std::set<std::pair<TaskRef, std::uint32_t>> stopped;
-    for (const RunStatus &row : rows) {
-        const auto found = worker.runs.find(row.task);
-        if ((found != worker.runs.end() && found->second.run == row.run)
-            || isBoundToEarlier(worker.facts.lifetime, row))
-            continue;
-        // It was settled with another end. Its agent repeats the stop until it is answered.
-        if (!worker.unboundStopped.contains({row.task, row.run})) {
-            logEvent(LogLevel::Info, "unbound-run-stopped",
-                     {{"task", row.task.text()},
-                      {"run", row.run},
-                      {"worker", worker.facts.lifetime.worker},
-                      {"born", worker.facts.lifetime.startedAt}});
-            m_orders.emplace_back(worker.node, StopOrder{worker.facts.lifetime, row.task, row.run});
-        }
-        stopped.emplace(row.task, row.run);
-    }
-    worker.unboundStopped = std::move(stopped);
-}
-
-bool Dispatcher::isBoundToEarlier(const Lifetime &lifetime, const RunStatus &row) const
-{
-    const auto placed = m_placed.find(row.task);
-    return placed != m_placed.end() && placed->second.worker == lifetime.worker
-        && placed->second.startedAt < lifetime.startedAt
-        && m_pool.workers().at(placed->second).runs.at(row.task).run == row.run;
-}
-
 void Dispatcher::startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs)
 {
     PoolWorker *worker = m_pool.find(lifetime);
