Take no refused connection for the end of a worker's program

Cause: an agent whose poll was refused reported the worker's lifetime as ended, and the leader started all its runs elsewhere at once. A refused connection tells of the path as well as of the program: behind a path that refuses connections the worker goes on until its lease ends. The class: the state of a peer is concluded from the state of the path to it.

Two new tests of AgentLifetimeTest failed with the old handling.

Change: a worker that refuses connections is treated as one that does not answer. Its lifetime ends with its lease, with a later lifetime, with another worker at its address, or when it refuses connections after its goodbye. If it still refuses connections when its lease ends, it is reported as crashed, so that tasks which crash workers are found as before. A refused poll extends no lease. The log tells when polls begin to fail otherwise than before, and names the refusal as such.

Three tests of lifetimes that are found again ended them by a refused connection. They do so by another worker's answer now: a refusal ends none any more.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -7,8 +7,14 @@
 namespace {
 
 constexpr std::array<std::string_view, 12> resultNames{
-    "done",      "fenced-off", "too-old",        "too-late",   "no-room",  "no-approval",
-    "unhealthy", "wrong",      "other-lifetime", "no-program", "not-sent", "no-answer"};
+    "done",      "fenced-off", "too-old",        "too-late",           "no-room",  "no-approval",
+    "unhealthy", "wrong",      "other-lifetime", "connection-refused", "not-sent", "no-answer"};
+
+/// Whether the worker has answered a poll, be it that another session has sent a higher token.
+bool isAnswered(WorkerCallResult result)
+{
+    return result == WorkerCallResult::Done || result == WorkerCallResult::FencedOff;
+}
 
 } // namespace
 
@@ -356,9 +362,10 @@
     request.seenUpTo = m_committedUpTo;
     // A failed poll may have been carried out. Extending the lease with each of them would put off
     // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
-    // A worker that has said goodbye will probably not answer again.
+    // A worker that has said goodbye, or that refuses connections, will probably not answer again.
+    const bool mayArrive = !m_goodbyeAt && m_lastPollResult != WorkerCallResult::ConnectionRefused;
     const bool extends =
-        !m_pollsFailSince || (!m_goodbyeAt && now - *m_pollsFailSince < m_agent.failedPollGrace);
+        !m_pollsFailSince || (mayArrive && now - *m_pollsFailSince < m_agent.failedPollGrace);
     request.untilMs = extends ? m_lease.untilMs(now) : 0;
     request.wait = wait;
     request.connections = m_connections.allowed();
@@ -418,19 +425,19 @@
     const Instant now = BootClock::now();
     if (!m_facts || m_facts->lifetime.worker != request.worker)
         return;
-    m_answersPolls = reply.result != WorkerCallResult::NoAnswer;
-    const bool succeeds =
-        reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff;
-    if (succeeds == m_pollsFailSince.has_value())
+    m_answersPolls = reply.result != WorkerCallResult::NoAnswer
+        && reply.result != WorkerCallResult::ConnectionRefused;
+    const bool succeeds = isAnswered(reply.result);
+    if (succeeds == m_pollsFailSince.has_value() || (!succeeds && reply.result != m_lastPollResult))
         logPollChange(reply, now);
     if (succeeds)
         m_pollsFailSince.reset();
     else if (!m_pollsFailSince)
         m_pollsFailSince = now;
+    m_lastPollResult = reply.result;
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
-    case WorkerCallResult::NoProgram:
     case WorkerCallResult::OtherLifetime:
         return endLostLifetime();
     case WorkerCallResult::FencedOff:
@@ -441,8 +448,14 @@
             schedulePoll(m_agent.retryPause);
         return;
     default:
-        // Once the lease has expired without an answer, nothing runs on the worker any more.
+        if (reply.result == WorkerCallResult::ConnectionRefused && m_goodbyeAt)
+            return endLostLifetime();
+        // Once the lease has expired without an answer, nothing runs on the worker any more. Before
+        // that, a refused connection does not show that its program has ended: it may work on
+        // behind a path that refuses connections.
         if (now > m_lease.latestEnd() && !m_unreachable) {
+            if (reply.result == WorkerCallResult::ConnectionRefused)
+                return endLostLifetime();
             m_unreachable = true;
             endLifetime(LifetimeEnd::Unreachable);
         }
@@ -471,7 +484,7 @@
 
 void AgentNode::logPollChange(const WorkerReply &reply, Instant now) const
 {
-    logEvent(LogLevel::Info, m_pollsFailSince ? "polls-answered" : "polls-fail",
+    logEvent(LogLevel::Info, isAnswered(reply.result) ? "polls-answered" : "polls-fail",
              {{"worker", m_facts->lifetime.worker},
               {"born", m_facts->lifetime.startedAt},
               {"result", nameOf(reply.result)},
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -68,8 +68,8 @@
     /// Takes a report of the worker about itself. Ignores one that is older than the last.
     void workerReported(WorkerFacts facts, std::uint64_t sequence);
     /// Takes a worker's goodbye: it gets no more starts, and its runs will end. They count as ended
-    /// only once it lists their ends, refuses connections, begins another lifetime or loses its
-    /// lease.
+    /// only once it lists their ends, refuses connections after the goodbye, begins another
+    /// lifetime or loses its lease.
     void workerStopping(const std::string &worker);
 
 private:
@@ -119,7 +119,7 @@
     /// Returns the pause before the poll that follows `request`.
     [[nodiscard]] Duration pauseAfter(const PollRequest &request) const;
     void handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply);
-    /// Logs that polls begin to fail or are answered again.
+    /// Logs that polls begin to fail, fail otherwise than before, or are answered again.
     void logPollChange(const WorkerReply &reply, Instant now) const;
     void processRunning(const PollRequest &request, Instant sent, const WorkerReply &reply);
     void processEnds(const WorkerReply &reply);
@@ -143,7 +143,8 @@
     /// Marks a worker that has said goodbye as draining, unless it goes on reporting itself as
     /// ready for so long that the goodbye was not its own.
     void applyGoodbye(WorkerFacts &facts);
-    /// Ends the lifetime of a worker whose program is gone or was replaced.
+    /// Ends the lifetime of a worker whose program was replaced, or that refuses connections and
+    /// has said goodbye or lost its lease.
     void endLostLifetime();
     void endLifetime(LifetimeEnd end);
     /// Withdraws what was reported of the end of the present lifetime, if that was found again.
@@ -183,6 +184,7 @@
     bool m_unreachable = false; ///< Its lease ran out without an answer.
     bool m_answersPolls = true; ///< The last poll was answered.
     std::optional<Instant> m_pollsFailSince;
+    WorkerCallResult m_lastPollResult = WorkerCallResult::Done; ///< Result of the last poll.
     LeaseClock m_lease;
     std::uint64_t m_listedUpTo = 0;              ///< Ends read from the present lifetime.
     std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -15,9 +15,9 @@
     Unhealthy,     ///< The worker is unhealthy and did nothing.
     Wrong,         ///< The worker could not read the order.
     OtherLifetime, ///< Another worker answers at the address.
-    NoProgram,     ///< Nothing listens at the address.
-    NotSent,       ///< None of the connections that the call names is open and idle.
-    NoAnswer       ///< It is unknown whether the call was carried out or still will be.
+    ConnectionRefused, ///< By the worker's machine, or on the way to it. Nothing was sent.
+    NotSent,           ///< None of the connections that the call names is open and idle.
+    NoAnswer           ///< It is unknown whether the call was carried out or still will be.
 };
 std::string_view nameOf(WorkerCallResult result);
 
--- a/Guavashift/Http/AsyncHttpClient.h
+++ b/Guavashift/Http/AsyncHttpClient.h
@@ -29,7 +29,7 @@
 
 /// Why a call has no answer.
 enum class HttpCallFailure {
-    Refused,  ///< The port answered with a reset: no process listens there.
+    Refused,  ///< The connection was refused, so the request was not sent.
     NoAnswer, ///< Timeout or broken connection; whether the request arrived is unknown.
     NotSent,  ///< None of the connections that the call names is open and idle.
 };
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -281,7 +281,7 @@
             if (connections && (!m_isUp || !isOpen(*connections)))
                 return fail(WorkerCallResult::NoAnswer);
             if (!m_isUp)
-                return isFaulty ? void() : fail(WorkerCallResult::NoProgram);
+                return isFaulty ? void() : fail(WorkerCallResult::ConnectionRefused);
             if (name != m_name)
                 return isFaulty ? void() : fail(WorkerCallResult::OtherLifetime);
             execute([this, once, isFaulty](const WorkerReply &reply) {
@@ -857,7 +857,7 @@
         switch (reply.result) {
         case WorkerCallResult::Done:
             break;
-        case WorkerCallResult::NoProgram:
+        case WorkerCallResult::ConnectionRefused:
         case WorkerCallResult::OtherLifetime:
             return endLostLifetime();
         case WorkerCallResult::FencedOff:
--- a/UnitTests/Fleet/AgentLifetimeTest.cpp
+++ b/UnitTests/Fleet/AgentLifetimeTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(startsNoRunThatTheLeaderMaySettleWithALifetimeFoundAgain);
     CPPUNIT_TEST(repeatsNoCrashOfALifetimeFoundAgain);
     CPPUNIT_TEST(resolvesOpenStartsOfALifetimeFoundAgain);
+    CPPUNIT_TEST(takesNoRefusedConnectionForTheEndOfALifetime);
+    CPPUNIT_TEST(reportsCrashOfALifetimeThatRefusesConnectionsOnceItsLeaseIsOver);
     CPPUNIT_TEST(passesOnNoLeaseGrantedBeforeTheWorkerWasKnown);
     CPPUNIT_TEST(passesOnNoLeaseOfAnEarlierLifetime);
     CPPUNIT_TEST_SUITE_END();
@@ -77,7 +79,7 @@
         m_worker.polls()[first].answer(replyOf(1000));
         report(factsOf(3000));
         WorkerReply gone;
-        gone.result = WorkerCallResult::NoProgram;
+        gone.result = WorkerCallResult::OtherLifetime;
         m_worker.polls()[first + 1].answer(gone);
         m_worker.polls().back().answer(replyOf(3000));
         grant();
@@ -95,7 +97,7 @@
         grant();
         m_worker.polls().back().answer(replyOf(1000));
         WorkerReply gone;
-        gone.result = WorkerCallResult::NoProgram;
+        gone.result = WorkerCallResult::OtherLifetime;
         until([this] { return m_worker.polls().size() == 2; });
         m_worker.polls().back().answer(gone);
         until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
@@ -113,7 +115,7 @@
         m_worker.polls().back().answer(replyOf(1000));
         until([this] { return m_worker.polls().size() == 2; });
         WorkerReply gone;
-        gone.result = WorkerCallResult::NoProgram;
+        gone.result = WorkerCallResult::OtherLifetime;
         m_worker.polls().back().answer(gone);
         until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
         report(factsOf(1000), 2);
@@ -157,6 +159,39 @@
         CPPUNIT_ASSERT(refusal.task == task && refusal.run == 1);
     }
 
+    /// Guards against two runs of a task at the same time: the path to a worker refuses connections
+    /// while the worker holds its lease and works on.
+    void takesNoRefusedConnectionForTheEndOfALifetime()
+    {
+        startOn(factsOf(1000));
+        m_worker.starts().back().answer(replyOf(1000));
+        refusePollsFor(std::chrono::milliseconds(1000));
+        CPPUNIT_ASSERT(m_leader->all<LifetimeEnded>().empty());
+        CPPUNIT_ASSERT(m_leader->all<WorkerCrashed>().empty());
+        // No further task may be started there meanwhile.
+        StartOrder order = orderFor(factsOf(1000));
+        order.traits.run = 2;
+        m_leader->sendToAll(order);
+        until([this] { return !m_leader->all<StartRefused>().empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.starts().size());
+    }
+
+    /// Guards against a task that crashes worker after worker, and against tasks that wait for ever
+    /// for a worker whose program has ended.
+    void reportsCrashOfALifetimeThatRefusesConnectionsOnceItsLeaseIsOver()
+    {
+        startOn(factsOf(1000));
+        m_worker.starts().back().answer(replyOf(1000));
+        const Instant refusedAt = BootClock::now();
+        refusePollsUntil([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        CPPUNIT_ASSERT(BootClock::now() - refusedAt >= m_bounds.maxWorkerLease / 2);
+        const std::vector<WorkerCrashed> crashes = m_leader->all<WorkerCrashed>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
+        CPPUNIT_ASSERT(crashes[0].lifetime == factsOf(1000).lifetime);
+        const std::vector<TaskRun> expected{{task, 1}};
+        CPPUNIT_ASSERT(crashes[0].recentRuns == expected);
+    }
+
     /// Guards against a worker that runs on a lease that its leader has not recorded for it: the
     /// agent had restarted, and was cut off before it could report the worker.
     void passesOnNoLeaseGrantedBeforeTheWorkerWasKnown()
@@ -188,11 +223,26 @@
     }
 
 private:
+    void refusePollsUntil(const std::function<bool()> &condition)
+    {
+        WorkerReply refused;
+        refused.result = WorkerCallResult::ConnectionRefused;
+        until([&] {
+            if (m_worker.polls().back().callback)
+                m_worker.polls().back().answer(refused);
+            return condition();
+        });
+    }
+    void refusePollsFor(Duration time)
+    {
+        const Instant end = BootClock::now() + time;
+        refusePollsUntil([&] { return BootClock::now() >= end; });
+    }
     /// Has the agent take the first lifetime for crashed, and find it again by a late report.
     void loseAndFindAgain()
     {
         WorkerReply gone;
-        gone.result = WorkerCallResult::NoProgram;
+        gone.result = WorkerCallResult::OtherLifetime;
         until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
         m_worker.polls().back().answer(gone);
         until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -74,7 +74,7 @@
         return;
     ++m_crashes;
     beginLifetime();
-    m_failsWith = WorkerCallResult::NoProgram;
+    m_failsWith = WorkerCallResult::ConnectionRefused;
     m_loop.after(downtime, [this] {
         m_failsWith.reset();
         m_startedAt = BootClock::now();
--- a/UnitTests/Fleet/GoodbyeTest.cpp
+++ b/UnitTests/Fleet/GoodbyeTest.cpp
@@ -63,7 +63,7 @@
         until([&] { return m_worker.polls().size() > before; });
         CPPUNIT_ASSERT(m_leader->all<LifetimeEnded>().empty());
         WorkerReply gone;
-        gone.result = WorkerCallResult::NoProgram;
+        gone.result = WorkerCallResult::ConnectionRefused;
         m_worker.answerPolls(gone);
         assertLeft();
     }
