Simulate paths to workers that refuse connections

The simulation's agent follows the product: a refused connection ends a lifetime only after its goodbye or its lease. RefusedPathSimulationTest plays the same random orders with paths that refuse connections while the worker goes on; the seeds of the other two play the same faults as before.

--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -153,6 +153,8 @@
     [[nodiscard]] std::uint64_t nextSequence() { return ++m_sequence; }
 
     void silence(Ms duration) { m_silentUntil = m_world.now() + duration; }
+    /// Has the path to the worker refuse connections while the worker goes on.
+    void refuse(Ms duration) { m_refusingUntil = m_world.now() + duration; }
     void crash()
     {
         m_world.trace("{} born {} ends", m_name, m_born);
@@ -280,6 +282,9 @@
         m_world.after(delay, [this, name, connections, fail, once, execute, isFaulty] {
             if (connections && (!m_isUp || !isOpen(*connections)))
                 return fail(WorkerCallResult::NoAnswer);
+            if (m_world.now() < m_refusingUntil)
+                return fail(connections ? WorkerCallResult::NoAnswer
+                                        : WorkerCallResult::ConnectionRefused);
             if (!m_isUp)
                 return isFaulty ? void() : fail(WorkerCallResult::ConnectionRefused);
             if (name != m_name)
@@ -415,6 +420,7 @@
     bool m_bornInStarts;  ///< Whether answers to starts name the lifetime.
     int m_faultsPerMille; ///< Of calls on a path that isn't silent.
     Ms m_silentUntil = 0;
+    Ms m_refusingUntil = 0;
     std::uint64_t m_life = 0;
     bool m_isUp = false;
     bool m_drains = false;
@@ -812,7 +818,8 @@
         const Ms now = m_world.now();
         PollRequest request;
         request.seenUpTo = m_committedUpTo;
-        const bool extends = !m_pollsFailSince || (!m_goodbyeAt && now - *m_pollsFailSince < 2000);
+        const bool mayArrive = !m_goodbyeAt && !m_lastPollRefused;
+        const bool extends = !m_pollsFailSince || (mayArrive && now - *m_pollsFailSince < 2000);
         request.untilMs = extends ? m_lease.untilMs(now) : 0;
         request.wait = std::chrono::milliseconds(wait);
         request.connections = m_connections;
@@ -849,7 +856,9 @@
         const Ms now = m_world.now();
         if (!m_facts || m_facts->lifetime.worker != request.worker)
             return;
-        m_answersPolls = reply.result != WorkerCallResult::NoAnswer;
+        const bool refused = reply.result == WorkerCallResult::ConnectionRefused;
+        m_answersPolls = reply.result != WorkerCallResult::NoAnswer && !refused;
+        m_lastPollRefused = refused;
         if (reply.result == WorkerCallResult::Done || reply.result == WorkerCallResult::FencedOff)
             m_pollsFailSince.reset();
         else if (!m_pollsFailSince)
@@ -857,7 +866,6 @@
         switch (reply.result) {
         case WorkerCallResult::Done:
             break;
-        case WorkerCallResult::ConnectionRefused:
         case WorkerCallResult::OtherLifetime:
             return endLostLifetime();
         case WorkerCallResult::FencedOff:
@@ -867,6 +875,8 @@
                 schedulePoll(150);
             return;
         default:
+            if (refused && (m_goodbyeAt || (now > m_lease.latestEnd && !m_unreachable)))
+                return endLostLifetime();
             if (now > m_lease.latestEnd && !m_unreachable) {
                 m_unreachable = true;
                 endLifetime(LifetimeEnd::Unreachable);
@@ -1054,6 +1064,7 @@
     Barrier m_barrier;
     bool m_unreachable = false;
     bool m_answersPolls = true;
+    bool m_lastPollRefused = false;
     std::optional<Ms> m_pollsFailSince;
     AgentLease m_lease;
     std::uint64_t m_listedUpTo = 0;
@@ -1076,13 +1087,22 @@
     Ms cutUntil = 0; ///< From the leaders.
 };
 
+struct SimulationSettings
+{
+    /// Whether the next lifetime of a worker carries out starts for the one before.
+    bool takesLateStarts = false;
+    /// Whether some paths to workers refuse connections instead of being silent.
+    bool pathsRefuse = false;
+};
+
 /// Leaders, their log and job table, agents, workers and callers in virtual time. Calls the
 /// dispatcher as FleetLeader does.
 class Simulation final
 {
 public:
-    Simulation(std::uint64_t seed, bool takesLateStarts, bool traces)
+    Simulation(std::uint64_t seed, const SimulationSettings &settings, bool traces)
         : m_world(seed, traces)
+        , m_pathsRefuse(settings.pathsRefuse)
         , m_judge(m_world)
         , m_table({.maxCrashes = 1'000'000}, readAny)
     {
@@ -1092,7 +1112,7 @@
             m_sites.push_back(std::make_unique<Site>());
             Site &site = *m_sites.back();
             site.node = fmt::format("n{}", i);
-            site.machine = std::make_unique<Machine>(m_world, m_judge, i, takesLateStarts);
+            site.machine = std::make_unique<Machine>(m_world, m_judge, i, settings.takesLateStarts);
             startAgent(site);
             report(site);
             connect(site);
@@ -1479,8 +1499,10 @@
         case 4: {
             const Ms length =
                 m_world.chance(200) ? m_world.between(5000, 9000) : m_world.between(100, 2500);
-            m_world.trace("path to the worker of {} is silent for {}", site.node, length);
-            return site.machine->silence(length);
+            const bool refuses = m_pathsRefuse && length % 3 == 0;
+            m_world.trace("path to the worker of {} is {} for {}", site.node,
+                          refuses ? "refused" : "silent", length);
+            return refuses ? site.machine->refuse(length) : site.machine->silence(length);
         }
         default:
             if (m_world.chance(500))
@@ -1491,6 +1513,7 @@
     }
 
     World m_world;
+    bool m_pathsRefuse;
     Judge m_judge;
     JobTable m_table;
     std::vector<std::unique_ptr<Site>> m_sites;
@@ -1513,9 +1536,9 @@
     return text == nullptr ? otherwise : std::stoull(text);
 }
 
-std::string traceOf(std::uint64_t seed, bool takesLateStarts)
+std::string traceOf(std::uint64_t seed, const SimulationSettings &settings)
 {
-    Simulation simulation(seed, takesLateStarts, true);
+    Simulation simulation(seed, settings, true);
     simulation.run();
     std::string text;
     for (const std::string &line : simulation.world().lines())
@@ -1525,7 +1548,7 @@
 
 /// Plays a fixed range of seeds, or the one that the environment names: the first in
 /// GUAVASHIFT_SIMULATION_SEED, their number in GUAVASHIFT_SIMULATION_SEEDS.
-void playSeeds(bool takesLateStarts)
+void playSeeds(const SimulationSettings &settings)
 {
     constexpr std::uint64_t seeds = 800;
     constexpr std::uint64_t named = 40;
@@ -1536,13 +1559,13 @@
     std::uint64_t failed = 0;
     std::uint64_t starts = 0;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        Simulation simulation(seed, takesLateStarts, false);
+        Simulation simulation(seed, settings, false);
         const bool succeeds = simulation.run();
         starts += simulation.starts();
         if (succeeds)
             continue;
         if (++failed == 1)
-            trace = traceOf(seed, takesLateStarts);
+            trace = traceOf(seed, settings);
         if (failed <= named)
             failures += fmt::format("\nseed {}: {}", seed, simulation.world().failure());
     }
@@ -1567,7 +1590,7 @@
 
     /// Guards against a task that runs twice, or a job without an end, after a change of leader, a
     /// restart of an agent or a worker, a cut, or calls that are carried out late.
-    void runsNoTaskTwice() { playSeeds(false); }
+    void runsNoTaskTwice() { playSeeds({}); }
 };
 
 /// The same with starts that the next lifetime of a worker carries out.
@@ -1583,8 +1606,25 @@
 
     /// Guards against a task that runs twice because a start reaches the next lifetime of its
     /// worker, which knows no fencing token, after the lifetime before had disproved it.
-    void runsNoTaskTwice() { playSeeds(true); }
+    void runsNoTaskTwice() { playSeeds({.takesLateStarts = true}); }
+};
+
+/// The same with paths to workers that refuse connections for a while.
+class RefusedPathSimulationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RefusedPathSimulationTest);
+    CPPUNIT_TEST(runsNoTaskTwice);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { setLogLevel(LogLevel::Error); }
+    void tearDown() override { setLogLevel(LogLevel::Info); }
+
+    /// Guards against a task that runs twice because its worker, which works on behind a path that
+    /// refuses connections, is taken for ended.
+    void runsNoTaskTwice() { playSeeds({.pathsRefuse = true}); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderChangeSimulationTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RefusedPathSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(LateStartSimulationTest);
