Count no suspended time as time of a worker's clock

What callers would see: two runs of a task at the same time. The machine of an agent and its worker is suspended between two readings of the worker's clock; the next lease end lies too far ahead by that time, and the worker runs on after the leader has given its runs up.

Cause: lease ends were computed from the time since the last reading by CLOCK_BOOTTIME. The worker's steady clock stands still while the machine is suspended.

Change: LeaseClock takes the suspended time off.

After: LeaseClockTest::staysWithinGrantAfterASuspension passes; by the formula of before the lease end was 2 s late in that case. A suspension after the lease end was sent is not covered: the worker's own lease is longer by it.

--- a/Guavashift/Core/Time.h
+++ b/Guavashift/Core/Time.h
@@ -31,6 +31,13 @@
 /// Point in time on the BootClock of one VM. Not comparable between VMs.
 using Instant = BootClock::time_point;
 
+/// How long the VM has been suspended since it started.
+inline Duration suspendedTime()
+{
+    return std::chrono::duration_cast<Duration>(
+        BootClock::now().time_since_epoch() - std::chrono::steady_clock::now().time_since_epoch());
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch. Used for times that VMs share: release
 /// and due times, expiry of idempotency keys.
 using WallMs = std::int64_t;
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -366,7 +366,7 @@
     const bool mayArrive = !m_goodbyeAt && m_lastPollResult != WorkerCallResult::ConnectionRefused;
     const bool extends =
         !m_pollsFailSince || (mayArrive && now - *m_pollsFailSince < m_agent.failedPollGrace);
-    request.untilMs = extends ? m_lease.untilMs(now) : 0;
+    request.untilMs = extends ? m_lease.untilMs(now, suspendedTime()) : 0;
     request.wait = wait;
     request.connections = m_connections.allowed();
     sendPoll(std::move(request));
@@ -474,7 +474,7 @@
     }
     if (!mayBeFromOther(m_facts->lifetime, reply))
         m_connections.answered(reply.connection);
-    m_lease.observe(reply.clockMs, sent, now);
+    m_lease.observe(reply.clockMs, sent, now, suspendedTime());
     processEnds(reply);
     processRunning(request, sent, reply);
     applyThrottling();
@@ -624,7 +624,7 @@
         return refuse(order, "no answer");
     if (!m_barrier.mayCarryOut(order.lifetime))
         return refuse(order, "ordered before its end was handled");
-    const std::int64_t until = m_lease.untilMs(BootClock::now());
+    const std::int64_t until = m_lease.untilMs(BootClock::now(), suspendedTime());
     if (until == 0)
         return refuse(order, "no lease");
     const RunKey key{order.traits.task, order.traits.run};
--- a/Guavashift/Fleet/LeaseClock.cpp
+++ b/Guavashift/Fleet/LeaseClock.cpp
@@ -20,13 +20,14 @@
 {
 }
 
-void LeaseClock::observe(std::int64_t clockMs, Instant, Instant received)
+void LeaseClock::observe(std::int64_t clockMs, Instant, Instant received, Duration suspended)
 {
     // The worker read its clock before the answer arrived, so its clock is now at least at
     // `clockMs`.
     if (clockMs >= m_clockMs) {
         m_clockMs = clockMs;
         m_clockAt = received;
+        m_suspended = suspended;
     }
 }
 
@@ -47,12 +48,13 @@
     m_latestEnd = now + m_longestLease;
 }
 
-std::int64_t LeaseClock::untilMs(Instant now)
+std::int64_t LeaseClock::untilMs(Instant now, Duration suspended)
 {
     if (m_clockMs == 0 || now >= m_grantEnd)
         return 0;
     m_latestEnd = std::max(m_latestEnd, m_grantEnd);
-    const auto left = static_cast<double>(toMs(m_grantEnd - m_clockAt));
+    const Duration stoodStill = std::max(suspended - m_suspended, Duration::zero());
+    const auto left = static_cast<double>(toMs(m_grantEnd - m_clockAt - stoodStill));
     return m_clockMs + static_cast<std::int64_t>(left * slowestClock);
 }
 
--- a/Guavashift/Fleet/LeaseClock.h
+++ b/Guavashift/Fleet/LeaseClock.h
@@ -5,7 +5,8 @@
 namespace guavashift {
 
 /// Converts lease ends from the agent's clock to the worker's and bounds how long anything can run
-/// on the worker. The worker's clock may be up to 2 % slow. Performs no I/O and reads no clock.
+/// on the worker. The worker's clock may be up to 2 % slow, and it stands still while the machine
+/// is suspended. Performs no I/O and reads no clock.
 class LeaseClock final
 {
 public:
@@ -13,7 +14,8 @@
     LeaseClock(Duration longestLease, Instant now);
 
     /// Records that the worker's clock was at `clockMs` at a time between `sent` and `received`.
-    void observe(std::int64_t clockMs, Instant sent, Instant received);
+    /// `suspended`: for how long the machine has been suspended, see suspendedTime().
+    void observe(std::int64_t clockMs, Instant sent, Instant received, Duration suspended);
 
     /// Whether `clockMs`, from an answer that arrived at `now`, fits what was observed of the
     /// worker's clock. The clock of another lifetime starts anew.
@@ -26,9 +28,9 @@
     void workerChanged(Instant now);
 
     /// Returns the end of the granted lease on the worker's clock, so early that nothing outlives
-    /// the grant; 0 if there is no grant or the worker's clock is not known. Extends latestEnd(),
-    /// since the value is sent to the worker.
-    [[nodiscard]] std::int64_t untilMs(Instant now);
+    /// the grant unless the machine is suspended later; 0 if there is no grant or the worker's
+    /// clock is not known. Extends latestEnd(), since the value is sent to the worker.
+    [[nodiscard]] std::int64_t untilMs(Instant now, Duration suspended);
 
     /// Time after which nothing runs on the worker, unless a later lease end is sent to it.
     [[nodiscard]] Instant latestEnd() const { return m_latestEnd; }
@@ -40,6 +42,7 @@
     Instant m_latestEnd;
     std::int64_t m_clockMs = 0;
     Instant m_clockAt;
+    Duration m_suspended = Duration::zero(); ///< Until the clock was observed.
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/PartsTest.cpp
+++ b/UnitTests/Fleet/PartsTest.cpp
@@ -23,6 +23,7 @@
 {
     CPPUNIT_TEST_SUITE(LeaseClockTest);
     CPPUNIT_TEST(staysWithinGrantOnSlowClock);
+    CPPUNIT_TEST(staysWithinGrantAfterASuspension);
     CPPUNIT_TEST(assumesLongestLeaseOfEarlierAgent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -30,15 +31,30 @@
     void staysWithinGrantOnSlowClock()
     {
         LeaseClock lease(Duration::zero(), at(0));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lease.untilMs(at(0)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lease.untilMs(at(0), Duration::zero()));
         lease.granted(at(4500));
-        lease.observe(100'000, at(0), at(2));
-        const std::int64_t until = lease.untilMs(at(10));
+        lease.observe(100'000, at(0), at(2), Duration::zero());
+        const std::int64_t until = lease.untilMs(at(10), Duration::zero());
         // A clock that runs 2 % slow reaches `until` no later than the grant ends.
         const double slowMs = static_cast<double>(until - 100'000) / 0.98;
         CPPUNIT_ASSERT(slowMs <= 4500 - 2 + 1);
         CPPUNIT_ASSERT(lease.latestEnd() == at(4500));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lease.untilMs(at(4500)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lease.untilMs(at(4500), Duration::zero()));
+    }
+
+    /// Guards against a lease that is too long by the time for which the machine was suspended
+    /// since the worker's clock was last read: that clock stood still.
+    void staysWithinGrantAfterASuspension()
+    {
+        using namespace std::chrono_literals;
+        LeaseClock lease(Duration::zero(), at(0));
+        lease.granted(at(4500));
+        lease.observe(100'000, at(0), at(0), 7s);
+        // Suspended from 500 to 2500: the worker's clock is at 101'000 at 3000.
+        const std::int64_t until = lease.untilMs(at(3000), 9s);
+        const double slowMs = static_cast<double>(until - 100'000) / 0.98;
+        CPPUNIT_ASSERT(slowMs <= 4500 - 2000 + 1);
+        CPPUNIT_ASSERT(slowMs >= 4500 - 2000 - 1);
     }
 
     void assumesLongestLeaseOfEarlierAgent()
