Suspect no worker for the refusal of a settled run

Cause: the agent answers the stop of a run that its worker does not have with a refusal ("stopped before it ran"), and the leader gave the worker no new runs for half a second after any refusal, also of a run that was not bound there.

Change: only the refusal of a run that is bound to the worker makes it suspect. A refusal that answers the stop of any other run tells nothing about the worker. DispatcherTest made its suspect worker by the refusal of a run that was bound nowhere; it now has one refused that is bound there, and asserts the same.

Before: SettledRunTest::refusalOfASettledRunKeepsNoRunFromItsWorker fails.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -624,10 +624,13 @@
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
-    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
     const auto found = worker->runs.find(task);
-    if (found != worker->runs.end() && found->second.run == run && found->second.committed)
-        queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
+    // The refusal of a run that was settled before answers its stop, and tells nothing about the
+    // worker.
+    if (found == worker->runs.end() || found->second.run != run || !found->second.committed)
+        return;
+    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+    queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
 }
 
 const PlacedRun *Dispatcher::committedRun(const TaskRef &ref, std::uint32_t run)
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -449,14 +449,19 @@
         workers["draining"].draining = true;
         workers["other"].service = "another";
         workers["label"].labels = {"b", "rack"};
+        workers["suspect"].labels = {"a", "refuses"};
         for (const auto &[name, facts] : workers) {
             m_dispatcher->workerReported(name, facts, at(0));
             if (name != "unleased")
                 CPPUNIT_ASSERT(m_dispatcher->leaseGranted(name, at(4000)));
         }
+        JobPlan refused = plan(1, 1000);
+        refused.steps[0].requiredLabel = "refuses";
+        accept("refused", refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
         m_dispatcher->nodeLost("lost");
         m_dispatcher->lifetimeEnded(workers["silent"].lifetime, LifetimeEnd::Unreachable, {});
-        m_dispatcher->startRefused(workers["suspect"].lifetime, {"none", 0, 0, 0}, 1, at(4900));
+        m_dispatcher->startRefused(workers["suspect"].lifetime, {"refused", 0, 0, 0}, 1, at(4900));
         JobPlan lasting = longRunningPlan(1, 8000);
         lasting.steps[0].requiredLabel = "a";
         accept("lasting", lasting);
--- a/UnitTests/Dispatch/SettledRunTest.cpp
+++ b/UnitTests/Dispatch/SettledRunTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(stopsAdoptedRunWhoseEndWasOnItsWay);
     CPPUNIT_TEST(ordersOneStopInASession);
     CPPUNIT_TEST(keepsRunThatIsBoundToTheLifetimeBefore);
+    CPPUNIT_TEST(refusalOfASettledRunKeepsNoRunFromItsWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,18 @@
         CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find(ref)->run);
     }
 
+    /// Guards against a worker that gets no new runs for a while because it had none to stop.
+    void refusalOfASettledRunKeepsNoRunFromItsWorker()
+    {
+        commit({CancelJob{"j"}}, 20);
+        m_dispatcher->endReported({ref, 1, RunEnd::Stopped, {}});
+        commit(m_dispatcher->takeCommands(), 21);
+        m_dispatcher->startRefused({"w1", 1}, ref, 1, at(22));
+        commit({AcceptJob{"next", "batch", plan(1, 10'000)}}, 23);
+        commit(m_dispatcher->decide(at(24), 24), 24);
+        CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find(TaskRef{"next", 0, 0, 0})->run);
+    }
+
 private:
     /// The end of the worker's lifetime is reported; the same lifetime then reports itself and
     /// lists the run, and only after that the end of the run is committed.
