Stop no run whose end the agent has listed

Cause: an order to stop a run that crossed the report of its end on the way was sent to the worker, which has no such run. The agent then refused the run as "stopped before it ran", while the leader still held it as bound.

Change: an agent ignores the order if it has listed the end of the run a short time ago. A run number never starts again in a lifetime, and the leader learns of the end from its report, which is repeated until it is committed. The model of the agent in LeaderChangeSimulationTest follows, also in what it does with answers that list a run after its end.

Before: UncommittedEndsTest::stopsNoRunWhoseEndItHasListed fails.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -723,6 +723,9 @@
     if (!isCurrent(order.lifetime))
         return;
     const RunKey key{order.task, order.run};
+    // Ordered before the leader learnt of the end.
+    if (m_endedAt.contains(key))
+        return;
     const auto [position, added] = m_runs.try_emplace(key);
     if (added) {
         position->second.traits.task = order.task;
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -596,6 +596,7 @@
             m_facts = facts;
             m_foundAt = m_world.now();
             m_listedUpTo = m_committedUpTo = 0;
+            m_endedAt.clear();
             recallLifetime();
             raiseFence();
             m_inventoryDue = m_isOpen;
@@ -890,9 +891,12 @@
     }
     void processEnds(const WorkerReply &reply)
     {
+        const Ms now = m_world.now();
+        std::erase_if(m_endedAt, [&](const auto &each) { return now - each.second > 3000; });
         RunsEnded ended{m_facts->lifetime, {}};
         for (const ListedEnd &each : reply.ended) {
             m_runs.erase({each.end.task, each.end.run});
+            m_endedAt[{each.end.task, each.end.run}] = now;
             if (each.number <= m_listedUpTo)
                 continue;
             m_listedUpTo = each.number;
@@ -907,6 +911,8 @@
         for (const RunStatus &row : reply.running) {
             const RunKey key{row.task, row.run};
             running.insert(key);
+            if (m_endedAt.contains(key))
+                continue;
             Run &run = m_runs[key];
             run.stage = Stage::Running;
             run.seenAt = std::max(run.seenAt, sent);
@@ -1012,6 +1018,8 @@
         if (!isCurrent(order.lifetime))
             return;
         const RunKey key{order.task, order.run};
+        if (m_endedAt.contains(key))
+            return;
         const auto [position, added] = m_runs.try_emplace(key);
         if (added)
             position->second.stage = Stage::Running;
@@ -1059,6 +1067,7 @@
     std::uint64_t m_listedUpTo = 0;
     std::uint64_t m_committedUpTo = 0;
     std::map<RunKey, Run> m_runs;
+    std::map<RunKey, Ms> m_endedAt; ///< When their ends were listed last.
     std::uint64_t m_pollEpoch = 0;
     std::size_t m_openPolls = 0;
     bool m_isIdentifying = false;
--- a/UnitTests/Fleet/UncommittedEndsTest.cpp
+++ b/UnitTests/Fleet/UncommittedEndsTest.cpp
@@ -4,7 +4,7 @@
 
 using namespace guavashift;
 
-/// Ends that a worker has listed when its agent loses the leader.
+/// Ends that a worker has listed when its agent loses the leader, or is told to stop their runs.
 class UncommittedEndsTest : public AgentFixture
 {
     CPPUNIT_TEST_SUITE(UncommittedEndsTest);
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(tellsTheNextLeaderOfEndsOfALifetimeThatIsOver);
     CPPUNIT_TEST(sendsNoCommittedEndAgain);
     CPPUNIT_TEST(reportsNoEndedRunThatALateAnswerLists);
+    CPPUNIT_TEST(stopsNoRunWhoseEndItHasListed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +75,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<RunsEnded>().size());
     }
 
+    /// Guards against a worker that gets no new runs for a while because the leader, which did not
+    /// know of the end yet, had a run stopped that was gone.
+    void stopsNoRunWhoseEndItHasListed()
+    {
+        listAnEnd();
+        const Lifetime lifetime = factsOf(1000).lifetime;
+        m_leader->sendToAll(StopOrder{lifetime, task, 1});
+        // The orders arrive in turn.
+        m_leader->sendToAll(StopOrder{lifetime, task, 2});
+        until([this] {
+            m_worker.answerPolls(replyOf(1000));
+            return m_worker.stops() > 0;
+        });
+        CPPUNIT_ASSERT_EQUAL(1, m_worker.stops());
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
 private:
     /// Has the first lifetime list an end, which the leader is told.
     void listAnEnd()
