Start no task again while a settled run of it is listed

What callers could see: a worker whose end was reported by mistake reports again and lists its runs, but their tasks start elsewhere all the same (TWICE).

Cause: the ends were proposed before the worker listed the runs again. A command that is proposed can not be held back: it may be committed by then without the leader knowing, and every replica applies it alike. Once the end is committed, the task was ready and started at once.

Change: the end stands, but the next start waits. A run that was listed after its end had been proposed stays known to its worker when the end is committed, as do all unbound runs that a list names. Its task, or its gang, is not placed, and its capacity stays reserved, until a list lacks the run, its end or the refusal of its stop is reported, or the worker's lifetime, contact or lease has ended. The run is stopped as before; if it is done first, that counts.

SettledRunTest::stopsRunWhoseEndWasOnItsWayWhenItWasListed asserted that run 2 was bound while run 1 was listed, as the scene for the stop. That is the failure itself. The test now asserts that no run is bound then, that the stop is ordered, and that run 2 starts once run 1 is listed no more.

Before: three tests of SettledRunTest fail.

The window of the commit is closed; a worker that lists its runs again only after the commit is as before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -332,7 +332,7 @@
 void Dispatcher::supersede(PoolWorker &worker)
 {
     const Lifetime lifetime = worker.facts.lifetime;
-    reserveUnbound(worker, {});
+    worker.clearUnbound();
     worker.hasFacts = false;
     m_pool.setNode(worker, {});
     m_pool.removeIfIdle(lifetime);
@@ -382,17 +382,26 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
-    for (const RunStatus &row : rows) {
-        const auto found = worker->runs.find(row.task);
-        if (found != worker->runs.end() && found->second.run == row.run)
-            found->second.listed = true;
-    }
+    noteListed(*worker, rows);
     // The end of a run that the inventory listed may have been proposed before.
     stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
 
+void Dispatcher::noteListed(PoolWorker &worker, std::span<const RunStatus> rows) const
+{
+    for (auto &[task, run] : worker.runs)
+        run.listedSinceEnd = false;
+    for (const RunStatus &row : rows) {
+        const auto found = worker.runs.find(row.task);
+        if (found == worker.runs.end() || found->second.run != row.run)
+            continue;
+        found->second.listed = true;
+        found->second.listedSinceEnd = m_endsProposed.contains({row.task, row.run});
+    }
+}
+
 void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                                    Instant boundBefore)
 {
@@ -406,10 +415,10 @@
         m_progress.begun(row.task.job);
     }
     settleEarlierLifetimes(*worker, running);
+    noteListed(*worker, rows);
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
         if (found != running.end() && found->second == run.run) {
-            run.listed = true;
             run.startIsOpen = false;
             // A stop sent to the previous session is ordered again.
             const StageJob *job = m_jobTable.find(task.job);
@@ -497,16 +506,18 @@
 {
     if (worker.node.empty())
         return;
-    std::set<PoolWorker::RunKey> unbound;
+    std::map<PoolWorker::RunKey, bool> unbound;
     for (const RunStatus &row : rows) {
         const auto found = worker.runs.find(row.task);
         if ((found != worker.runs.end() && found->second.run == row.run)
             || isBoundToEarlier(worker.facts.lifetime, row))
             continue;
-        unbound.emplace(row.task, row.run);
+        const PoolWorker::RunKey key{row.task, row.run};
+        const auto known = worker.unboundRuns.find(key);
         // Its agent repeats the stop until it is answered.
-        if (!worker.unboundRuns.contains({row.task, row.run}))
+        if (known == worker.unboundRuns.end() || !known->second)
             orderStopOfUnbound(worker, row);
+        unbound.emplace(key, true);
     }
     worker.unboundRuns = std::move(unbound);
 }
@@ -532,6 +543,14 @@
         && m_pool.workers().at(placed->second).runs.at(row.task).run == row.run;
 }
 
+void Dispatcher::forgetUnbound(const TaskRef &task, std::uint32_t run)
+{
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.unboundRuns.empty())
+            m_pool.find(lifetime)->unboundRuns.erase({task, run});
+    }
+}
+
 void Dispatcher::startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs)
 {
     PoolWorker *worker = m_pool.find(lifetime);
@@ -589,7 +608,7 @@
                  end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
                                              : std::set<TaskRef>());
     if (end == LifetimeEnd::Unreachable) {
-        reserveUnbound(*worker, {});
+        worker->clearUnbound();
         worker->unreachable = true;
     } else {
         supersede(*worker);
@@ -662,6 +681,7 @@
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
+    worker->unboundRuns.erase({task, run});
     const auto found = worker->runs.find(task);
     // The refusal of a run that was settled before answers its stop, and tells nothing about the
     // worker.
@@ -697,6 +717,8 @@
     if (end.end != RunEnd::NotStarted)
         m_progress.begun(end.task.job);
     const PlacedRun *run = committedRun(end.task, end.run);
+    if (run == nullptr)
+        forgetUnbound(end.task, end.run);
     // This leader or an earlier one may have settled the run before it read the report.
     if (run == nullptr && !isLateDone(end))
         return;
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -379,6 +379,14 @@
     /// Reserves the capacity of the listed runs that are not bound to the worker, until a later
     /// list lacks them.
     void reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const;
+    /// Records which of the worker's runs a list names, and whether that contradicts an end that
+    /// was proposed before.
+    void noteListed(PoolWorker &worker, std::span<const RunStatus> rows) const;
+    /// Handles that a run which is not bound any more has ended.
+    void forgetUnbound(const TaskRef &task, std::uint32_t run);
+    /// Tasks of which a worker is known to carry out a run that is not bound any more. None of them
+    /// may start: it would run twice.
+    [[nodiscard]] std::set<TaskRef> tasksAtWork(Instant now) const;
     /// Orders the stop of each run in `rows` that is bound nowhere any more, once in a session: it
     /// was settled with another end than its worker knows.
     void stopUnbound(PoolWorker &worker, std::span<const RunStatus> rows);
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -138,9 +138,16 @@
 void Dispatcher::release(std::map<TaskRef, Lifetime>::iterator placed)
 {
     const Lifetime lifetime = placed->second;
+    PoolWorker &worker = *m_pool.find(lifetime);
+    const PlacedRun &run = worker.runs.at(placed->first);
+    if (run.listedSinceEnd && worker.hasFacts && !worker.unreachable) {
+        // Its worker goes on with it. The next list tells when it has ended.
+        worker.unboundRuns.try_emplace({run.task, run.run}, false);
+        worker.unboundReserved += reservationOf(run);
+    }
     m_pool.release(lifetime, placed->first);
     m_placed.erase(placed);
-    if (!m_pool.find(lifetime)->hasFacts)
+    if (!worker.hasFacts)
         m_pool.removeIfIdle(lifetime);
 }
 
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -15,6 +15,16 @@
     return step.longRunning && !step.gang && !step.bestEffort;
 }
 
+/// Whether the task, or any member of its gang, is one of `tasks`.
+bool isAnyOf(const std::set<TaskRef> &tasks, const TaskRef &ref, const StepPlan &step)
+{
+    if (!step.gang)
+        return tasks.contains(ref);
+    const auto first = tasks.lower_bound({ref.job, ref.occurrence, ref.step, 0});
+    return first != tasks.end() && first->job == ref.job && first->occurrence == ref.occurrence
+        && first->step == ref.step;
+}
+
 /// Least share of the resources in `size` that is available.
 double availableShare(const Resources &available, const Resources &size)
 {
@@ -53,6 +63,18 @@
     return ready;
 }
 
+std::set<TaskRef> Dispatcher::tasksAtWork(Instant now) const
+{
+    std::set<TaskRef> tasks;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (now > worker.leaseEnd)
+            continue;
+        for (const auto &[run, stopOrdered] : worker.unboundRuns)
+            tasks.insert(run.first);
+    }
+    return tasks;
+}
+
 void Dispatcher::placeReady(Instant now, WallMs wallNow, const std::function<void()> &betweenTasks)
 {
     if (now < m_nextPlacement)
@@ -65,16 +87,19 @@
     using Shape = std::tuple<std::string, std::uint32_t, bool>;
     std::map<Shape, bool> blockedShapes;
     std::map<StepRef, StepTrial> trials;
+    const std::set<TaskRef> atWork = tasksAtWork(now);
     for (const ReadyTask &each : schedulingOrder(wallNow)) {
         const Shape shape{each.task.job, each.task.step, each.suspected};
         auto blocked = blockedShapes.find(shape);
         if ((blocked != blockedShapes.end() && !blocked->second)
             || !m_readyByTask.contains(each.task))
             continue;
-        betweenTasks();
-        candidates += m_pool.workers().size();
         const StageJob &job = *m_jobTable.find(each.task.job);
         const StepPlan &step = job.plan.steps[each.task.step];
+        if (isAnyOf(atWork, each.task, step))
+            continue;
+        betweenTasks();
+        candidates += m_pool.workers().size();
         const auto [trial, added] =
             trials.try_emplace({each.task.job, each.task.occurrence, each.task.step}, StepTrial());
         if (added)
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -13,13 +13,13 @@
     return size;
 }
 
+} // namespace
+
 Resources reservationOf(const PlacedRun &run)
 {
     return reservation(run.size, run.bestEffort);
 }
 
-} // namespace
-
 Resources reservationOf(const StepPlan &step)
 {
     return reservation(step.size, step.bestEffort);
@@ -41,6 +41,13 @@
     return demand;
 }
 
+void PoolWorker::clearUnbound()
+{
+    unboundRuns.clear();
+    unboundReserved = {};
+    runsUnknown = false;
+}
+
 PoolWorker *WorkerPool::find(const Lifetime &lifetime)
 {
     const auto found = m_workers.find(lifetime);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -20,10 +20,11 @@
     bool longRunning = false;
     bool committed = false;
     bool stopRequested = false;
-    bool startIsOpen = false; ///< The start has no answer, and its lifetime has ended.
-    bool ordered = false;     ///< In the present session of its worker's agent.
-    bool listed = false;      ///< As running, in a report on the lifetime that it is bound to.
-    bool suspected = false;   ///< A worker had crashed under the task before.
+    bool startIsOpen = false;    ///< The start has no answer, and its lifetime has ended.
+    bool ordered = false;        ///< In the present session of its worker's agent.
+    bool listed = false;         ///< As running, in a report on the lifetime that it is bound to.
+    bool suspected = false;      ///< A worker had crashed under the task before.
+    bool listedSinceEnd = false; ///< By the latest list, which came after its end was proposed.
     Instant boundAt;
     Instant readyAt; ///< When the task became ready; 0 if an earlier leader bound the run.
     Instant decidedAt;
@@ -34,7 +35,9 @@
     HeadroomTrend ownHeadroom; ///< Of a latency-critical task without best-effort tasks.
 };
 
-/// Capacity that a task of the step reserves: none of the processors for a best-effort task.
+/// Capacity that a run reserves: none of the processors for a best-effort task.
+[[nodiscard]] Resources reservationOf(const PlacedRun &run);
+/// Capacity that a task of the step reserves.
 [[nodiscard]] Resources reservationOf(const StepPlan &step);
 
 /// Headroom that best-effort tasks may still take from the latency-critical tasks of one image on
@@ -65,8 +68,9 @@
     std::map<TaskRef, PlacedRun> runs;
     Resources unboundReserved; ///< By runs that it lists and that are not bound to it.
     bool runsUnknown = false;  ///< Whether it lists runs whose size is not known.
-    /// Runs that it lists, that are not bound to it and whose stop this session has ordered.
-    std::set<RunKey> unboundRuns;
+    /// Runs that are not bound to it and that its latest list names, also those that were released
+    /// after it. The value tells whether this session has ordered their stop.
+    std::map<RunKey, bool> unboundRuns;
     BestEffortActivity activity;                   ///< Of the best-effort tasks in its last report.
     Instant activityAt;                            ///< Time of that report.
     std::vector<InterferenceRow> sentInterference; ///< Last sent to its agent.
@@ -83,6 +87,8 @@
     {
         return facts.capacity - reserved - unboundReserved;
     }
+    /// Forgets the runs that are not bound to it: it carries out none any more.
+    void clearUnbound();
     /// Whether the runs there reserve more than the capacity, because it has shrunk.
     [[nodiscard]] bool isOverCapacity() const { return !Resources().fitsWithin(available()); }
 };
--- a/UnitTests/Dispatch/SettledRunTest.cpp
+++ b/UnitTests/Dispatch/SettledRunTest.cpp
@@ -9,6 +9,9 @@
 {
     CPPUNIT_TEST_SUITE(SettledRunTest);
     CPPUNIT_TEST(stopsRunWhoseEndWasOnItsWayWhenItWasListed);
+    CPPUNIT_TEST(startsTaskOnceItsSettledRunHasEnded);
+    CPPUNIT_TEST(startsTaskOnceTheWorkerOfItsSettledRunIsGone);
+    CPPUNIT_TEST(reservesRoomOfASettledRunUntilAListLacksIt);
     CPPUNIT_TEST(stopsRunOfAJobThatWasCancelledAfterItWasSettled);
     CPPUNIT_TEST(stopsRunWhoseLeaseTheWorkerHeldLonger);
     CPPUNIT_TEST(stopsAdoptedRunWhoseEndWasOnItsWay);
@@ -38,11 +41,47 @@
     void stopsRunWhoseEndWasOnItsWayWhenItWasListed()
     {
         settleWhileListed();
-        commit(m_dispatcher->decide(at(20), 20), 20);
-        CPPUNIT_ASSERT_EQUAL(2U, m_jobTable->find(ref)->run);
-        m_dispatcher->takeOrders();
+        CPPUNIT_ASSERT(m_dispatcher->decide(at(20), 20).empty());
         m_dispatcher->runsReported({"w1", 1}, listed(), at(500));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopsOfFirstRun({"w1", 1}));
+        CPPUNIT_ASSERT(m_dispatcher->decide(at(520), 520).empty());
+        m_dispatcher->runsReported({"w1", 1}, {}, at(1000));
+        commit(m_dispatcher->decide(at(1020), 1020), 1020);
+        CPPUNIT_ASSERT_EQUAL(2U, m_jobTable->find(ref)->run);
+    }
+
+    /// Guards against a task that waits for the next list although its run is known to have ended.
+    void startsTaskOnceItsSettledRunHasEnded()
+    {
+        settleWhileListed();
+        m_dispatcher->runsReported({"w1", 1}, listed(), at(500));
+        m_dispatcher->endReported({ref, 1, RunEnd::Stopped, {}});
+        commit(m_dispatcher->decide(at(520), 520), 520);
+        CPPUNIT_ASSERT_EQUAL(2U, m_jobTable->find(ref)->run);
+    }
+
+    /// Guards against a task that waits for ever for a run on a worker that is gone.
+    void startsTaskOnceTheWorkerOfItsSettledRunIsGone()
+    {
+        m_dispatcher->workerReported("n2", worker("w2"), at(5));
+        settleWhileListed();
+        m_dispatcher->nodeLost("n1");
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(4000)));
+        CPPUNIT_ASSERT(m_dispatcher->decide(at(4700), 4700).empty());
+        commit(m_dispatcher->decide(at(5000), 5000), 5000);
+        CPPUNIT_ASSERT_EQUAL(2U, m_jobTable->find(ref)->run);
+    }
+
+    /// Guards against a start that finds no room: the worker still carries the settled run out.
+    void reservesRoomOfASettledRunUntilAListLacksIt()
+    {
+        settleWhileListed();
+        commit({CancelJob{"j"}}, 19);
+        commit({AcceptJob{"large", "batch", plan(1, 60'000)}}, 20);
+        CPPUNIT_ASSERT(m_dispatcher->decide(at(21), 21).empty());
+        m_dispatcher->runsReported({"w1", 1}, {}, at(500));
+        commit(m_dispatcher->decide(at(520), 520), 520);
+        CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find(TaskRef{"large", 0, 0, 0})->run);
     }
 
     /// Guards against a task that works on after its job was cancelled: nothing is bound any more
