Log runs that no list of their worker names any more

What was seen: on real processes a run stayed bound for 16 s after its worker had forgotten its end, without a line in the leader's log. The end was `done`, and counted as acknowledged by a call for the earlier lifetime.

Change: a committed run that was listed, and that no list on its worker has named for longer than the longest lease and its margin, gets one warning, run-missing, with the age of its last listing, unless its end is proposed. Lists leave out only runs that were never listed in the session, or that an inventory settles, so no other run is missing for that long.

The run is not settled: the case above shows that the forgotten end may have been `done`, and counted as taken note of. A further run would then break TWICE. If it was not, the job waits for the end of the worker's lifetime, as before.

Before: SettledRunTest::logsRunThatNoListNamesAnyMore fails.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -382,14 +382,15 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
-    noteListed(*worker, rows);
+    noteListed(*worker, rows, now);
+    logMissing(*worker, now);
     // The end of a run that the inventory listed may have been proposed before.
     stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
 
-void Dispatcher::noteListed(PoolWorker &worker, std::span<const RunStatus> rows) const
+void Dispatcher::noteListed(PoolWorker &worker, std::span<const RunStatus> rows, Instant now) const
 {
     for (auto &[task, run] : worker.runs)
         run.listedSinceEnd = false;
@@ -398,10 +399,33 @@
         if (found == worker.runs.end() || found->second.run != row.run)
             continue;
         found->second.listed = true;
+        found->second.listedAt = now;
+        found->second.missing = false;
         found->second.listedSinceEnd = m_endsProposed.contains({row.task, row.run});
     }
 }
 
+void Dispatcher::logMissing(PoolWorker &worker, Instant now) const
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    for (auto &[task, run] : worker.runs) {
+        // Nothing can be concluded from it: the run may have ended as done, and its worker counts
+        // the end as acknowledged.
+        if (!run.committed || run.missing || run.listedAt == Instant()
+            || now - run.listedAt <= m_settings.longestLease + m_settings.leaseMargin
+            || m_endsProposed.contains({task, run.run}))
+            continue;
+        run.missing = true;
+        logEvent(LogLevel::Warning, "run-missing",
+                 {{"task", task.text()},
+                  {"run", run.run},
+                  {"worker", lifetime.worker},
+                  {"born", lifetime.startedAt},
+                  {"listed_ms", toMs(now - run.listedAt)},
+                  {"stop_requested", run.stopRequested}});
+    }
+}
+
 void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                                    Instant boundBefore)
 {
@@ -415,7 +439,7 @@
         m_progress.begun(row.task.job);
     }
     settleEarlierLifetimes(*worker, running);
-    noteListed(*worker, rows);
+    noteListed(*worker, rows, m_now);
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
         if (found != running.end() && found->second == run.run) {
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -381,7 +381,9 @@
     void reserveUnbound(PoolWorker &worker, std::span<const RunStatus> rows) const;
     /// Records which of the worker's runs a list names, and whether that contradicts an end that
     /// was proposed before.
-    void noteListed(PoolWorker &worker, std::span<const RunStatus> rows) const;
+    void noteListed(PoolWorker &worker, std::span<const RunStatus> rows, Instant now) const;
+    /// Logs runs that were listed and that no list has named for longer than any lease.
+    void logMissing(PoolWorker &worker, Instant now) const;
     /// Handles that a run which is not bound any more has ended.
     void forgetUnbound(const TaskRef &task, std::uint32_t run);
     /// Tasks of which a worker is known to carry out a run that is not bound any more. None of them
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -32,6 +32,8 @@
     double tailTargetMs = 0;
     RunStatus lastStatus; ///< From the worker's latest report.
     Instant lastStatusAt;
+    Instant listedAt;          ///< By any report on the lifetime that it is bound to, when last.
+    bool missing = false;      ///< It was logged that no list names it any more.
     HeadroomTrend ownHeadroom; ///< Of a latency-critical task without best-effort tasks.
 };
 
--- a/UnitTests/Dispatch/SettledRunTest.cpp
+++ b/UnitTests/Dispatch/SettledRunTest.cpp
@@ -1,5 +1,7 @@
 #include "DispatchFixture.h"
 
+#include <UnitTests/Support/LogCapture.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace guavashift;
@@ -20,6 +22,7 @@
     CPPUNIT_TEST(stopsRunWhoseTaskRunsElsewhere);
     CPPUNIT_TEST(stopsNoRunWhoseEndIsOnItsWay);
     CPPUNIT_TEST(refusalOfASettledRunKeepsNoRunFromItsWorker);
+    CPPUNIT_TEST(logsRunThatNoListNamesAnyMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +187,26 @@
         CPPUNIT_ASSERT_EQUAL(1U, m_jobTable->find(TaskRef{"next", 0, 0, 0})->run);
     }
 
+    /// Guards against a run that stays bound without a trace: its worker has forgotten its end.
+    void logsRunThatNoListNamesAnyMore()
+    {
+        test::LogCapture log;
+        for (int now = 500; now <= 20'000; now += 500) {
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(now)));
+            const bool lists = now <= 2000 || now == 9000;
+            m_dispatcher->runsReported({"w1", 1}, lists ? listed() : std::vector<RunStatus>(),
+                                       at(now));
+            CPPUNIT_ASSERT(m_dispatcher->decide(at(now), now).empty());
+        }
+        const std::string lines = log.text();
+        CPPUNIT_ASSERT(lines.find("listed_ms=6500") != std::string::npos);
+        std::size_t count = 0;
+        for (std::size_t found = lines.find("event=run-missing"); found != std::string::npos;
+             found = lines.find("event=run-missing", found + 1))
+            ++count;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count);
+    }
+
 private:
     /// The end of the worker's lifetime is reported; the same lifetime then reports itself and
     /// lists the run, and only after that the end of the run is committed.
