--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -332,7 +332,7 @@
 void Dispatcher::supersede(PoolWorker &worker)
 {
     const Lifetime lifetime = worker.facts.lifetime;
-    reserveUnbound(worker, {});
+    worker.clearUnbound();
     worker.hasFacts = false;
     m_pool.setNode(worker, {});
     m_pool.removeIfIdle(lifetime);
@@ -382,15 +382,50 @@
     if (worker == nullptr)
         return;
     worker->unreachable = false;
-    for (const RunStatus &row : rows) {
-        const auto found = worker->runs.find(row.task);
-        if (found != worker->runs.end() && found->second.run == row.run)
-            found->second.listed = true;
-    }
+    noteListed(*worker, rows, now);
+    logMissing(*worker, now);
+    // The end of a run that the inventory listed may have been proposed before.
+    stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
 }
 
+void Dispatcher::noteListed(PoolWorker &worker, std::span<const RunStatus> rows, Instant now) const
+{
+    for (auto &[task, run] : worker.runs)
+        run.listedSinceEnd = false;
+    for (const RunStatus &row : rows) {
+        const auto found = worker.runs.find(row.task);
+        if (found == worker.runs.end() || found->second.run != row.run)
+            continue;
+        found->second.listed = true;
+        found->second.listedAt = now;
+        found->second.missing = false;
+        found->second.listedSinceEnd = m_endsProposed.contains({row.task, row.run});
+    }
+}
+
+void Dispatcher::logMissing(PoolWorker &worker, Instant now) const
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    for (auto &[task, run] : worker.runs) {
+        // Nothing can be concluded from it: the run may have ended as done, and its worker counts
+        // the end as acknowledged.
+        if (!run.committed || run.missing || run.listedAt == Instant()
+            || now - run.listedAt <= m_settings.longestLease + m_settings.leaseMargin
+            || m_endsProposed.contains({task, run.run}))
+            continue;
+        run.missing = true;
+        logEvent(LogLevel::Warning, "run-missing",
+                 {{"task", task.text()},
+                  {"run", run.run},
+                  {"worker", lifetime.worker},
+                  {"born", lifetime.startedAt},
+                  {"listed_ms", toMs(now - run.listedAt)},
+                  {"stop_requested", run.stopRequested}});
+    }
+}
+
 void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                                    Instant boundBefore)
 {
@@ -404,10 +439,10 @@
         m_progress.begun(row.task.job);
     }
     settleEarlierLifetimes(*worker, running);
+    noteListed(*worker, rows, m_now);
     for (auto &[task, run] : worker->runs) {
         const auto found = running.find(task);
         if (found != running.end() && found->second == run.run) {
-            run.listed = true;
             run.startIsOpen = false;
             // A stop sent to the previous session is ordered again.
             const StageJob *job = m_jobTable.find(task.job);
@@ -419,12 +454,9 @@
         if (run.committed && run.boundAt <= boundBefore)
             queueEnd(run, RunEnd::NotStarted, SettleReason::NotInInventory);
     }
-    // A run that is reported but not bound there was already settled with another end.
-    for (const RunStatus &row : rows) {
-        const auto found = worker->runs.find(row.task);
-        if (found == worker->runs.end() || found->second.run != row.run)
-            m_orders.emplace_back(worker->node, StopOrder{lifetime, row.task, row.run});
-    }
+    // The agent may have forgotten the stops that were ordered before.
+    worker->unboundRuns.clear();
+    stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     if (worker->facts.draining)
         evacuate(*worker, boundBefore);
@@ -494,6 +526,55 @@
     }
 }
 
+void Dispatcher::stopUnbound(PoolWorker &worker, std::span<const RunStatus> rows)
+{
+    if (worker.node.empty())
+        return;
+    std::map<PoolWorker::RunKey, bool> unbound;
+    for (const RunStatus &row : rows) {
+        const auto found = worker.runs.find(row.task);
+        if ((found != worker.runs.end() && found->second.run == row.run)
+            || isBoundToEarlier(worker.facts.lifetime, row))
+            continue;
+        const PoolWorker::RunKey key{row.task, row.run};
+        const auto known = worker.unboundRuns.find(key);
+        // Its agent repeats the stop until it is answered.
+        if (known == worker.unboundRuns.end() || !known->second)
+            orderStopOfUnbound(worker, row);
+        unbound.emplace(key, true);
+    }
+    worker.unboundRuns = std::move(unbound);
+}
+
+void Dispatcher::orderStopOfUnbound(const PoolWorker &worker, const RunStatus &row)
+{
+    const Lifetime &lifetime = worker.facts.lifetime;
+    const StageTask *task = m_jobTable.find(row.task);
+    logEvent(LogLevel::Info, "unbound-run-stopped",
+             {{"task", row.task.text()},
+              {"run", row.run},
+              {"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"current_run", task == nullptr ? 0 : task->run}});
+    m_orders.emplace_back(worker.node, StopOrder{lifetime, row.task, row.run});
+}
+
+bool Dispatcher::isBoundToEarlier(const Lifetime &lifetime, const RunStatus &row) const
+{
+    const auto placed = m_placed.find(row.task);
+    return placed != m_placed.end() && placed->second.worker == lifetime.worker
+        && placed->second.startedAt < lifetime.startedAt
+        && m_pool.workers().at(placed->second).runs.at(row.task).run == row.run;
+}
+
+void Dispatcher::forgetUnbound(const TaskRef &task, std::uint32_t run)
+{
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.unboundRuns.empty())
+            m_pool.find(lifetime)->unboundRuns.erase({task, run});
+    }
+}
+
 void Dispatcher::startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs)
 {
     PoolWorker *worker = m_pool.find(lifetime);
@@ -551,7 +632,7 @@
                  end == LifetimeEnd::Crashed ? suspectedRuns(*worker, recentRuns)
                                              : std::set<TaskRef>());
     if (end == LifetimeEnd::Unreachable) {
-        reserveUnbound(*worker, {});
+        worker->clearUnbound();
         worker->unreachable = true;
     } else {
         supersede(*worker);
@@ -624,10 +705,14 @@
     PoolWorker *worker = m_pool.find(lifetime);
     if (worker == nullptr)
         return;
-    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+    worker->unboundRuns.erase({task, run});
     const auto found = worker->runs.find(task);
-    if (found != worker->runs.end() && found->second.run == run && found->second.committed)
-        queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
+    // The refusal of a run that was settled before answers its stop, and tells nothing about the
+    // worker.
+    if (found == worker->runs.end() || found->second.run != run || !found->second.committed)
+        return;
+    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+    queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
 }
 
 const PlacedRun *Dispatcher::committedRun(const TaskRef &ref, std::uint32_t run)
@@ -656,6 +741,8 @@
     if (end.end != RunEnd::NotStarted)
         m_progress.begun(end.task.job);
     const PlacedRun *run = committedRun(end.task, end.run);
+    if (run == nullptr)
+        forgetUnbound(end.task, end.run);
     // This leader or an earlier one may have settled the run before it read the report.
     if (run == nullptr && !isLateDone(end))
         return;
