Soak more kinds of workers and faults

Workers were doubled as a whole by paths that refused connections while the workers ran on, and the soak drew no such path. It left out planned leaves that overlap with crashes, late answers, workers that close their connections, agents and workers that are killed together, workers that come back under a new id, and cancels as well.

fleet-soak.sh draws them now. KINDS names those to play; with SEED it is all of them. Seeds 11 and 34 play the same faults as before, and seed 204 plays all kinds. The checks and their bounds are the same. The last job, which marks the end, is handed in for up to 15 s instead of five times: the last fault may be a restart of all control processes.

--- a/UnitTests/Process/fleet-soak.sh
+++ b/UnitTests/Process/fleet-soak.sh
@@ -1,24 +1,36 @@
 #!/usr/bin/env bash
 # Guards against tasks that run twice, and ends that are acknowledged before they are there, under overlapping faults
 # of real processes. The faults are drawn from a seed.
-#   [SEED=n] [SIDES=6] [TRAFFIC_S=25] [LOGS=folder] GUAVASHIFT_BIN=folder fleet-soak.sh
-# Without SEED it plays two fixed ones. The seed fixes the faults and the jobs; their timing depends on the machine.
-# Not covered: cuts between agents and control, disks, clocks, configuration, gangs, cancels, frozen workers.
+#   [SEED=n] [SIDES=6] [TRAFFIC_S=25] [KINDS="refuse late ..."] [LOGS=folder] GUAVASHIFT_BIN=folder fleet-soak.sh
+# Without SEED it plays fixed ones. The seed fixes the faults and the jobs; their timing depends on the machine.
+# KINDS names what is drawn beside the faults that always are; with SEED it is all of them:
+#   refuse   paths to workers that refuse connections while the workers run on
+#   late     answers of workers that arrive late
+#   close    a third of the workers close each connection after its answer
+#   new-ids  most workers come back under a new id
+#   power    agents and workers that are killed together
+#   waves    planned leaves of several workers that overlap with crashes and impaired paths
+#   cancel   jobs that are cancelled
+# Not covered: cuts between agents and control, disks, clocks, configuration, gangs, frozen workers.
+all_kinds="refuse late close new-ids power waves cancel"
 if [ -z "${SEED:-}" ]; then
     for seed in 11 34; do
-        SEED=$seed LOGS=${LOGS:+$LOGS/$seed} "$0" || exit
+        SEED=$seed KINDS= LOGS=${LOGS:+$LOGS/$seed} "$0" || exit
     done
+    SEED=204 KINDS=$all_kinds LOGS=${LOGS:+$LOGS/204} "$0" || exit
     exit
 fi
 source "$(dirname "$0")/fleet.sh"
-sides=${SIDES:-6} traffic_s=${TRAFFIC_S:-25}
+sides=${SIDES:-6} traffic_s=${TRAFFIC_S:-25} kinds=${KINDS-$all_kinds}
 report() {
-    [ "$1" -eq 0 ] || echo "FAILED with SEED=$SEED SIDES=$sides TRAFFIC_S=$traffic_s" >&2
+    [ "$1" -eq 0 ] || echo "FAILED with SEED=$SEED SIDES=$sides TRAFFIC_S=$traffic_s KINDS=\"$kinds\"" >&2
     finish "$1"
 }
 trap 'code=$?; report "$code"; exit $code' EXIT
 RANDOM=$SEED
+for kind in $kinds; do [[ " $all_kinds " == *" $kind "* ]] || cannot_run "$kind is not one of $all_kinds"; done
 
+plays() { [[ " $kinds " == *" $1 "* ]]; }
 # draw LIMIT: sets `drawn` to a number below LIMIT. A subshell would not draw from the seed.
 draw() { drawn=$((RANDOM % $1)); }
 draw_side() { draw "$sides"; side=$((1 + drawn)); }
@@ -102,21 +114,102 @@
     done
 }
 stop_control() { local n; for n in 1 2 3; do kill -CONT "${pids[core-$n]}"; restart "core-$n" TERM 0 400; done; }
-silence_path() { draw_side; signal "proxy$side" USR1; later "proxy$side" USR2 300 7000; }
-crash_worker() { draw_side; gone "$side"; draw_nap 50 3000; start_worker "$side" "i-$side"; }
+# The proxies of fleet.sh are replaced by those that know all states.
+start_proxy() {
+    local closes=()
+    if plays close && [ $(((SEED + $1) % 3)) = 0 ]; then closes=(--close-after-answer); fi
+    "$bin/guavashift-path-proxy" --listen "$net.3.$1:$proxy_port" --to "$net.3.$1:$app_port" --state "$work/path$1" \
+        --seed "$((SEED * 1000 + $1))" "${closes[@]}" >> "$work/proxy$1.log" 2>&1 &
+    pids[proxy$1]=$!
+}
+# path N STATE: sets the state of the path to worker N
+path() { echo "$2" > "$work/path$1"; signal "proxy$1" HUP; }
+# impair STATE LEAST SPREAD: impairs the path to the worker of `side` for a drawn time
+impair() {
+    local n=$side
+    path "$n" "$1"
+    draw "$3"
+    (nap $(($2 + drawn)); path "$n" pass) &
+    laters+=($!)
+}
+# come_back N ARGUMENTS...: starts the next lifetime of worker N
+come_back() {
+    local n=$1
+    shift
+    if plays new-ids; then
+        draw 4
+        [ "$drawn" = 0 ] || worker_ids[$n]="i-$n-$((lives += 1))"
+    fi
+    start_worker "$n" "$(id_of "$n")" "$@"
+}
+
+silence_path() { draw_side; impair silent 300 7000; }
+refuse_path() { draw_side; impair refuse 300 7000; }
+late_path() { draw_side; impair late 2000 8000; }
+crash_worker() { draw_side; gone "$side"; draw_nap 50 3000; come_back "$side"; }
 crash_silent_worker() {
     draw_side
-    signal "proxy$side" USR1
+    path "$side" silent
     gone "$side"
     draw_nap 50 1500
     draw 2500
-    start_worker "$side" "i-$side" --first-report-ms "$drawn"
-    later "proxy$side" USR2 0 1000
+    come_back "$side" --first-report-ms "$drawn"
+    impair silent 0 1000
+}
+leave_worker() { draw_side; signal "worker$side" USR1; forget "worker$side"; draw_nap 100 1500; come_back "$side"; }
+lose_power() {
+    local n first_report
+    for n in $(seq 1 "$sides"); do
+        draw 4
+        [ "$drawn" = 0 ] || continue
+        signal "side-$n" KILL
+        gone "$n"
+        forget "side-$n"
+        launch "side-$n" agent
+        draw 1500; first_report=$drawn
+        come_back "$n" --first-report-ms "$first_report"
+    done
+}
+# About half of the workers leave as planned. Meanwhile some of them crash, their agents or paths fail, and one of the
+# other workers crashes.
+leave_in_wave() {
+    local n leaving=() others=()
+    for n in $(seq 1 "$sides"); do
+        draw 2
+        if [ "$drawn" = 0 ]; then others+=("$n"); continue; fi
+        signal "worker$n" USR1
+        leaving+=("$n")
+        draw_nap 0 200
+    done
+    for n in "${leaving[@]}"; do
+        side=$n
+        draw 8
+        case $drawn in
+        0) gone "$n" ;;
+        1) restart "side-$n" KILL 0 300 ;;
+        2) freeze "side-$n" 300 3000 ;;
+        3) impair silent 300 3000 ;;
+        4) ! plays refuse || impair refuse 300 3000 ;;
+        esac
+    done
+    if [ ${#others[@]} -gt 0 ]; then
+        draw ${#others[@]}; n=${others[drawn]}
+        gone "$n"
+        draw_nap 50 1500
+        come_back "$n"
+    fi
+    for n in "${leaving[@]}"; do
+        [ -z "${pids[worker$n]:-}" ] || forget "worker$n"
+        come_back "$n"
+    done
 }
-leave_worker() { draw_side; signal "worker$side" USR1; forget "worker$side"; draw_nap 100 1500; start_worker "$side" "i-$side"; }
 
 faults=(freeze_one freeze_one freeze_zone freeze_control lose_leader_and_agents kill_one kill_control kill_agents
     stop_one stop_agents stop_control silence_path silence_path crash_worker crash_silent_worker crash_silent_worker leave_worker)
+! plays refuse || faults+=(refuse_path refuse_path refuse_path)
+! plays late || faults+=(late_path late_path)
+! plays power || faults+=(lose_power)
+! plays waves || faults+=(leave_in_wave)
 # shuffle: a new order of the faults, so that each kind has its turn
 shuffle() {
     local at other
@@ -128,19 +221,34 @@
     done
 }
 
+# cancel_some JOB: cancels one of five jobs after a drawn time, at most three times
+cancel_some() {
+    draw 5
+    [ "$drawn" = 0 ] || return 0
+    draw 2500
+    (
+        nap "$drawn"
+        for try in 1 2 3; do
+            [[ "$(ask $((1 + try % 2)) DELETE "$1")" != 200* ]] || break
+        done
+    ) &
+}
 traffic() {
-    local job=0 work count
+    local job=0 work count id
     RANDOM=$((SEED + 1))
     while [ "$SECONDS" -lt "$end" ]; do
         job=$((job + 1))
         draw 4000; work=$((300 + drawn))
         draw 20; count=$((4 + drawn))
-        ask $((1 + job % 2)) POST "$(printf '%016x' $((SEED * 10000 + job)))" "$(job "$work" "$count" 2000)" > /dev/null || true
+        id=$(printf '%016x' $((SEED * 10000 + job)))
+        ask $((1 + job % 2)) POST "$id" "$(job "$work" "$count" 2000)" > /dev/null || true
+        ! plays cancel || cancel_some "$id"
         draw_nap 150 300
     done
+    wait
 }
 
-laters=()
+laters=() lives=0
 start_deployment "$sides" 2
 for n in $(seq 1 "$sides"); do start_worker "$n" "i-$n"; done
 for n in $(seq 1 "$sides"); do wait_for 20 is_held "$n" || cannot_run "worker $n is not polled"; done
@@ -158,7 +266,9 @@
 done
 wait "$load" "${laters[@]}" || true
 last=$(printf '%016x' $((SEED * 10000 + 9999)))
-submit 1 "$last" "$(job 500 4 2000)"
+# The last fault may be a restart of all control processes.
+accepts_last() { [[ "$(ask 1 POST "$last" "$(job 500 4 2000)")" == 200* ]]; }
+wait_for 15 accepts_last || fail "the last job was not accepted"
 wait_for 15 has_state "$last" completed || note "the last job is not completed"
 echo "seed $SEED: $played faults"
 failures=()
--- a/UnitTests/Process/fleet.sh
+++ b/UnitTests/Process/fleet.sh
@@ -35,6 +35,11 @@
     settings "side-$1" side "$net.3.$1" "control_plane = \"$net.3.$1:$control_port\""
     sed -i "s/^app = .*/app = \"$net.3.$1:$proxy_port\"/" "$work/side-$1.toml"
     launch "side-$1" agent
+    start_proxy "$1"
+}
+
+# start_proxy N: starts the proxy between agent N and its worker
+start_proxy() {
     "$tool" proxy --listen "$net.3.$1:$proxy_port" --to "$net.3.$1:$app_port" >> "$work/proxy$1.log" 2>&1 &
     pids[proxy$1]=$!
 }
@@ -45,11 +50,15 @@
         --body '{"fencing_token":0}')" == 409* ]]
 }
 
+# The id of the worker on a side machine, if it isn't i-N.
+declare -A worker_ids
+id_of() { echo "${worker_ids[$1]:-i-$1}"; }
+
 # gone N: notes the crash of worker N and waits for its end
 gone() {
     signal "worker$1" KILL || true
     forget "worker$1"
-    echo "{\"at\":$(now_ms),\"event\":\"gone\",\"worker\":\"i-$1\"}" >> "$record"
+    echo "{\"at\":$(now_ms),\"event\":\"gone\",\"worker\":\"$(id_of "$1")\"}" >> "$record"
 }
 
 newest_leader() {
--- a/UnitTests/Process/refused-path.sh
+++ b/UnitTests/Process/refused-path.sh
@@ -5,10 +5,6 @@
 long=00000000000000b1 short=00000000000000b2
 tasks=24
 
-start_proxy() {
-    "$tool" proxy --listen "$net.3.$1:$proxy_port" --to "$net.3.$1:$app_port" >> "$work/proxy$1.log" 2>&1 &
-    pids[proxy$1]=$!
-}
 # runs_of JOB [WORKER]: number of starts that were carried out
 runs_of() { count "\"event\":\"start\".*\"status\":200,\"task\":\"$1.*\"worker\":\"${2:-}"; }
 has_runs() { [ "$(runs_of "$1")" -ge "$2" ]; }
