Keep runs that a poll from before their start does not list

What callers saw: nothing that was traced to this; by reading. A run whose worker went on with it was logged as vanished and lost its traits at the agent, so that a best-effort task was no longer throttled and a latency-critical one no longer measured.

Cause: a listed run counted as seen at the time at which the poll was sent. A poll that waits is answered later, with the lists of that moment. One that was sent after it without a wait, and was carried out before the start, did not list the run; handled second, it was taken for a later list.

Change: a run counts as seen when the answer that lists it is handled. A poll that is sent after that must list the run, or its end.

HeldWorker keeps stops, as it does polls and starts.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -541,7 +541,8 @@
         run.row = row;
         if (run.traits.tailTargetMs > 0)
             run.tail.update(row.measurement, BootClock::now());
-        run.seenAt = std::max(run.seenAt, sent);
+        // A poll that waits lists what runs when it is answered.
+        run.seenAt = BootClock::now();
     }
     // Until all ends are listed, a run that is in neither list may have ended.
     if (!reply.listsAllEnds)
--- a/UnitTests/Fleet/HeldWorker.h
+++ b/UnitTests/Fleet/HeldWorker.h
@@ -6,8 +6,8 @@
 
 namespace guavashift {
 
-/// A worker that keeps the calls that it gets, so that the test answers them one by one. Stops and
-/// throttle calls are only counted.
+/// A worker that keeps the calls that it gets, so that the test answers them one by one. Throttle
+/// calls are dropped.
 class HeldWorker final : public WorkerPort
 {
 public:
@@ -32,7 +32,10 @@
     {
         m_starts.push_back({request, std::move(callback)});
     }
-    void stop(const StopRequest &, Callback) override { ++m_stops; }
+    void stop(const StopRequest &request, Callback callback) override
+    {
+        m_stops.push_back({request, std::move(callback)});
+    }
     void throttle(const ThrottleRequest &, Callback) override { }
 
     /// Answers all open polls.
@@ -48,12 +51,13 @@
     [[nodiscard]] std::vector<Call<PollRequest>> &polls() { return m_polls; }
     /// All starts so far, including answered ones.
     [[nodiscard]] std::vector<Call<StartRequest>> &starts() { return m_starts; }
-    [[nodiscard]] int stops() const { return m_stops; }
+    /// All stops so far, including answered ones.
+    [[nodiscard]] std::vector<Call<StopRequest>> &stops() { return m_stops; }
 
 private:
     std::vector<Call<PollRequest>> m_polls;
     std::vector<Call<StartRequest>> m_starts;
-    int m_stops = 0;
+    std::vector<Call<StopRequest>> m_stops;
 };
 
 } // namespace guavashift
