Acknowledge ends to workers that close connections after an answer only

What callers saw: tasks were started again after an end "done" that was taken note of (TWICE), all of one worker that had restarted under its name.

Cause: a worker that closes each connection after its answer got polls on any connection, and each of them acknowledged the ends of the present lifetime. The next one carries such a poll out and never lists its own ends up to that number. Its runs vanish, and a later inventory settles them as never started. The class: a call that is meant for one lifetime of a worker is carried out by the next.

Change: an acknowledgement is sent only while there are ends to acknowledge. A worker that closes its connections gets it in a poll without a wait, right after an answer of its present lifetime; all other polls carry none. One whose answer does not come may reach the next lifetime of that worker: if that one begins within longestCallDelay of it, the agent reports it as draining, so that it gets no work, and logs lifetime-unused. Connections that stay open keep their rule. The first answer under the raised fencing token does not make such a lifetime usable: it refuses the acknowledgement from then on, but may have carried it out before.

Why it works: what a next lifetime could take for its own is on its way for the time of one short call only, and the agent knows when one was lost.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -42,6 +42,7 @@
                   return std::find(cores.begin(), cores.end(), address) != cores.end();
               })
     , m_lease(settings.bounds.maxWorkerLease, BootClock::now())
+    , m_acknowledgements(agent.longestCallDelay)
 {
 }
 
@@ -134,9 +135,9 @@
 void AgentNode::endsCommitted(const EndsCommitted &committed)
 {
     m_uncommittedEnds.committed(committed.lifetime, committed.upTo);
-    if (!isCurrent(committed.lifetime) || committed.upTo <= m_committedUpTo)
+    if (!isCurrent(committed.lifetime) || committed.upTo <= m_acknowledgements.committedUpTo())
         return;
-    m_committedUpTo = committed.upTo;
+    m_acknowledgements.committed(committed.upTo);
     const Instant now = BootClock::now();
     while (!m_listedAt.empty() && m_listedAt.begin()->first <= committed.upTo) {
         m_metrics.endCommitted(now - m_listedAt.begin()->second);
@@ -189,9 +190,11 @@
         m_openPolls = 0;
         m_isIdentifying = false;
         m_connections.lifetimeChanged();
+        m_hidesUpTo = m_acknowledgements.lifetimeFound(facts.lifetime);
+        applyHiddenEnds(facts);
         m_facts = facts;
         m_foundAt = BootClock::now();
-        m_listedUpTo = m_committedUpTo = 0;
+        m_listedUpTo = 0;
         m_listedAt.clear();
         m_endedAt.clear();
         // The worker may have restarted under its name. With a higher token, this lifetime refuses
@@ -206,8 +209,14 @@
                   {"born", facts.lifetime.startedAt},
                   {"service", facts.service},
                   {"milli_cores", facts.capacity.milliCores}});
+        if (m_hidesUpTo > 0)
+            logEvent(LogLevel::Warning, "lifetime-unused",
+                     {{"worker", facts.lifetime.worker},
+                      {"born", facts.lifetime.startedAt},
+                      {"may_hide_up_to", m_hidesUpTo}});
     } else {
         applyGoodbye(facts);
+        applyHiddenEnds(facts);
         if (*m_facts == facts)
             return;
     }
@@ -264,6 +273,12 @@
         facts.draining = true;
 }
 
+void AgentNode::applyHiddenEnds(WorkerFacts &facts) const
+{
+    if (m_hidesUpTo > 0)
+        facts.draining = true;
+}
+
 void AgentNode::endLostLifetime()
 {
     endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed);
@@ -357,19 +372,42 @@
         return;
     if (!m_connections.isKnown())
         return identify();
-    const Instant now = BootClock::now();
     PollRequest request;
-    request.seenUpTo = m_committedUpTo;
+    request.untilMs = leaseToSend(BootClock::now());
+    request.wait = wait;
+    request.connections = m_connections.allowed();
+    if (m_acknowledgements.isDue()) {
+        // On any connection, the acknowledgement follows the answer.
+        if (request.connections)
+            request.seenUpTo = m_acknowledgements.committedUpTo();
+        else
+            request.wait = Duration::zero();
+    }
+    sendPoll(std::move(request));
+}
+
+std::int64_t AgentNode::leaseToSend(Instant now)
+{
     // A failed poll may have been carried out. Extending the lease with each of them would put off
     // the time after which nothing runs on the worker, and with it the end of its runs, for ever.
     // A worker that has said goodbye, or that refuses connections, will probably not answer again.
     const bool mayArrive = !m_goodbyeAt && m_lastPollResult != WorkerCallResult::ConnectionRefused;
     const bool extends =
         !m_pollsFailSince || (mayArrive && now - *m_pollsFailSince < m_agent.failedPollGrace);
-    request.untilMs = extends ? m_lease.untilMs(now) : 0;
-    request.wait = wait;
-    request.connections = m_connections.allowed();
+    return extends ? m_lease.untilMs(now) : 0;
+}
+
+bool AgentNode::acknowledge(Instant sent)
+{
+    const Instant now = BootClock::now();
+    if (m_connections.allowed() || !m_acknowledgements.isDue() || m_acknowledgements.isOpen()
+        || now - sent > m_agent.acknowledgeWithin)
+        return false;
+    PollRequest request;
+    request.seenUpTo = m_acknowledgements.committedUpTo();
+    request.untilMs = leaseToSend(now);
     sendPoll(std::move(request));
+    return true;
 }
 
 void AgentNode::identify()
@@ -385,21 +423,44 @@
     request.fence = fence();
     ++m_openPolls;
     m_metrics.polled();
-    m_port.poll(
-        request,
-        [this, request, now = BootClock::now(), epoch = m_pollEpoch](const WorkerReply &reply) {
-            // The answer to a poll of an earlier lifetime says nothing about this one.
-            if (epoch != m_pollEpoch)
-                return;
-            --m_openPolls;
-            if (!request.connections)
-                m_isIdentifying = false;
-            if (reply.result == WorkerCallResult::NotSent)
-                return pollNotSent();
-            if (request.connections)
-                m_connections.pollSent();
-            handlePollReply(request, now, reply);
-        });
+    const Instant now = BootClock::now();
+    std::optional<EndAcknowledgements::Id> acknowledgement;
+    if (!request.connections && request.seenUpTo > 0)
+        acknowledgement = m_acknowledgements.sent(m_facts->lifetime, request.seenUpTo, now);
+    m_port.poll(request,
+                [this, request, now, epoch = m_pollEpoch, lifetime = m_facts->lifetime,
+                 acknowledgement](const WorkerReply &reply) {
+                    if (acknowledgement)
+                        m_acknowledgements.returned(*acknowledgement,
+                                                    settlesAcknowledgement(lifetime, reply));
+                    // The answer to a poll of an earlier lifetime says nothing about this one.
+                    if (epoch != m_pollEpoch)
+                        return;
+                    --m_openPolls;
+                    if (!request.connections)
+                        m_isIdentifying = false;
+                    if (reply.result == WorkerCallResult::NotSent)
+                        return pollNotSent();
+                    if (request.connections)
+                        m_connections.pollSent();
+                    handlePollReply(request, now, reply);
+                });
+}
+
+bool AgentNode::settlesAcknowledgement(const Lifetime &lifetime, const WorkerReply &reply) const
+{
+    switch (reply.result) {
+    case WorkerCallResult::Done:
+        return reply.born == lifetime.startedAt
+            || (isCurrent(lifetime) && !mayBeFromOther(lifetime, reply));
+    case WorkerCallResult::FencedOff:
+    case WorkerCallResult::OtherLifetime:
+    case WorkerCallResult::ConnectionRefused:
+    case WorkerCallResult::NotSent:
+        return true;
+    default:
+        return false;
+    }
 }
 
 void AgentNode::pollNotSent()
@@ -472,14 +533,20 @@
         m_unreachable = false;
         m_inventoryDue = true;
     }
-    if (!mayBeFromOther(m_facts->lifetime, reply))
+    const bool isFromPresent = !mayBeFromOther(m_facts->lifetime, reply);
+    if (isFromPresent) {
         m_connections.answered(reply.connection);
+        m_acknowledgements.carriedOut(request.seenUpTo);
+        m_acknowledgements.lifetimeAnswered(m_facts->lifetime, sent);
+    }
     m_lease.observe(reply.clockMs, sent, now);
     processEnds(reply);
     processRunning(request, sent, reply);
     applyThrottling();
+    if (isFromPresent && acknowledge(sent))
+        return;
     if (m_openPolls == 0)
-        schedulePoll(pauseAfter(request));
+        schedulePoll(pauseAfterPoll(isFromPresent));
 }
 
 void AgentNode::logPollChange(const WorkerReply &reply, Instant now) const
@@ -494,10 +561,11 @@
               {"unreachable", m_unreachable}});
 }
 
-Duration AgentNode::pauseAfter(const PollRequest &request) const
+Duration AgentNode::pauseAfterPoll(bool isFromPresent) const
 {
     // The worker answers at once while it lists ends: another poll would return the same.
-    const bool onlyWaits = m_listedUpTo > m_committedUpTo && request.seenUpTo >= m_committedUpTo;
+    const bool mayAcknowledge = isFromPresent && m_acknowledgements.isDue();
+    const bool onlyWaits = m_listedUpTo > m_acknowledgements.committedUpTo() && !mayAcknowledge;
     return onlyWaits ? m_agent.commitWait : Duration::zero();
 }
 
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Fleet/EndAcknowledgements.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/LeaseClock.h>
 #include <Guavashift/Fleet/LifetimeConnections.h>
@@ -44,6 +45,11 @@
     Duration goodbyeValidity = std::chrono::seconds(10);
     /// Longest time for which the answer to a poll is awaited.
     Duration longestAnswerDelay = std::chrono::seconds(3);
+    /// Longest time after which a call without an answer is carried out.
+    Duration longestCallDelay = std::chrono::seconds(15);
+    /// An acknowledgement on a new connection follows the answer to a poll that was sent this long
+    /// before at most, so that the lifetime which answered most probably receives it.
+    Duration acknowledgeWithin = std::chrono::milliseconds(100);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
@@ -113,11 +119,20 @@
     /// Polls the worker on any connection, to learn which lifetime answers there: without the
     /// fields that hold for one lifetime only.
     void identify();
+    /// Tells a worker that closes its connections which ends it may forget, right after an answer
+    /// to a poll that was sent at `sent`. Returns false if there are none, or if another lifetime
+    /// may have begun since.
+    bool acknowledge(Instant sent);
     void sendPoll(PollRequest request);
     void pollNotSent();
     void schedulePoll(Duration delay);
-    /// Returns the pause before the poll that follows `request`.
-    [[nodiscard]] Duration pauseAfter(const PollRequest &request) const;
+    /// Returns the pause after the answer to a poll. `isFromPresent`: the present lifetime gave it.
+    [[nodiscard]] Duration pauseAfterPoll(bool isFromPresent) const;
+    /// The end of the lease to send to the worker now; 0: do not extend it.
+    [[nodiscard]] std::int64_t leaseToSend(Instant now);
+    /// Whether the answer to an acknowledgement for `lifetime` shows that no later one can take it.
+    [[nodiscard]] bool settlesAcknowledgement(const Lifetime &lifetime,
+                                              const WorkerReply &reply) const;
     void handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply);
     /// Logs that polls begin to fail, fail otherwise than before, or are answered again.
     void logPollChange(const WorkerReply &reply, Instant now) const;
@@ -143,6 +158,9 @@
     /// Marks a worker that has said goodbye as draining, unless it goes on reporting itself as
     /// ready for so long that the goodbye was not its own.
     void applyGoodbye(WorkerFacts &facts);
+    /// Marks a worker as draining if its present lifetime may have received an acknowledgement for
+    /// an earlier one: what ends there could stay unknown.
+    void applyHiddenEnds(WorkerFacts &facts) const;
     /// Ends the lifetime of a worker whose program was replaced, or that refuses connections and
     /// has said goodbye or lost its lease.
     void endLostLifetime();
@@ -186,8 +204,9 @@
     std::optional<Instant> m_pollsFailSince;
     WorkerCallResult m_lastPollResult = WorkerCallResult::Done; ///< Result of the last poll.
     LeaseClock m_lease;
-    std::uint64_t m_listedUpTo = 0;              ///< Ends read from the present lifetime.
-    std::uint64_t m_committedUpTo = 0;           ///< Ends that need not be listed any more.
+    std::uint64_t m_listedUpTo = 0; ///< Ends read from the present lifetime.
+    EndAcknowledgements m_acknowledgements;
+    std::uint64_t m_hidesUpTo = 0; ///< Ends that the present lifetime may never list; 0: none.
     std::map<std::uint64_t, Instant> m_listedAt; ///< Ends that are not committed, by number.
     UncommittedEnds m_uncommittedEnds;
     std::map<RunKey, Instant> m_endedAt; ///< Of ends that were listed a short time ago.
--- /dev/null
+++ b/Guavashift/Fleet/EndAcknowledgements.cpp
@@ -0,0 +1,45 @@
+#include <Guavashift/Fleet/EndAcknowledgements.h>
+
+namespace guavashift {
+
+std::uint64_t EndAcknowledgements::lifetimeFound(const Lifetime &lifetime)
+{
+    m_committedUpTo = m_acknowledgedUpTo = 0;
+    m_awaited.reset();
+    for (const auto &[id, sent] : m_unsettled) {
+        if (sent.lifetime.worker != lifetime.worker
+            || sent.lifetime.startedAt >= lifetime.startedAt)
+            continue;
+        // It is remembered: a lifetime may be found again.
+        std::uint64_t &upTo = m_hiding[lifetime];
+        upTo = std::max(upTo, sent.upTo);
+    }
+    const auto found = m_hiding.find(lifetime);
+    return found == m_hiding.end() ? 0 : found->second;
+}
+
+EndAcknowledgements::Id EndAcknowledgements::sent(const Lifetime &lifetime, std::uint64_t upTo,
+                                                  Instant now)
+{
+    m_awaited = ++m_lastId;
+    m_unsettled.emplace(m_lastId, Sent{lifetime, upTo, now});
+    return m_lastId;
+}
+
+void EndAcknowledgements::returned(Id id, bool isSettled)
+{
+    if (m_awaited == id)
+        m_awaited.reset();
+    if (isSettled)
+        m_unsettled.erase(id);
+}
+
+void EndAcknowledgements::lifetimeAnswered(const Lifetime &lifetime, Instant sent)
+{
+    std::erase_if(m_unsettled, [&](const auto &each) {
+        return each.second.lifetime.worker == lifetime.worker
+            && each.second.at + m_longestDelay < sent;
+    });
+}
+
+} // namespace guavashift
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -112,7 +112,6 @@
     m_fence = 0;
     m_untilMs = 0;
     m_ends = 0;
-    m_seenUpTo = 0;
     m_acknowledgedUpTo = 0;
 }
 
@@ -130,12 +129,11 @@
     if (!reaches(request.connections))
         return notSent(callback);
     const Instant now = BootClock::now();
-    if (!m_listed.empty() && request.seenUpTo == m_seenUpTo && m_polledAt != Instant()) {
+    if (!m_listed.empty() && request.seenUpTo <= m_acknowledgedUpTo && m_polledAt != Instant()) {
         const Duration since = now - m_polledAt;
         m_shortestIdlePoll = std::min(m_shortestIdlePoll.value_or(since), since);
     }
     m_polledAt = now;
-    m_seenUpTo = request.seenUpTo;
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
     m_untilMs = std::max(m_untilMs, request.untilMs);
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -100,7 +100,6 @@
     int m_connectionEpoch = 0;
     int m_polls = 0;
     Instant m_polledAt;
-    std::uint64_t m_seenUpTo = 0;
     std::optional<Duration> m_shortestIdlePoll;
 };
 
