Log ends that a lifetime hides

The log did not show that a worker's lifetime never lists its first ends, which tells an acknowledgement for another lifetime from other causes of runs that vanish. An agent that has polled the lifetime from its birth now logs ends-hidden if the first end listed there is not its first one. The first lifetime that a process of the agent finds is left out, as an earlier process may have acknowledged its ends.

EndAcknowledgementsTest::logsEndsThatALifetimeHides fails without the call.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -193,6 +193,9 @@
         m_hidesUpTo = m_acknowledgements.lifetimeFound(facts.lifetime);
         applyHiddenEnds(facts);
         m_facts = facts;
+        // Of the first lifetime, and of one that is found again, ends were acknowledged before.
+        m_readsAllEnds = m_lastFound && m_lastFound != facts.lifetime;
+        m_lastFound = facts.lifetime;
         m_foundAt = BootClock::now();
         m_listedUpTo = 0;
         m_listedAt.clear();
@@ -569,11 +572,26 @@
     return onlyWaits ? m_agent.commitWait : Duration::zero();
 }
 
+void AgentNode::logHiddenEnds(const WorkerReply &reply) const
+{
+    if (!m_readsAllEnds || m_listedUpTo > 0 || reply.ended.empty())
+        return;
+    const auto first = std::min_element(
+        reply.ended.begin(), reply.ended.end(),
+        [](const ListedEnd &left, const ListedEnd &right) { return left.number < right.number; });
+    if (first->number > 1)
+        logEvent(LogLevel::Warning, "ends-hidden",
+                 {{"worker", m_facts->lifetime.worker},
+                  {"born", m_facts->lifetime.startedAt},
+                  {"first_listed", first->number}});
+}
+
 void AgentNode::processEnds(const WorkerReply &reply)
 {
     const Instant now = BootClock::now();
     std::erase_if(m_endedAt,
                   [&](const auto &each) { return now - each.second > m_agent.longestAnswerDelay; });
+    logHiddenEnds(reply);
     RunsEnded ended{m_facts->lifetime, {}};
     for (const ListedEnd &each : reply.ended) {
         m_runs.erase({each.end.task, each.end.run});
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -138,6 +138,8 @@
     void logPollChange(const WorkerReply &reply, Instant now) const;
     void processRunning(const PollRequest &request, Instant sent, const WorkerReply &reply);
     void processEnds(const WorkerReply &reply);
+    /// Logs that the lifetime has forgotten ends before they were listed.
+    void logHiddenEnds(const WorkerReply &reply) const;
     /// Forgets a run that worked in this lifetime and is neither running nor among the ends.
     void forgetVanished(RunKey key);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
@@ -207,6 +209,8 @@
     std::uint64_t m_listedUpTo = 0; ///< Ends read from the present lifetime.
     EndAcknowledgements m_acknowledgements;
     std::uint64_t m_hidesUpTo = 0; ///< Ends that the present lifetime may never list; 0: none.
+    std::optional<Lifetime> m_lastFound;
+    bool m_readsAllEnds = false; ///< No end of the present lifetime was acknowledged before.
     std::map<std::uint64_t, Instant> m_listedAt; ///< Ends that are not committed, by number.
     UncommittedEnds m_uncommittedEnds;
     std::map<RunKey, Instant> m_endedAt; ///< Of ends that were listed a short time ago.
--- a/UnitTests/Fleet/EndAcknowledgementsTest.cpp
+++ b/UnitTests/Fleet/EndAcknowledgementsTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(usesTheNextLifetimeAfterAnAnsweredAcknowledgement);
     CPPUNIT_TEST(usesTheNextLifetimeLongAfterAnAcknowledgement);
     CPPUNIT_TEST(usesALaterLifetime);
+    CPPUNIT_TEST(logsEndsThatALifetimeHides);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +106,23 @@
         assertUsed(3000);
     }
 
+    /// Guards against ends that are hidden without a trace in the log.
+    void logsEndsThatALifetimeHides()
+    {
+        const test::LogCapture log;
+        WorkerReply reply = replyOf(1000);
+        reply.ended.push_back({7, {task, 1, RunEnd::Done, {}}});
+        report(factsOf(1000));
+        m_worker.answerPolls(reply);
+        // An earlier process of the agent may have acknowledged the ends before.
+        CPPUNIT_ASSERT(log.text().find("ends-hidden") == std::string::npos);
+        reply.born = 2000;
+        report(factsOf(2000));
+        m_worker.answerPolls(reply);
+        CPPUNIT_ASSERT(log.text().find("event=ends-hidden worker=w1 born=2000 first_listed=7")
+                       != std::string::npos);
+    }
+
 private:
     static constexpr Duration callDelay = std::chrono::milliseconds(50);
 
