Test next lifetimes of workers that close their connections

The fault of acknowledgements that reach the next lifetime was shown by scripts outside the tests only: Process.next-lifetime has workers that keep their connections open.

guavashift-closing-proxy opens a connection to its server for each request and closes the caller's after the answer. Process.next-lifetime-closing (next-lifetime.sh with CLOSES=1) has one between each agent and its worker, before the proxy that is silent while the worker restarts.

--- a/UnitTests/Process/fleet.sh
+++ b/UnitTests/Process/fleet.sh
@@ -12,6 +12,8 @@
 source "$here/review/common.sh"
 trap 'code=$?; finish "$code"; exit $code' EXIT
 
+closing_port=$((proxy_port + 1))
+
 fail() {
     echo "FAILED: $*" >&2
     exit 1
@@ -39,6 +41,18 @@
     pids[proxy$1]=$!
 }
 
+# close_connections N: lets the agent of side N reach its worker, through its proxy, on connections that close after each
+# answer
+close_connections() {
+    signal "side-$1" TERM
+    forget "side-$1"
+    sed -i "s/^app = .*/app = \"$net.3.$1:$closing_port\"/" "$work/side-$1.toml"
+    "$bin/guavashift-closing-proxy" --listen "$net.3.$1:$closing_port" --to "$net.3.$1:$proxy_port" \
+        >> "$work/closing$1.log" 2>&1 &
+    pids[closing$1]=$!
+    launch "side-$1" agent
+}
+
 # is_held N: whether worker N has been polled, so that it refuses a call with a token of 0
 is_held() {
     [[ "$("$tool" call --method POST --to "$net.3.$1:$app_port" --path /guavashift/pace \
--- a/UnitTests/Process/next-lifetime.sh
+++ b/UnitTests/Process/next-lifetime.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Guards against tasks that run twice because a worker's next lifetime carries out a poll that acknowledges ends of the last one.
+#   [CLOSES=1] [LOGS=folder] GUAVASHIFT_BIN=folder next-lifetime.sh
+# CLOSES=1: the workers close each connection after their answer.
 source "$(dirname "$0")/fleet.sh"
 first=00000000000000a1 second=00000000000000a2
 tasks=40
@@ -38,9 +40,16 @@
         END { for (task in again) if (task in done) { print again[task]; found = 1 }; exit found }'
 }
 
+# closes N: whether the agent has noticed that worker N closes its connections
+closes() { grep "event=connections-closed worker=i-$1 " "$work/side-$1.log"; }
+
 start_deployment 2 1
+if [ -n "${CLOSES:-}" ]; then for n in 1 2; do close_connections "$n"; done; fi
 for n in 1 2; do start_worker "$n" "i-$n"; done
 for n in 1 2; do wait_for 20 is_held "$n" || cannot_run "worker $n is not polled"; done
+if [ -n "${CLOSES:-}" ]; then
+    for n in 1 2; do wait_for 5 closes "$n" || cannot_run "worker $n is not known to close its connections"; done
+fi
 submit 1 "$first" "$(job 300 60 1000)"
 wait_for 10 has_state "$first" completed || fail "the first job is not completed"
 wait_for 5 all_seen 1 || fail "not every end of worker 1 was acknowledged"
