--- a/UnitTests/Process/fleet.sh
+++ b/UnitTests/Process/fleet.sh
@@ -52,8 +52,8 @@
     signal "side-$1" TERM
     forget "side-$1"
     sed -i "s/^app = .*/app = \"$net.3.$1:$closing_port\"/" "$work/side-$1.toml"
-    "$bin/guavashift-closing-proxy" --listen "$net.3.$1:$closing_port" --to "$net.3.$1:$proxy_port" \
-        >> "$work/closing$1.log" 2>&1 &
+    "$bin/guavashift-path-proxy" --listen "$net.3.$1:$closing_port" --to "$net.3.$1:$proxy_port" \
+        --state "$work/closing$1" --close-after-answer >> "$work/closing$1.log" 2>&1 &
     pids[closing$1]=$!
     launch "side-$1" agent
 }
--- a/UnitTests/Process/next-lifetime.sh
+++ b/UnitTests/Process/next-lifetime.sh
@@ -50,7 +50,8 @@
 if [ -n "${CLOSES:-}" ]; then
     for n in 1 2; do wait_for 5 closes "$n" || cannot_run "worker $n is not known to close its connections"; done
 fi
-submit 1 "$first" "$(job 300 60 1000)"
+# One worker does not hold all tasks.
+submit 1 "$first" "$(job 300 60 2000)"
 wait_for 10 has_state "$first" completed || fail "the first job is not completed"
 wait_for 5 all_seen 1 || fail "not every end of worker 1 was acknowledged"
 
@@ -64,7 +65,7 @@
 wait_for 10 is_registered "$born" || fail "the next lifetime is not taken in"
 
 # No process leads while the runs of the second job end.
-submit 1 "$second" "$(job 1500 $tasks 1000)"
+submit 1 "$second" "$(job 1500 $tasks 2000)"
 wait_for 5 has_number $tasks start "\"task\":\"$second" '"status":200' || cannot_run "not every task was started"
 [ "$(number_of start "\"task\":\"$second" "$(born_of 1)")" -gt 0 ] || cannot_run "the next lifetime got no task"
 leader=$(newest_leader)
