Send starts on connections of the present lifetime only

What callers would see: two runs of one task at once. A worker restarts under its name, and its next lifetime carries out a start of the one before, which the agent had given up as never arrived: the higher token that proves this is not known to the next lifetime.

Cause: as with acknowledgements, a start names its worker, and a new connection may lead to the next lifetime. It also brought a lease end by another clock.

Change: starts go out on connections on which the present lifetime has answered, as polls do. Agents open four such connections besides that of the poll in progress: once a poll has found out who answers, when a start gets no answer, and when a start finds none idle. Such a start is kept until a call is answered. It is dropped with its session or lifetime, and refused if the worker answers no probe, drains or has no lease. A start that was sent, perhaps in part, is never kept: the HTTP client reports only calls as not sent that were given no connection. Workers that close each connection get starts on any connection, as before; a start that finds no connection counts as a sign of it, like a poll.

The worker of the simulation carries a start out in another lifetime only if the call names no connections, and its agent keeps starts as agents do.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -88,6 +88,8 @@
 void AgentNode::lost()
 {
     m_inventoryDue = false;
+    // The next leader finds that they do not run.
+    std::erase_if(m_runs, [](const auto &each) { return each.second.unsent.has_value(); });
 }
 
 void AgentNode::renewLease()
@@ -187,6 +189,7 @@
         // waiting.
         ++m_pollEpoch;
         m_openPolls = 0;
+        m_openProbes = 0;
         m_isIdentifying = false;
         m_connections.lifetimeChanged();
         m_facts = facts;
@@ -273,7 +276,7 @@
 {
     std::vector<TaskRun> open;
     for (const auto &[key, run] : m_runs) {
-        if (run.stage != Stage::Running)
+        if (run.stage != Stage::Running && !run.unsent)
             open.push_back({key.first, key.second});
     }
     return open;
@@ -397,7 +400,7 @@
             if (reply.result == WorkerCallResult::NotSent)
                 return pollNotSent();
             if (request.connections)
-                m_connections.pollSent();
+                m_connections.callSent();
             handlePollReply(request, now, reply);
         });
 }
@@ -408,18 +411,22 @@
         return;
     // An open call may hold the only connection.
     const bool startsAreOpen = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &each) {
-        return each.second.stage == Stage::Starting;
+        return each.second.stage == Stage::Starting && !each.second.unsent;
     });
-    if (m_openPolls == 0 && !startsAreOpen) {
-        const bool stayedOpen = m_connections.staysOpen();
-        m_connections.pollNotSent();
-        if (stayedOpen && !m_connections.staysOpen())
-            logEvent(LogLevel::Warning, "connections-closed",
-                     {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
-    }
+    if (m_openPolls == 0 && !startsAreOpen)
+        countNotSent();
     identify();
 }
 
+void AgentNode::countNotSent()
+{
+    const bool stayedOpen = m_connections.staysOpen();
+    m_connections.callNotSent();
+    if (stayedOpen && !m_connections.staysOpen())
+        logEvent(LogLevel::Warning, "connections-closed",
+                 {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
+}
+
 void AgentNode::handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply)
 {
     const Instant now = BootClock::now();
@@ -450,6 +457,9 @@
     default:
         if (reply.result == WorkerCallResult::ConnectionRefused && m_goodbyeAt)
             return endLostLifetime();
+        // The failure of another poll may be that of one connection only.
+        if (!request.connections)
+            refuseUnsentStarts("no answer");
         // Once the lease has expired without an answer, nothing runs on the worker any more. Before
         // that, a refused connection does not show that its program has ended: it may work on
         // behind a path that refuses connections.
@@ -477,7 +487,11 @@
     m_lease.observe(reply.clockMs, sent, now, suspendedTime());
     processEnds(reply);
     processRunning(request, sent, reply);
+    sendUnsentStart();
     applyThrottling();
+    // A poll that finds out who answers follows on a new lifetime and on broken connections.
+    if (!request.connections && m_connections.staysOpen())
+        openConnections();
     if (m_openPolls == 0)
         schedulePoll(pauseAfter(request));
 }
@@ -624,23 +638,122 @@
         return refuse(order, "no answer");
     if (!m_barrier.mayCarryOut(order.lifetime))
         return refuse(order, "ordered before its end was handled");
-    const std::int64_t until = m_lease.untilMs(BootClock::now(), suspendedTime());
-    if (until == 0)
+    if (m_lease.untilMs(BootClock::now(), suspendedTime()) == 0)
         return refuse(order, "no lease");
     const RunKey key{order.traits.task, order.traits.run};
     const auto [position, added] = m_runs.try_emplace(key);
     if (!added)
         return;
     position->second.traits = order.traits;
-    position->second.fence = fence();
-    position->second.startSentAt = BootClock::now();
+    sendStart(position->second, order);
+}
+
+void AgentNode::sendStart(Run &run, const StartOrder &order)
+{
+    const Instant now = BootClock::now();
+    const RunKey key{order.traits.task, order.traits.run};
     const std::uint64_t sentUnder = fence();
-    m_port.start({sentUnder, until, order},
-                 [this, lifetime = order.lifetime, key, sentUnder](const WorkerReply &reply) {
-                     started(lifetime, key, sentUnder, reply);
+    run.unsent.reset();
+    run.fence = sentUnder;
+    run.startSentAt = now;
+    m_port.start({sentUnder, m_lease.untilMs(now, suspendedTime()), order, m_connections.allowed()},
+                 [this, order, key, sentUnder](const WorkerReply &reply) {
+                     if (reply.result == WorkerCallResult::NotSent)
+                         return startNotSent(order, sentUnder);
+                     if (isCurrent(order.lifetime))
+                         m_connections.callSent();
+                     started(order.lifetime, key, sentUnder, reply);
+                     sendUnsentStart();
                  });
 }
 
+void AgentNode::startNotSent(const StartOrder &order, std::uint64_t sentUnder)
+{
+    const auto found = m_runs.find({order.traits.task, order.traits.run});
+    if (!isCurrent(order.lifetime) || found == m_runs.end()
+        || found->second.stage != Stage::Starting || found->second.fence != sentUnder)
+        return refuse(order, "its lifetime or session has ended");
+    // The leader of a later session has settled the run, or will do so.
+    if (sentUnder < m_sessionFence || !m_link.isOpen()) {
+        m_runs.erase(found);
+        return;
+    }
+    Run &run = found->second;
+    if (run.stopWanted)
+        return drop(found->first, "stopped before it was sent");
+    run.unsent = order;
+    if (run.keptSince == Instant())
+        run.keptSince = BootClock::now();
+    countNotSent();
+    openConnections();
+}
+
+void AgentNode::sendUnsentStart()
+{
+    Run *oldest = nullptr;
+    for (auto &[key, run] : m_runs) {
+        if (run.unsent && (oldest == nullptr || run.keptSince < oldest->keptSince))
+            oldest = &run;
+    }
+    if (oldest == nullptr)
+        return;
+    if (m_facts->draining)
+        return refuseUnsentStarts("draining");
+    if (m_lease.untilMs(BootClock::now(), suspendedTime()) == 0)
+        return refuseUnsentStarts("no lease");
+    sendStart(*oldest, StartOrder(*oldest->unsent));
+}
+
+void AgentNode::refuseUnsentStarts(std::string_view reason)
+{
+    std::vector<RunKey> unsent;
+    for (const auto &[key, run] : m_runs) {
+        if (run.unsent)
+            unsent.push_back(key);
+    }
+    for (const RunKey &key : unsent)
+        drop(key, reason);
+}
+
+void AgentNode::openConnections()
+{
+    if (m_openProbes > 0 || !m_facts)
+        return;
+    m_openProbes = m_agent.spareConnections;
+    m_probesAnswered = false;
+    const ProbeRequest request{m_facts->lifetime.worker, fence()};
+    for (std::size_t i = 0; i < m_agent.spareConnections; ++i) {
+        m_port.probe(request, [this, epoch = m_pollEpoch](const WorkerReply &reply) {
+            if (epoch != m_pollEpoch)
+                return;
+            --m_openProbes;
+            if (m_facts)
+                probeAnswered(reply);
+        });
+    }
+}
+
+void AgentNode::probeAnswered(const WorkerReply &reply)
+{
+    if (reply.result == WorkerCallResult::OtherLifetime
+        || (reply.born != 0 && reply.born != m_facts->lifetime.startedAt))
+        return endLostLifetime();
+    if (isAnswered(reply.result)) {
+        m_probesAnswered = true;
+        if (!mayBeFromOther(m_facts->lifetime, reply))
+            m_connections.answered(reply.connection);
+        sendUnsentStart();
+    }
+    if (m_openProbes > 0)
+        return;
+    if (!m_probesAnswered)
+        return refuseUnsentStarts("no answer");
+    const bool keepsStarts = std::any_of(m_runs.begin(), m_runs.end(),
+                                         [](const auto &each) { return each.second.unsent; });
+    if (keepsStarts)
+        openConnections();
+}
+
 bool AgentNode::raiseFence()
 {
     if (m_fenceStep >= m_agent.fenceSteps) {
@@ -690,6 +803,14 @@
     if (reply.born == lifetime.startedAt)
         m_connections.answered(reply.connection);
     Run &run = found->second;
+    if (run.keptSince != Instant())
+        logEvent(
+            LogLevel::Info, "start-kept",
+            {{"task", key.first.text()},
+             {"run", key.second},
+             {"kept_us",
+              std::chrono::duration_cast<std::chrono::microseconds>(run.startSentAt - run.keptSince)
+                  .count()}});
     WorkerCallResult result = reply.result;
     if (result == WorkerCallResult::Done && mayBeFromOther(lifetime, reply)) {
         // The worker restarted under the same name, and its next lifetime carried the start out.
@@ -712,6 +833,9 @@
         run.stage = Stage::Unconfirmed;
         if (run.fence < fence() || raiseFence())
             poll(Duration::zero());
+        // Its connection is closed now.
+        if (m_connections.staysOpen())
+            openConnections();
         return;
     default:
         drop(key, nameOf(result));
@@ -732,6 +856,8 @@
         position->second.traits.run = order.run;
         position->second.stage = Stage::Running;
     }
+    if (position->second.unsent)
+        return drop(key, "stopped before it was sent");
     position->second.stopWanted = true;
     sendStop(key);
 }
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -31,6 +31,9 @@
     Duration tableInterval = std::chrono::milliseconds(500);
     /// Time for which polls that fail still extend the worker's lease.
     Duration failedPollGrace = std::chrono::seconds(2);
+    /// Connections that are opened at a time besides that of the poll in progress, so that starts
+    /// find an idle one.
+    std::size_t spareConnections = 4;
     /// Pause after a poll that failed.
     Duration retryPause = std::chrono::milliseconds(150);
     /// Maximum number of fencing token increments per session, for starts that got no answer.
@@ -79,11 +82,13 @@
     {
         RunTraits traits;
         Stage stage = Stage::Starting;
-        std::uint64_t fence = 0; ///< Fencing token that the start was sent with.
+        std::uint64_t fence = 0;          ///< Fencing token that the start was sent with.
+        std::optional<StartOrder> unsent; ///< Set while no connection for its start is open.
         bool stopWanted = false;
         bool stopAnswered = false;
         Instant stopSentAt;
-        Instant seenAt; ///< Known to run at this time at least.
+        Instant keptSince; ///< When its start was first not sent; 0: it was sent at once.
+        Instant seenAt;    ///< Known to run at this time at least.
         /// When the start was sent; 0 for a run that an earlier process of the agent started.
         Instant startSentAt;
         RunStatus row;
@@ -115,6 +120,8 @@
     void identify();
     void sendPoll(PollRequest request);
     void pollNotSent();
+    /// Counts a call that found no connection. If all do, the worker closes its connections.
+    void countNotSent();
     void schedulePoll(Duration delay);
     /// Returns the pause before the poll that follows `request`.
     [[nodiscard]] Duration pauseAfter(const PollRequest &request) const;
@@ -127,6 +134,19 @@
     void forgetVanished(RunKey key);
     void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
     void startRun(const StartOrder &order);
+    /// Sends a start on a connection on which the present lifetime has answered, so that no other
+    /// lifetime carries it out.
+    void sendStart(Run &run, const StartOrder &order);
+    /// Keeps a start until the lifetime has answered on another connection, for as long as its
+    /// session, lifetime and lease hold.
+    void startNotSent(const StartOrder &order, std::uint64_t sentUnder);
+    /// Sends a start that was kept, if there is one, after an answer on a connection.
+    void sendUnsentStart();
+    void refuseUnsentStarts(std::string_view reason);
+    /// Opens connections besides that of the poll in progress and learns which lifetime answers
+    /// there, so that starts do not wait for the poll.
+    void openConnections();
+    void probeAnswered(const WorkerReply &reply);
     void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t fence,
                  const WorkerReply &reply);
     /// Handles the answer to a start for a lifetime that has ended meanwhile.
@@ -197,6 +217,8 @@
     std::uint64_t m_pollEpoch = 0; ///< Number of lifetimes found.
     std::size_t m_openPolls = 0;   ///< Of the present lifetime.
     bool m_isIdentifying = false;  ///< One of them is that of identify().
+    std::size_t m_openProbes = 0;  ///< Of the present lifetime.
+    bool m_probesAnswered = false; ///< One of those sent last at least.
     LifetimeConnections m_connections;
     EventLoop::TimerId m_pollTimer = 0;
 };
--- a/Guavashift/Fleet/LifetimeConnections.cpp
+++ b/Guavashift/Fleet/LifetimeConnections.cpp
@@ -26,13 +26,13 @@
         m_answered.pop_front();
 }
 
-void LifetimeConnections::pollNotSent()
+void LifetimeConnections::callNotSent()
 {
     if (std::exchange(m_isIdentified, false) && ++m_closedInARow >= maxClosedInARow)
         m_staysOpen = false;
 }
 
-void LifetimeConnections::pollSent()
+void LifetimeConnections::callSent()
 {
     m_isIdentified = false;
     m_closedInARow = 0;
--- a/Guavashift/Fleet/LifetimeConnections.h
+++ b/Guavashift/Fleet/LifetimeConnections.h
@@ -16,10 +16,10 @@
     void lifetimeChanged() { *this = {}; }
     /// Records that this lifetime has answered on a connection.
     void answered(WorkerConnection connection);
-    /// Records that a poll for this lifetime was not sent.
-    void pollNotSent();
-    /// Records that a poll was sent on a connection of this lifetime.
-    void pollSent();
+    /// Records that a call for this lifetime was not sent.
+    void callNotSent();
+    /// Records that a call was sent on a connection of this lifetime.
+    void callSent();
 
     /// Whether calls for this lifetime can be sent.
     [[nodiscard]] bool isKnown() const { return !m_answered.empty() || !m_staysOpen; }
@@ -30,7 +30,7 @@
 
 private:
     std::deque<WorkerConnection> m_answered; ///< The latest last.
-    bool m_isIdentified = false; ///< It has answered since the last poll that was not sent.
+    bool m_isIdentified = false; ///< It has answered since the last call that was not sent.
     int m_closedInARow = 0;      ///< Connections that were closed right after an answer.
     bool m_staysOpen = true;
 };
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -53,11 +53,19 @@
     WorkerConnections connections;
 };
 
+/// Asks on any connection, also a new one, which lifetime answers there.
+struct ProbeRequest
+{
+    std::string worker;
+    std::uint64_t fence = 0;
+};
+
 struct StartRequest
 {
     std::uint64_t fence = 0;
     std::int64_t untilMs = 0;
     StartOrder order;
+    WorkerConnections connections;
 };
 
 struct StopRequest
@@ -87,6 +95,8 @@
     virtual ~WorkerPort() = default;
 
     virtual void poll(const PollRequest &request, Callback callback) = 0;
+    /// Changes no lease and acknowledges no end. The answer need not hold the lists.
+    virtual void probe(const ProbeRequest &request, Callback callback) = 0;
     virtual void start(const StartRequest &request, Callback callback) = 0;
     virtual void stop(const StopRequest &request, Callback callback) = 0;
     virtual void throttle(const ThrottleRequest &request, Callback callback) = 0;
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -190,16 +190,15 @@
     void poll(const PollRequest &request, const Callback &callback)
     {
         if (request.connections && !isOpen(*request.connections))
-            return m_world.after(0, [callback] {
-                callback(
-                    WorkerReply{.result = WorkerCallResult::NotSent, .running = {}, .ended = {}});
-            });
+            return notSent(callback);
         call(request.worker, request.connections, callTimeout + toMs(request.wait), callback,
              [this, request](const Callback &answer) { carryOut(request, answer); });
     }
     void start(const StartRequest &request, const Callback &callback)
     {
-        call(request.order.lifetime.worker, std::nullopt, callTimeout, callback,
+        if (request.connections && !isOpen(*request.connections))
+            return notSent(callback);
+        call(request.order.lifetime.worker, request.connections, callTimeout, callback,
              [this, request](const Callback &answer) {
                  WorkerReply reply = replyWith(carryOut(request));
                  if (!m_bornInStarts)
@@ -237,6 +236,12 @@
         m_lowest.clear();
         m_world.trace("{} born {} begins", m_name, m_born);
     }
+    void notSent(const Callback &callback)
+    {
+        m_world.after(0, [callback] {
+            callback(WorkerReply{.result = WorkerCallResult::NotSent, .running = {}, .ended = {}});
+        });
+    }
     [[nodiscard]] bool isOpen(const std::vector<WorkerConnection> &connections) const
     {
         return std::find(connections.begin(), connections.end(), m_life) != connections.end();
@@ -563,6 +568,7 @@
         m_link.reset();
         m_isOpen = false;
         m_inventoryDue = false;
+        std::erase_if(m_runs, [](const auto &each) { return each.second.unsent.has_value(); });
     }
 
     void received(const LinkPointer &link, const FleetMessage &message)
@@ -637,6 +643,7 @@
     {
         Stage stage = Stage::Starting;
         std::uint64_t fence = 0;
+        std::optional<StartOrder> unsent;
         bool stopWanted = false;
         bool stopAnswered = false;
         Ms stopSentAt = 0;
@@ -778,7 +785,7 @@
             if (end == LifetimeEnd::Crashed && run.stage == Stage::Running && run.startSentAt >= 0
                 && m_pollsFailSince.value_or(m_world.now()) - run.startSentAt <= 250)
                 recent.push_back({key.first, key.second});
-            if (end != LifetimeEnd::Unreachable && run.stage != Stage::Running)
+            if (end != LifetimeEnd::Unreachable && run.stage != Stage::Running && !run.unsent)
                 open.push_back({key.first, key.second});
         }
         if (!recent.empty())
@@ -878,6 +885,8 @@
         default:
             if (refused && (m_goodbyeAt || (now > m_lease.latestEnd && !m_unreachable)))
                 return endLostLifetime();
+            if (!request.connections)
+                refuseUnsentStarts("no answer");
             if (now > m_lease.latestEnd && !m_unreachable) {
                 m_unreachable = true;
                 endLifetime(LifetimeEnd::Unreachable);
@@ -894,6 +903,7 @@
         m_lease.observe(reply.clockMs, now);
         processEnds(reply);
         processRunning(request, sent, reply);
+        sendUnsentStarts();
         const bool onlyWaits =
             m_listedUpTo > m_committedUpTo && request.seenUpTo >= m_committedUpTo;
         if (m_openPolls == 0)
@@ -971,19 +981,67 @@
             return refuse(order.lifetime, key, "no answer");
         if (m_barrier.ended == order.lifetime)
             return refuse(order.lifetime, key, "ordered before its end was handled");
-        const Ms until = m_lease.untilMs(m_world.now());
-        if (until == 0)
+        if (m_lease.untilMs(m_world.now()) == 0)
             return refuse(order.lifetime, key, "no lease");
         const auto [position, added] = m_runs.try_emplace(key);
-        if (!added)
+        if (added)
+            sendStart(position->second, order);
+    }
+    void sendStart(Run &run, const StartOrder &order)
+    {
+        const Ms now = m_world.now();
+        run.unsent.reset();
+        run.fence = fence();
+        run.startSentAt = now;
+        m_machine.start(
+            {fence(), m_lease.untilMs(now), order, m_connections},
+            guardedReply([this, order, sentUnder = fence()](const WorkerReply &reply) {
+                if (reply.result == WorkerCallResult::NotSent)
+                    return startNotSent(order, sentUnder);
+                started(order.lifetime, {order.traits.task, order.traits.run}, sentUnder, reply);
+            }));
+    }
+    void startNotSent(const StartOrder &order, std::uint64_t sentUnder)
+    {
+        const RunKey key{order.traits.task, order.traits.run};
+        const auto found = m_runs.find(key);
+        if (!isCurrent(order.lifetime) || found == m_runs.end()
+            || found->second.stage != Stage::Starting || found->second.fence != sentUnder)
+            return refuse(order.lifetime, key, "its lifetime or session has ended");
+        if (sentUnder < m_sessionFence || !m_isOpen) {
+            m_runs.erase(found);
             return;
-        position->second.fence = fence();
-        position->second.startSentAt = m_world.now();
-        m_machine.start({fence(), until, order},
-                        guardedReply([this, lifetime = order.lifetime, key,
-                                      sentUnder = fence()](const WorkerReply &reply) {
-                            started(lifetime, key, sentUnder, reply);
-                        }));
+        }
+        if (found->second.stopWanted)
+            return drop(key, "stopped before it was sent");
+        found->second.unsent = order;
+        identify();
+    }
+    [[nodiscard]] std::vector<StartOrder> unsentStarts() const
+    {
+        std::vector<StartOrder> orders;
+        for (const auto &[key, run] : m_runs) {
+            if (run.unsent)
+                orders.push_back(*run.unsent);
+        }
+        return orders;
+    }
+    void sendUnsentStarts()
+    {
+        for (const StartOrder &order : unsentStarts()) {
+            const RunKey key{order.traits.task, order.traits.run};
+            if (m_facts->draining)
+                drop(key, "draining");
+            else if (m_lease.untilMs(m_world.now()) == 0)
+                drop(key, "no lease");
+            else
+                sendStart(m_runs.at(key), order);
+        }
+    }
+    void refuseUnsentStarts(std::string_view reason)
+    {
+        for (const StartOrder &order : unsentStarts())
+            drop({order.traits.task, order.traits.run}, reason);
     }
     void started(const Lifetime &lifetime, const RunKey &key, std::uint64_t sentUnder,
                  const WorkerReply &reply)
@@ -1033,6 +1091,8 @@
         const auto [position, added] = m_runs.try_emplace(key);
         if (added)
             position->second.stage = Stage::Running;
+        if (position->second.unsent)
+            return drop(key, "stopped before it was sent");
         position->second.stopWanted = true;
         sendStop(key);
     }
--- a/UnitTests/Fleet/AgentNodeTest.cpp
+++ b/UnitTests/Fleet/AgentNodeTest.cpp
@@ -29,6 +29,7 @@
             callback(reply);
         });
     }
+    void probe(const ProbeRequest &, Callback) override { }
     void start(const StartRequest &, Callback callback) override { callback({}); }
     void stop(const StopRequest &, Callback callback) override
     {
--- a/UnitTests/Fleet/AgentPollTest.cpp
+++ b/UnitTests/Fleet/AgentPollTest.cpp
@@ -23,6 +23,7 @@
     {
         m_polls.push_back({request, std::move(callback)});
     }
+    void probe(const ProbeRequest &, Callback) override { }
     void start(const StartRequest &, Callback callback) override { callback({}); }
     void stop(const StopRequest &, Callback callback) override { callback({}); }
     void throttle(const ThrottleRequest &, Callback callback) override { callback({}); }
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -181,6 +181,14 @@
     m_loop.after(delay, [callback, failed] { callback(failed); });
 }
 
+void FakeWorker::probe(const ProbeRequest &request, Callback callback)
+{
+    if (m_failsWith)
+        return fail(callback);
+    callback(
+        reply(acceptFence(request.fence) ? WorkerCallResult::Done : WorkerCallResult::FencedOff));
+}
+
 void FakeWorker::start(const StartRequest &request, Callback callback)
 {
     if (m_failsWith)
@@ -189,6 +197,8 @@
         --m_startsToDrop;
         return callback(WorkerReply{});
     }
+    if (!reaches(request.connections))
+        return notSent(callback);
     const Key key{request.order.traits.task, request.order.traits.run};
     if (!acceptFence(request.fence))
         return callback(reply(WorkerCallResult::FencedOff));
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -50,6 +50,7 @@
     [[nodiscard]] bool sawDuplicateRun() const { return m_sawDuplicateRun; }
 
     void poll(const PollRequest &request, Callback callback) override;
+    void probe(const ProbeRequest &request, Callback callback) override;
     void start(const StartRequest &request, Callback callback) override;
     void stop(const StopRequest &request, Callback callback) override;
     void throttle(const ThrottleRequest &request, Callback callback) override;
--- a/UnitTests/Fleet/HeldWorker.h
+++ b/UnitTests/Fleet/HeldWorker.h
@@ -28,6 +28,10 @@
     {
         m_polls.push_back({request, std::move(callback)});
     }
+    void probe(const ProbeRequest &request, Callback callback) override
+    {
+        m_probes.push_back({request, std::move(callback)});
+    }
     void start(const StartRequest &request, Callback callback) override
     {
         m_starts.push_back({request, std::move(callback)});
@@ -46,12 +50,15 @@
     }
     /// All polls so far, including answered ones.
     [[nodiscard]] std::vector<Call<PollRequest>> &polls() { return m_polls; }
+    /// All probes so far, including answered ones.
+    [[nodiscard]] std::vector<Call<ProbeRequest>> &probes() { return m_probes; }
     /// All starts so far, including answered ones.
     [[nodiscard]] std::vector<Call<StartRequest>> &starts() { return m_starts; }
     [[nodiscard]] int stops() const { return m_stops; }
 
 private:
     std::vector<Call<PollRequest>> m_polls;
+    std::vector<Call<ProbeRequest>> m_probes;
     std::vector<Call<StartRequest>> m_starts;
     int m_stops = 0;
 };
--- a/UnitTests/Fleet/LifetimeConnectionsTest.cpp
+++ b/UnitTests/Fleet/LifetimeConnectionsTest.cpp
@@ -12,6 +12,14 @@
     CPPUNIT_TEST(extendsNoLeaseOnAConnectionThatMayBeAnothersLifetime);
     CPPUNIT_TEST(keepsToKnownConnectionsWhileTheWorkerIsSilent);
     CPPUNIT_TEST(keepsToKnownConnectionsWhileStartsHoldThem);
+    CPPUNIT_TEST(startsRunsOnConnectionsOfTheLifetimeOnly);
+    CPPUNIT_TEST(sendsAKeptStartWhileAPollHoldsTheKnownConnection);
+    CPPUNIT_TEST(opensConnectionsBeforeTheFirstStart);
+    CPPUNIT_TEST(sendsNoStartOfAnEarlierSession);
+    CPPUNIT_TEST(sendsNoStartToTheNextLifetime);
+    CPPUNIT_TEST(keepsAStartWhileOneProbeIsAnswered);
+    CPPUNIT_TEST(startsNothingOnAWorkerThatStopsAnswering);
+    CPPUNIT_TEST(startsRunsOnAWorkerThatClosesItsConnections);
     CPPUNIT_TEST(extendsTheLeaseOfAWorkerThatClosesItsConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -95,6 +103,122 @@
         }
     }
 
+    /// Guards against a start that the next lifetime carries out although its run was settled.
+    void startsRunsOnConnectionsOfTheLifetimeOnly()
+    {
+        startUnsent();
+        CPPUNIT_ASSERT(connection(1000) == m_worker.starts().back().request.connections);
+        answerProbe(1001);
+        const std::vector<WorkerConnection> both{1000, 1001};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_worker.starts().size());
+        CPPUNIT_ASSERT(both == m_worker.starts().back().request.connections);
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
+    /// Guards against a start that waits until a run ends, while a poll holds the only connection.
+    void sendsAKeptStartWhileAPollHoldsTheKnownConnection()
+    {
+        startUnsent();
+        until([this] { return static_cast<bool>(m_worker.polls().back().callback); });
+        const std::size_t polls = m_worker.polls().size();
+        answerProbe(1001);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_worker.starts().size());
+        CPPUNIT_ASSERT_EQUAL(polls, m_worker.polls().size());
+        CPPUNIT_ASSERT(m_worker.polls().back().callback);
+    }
+
+    /// Guards against a first start that waits for a connection.
+    void opensConnectionsBeforeTheFirstStart()
+    {
+        report(factsOf(1000));
+        m_worker.polls().back().answer(replyOf(1000));
+        CPPUNIT_ASSERT_EQUAL(m_agentSettings.spareConnections, m_worker.probes().size());
+    }
+
+    /// Guards against two runs of a task at once: the next leader had settled a run whose start was
+    /// not sent yet.
+    void sendsNoStartOfAnEarlierSession()
+    {
+        startUnsent();
+        const std::size_t sessions = m_leader->all<OpenSession>().size();
+        m_leader->disconnect();
+        until([&] { return m_leader->all<OpenSession>().size() > sessions; });
+        const std::size_t inventories = m_leader->all<Inventory>().size();
+        until([&] {
+            m_worker.answerPolls(replyOf(1000));
+            return m_leader->all<Inventory>().size() > inventories;
+        });
+        answerProbe(1001);
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.starts().size());
+    }
+
+    /// Guards against a kept start that the next lifetime, which answers a probe, carries out.
+    void sendsNoStartToTheNextLifetime()
+    {
+        startUnsent();
+        WorkerReply reply = replyOf(2000);
+        m_worker.probes().back().answer(reply);
+        until([this] { return !m_leader->all<LifetimeEnded>().empty(); });
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.starts().size());
+        CPPUNIT_ASSERT(m_leader->all<OpenStarts>().empty());
+    }
+
+    /// Guards against a start that is refused because one connection broke.
+    void keepsAStartWhileOneProbeIsAnswered()
+    {
+        startUnsent();
+        const std::size_t first = m_worker.probes().size() - m_agentSettings.spareConnections;
+        for (std::size_t i = first; i + 1 < m_worker.probes().size(); ++i)
+            m_worker.probes()[i].answer(failed(WorkerCallResult::NoAnswer));
+        m_worker.polls().back().answer(failed(WorkerCallResult::NoAnswer));
+        answerProbe(1001);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_worker.starts().size());
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
+    /// Guards against a task that stays bound to a silent worker though its start was not sent.
+    void startsNothingOnAWorkerThatStopsAnswering()
+    {
+        startUnsent();
+        answerProbes(failed(WorkerCallResult::NoAnswer));
+        until([this] { return !m_leader->all<StartRefused>().empty(); });
+        m_worker.answerPolls(replyOf(1000));
+        answerProbes(replyOf(1000));
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.starts().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<StartRefused>().size());
+    }
+
+    /// Guards against tasks that never start on a worker that closes its connections.
+    void startsRunsOnAWorkerThatClosesItsConnections()
+    {
+        startUnsent();
+        WorkerConnection next = 5000;
+        until([&] {
+            WorkerReply reply = replyOf(1000);
+            for (std::size_t i = 0; i < m_worker.probes().size(); ++i) {
+                reply.connection = ++next;
+                m_worker.probes()[i].answer(reply);
+            }
+            for (std::size_t i = 0; i < m_worker.polls().size(); ++i) {
+                reply.connection = ++next;
+                m_worker.polls()[i].answer(m_worker.polls()[i].request.connections
+                                               ? failed(WorkerCallResult::NotSent)
+                                               : reply);
+            }
+            for (std::size_t i = 0; i < m_worker.starts().size(); ++i) {
+                if (m_worker.starts()[i].request.connections)
+                    m_worker.starts()[i].answer(failed(WorkerCallResult::NotSent));
+            }
+            return !m_worker.starts().back().request.connections;
+        });
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
     /// Guards against runs that lapse on a worker that answers each call and closes the connection.
     void extendsTheLeaseOfAWorkerThatClosesItsConnections()
     {
@@ -127,6 +251,31 @@
         return std::vector<WorkerConnection>{number};
     }
 
+    /// Has the agent keep a start, since no connection is open for it. The probes that follow are
+    /// open.
+    void startUnsent()
+    {
+        startOn(factsOf(1000));
+        answerProbes(failed(WorkerCallResult::NoAnswer));
+        const std::size_t before = m_worker.probes().size();
+        m_worker.starts().back().answer(failed(WorkerCallResult::NotSent));
+        CPPUNIT_ASSERT_EQUAL(before + m_agentSettings.spareConnections, m_worker.probes().size());
+    }
+
+    void answerProbes(const WorkerReply &reply)
+    {
+        for (std::size_t i = 0; i < m_worker.probes().size(); ++i)
+            m_worker.probes()[i].answer(reply);
+    }
+
+    /// The lifetime answers the last probe on that connection.
+    void answerProbe(WorkerConnection number)
+    {
+        WorkerReply reply = replyOf(1000);
+        reply.connection = number;
+        m_worker.probes().back().answer(reply);
+    }
+
     /// Has a worker list an end that the leader commits, and waits for the poll that acknowledges
     /// it.
     void acknowledgeAnEnd()
