Follow the agent's goodbyes in the simulation

The simulated agent ends a lifetime that refuses connections after its goodbye with its lease, as agents do. UncommittedEndsTest reads the stops that HeldWorker keeps.

--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -883,11 +883,11 @@
                 schedulePoll(150);
             return;
         default:
-            if (refused && (m_goodbyeAt || (now > m_lease.latestEnd && !m_unreachable)))
-                return endLostLifetime();
             if (!request.connections)
                 refuseUnsentStarts("no answer");
             if (now > m_lease.latestEnd && !m_unreachable) {
+                if (refused)
+                    return endLostLifetime();
                 m_unreachable = true;
                 endLifetime(LifetimeEnd::Unreachable);
             }
--- a/UnitTests/Fleet/UncommittedEndsTest.cpp
+++ b/UnitTests/Fleet/UncommittedEndsTest.cpp
@@ -86,9 +86,9 @@
         m_leader->sendToAll(StopOrder{lifetime, task, 2});
         until([this] {
             m_worker.answerPolls(replyOf(1000));
-            return m_worker.stops() > 0;
+            return !m_worker.stops().empty();
         });
-        CPPUNIT_ASSERT_EQUAL(1, m_worker.stops());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_worker.stops().size());
         CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
     }
 
