Simulate late starts on workers that close their connections

Found by a review: the starts of LateStartSimulationTest name the connections of one lifetime now, so that none reaches another, and the fault that stays open was tested no more. Starts for workers that close each connection go out on any connection.

The simulated agent reports no crash for a refused connection, as agents do.

--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -127,11 +127,12 @@
 public:
     using Callback = std::function<void(const WorkerReply &)>;
 
-    Machine(World &world, Judge &judge, int number, bool takesLateStarts)
+    Machine(World &world, Judge &judge, int number, bool takesLateStarts, bool closesConnections)
         : m_world(world)
         , m_judge(judge)
         , m_number(number)
         , m_takesLateStarts(takesLateStarts)
+        , m_closesConnections(closesConnections)
         , m_name(fmt::format("w{}", number))
         , m_keepsSeen(world.chance(500))
         , m_bornInStarts(world.chance(500))
@@ -196,9 +197,11 @@
     }
     void start(const StartRequest &request, const Callback &callback)
     {
-        if (request.connections && !isOpen(*request.connections))
+        const WorkerConnections connections =
+            m_closesConnections ? WorkerConnections() : request.connections;
+        if (connections && !isOpen(*connections))
             return notSent(callback);
-        call(request.order.lifetime.worker, request.connections, callTimeout, callback,
+        call(request.order.lifetime.worker, connections, callTimeout, callback,
              [this, request](const Callback &answer) {
                  WorkerReply reply = replyWith(carryOut(request));
                  if (!m_bornInStarts)
@@ -418,7 +421,8 @@
     World &m_world;
     Judge &m_judge;
     int m_number;
-    bool m_takesLateStarts; ///< Also those that were sent to an earlier lifetime.
+    bool m_takesLateStarts;   ///< Also those that were sent to an earlier lifetime.
+    bool m_closesConnections; ///< Starts for it go out on any connection.
     std::string m_name;
     std::string m_nextName;
     bool m_keepsSeen;     ///< Whether the highest `seen_upto` also counts for later ends.
@@ -886,7 +890,7 @@
             if (!request.connections)
                 refuseUnsentStarts("no answer");
             if (now > m_lease.latestEnd && !m_unreachable) {
-                if (refused)
+                if (refused && m_facts->draining)
                     return endLostLifetime();
                 m_unreachable = true;
                 endLifetime(LifetimeEnd::Unreachable);
@@ -1162,6 +1166,8 @@
     bool takesLateStarts = false;
     /// Whether some paths to workers refuse connections instead of being silent.
     bool pathsRefuse = false;
+    /// Whether workers close each connection after their answer, as far as starts are concerned.
+    bool closesConnections = false;
 };
 
 /// Leaders, their log and job table, agents, workers and callers in virtual time. Calls the
@@ -1181,7 +1187,8 @@
             m_sites.push_back(std::make_unique<Site>());
             Site &site = *m_sites.back();
             site.node = fmt::format("n{}", i);
-            site.machine = std::make_unique<Machine>(m_world, m_judge, i, settings.takesLateStarts);
+            site.machine = std::make_unique<Machine>(m_world, m_judge, i, settings.takesLateStarts,
+                                                     settings.closesConnections);
             startAgent(site);
             report(site);
             connect(site);
@@ -1694,6 +1701,23 @@
     void runsNoTaskTwice() { playSeeds({.pathsRefuse = true}); }
 };
 
+/// The same with workers that close each connection after their answer.
+class ClosingLateStartSimulationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClosingLateStartSimulationTest);
+    CPPUNIT_TEST(runsNoTaskTwice);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { setLogLevel(LogLevel::Error); }
+    void tearDown() override { setLogLevel(LogLevel::Info); }
+
+    /// Guards against a task that runs twice because a start, which may go out on any connection
+    /// there, reaches the next lifetime of its worker.
+    void runsNoTaskTwice() { playSeeds({.takesLateStarts = true, .closesConnections = true}); }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderChangeSimulationTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ClosingLateStartSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(RefusedPathSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(LateStartSimulationTest);
