Conclude less from refusals and from lost acknowledgements

- A worker that refused connections until its lease was over was reported as crashed.
Two such reports shortly after a start fail a job (LOST), though paths may have refused.
It is reported as unreachable now; a crash is reported with the next lifetime.
- A lifetime that may have taken an acknowledgement for the one before stayed unused for good, also if that call was answered later as refused.
It is used again then, and answers that show that nothing was done account for it as well.
- An agent gave a lifetime that follows another one up too early: a call for the earlier one may have given it the longest lease until it has answered its inventory's poll.
- Ends were not acknowledged to workers that close connections and answer slowly.

The tests of lifetimes that refuse connections bound their end from below by the longest lease; a lifetime that ended after half of it passed them.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -193,8 +193,9 @@
         m_openProbes = 0;
         m_isIdentifying = false;
         m_connections.lifetimeChanged();
-        m_hidesUpTo = m_acknowledgements.lifetimeFound(facts.lifetime);
+        m_acknowledgements.lifetimeFound(facts.lifetime);
         applyHiddenEnds(facts);
+        m_takesEarlierCalls = true;
         m_facts = facts;
         // Of the first lifetime, and of one that is found again, ends were acknowledged before.
         m_readsAllEnds = m_lastFound && m_lastFound != facts.lifetime;
@@ -215,11 +216,11 @@
                   {"born", facts.lifetime.startedAt},
                   {"service", facts.service},
                   {"milli_cores", facts.capacity.milliCores}});
-        if (m_hidesUpTo > 0)
+        if (const std::uint64_t hidden = m_acknowledgements.hiddenUpTo(facts.lifetime); hidden > 0)
             logEvent(LogLevel::Warning, "lifetime-unused",
                      {{"worker", facts.lifetime.worker},
                       {"born", facts.lifetime.startedAt},
-                      {"may_hide_up_to", m_hidesUpTo}});
+                      {"may_hide_up_to", hidden}});
     } else {
         applyGoodbye(facts);
         applyHiddenEnds(facts);
@@ -281,7 +282,7 @@
 
 void AgentNode::applyHiddenEnds(WorkerFacts &facts) const
 {
-    if (m_hidesUpTo > 0)
+    if (m_acknowledgements.hiddenUpTo(facts.lifetime) > 0)
         facts.draining = true;
 }
 
@@ -468,6 +469,8 @@
     case WorkerCallResult::OtherLifetime:
     case WorkerCallResult::ConnectionRefused:
     case WorkerCallResult::NotSent:
+    case WorkerCallResult::Unhealthy:
+    case WorkerCallResult::Wrong:
         return true;
     default:
         return false;
@@ -531,7 +534,8 @@
         // that, a refused connection does not show that its program has ended: it may work on
         // behind a path that refuses connections.
         if (now > m_lease.latestEnd() && !m_unreachable) {
-            if (reply.result == WorkerCallResult::ConnectionRefused)
+            // A crash counts against the runs, so a refused connection does not show one.
+            if (reply.result == WorkerCallResult::ConnectionRefused && m_facts->draining)
                 return endLostLifetime();
             m_unreachable = true;
             endLifetime(LifetimeEnd::Unreachable);
@@ -665,6 +669,9 @@
     }
     if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
+        // From now on the lifetime refuses calls for an earlier one.
+        if (std::exchange(m_takesEarlierCalls, false))
+            m_lease.assumeLongestLease(BootClock::now());
         m_link.send(Inventory{m_facts->lifetime, reply.running});
         m_barrier.inventorySent(m_facts->lifetime);
         logEvent(LogLevel::Info, "inventory-sent",
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -52,7 +52,7 @@
     Duration longestCallDelay = std::chrono::seconds(15);
     /// An acknowledgement on a new connection follows the answer to a poll that was sent this long
     /// before at most, so that the lifetime which answered most probably receives it.
-    Duration acknowledgeWithin = std::chrono::milliseconds(100);
+    Duration acknowledgeWithin = std::chrono::seconds(1);
     /// Unanswered stops are sent again after this.
     Duration stopRetry = std::chrono::milliseconds(400);
     /// Smallest change of a processor share, in percentage points, that is sent to the worker.
@@ -217,6 +217,9 @@
 
     std::optional<WorkerFacts> m_facts;
     Instant m_foundAt; ///< When the present lifetime was found.
+    /// Calls for an earlier lifetime may still be carried out by the present one, until it has
+    /// answered the poll for its inventory.
+    bool m_takesEarlierCalls = false;
     std::uint64_t m_sequence = 0;
     std::optional<Instant> m_goodbyeAt; ///< When the present lifetime said goodbye.
     /// Sent again in each session: the leader may have lost them with its leadership.
@@ -230,7 +233,6 @@
     LeaseClock m_lease;
     std::uint64_t m_listedUpTo = 0; ///< Ends read from the present lifetime.
     EndAcknowledgements m_acknowledgements;
-    std::uint64_t m_hidesUpTo = 0; ///< Ends that the present lifetime may never list; 0: none.
     std::optional<Lifetime> m_lastFound;
     bool m_readsAllEnds = false; ///< No end of the present lifetime was acknowledged before.
     std::map<std::uint64_t, Instant> m_listedAt; ///< Ends that are not committed, by number.
--- a/Guavashift/Fleet/EndAcknowledgements.cpp
+++ b/Guavashift/Fleet/EndAcknowledgements.cpp
@@ -2,7 +2,7 @@
 
 namespace guavashift {
 
-std::uint64_t EndAcknowledgements::lifetimeFound(const Lifetime &lifetime)
+void EndAcknowledgements::lifetimeFound(const Lifetime &lifetime)
 {
     m_committedUpTo = m_acknowledgedUpTo = 0;
     m_awaited.reset();
@@ -11,11 +11,18 @@
             || sent.lifetime.startedAt >= lifetime.startedAt)
             continue;
         // It is remembered: a lifetime may be found again.
-        std::uint64_t &upTo = m_hiding[lifetime];
-        upTo = std::max(upTo, sent.upTo);
+        m_hiding[lifetime].emplace(id, sent.upTo);
     }
-    const auto found = m_hiding.find(lifetime);
-    return found == m_hiding.end() ? 0 : found->second;
+}
+
+std::uint64_t EndAcknowledgements::hiddenUpTo(const Lifetime &lifetime) const
+{
+    std::uint64_t upTo = 0;
+    if (const auto found = m_hiding.find(lifetime); found != m_hiding.end()) {
+        for (const auto &[id, number] : found->second)
+            upTo = std::max(upTo, number);
+    }
+    return upTo;
 }
 
 EndAcknowledgements::Id EndAcknowledgements::sent(const Lifetime &lifetime, std::uint64_t upTo,
@@ -30,8 +37,11 @@
 {
     if (m_awaited == id)
         m_awaited.reset();
-    if (isSettled)
-        m_unsettled.erase(id);
+    if (!isSettled)
+        return;
+    m_unsettled.erase(id);
+    for (auto &[lifetime, acknowledgements] : m_hiding)
+        acknowledgements.erase(id);
 }
 
 void EndAcknowledgements::lifetimeAnswered(const Lifetime &lifetime, Instant sent)
--- a/Guavashift/Fleet/EndAcknowledgements.h
+++ b/Guavashift/Fleet/EndAcknowledgements.h
@@ -19,10 +19,11 @@
     {
     }
 
-    /// Records that a lifetime was found. Returns the number up to which it may never list its
-    /// ends, because it may receive, or have received, an acknowledgement for an earlier one; 0: it
-    /// lists all.
-    std::uint64_t lifetimeFound(const Lifetime &lifetime);
+    /// Records that a lifetime was found.
+    void lifetimeFound(const Lifetime &lifetime);
+    /// The number up to which a lifetime that was found may never list its ends, because it may
+    /// receive, or have received, an acknowledgement for an earlier one; 0: it lists all.
+    [[nodiscard]] std::uint64_t hiddenUpTo(const Lifetime &lifetime) const;
     /// Records that the ends up to that number are committed.
     void committed(std::uint64_t upTo) { m_committedUpTo = std::max(m_committedUpTo, upTo); }
     [[nodiscard]] std::uint64_t committedUpTo() const { return m_committedUpTo; }
@@ -56,7 +57,8 @@
     Id m_lastId = 0;
     std::optional<Id> m_awaited;
     std::map<Id, Sent> m_unsettled;
-    std::map<Lifetime, std::uint64_t> m_hiding; ///< Lifetimes that may hide ends up to a number.
+    /// Acknowledgements that lifetimes may take for theirs, with the number of each.
+    std::map<Lifetime, std::map<Id, std::uint64_t>> m_hiding;
 };
 
 } // namespace guavashift
--- a/Guavashift/Fleet/LeaseClock.h
+++ b/Guavashift/Fleet/LeaseClock.h
@@ -26,6 +26,12 @@
     /// Records the start of another lifetime of the worker. Calls for the one before may still
     /// give it a lease.
     void workerChanged(Instant now);
+    /// Records that a call for another lifetime of the worker may have given this one the longest
+    /// lease until `now`.
+    void assumeLongestLease(Instant now)
+    {
+        m_latestEnd = std::max(m_latestEnd, now + m_longestLease);
+    }
 
     /// Returns the end of the granted lease on the worker's clock, so early that nothing outlives
     /// the grant unless the machine is suspended later; 0 if there is no grant or the worker's
--- a/UnitTests/Fleet/EndAcknowledgementsTest.cpp
+++ b/UnitTests/Fleet/EndAcknowledgementsTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(usesTheNextLifetimeLongAfterAnAcknowledgement);
     CPPUNIT_TEST(usesALaterLifetime);
     CPPUNIT_TEST(logsEndsThatALifetimeHides);
+    CPPUNIT_TEST(hidesNothingOnceTheAcknowledgementIsAccountedFor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +124,20 @@
                        != std::string::npos);
     }
 
+    /// Guards against a worker that stays unused although the acknowledgement which its lifetime
+    /// could have taken was refused.
+    void hidesNothingOnceTheAcknowledgementIsAccountedFor()
+    {
+        EndAcknowledgements acknowledgements(std::chrono::seconds(15));
+        const Lifetime first{"w1", 1000};
+        const Lifetime next{"w1", 2000};
+        const EndAcknowledgements::Id id = acknowledgements.sent(first, 7, BootClock::now());
+        acknowledgements.lifetimeFound(next);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, acknowledgements.hiddenUpTo(next));
+        acknowledgements.returned(id, true);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, acknowledgements.hiddenUpTo(next));
+    }
+
 private:
     static constexpr Duration callDelay = std::chrono::milliseconds(50);
 
--- a/UnitTests/Fleet/GoodbyeTest.cpp
+++ b/UnitTests/Fleet/GoodbyeTest.cpp
@@ -62,6 +62,7 @@
     /// against tasks that wait for longer than the lease of a worker that has ended.
     void endsTheLifetimeThatRefusesPollsWithItsLease()
     {
+        const Instant begunAt = BootClock::now();
         run();
         m_agent->workerStopping("w1");
         // The last poll that may have extended the lease.
@@ -74,9 +75,10 @@
             m_worker.answerPolls(refused);
             return !m_leader->all<LifetimeEnded>().empty();
         });
-        const Duration waited = BootClock::now() - extendedAt;
-        CPPUNIT_ASSERT(waited >= leaseLength / 2 - pollMargin);
-        CPPUNIT_ASSERT(waited <= m_bounds.maxWorkerLease + pollMargin);
+        const Instant endedAt = BootClock::now();
+        // An earlier process of the agent may have granted the longest lease.
+        CPPUNIT_ASSERT(endedAt - begunAt >= m_bounds.maxWorkerLease - pollMargin);
+        CPPUNIT_ASSERT(endedAt - extendedAt <= m_bounds.maxWorkerLease + pollMargin);
         assertLeft();
     }
 
