Log what ends a lifetime

Cause: lifetime-ended and worker-crashed did not tell whether a report, an answer of another lifetime or the end of a lease ended the lifetime; reports had no address in the logs, and an ignored one left no line.

Change: agents log lifetime-reported and report-ignored with the address, the sequence number and the present lifetime. No decision changes.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -6,6 +6,7 @@
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
 #include <Guavashift/Dispatch/JobProgress.h>
+#include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/SettleReason.h>
 #include <Guavashift/Dispatch/WorkerFacts.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -301,7 +301,7 @@
             || lifetime.startedAt > facts.lifetime.startedAt)
             continue;
         closeStarts(*m_pool.find(lifetime));
-        settleLifetime(lifetime, LifetimeEnd::Left, {});
+        settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::Report, {});
     }
     bool followsAnother = false;
     for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
@@ -592,7 +592,7 @@
     assumeLongestLease(*worker, m_now);
 }
 
-void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
+void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                                std::span<const TaskRun> recentRuns)
 {
     PoolWorker *worker = m_pool.find(lifetime);
@@ -601,7 +601,7 @@
     // The lease in a start that reaches a worker after it was unreachable has expired.
     if (end != LifetimeEnd::Unreachable)
         keepUnknownStarts(*worker);
-    settleLifetime(lifetime, end, recentRuns);
+    settleLifetime(lifetime, end, proof, recentRuns);
 }
 
 void Dispatcher::keepUnknownStarts(PoolWorker &worker) const
@@ -626,10 +626,18 @@
         run.startIsOpen = false;
 }
 
-void Dispatcher::settleLifetime(const Lifetime &lifetime, LifetimeEnd end,
+void Dispatcher::settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                                 std::span<const TaskRun> recentRuns)
 {
     PoolWorker *worker = m_pool.find(lifetime);
+    logEvent(LogLevel::Info, "lifetime-settled",
+             {{"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"node", worker->lastNode},
+              {"end", nameOf(end)},
+              {"proof", nameOf(proof)},
+              {"runs", worker->runs.size()},
+              {"lease_left_ms", toMs(worker->leaseEnd - m_now)}});
     // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
     // have lost power.
     lapseAllRuns(lifetime, settleReasonOf(end),
@@ -773,7 +781,7 @@
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
         // usable again. It would not be reported again if its lifetime were removed here.
         if (m_pool.find(lifetime)->node.empty())
-            settleLifetime(lifetime, LifetimeEnd::Left, {});
+            settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::LeaseRanOut, {});
         else
             lapseAllRuns(lifetime, SettleReason::LeaseExpired, {});
     }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/JobProgress.h>
+#include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/SettleReason.h>
 
@@ -159,7 +160,7 @@
     /// an unreachable worker stays known. `recentRuns`: started shortly before a crash. Runs of
     /// which the agent knows nothing, because it restarted after their starts, are kept like those
     /// in startsOpen().
-    void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end,
+    void lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                        std::span<const TaskRun> recentRuns);
     /// Handles that these runs of a lifetime may still be carried out by the next one under the
     /// same name. They stay bound after the end of the lifetime, until the inventory of the next
@@ -263,7 +264,7 @@
     /// Handles that no lifetime can carry out the worker's open starts any more.
     static void closeStarts(PoolWorker &worker);
     /// Settles an ended lifetime, all runs but those whose start is open.
-    void settleLifetime(const Lifetime &lifetime, LifetimeEnd end,
+    void settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                         std::span<const TaskRun> recentRuns);
     /// Ends all runs of a lifetime but those whose start is open.
     void lapseAllRuns(const Lifetime &lifetime, SettleReason reason,
--- /dev/null
+++ b/Guavashift/Dispatch/LifetimeProof.cpp
@@ -0,0 +1,15 @@
+#include <Guavashift/Dispatch/LifetimeProof.h>
+
+#include <array>
+
+namespace guavashift {
+
+std::string_view nameOf(LifetimeProof proof)
+{
+    constexpr std::array<std::string_view, 4> names{"answered-by-another", "answered-by-next",
+                                                    "lease-ran-out", "report"};
+    const auto index = static_cast<std::size_t>(proof);
+    return index < names.size() ? names.at(index) : "other";
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -76,8 +76,10 @@
     m_unreachable = false;
     if (m_lastOpenStarts)
         m_link.send(*m_lastOpenStarts);
-    if (m_lastCrash)
+    if (m_lastCrash) {
+        m_link.send(EndProven{m_lastCrash->lifetime, m_lastCrashProof});
         m_link.send(*m_lastCrash);
+    }
     if (m_facts)
         m_link.send(WorkerReport{*m_facts});
     // A new leader has not learned any interference yet.
@@ -173,18 +175,20 @@
 
 // The worker's reports about itself.
 
-void AgentNode::workerReported(WorkerFacts facts, std::uint64_t sequence)
+void AgentNode::workerReported(const ReportedWorker &report)
 {
+    WorkerFacts facts = report.facts;
     const bool isNew = !m_facts || m_facts->lifetime != facts.lifetime;
     // A report of an ended lifetime may arrive late. Its worker started earlier.
     if (isNew && m_facts && facts.lifetime.startedAt < m_facts->lifetime.startedAt)
+        return logReport("report-ignored", report);
+    if (!isNew && report.sequence <= m_sequence)
         return;
-    if (!isNew && sequence <= m_sequence)
-        return;
-    m_sequence = sequence;
+    m_sequence = report.sequence;
     if (isNew) {
+        logReport("lifetime-reported", report);
         if (m_facts)
-            endLostLifetime();
+            endLostLifetime(LifetimeProof::Report);
         m_goodbyeAt.reset();
         // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
         // waiting.
@@ -238,6 +242,20 @@
     }
 }
 
+void AgentNode::logReport(std::string_view event, const ReportedWorker &report) const
+{
+    const Lifetime &lifetime = report.facts.lifetime;
+    logEvent(LogLevel::Info, event,
+             {{"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"address", report.address},
+              {"service", report.facts.service},
+              {"sequence", report.sequence},
+              {"present_worker", m_facts ? m_facts->lifetime.worker : std::string()},
+              {"present_born", m_facts ? m_facts->lifetime.startedAt : 0},
+              {"polls_answered", m_answersPolls}});
+}
+
 void AgentNode::recallLifetime()
 {
     const Lifetime &lifetime = m_facts->lifetime;
@@ -286,9 +304,15 @@
         facts.draining = true;
 }
 
-void AgentNode::endLostLifetime()
+void AgentNode::endLostLifetime(LifetimeProof proof)
+{
+    endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed, proof);
+}
+
+LifetimeProof AgentNode::proofIn(const WorkerReply &reply)
 {
-    endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed);
+    return reply.result == WorkerCallResult::OtherLifetime ? LifetimeProof::AnsweredByAnother
+                                                           : LifetimeProof::AnsweredByNext;
 }
 
 std::vector<TaskRun> AgentNode::openStarts() const
@@ -322,7 +346,7 @@
     return recent;
 }
 
-void AgentNode::endLifetime(LifetimeEnd end)
+void AgentNode::endLifetime(LifetimeEnd end, LifetimeProof proof)
 {
     const Lifetime lifetime = m_facts->lifetime;
     const std::vector<TaskRun> recent =
@@ -334,12 +358,14 @@
              {{"worker", lifetime.worker},
               {"born", lifetime.startedAt},
               {"end", nameOf(end)},
+              {"proof", nameOf(proof)},
               {"runs", m_runs.size()},
               {"recent_runs", recent.size()},
               {"open_starts", open.size()}});
     // A crash without such runs must not replace one with some.
     if (!recent.empty())
-        m_lastCrash = WorkerCrashed{lifetime, recent};
+        m_lastCrash = WorkerCrashed{lifetime, recent}, m_lastCrashProof = proof;
+    m_link.send(EndProven{lifetime, proof});
     if (!open.empty()) {
         m_lastOpenStarts = OpenStarts{lifetime, open};
         m_link.send(*m_lastOpenStarts);
@@ -518,7 +544,7 @@
     case WorkerCallResult::Done:
         break;
     case WorkerCallResult::OtherLifetime:
-        return endLostLifetime();
+        return endLostLifetime(proofIn(reply));
     case WorkerCallResult::FencedOff:
         // Another session has sent a higher token to the worker. A new session gets a higher one.
         if (request.fence == fence())
@@ -536,9 +562,9 @@
         if (now > m_lease.latestEnd() && !m_unreachable) {
             // A crash counts against the runs, so a refused connection does not show one.
             if (reply.result == WorkerCallResult::ConnectionRefused && m_facts->draining)
-                return endLostLifetime();
+                return endLostLifetime(LifetimeProof::LeaseRanOut);
             m_unreachable = true;
-            endLifetime(LifetimeEnd::Unreachable);
+            endLifetime(LifetimeEnd::Unreachable, LifetimeProof::LeaseRanOut);
         }
         // The first failure may be that of one connection only.
         if (m_openPolls == 0)
@@ -547,7 +573,7 @@
     }
     if (reply.born != 0 && reply.born != m_facts->lifetime.startedAt) {
         // The worker restarted under the same name. Its report will follow.
-        return endLostLifetime();
+        return endLostLifetime(proofIn(reply));
     }
     if (m_unreachable) {
         m_unreachable = false;
@@ -834,7 +860,7 @@
 {
     if (reply.result == WorkerCallResult::OtherLifetime
         || (reply.born != 0 && reply.born != m_facts->lifetime.startedAt))
-        return endLostLifetime();
+        return endLostLifetime(proofIn(reply));
     if (isAnswered(reply.result)) {
         m_probesAnswered = true;
         if (!mayBeFromOther(m_facts->lifetime, reply))
@@ -913,7 +939,7 @@
         // The worker restarted under the same name, and its next lifetime carried the start out.
         run.stage = Stage::Unconfirmed;
         if (reply.born != 0)
-            return endLostLifetime();
+            return endLostLifetime(proofIn(reply));
         result = WorkerCallResult::NoAnswer;
     }
     switch (result) {
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -6,6 +6,7 @@
 #include <Guavashift/Fleet/LifetimeConnections.h>
 #include <Guavashift/Fleet/OrderBarrier.h>
 #include <Guavashift/Fleet/Relay.h>
+#include <Guavashift/Fleet/ReportedWorker.h>
 #include <Guavashift/Fleet/RoundMonitor.h>
 #include <Guavashift/Fleet/TailFilter.h>
 #include <Guavashift/Fleet/Throttler.h>
@@ -75,7 +76,7 @@
     void setSeeds(const std::vector<std::string> &seeds) { m_link.setSeeds(seeds); }
 
     /// Takes a report of the worker about itself. Ignores one that is older than the last.
-    void workerReported(WorkerFacts facts, std::uint64_t sequence);
+    void workerReported(const ReportedWorker &report);
     /// Takes a worker's goodbye: it gets no more starts, and its runs will end. They count as ended
     /// only once it lists their ends, begins another lifetime or loses its lease.
     void workerStopping(const std::string &worker);
@@ -179,6 +180,7 @@
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
     void drop(RunKey key, std::string_view reason);
+    void logReport(std::string_view event, const ReportedWorker &report) const;
     /// Marks a worker that has said goodbye as draining, unless it goes on reporting itself as
     /// ready for so long that the goodbye was not its own.
     void applyGoodbye(WorkerFacts &facts);
@@ -187,8 +189,10 @@
     void applyHiddenEnds(WorkerFacts &facts) const;
     /// Ends the lifetime of a worker whose program was replaced, or that refuses connections and
     /// has lost its lease.
-    void endLostLifetime();
-    void endLifetime(LifetimeEnd end);
+    void endLostLifetime(LifetimeProof proof);
+    void endLifetime(LifetimeEnd end, LifetimeProof proof);
+    /// What an answer that is not from the present lifetime shows.
+    [[nodiscard]] static LifetimeProof proofIn(const WorkerReply &reply);
     /// Withdraws what was reported of the end of the present lifetime, if that was found again.
     void recallLifetime();
     /// Runs whose start has no answer.
@@ -225,6 +229,7 @@
     /// Sent again in each session: the leader may have lost them with its leadership.
     std::optional<OpenStarts> m_lastOpenStarts;
     std::optional<WorkerCrashed> m_lastCrash;
+    LifetimeProof m_lastCrashProof = LifetimeProof::Report;
     OrderBarrier m_barrier;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
     bool m_answersPolls = true; ///< The last poll was answered.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -84,7 +84,8 @@
     const std::uint64_t number = ++m_sessionsOpened;
     const std::uint64_t fence = (m_driver.term() * sessionsPerTerm + number) * fenceSpan;
     Session &session = m_sessions[id];
-    session = {request.role, request.node, request.address, std::move(send), BootClock::now(), {}};
+    session = {
+        request.role, request.node, request.address, std::move(send), BootClock::now(), {}, {}};
     m_sessionOfNode[request.node] = id;
     session.send(SessionOpened{fence, toMs(m_workerLease)});
     session.send(m_directory);
@@ -167,27 +168,36 @@
                           {"reason", refused.reason}});
             },
             [&](const OpenStarts &open) { m_dispatcher.startsOpen(open.lifetime, open.runs); },
+            [&](const EndProven &proven) { session.proven = proven; },
             [&](const WorkerCrashed &crashed) {
                 // An agent reports its last crash again in each session.
                 if (m_dispatcher.runsOn(crashed.lifetime) == 0)
                     return;
                 logCrash(session, crashed);
                 m_dispatcher.lifetimeEnded(crashed.lifetime, LifetimeEnd::Crashed,
-                                           crashed.recentRuns);
+                                           proofOf(session, crashed.lifetime), crashed.recentRuns);
             },
             [&](const LifetimeEnded &ended) {
-                m_dispatcher.lifetimeEnded(
-                    ended.lifetime,
-                    ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left, {});
+                m_dispatcher.lifetimeEnded(ended.lifetime,
+                                           ended.unreachable ? LifetimeEnd::Unreachable
+                                                             : LifetimeEnd::Left,
+                                           proofOf(session, ended.lifetime), {});
                 logEvent(LogLevel::Info, "worker-ended",
                          {{"worker", ended.lifetime.worker},
                           {"born", ended.lifetime.startedAt},
+                          {"proof", nameOf(proofOf(session, ended.lifetime))},
                           {"silent", ended.unreachable}});
             },
             [](const auto &) {}},
         message);
 }
 
+LifetimeProof FleetLeader::proofOf(const Session &session, const Lifetime &lifetime)
+{
+    return session.proven && session.proven->lifetime == lifetime ? session.proven->proof
+                                                                  : LifetimeProof::Report;
+}
+
 void FleetLeader::logCrash(const Session &session, const WorkerCrashed &crashed) const
 {
     constexpr std::size_t maxNamed = 8;
@@ -199,6 +209,7 @@
     logEvent(LogLevel::Info, "worker-crashed",
              {{"worker", crashed.lifetime.worker},
               {"node", session.node},
+              {"proof", nameOf(proofOf(session, crashed.lifetime))},
               {"runs", m_dispatcher.runsOn(crashed.lifetime)},
               {"recent_count", crashed.recentRuns.size()},
               {"recent", recent}});
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -48,6 +48,7 @@
         Send send;
         Instant openedAt;
         std::optional<Lifetime> lifetime;
+        std::optional<EndProven> proven; ///< Received last.
     };
 
     /// A proposed configuration whose commit is not decided yet.
@@ -59,6 +60,8 @@
 
     void receiveFromAgent(Session &session, const FleetMessage &message);
     void handleRunsEnded(SessionId id, const RunsEnded &ended);
+    /// Why the agent counts the lifetime as ended.
+    [[nodiscard]] static LifetimeProof proofOf(const Session &session, const Lifetime &lifetime);
     void logCrash(const Session &session, const WorkerCrashed &crashed) const;
     void logBinding(const StartRun &start, const StageOutcome &outcome,
                     const std::optional<BindingTimes> &times, Instant now) const;
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -157,6 +157,11 @@
     return std::tie(value.lifetime, value.unreachable);
 }
 
+auto fields(Is<EndProven> auto &value)
+{
+    return std::tie(value.lifetime, value.proof);
+}
+
 auto fields(Is<WorkerCrashed> auto &value)
 {
     return std::tie(value.lifetime, value.recentRuns);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -128,6 +128,13 @@
     bool unreachable = false; ///< The lease ran out while the worker did not answer.
 };
 
+/// Why the lifetime counts as ended. Sent before WorkerCrashed and LifetimeEnded.
+struct EndProven
+{
+    Lifetime lifetime;
+    LifetimeProof proof = LifetimeProof::Report;
+};
+
 /// The worker's program ended without notice in that lifetime. Sent before LifetimeEnded.
 struct WorkerCrashed
 {
@@ -205,7 +212,7 @@
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
                  StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
-                 OpenStarts>;
+                 OpenStarts, EndProven>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -460,7 +460,8 @@
         accept("refused", refused);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decideAndCommit(1));
         m_dispatcher->nodeLost("lost");
-        m_dispatcher->lifetimeEnded(workers["silent"].lifetime, LifetimeEnd::Unreachable, {});
+        m_dispatcher->lifetimeEnded(workers["silent"].lifetime, LifetimeEnd::Unreachable,
+                                    LifetimeProof::LeaseRanOut, {});
         m_dispatcher->startRefused(workers["suspect"].lifetime, {"refused", 0, 0, 0}, 1, at(4900));
         JobPlan lasting = longRunningPlan(1, 8000);
         lasting.steps[0].requiredLabel = "a";
@@ -641,9 +642,11 @@
             if (born % 4 == 0)
                 m_dispatcher->nodeLost("n1");
             else if (born % 4 == 1)
-                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Unreachable, {});
+                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Unreachable,
+                                            LifetimeProof::LeaseRanOut, {});
             else if (born % 4 == 2)
-                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Left, {});
+                m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Left,
+                                            LifetimeProof::AnsweredByAnother, {});
             decideAndCommit(now + 9000);
             CPPUNIT_ASSERT_EQUAL(0U, crashesOf("lasting") + crashesOf("short"));
         }
@@ -725,6 +728,7 @@
         CPPUNIT_ASSERT(m_jobTable->load(saved));
         m_dispatcher->start(at(300));
         m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother,
                                     std::vector<TaskRun>{{{"deadly", 0, 0, 0}, 2}});
         decideAndCommit(400);
         CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("deadly")->status);
@@ -741,13 +745,15 @@
         const std::vector<TaskRun> first{
             {{"j", 0, 0, 0}, 1}, {{"j", 0, 0, 1}, 1}, {{"j", 0, 0, 2}, 1}};
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(1));
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, first);
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, first);
         decideAndCommit(100);
         CPPUNIT_ASSERT(m_jobTable->find("j")->isActive());
         m_dispatcher->workerReported("n1", worker("w1", 2), at(200));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, decideAndCommit(300));
         const std::vector<TaskRun> second{{{"j", 0, 0, 1}, 2}};
-        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Crashed, second);
+        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, second);
         decideAndCommit(400);
         CPPUNIT_ASSERT(StageJobStatus::Failed == m_jobTable->find("j")->status);
     }
@@ -779,7 +785,8 @@
         ShortTasks shortTasks;
         const int leavesAt = prepareFullWorkers(shortTasks);
         const TaskRef lasting{"lasting", 0, 0, 0};
-        m_dispatcher->lifetimeEnded(m_jobTable->find(lasting)->lifetime, LifetimeEnd::Left, {});
+        m_dispatcher->lifetimeEnded(m_jobTable->find(lasting)->lifetime, LifetimeEnd::Left,
+                                    LifetimeProof::AnsweredByAnother, {});
         const std::optional<int> boundAt = runUntilBound(lasting, shortTasks, leavesAt, 12'000);
         const std::string waited = boundAt ? fmt::format("placed after {} ms", *boundAt - leavesAt)
                                            : std::string("not placed in 12 s");
@@ -1118,7 +1125,8 @@
             const StageTask *task = m_jobTable->find({job, 0, 0, 0});
             recent.push_back({{job, 0, 0, 0}, task == nullptr ? 0 : task->run});
         }
-        m_dispatcher->lifetimeEnded({id, born}, LifetimeEnd::Crashed, recent);
+        m_dispatcher->lifetimeEnded({id, born}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, recent);
         commit(m_dispatcher->takeCommands(), milliseconds);
         m_dispatcher->workerReported(node, worker(id, born + 1), at(milliseconds));
     }
@@ -1126,7 +1134,7 @@
     /// Ends the first lifetime of the worker by a crash shortly after that task started.
     void crashTask(const std::string &id, const TaskRef &task, int milliseconds)
     {
-        m_dispatcher->lifetimeEnded({id, 1}, LifetimeEnd::Crashed,
+        m_dispatcher->lifetimeEnded({id, 1}, LifetimeEnd::Crashed, LifetimeProof::AnsweredByAnother,
                                     std::vector<TaskRun>{{task, m_jobTable->find(task)->run}});
         commit(m_dispatcher->takeCommands(), milliseconds);
         m_dispatcher->workerReported("n" + id.substr(1), worker(id, 2), at(milliseconds));
--- a/UnitTests/Dispatch/JobProgressTest.cpp
+++ b/UnitTests/Dispatch/JobProgressTest.cpp
@@ -44,7 +44,8 @@
         decideAndCommit(3);
         decideAndCommit(600);
         assertWaits(true);
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother,
+                                    {});
         decideAndCommit(601);
         assertWaits(true);
     }
@@ -58,7 +59,8 @@
     void jobThatBeganNeverWaitsAgain()
     {
         m_dispatcher->runsReported({"w1", 1}, listed(), at(2));
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother,
+                                    {});
         decideAndCommit(3);
         m_dispatcher->workerReported("n1", worker("w1", 2), at(4));
         decideAndCommit(5);
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -1495,12 +1495,16 @@
                 [&](const WorkerCrashed &crashed) {
                     if (m_dispatcher->runsOn(crashed.lifetime) > 0)
                         m_dispatcher->lifetimeEnded(crashed.lifetime, LifetimeEnd::Crashed,
+                                                    LifetimeProof::AnsweredByAnother,
                                                     crashed.recentRuns);
                 },
                 [&](const LifetimeEnded &ended) {
                     m_dispatcher->lifetimeEnded(
                         ended.lifetime,
-                        ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left, {});
+                        ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left,
+                        ended.unreachable ? LifetimeProof::LeaseRanOut
+                                          : LifetimeProof::AnsweredByAnother,
+                        {});
                 },
                 [&](const RunsEnded &ended) { handleRunsEnded(link, ended); }, [](const auto &) {}},
             message);
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -114,7 +114,8 @@
         bindTask();
         m_dispatcher->workerReported("n1", worker("w1", 2), at(10));
         m_dispatcher->inventoryReported({"w1", 2}, listed(), at(5));
-        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Left, {});
+        m_dispatcher->lifetimeEnded({"w1", 2}, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother,
+                                    {});
         m_dispatcher->workerReported("n2", worker("w2"), at(10));
         decideAndCommit(20);
         decideAndCommit(21);
@@ -139,7 +140,8 @@
         bindTask();
         m_dispatcher->workerReported("n2", worker("w2"), at(1));
         m_dispatcher->startsOpen({"w1", 1}, std::vector<TaskRun>{{ref, 1}});
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, {});
         const auto longest = static_cast<int>(toMs(DispatchSettings{}.longestLease));
         for (int now = 100; now <= longest + 2000; now += 100) {
             CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
@@ -155,7 +157,8 @@
         bindTask();
         m_dispatcher->workerReported("n2", worker("w2"), at(1));
         m_dispatcher->startsOpen({"w1", 1}, std::vector<TaskRun>{{ref, 1}});
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, {});
         m_dispatcher->startRefused({"w1", 1}, ref, 1, at(10));
         decideAndCommit(11);
         decideAndCommit(12);
@@ -264,7 +267,8 @@
     {
         accept("j", plan(1, 10'000));
         decideAndCommit(1);
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Unreachable, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Unreachable, LifetimeProof::LeaseRanOut,
+                                    {});
         m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
         CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
         decideAndCommit(2);
@@ -294,8 +298,10 @@
     {
         m_dispatcher->nodeLost("n1");
         m_dispatcher->workerReported("n1", worker("w1"), at(20));
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother,
+                                    {});
     }
 
     [[nodiscard]] const StageTask &task() const { return *m_jobTable->find(ref); }
--- a/UnitTests/Dispatch/LongRunningCrashTest.cpp
+++ b/UnitTests/Dispatch/LongRunningCrashTest.cpp
@@ -48,7 +48,8 @@
     void crash(std::string id, const std::vector<TaskRun> &recent)
     {
         const Lifetime lifetime{id, m_born.at(id)};
-        m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Crashed, recent);
+        m_dispatcher->lifetimeEnded(lifetime, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, recent);
         commit(m_dispatcher->takeCommands());
         m_returns.emplace(m_now + downtimeMs, id);
         m_down.insert(std::move(id));
--- a/UnitTests/Dispatch/SettledRunTest.cpp
+++ b/UnitTests/Dispatch/SettledRunTest.cpp
@@ -113,7 +113,8 @@
     void stopsAdoptedRunWhoseEndWasOnItsWay()
     {
         m_dispatcher->startsOpen({"w1", 1}, std::vector<TaskRun>{{ref, 1}});
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, {});
         CPPUNIT_ASSERT(m_dispatcher->takeCommands().empty());
         const std::vector<StageCommand> ends = m_dispatcher->decide(at(7000), 7000);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
@@ -212,7 +213,8 @@
     /// lists the run, and only after that the end of the run is committed.
     void settleWhileListed()
     {
-        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed, {});
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Crashed,
+                                    LifetimeProof::AnsweredByAnother, {});
         const std::vector<StageCommand> ends = m_dispatcher->takeCommands();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
         m_dispatcher->workerReported("n1", worker("w1"), at(10));
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -61,7 +61,7 @@
 {
     const std::size_t before = m_worker.polls().size();
     m_reportedAt = BootClock::now();
-    m_agent->workerReported(facts, sequence);
+    m_agent->workerReported({facts, sequence, {}});
     until([&] { return m_worker.polls().size() > before; });
 }
 
--- a/UnitTests/Fleet/AgentNodeTest.cpp
+++ b/UnitTests/Fleet/AgentNodeTest.cpp
@@ -75,7 +75,7 @@
         m_facts.lifetime = {"w1", 1};
         m_facts.service = "orders";
         m_facts.capacity = {64'000, 100'000, 0};
-        m_agent->workerReported(m_facts, 1);
+        m_agent->workerReported({m_facts, 1, {}});
     }
 
     void tearDown() override
@@ -103,12 +103,12 @@
         until([this] { return !m_leader->workers().empty(); });
         // Without any other change.
         m_facts.capacity = {32'000, 100'000, 0};
-        m_agent->workerReported(m_facts, 2);
+        m_agent->workerReported({m_facts, 2, {}});
         until([this] { return m_leader->workers().back() == m_facts; });
         // An older report that arrives late changes nothing, also not in the next session.
         WorkerFacts late = m_facts;
         late.capacity = {64'000, 100'000, 0};
-        m_agent->workerReported(late, 1);
+        m_agent->workerReported({late, 1, {}});
         const std::size_t before = m_leader->workers().size();
         m_leader->disconnect();
         until([&] { return m_leader->workers().size() > before; });
@@ -116,7 +116,7 @@
         // Between two sessions.
         m_leader->disconnect();
         m_facts.capacity = {16'000, 100'000, 0};
-        m_agent->workerReported(m_facts, 3);
+        m_agent->workerReported({m_facts, 3, {}});
         until([this] { return m_leader->workers().back() == m_facts; });
     }
 
--- a/UnitTests/Fleet/AgentPollTest.cpp
+++ b/UnitTests/Fleet/AgentPollTest.cpp
@@ -101,9 +101,9 @@
     {
         const WorkerFacts first = factsOf("w1", 1000);
         const WorkerFacts second = factsOf("w2", 2000);
-        m_agent->workerReported(first, 1);
+        m_agent->workerReported({first, 1, {}});
         until([&] { return m_worker.pollsOf("w1") == 1; });
-        m_agent->workerReported(second, 1);
+        m_agent->workerReported({second, 1, {}});
         until([&] { return m_worker.pollsOf("w2") == 1; });
         m_worker.answer(second, WorkerCallResult::Done);
         until([&] { return m_worker.pollsOf("w2") == 2; });
--- a/UnitTests/Fleet/EndAcknowledgementsTest.cpp
+++ b/UnitTests/Fleet/EndAcknowledgementsTest.cpp
@@ -67,7 +67,7 @@
         last().answer(failed(WorkerCallResult::NoAnswer));
         assertDrains(2000);
         // A later report does not change that.
-        m_agent->workerReported(factsOf(2000), 2);
+        m_agent->workerReported({factsOf(2000), 2, {}});
         m_leader->sendToAll(orderFor(factsOf(2000)));
         until([this] { return !m_leader->all<StartRefused>().empty(); });
         CPPUNIT_ASSERT(m_worker.starts().empty());
--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -109,7 +109,7 @@
                                            ChannelSettings{}, worker, m_metrics,
                                            static_cast<std::uint64_t>(number) + 99);
     });
-    m_agents[place]->node->workerReported(worker.facts(), 1);
+    m_agents[place]->node->workerReported({worker.facts(), 1, {}});
 }
 
 JobPlan FleetFixture::planOf(std::uint32_t tasks)
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -64,6 +64,7 @@
         InterferenceReport{{{"server", "press", 7.5}}},
         WorkerCrashed{lifetime, {{task, 4}}},
         OpenStarts{lifetime, {{task, 5}}},
+        EndProven{lifetime, LifetimeProof::LeaseRanOut},
     };
 }
 
--- a/UnitTests/Fleet/FleetTest.cpp
+++ b/UnitTests/Fleet/FleetTest.cpp
@@ -563,8 +563,9 @@
         for (std::size_t i = 0; i < m_workers.size(); ++i) {
             m_workers[i]->crashOn("deadly");
             m_workers[i]->setTaskTime(std::chrono::milliseconds(1500));
-            m_workers[i]->setRestarted(
-                [this, i] { m_agents[i]->node->workerReported(m_workers[i]->facts(), 1); });
+            m_workers[i]->setRestarted([this, i] {
+                m_agents[i]->node->workerReported({m_workers[i]->facts(), 1, {}});
+            });
         }
         submit("deadly", plan);
         until([this] { return m_workers[0]->crashes() + m_workers[1]->crashes() == 1; });
--- a/UnitTests/Fleet/GoodbyeTest.cpp
+++ b/UnitTests/Fleet/GoodbyeTest.cpp
@@ -88,7 +88,7 @@
         run();
         WorkerFacts draining = facts;
         draining.draining = true;
-        m_agent->workerReported(draining, 2);
+        m_agent->workerReported({draining, 2, {}});
         answerListing(1);
         grant();
         runFor(std::chrono::milliseconds(50));
@@ -138,7 +138,7 @@
     {
         run();
         m_agent->workerStopping("w1");
-        m_agent->workerReported(facts, 2);
+        m_agent->workerReported({facts, 2, {}});
         answerListing(1);
         assertRefuses(2);
         CPPUNIT_ASSERT(m_leader->workers().back().draining);
@@ -153,7 +153,7 @@
         until([this] { return m_leader->workers().back().draining; });
         std::uint64_t sequence = 1;
         until([&] {
-            m_agent->workerReported(facts, ++sequence);
+            m_agent->workerReported({facts, ++sequence, {}});
             return !m_leader->workers().back().draining;
         });
         const std::size_t before = m_worker.starts().size();
--- a/UnitTests/Fleet/NextLifetimeTest.cpp
+++ b/UnitTests/Fleet/NextLifetimeTest.cpp
@@ -27,7 +27,7 @@
         }
         runUntil([] { return false; }, std::chrono::milliseconds(1500));
         for (std::size_t i = 0; i < m_workers.size(); ++i)
-            m_agents[i]->node->workerReported(m_workers[i]->facts(), 1);
+            m_agents[i]->node->workerReported({m_workers[i]->facts(), 1, {}});
         submit("second", planOf(tasks));
         until([this] { return running() == tasks; });
         stopLeader();
