Ask the worker's address before a report changes its lifetime

What callers saw: all runs of one worker ran twice, with runs at the same time and starts after an end `done` that was noted.

Cause: an agent took any report of a lifetime that was born later for the end of the present one. It reported a crash, and the leader settled all runs of the worker, which worked on. Such a report may be that of a worker whose own agent is late (it goes on to the next node), of a second process, or of the worker itself after a step of its clock. The class: the state of a peer is concluded from something else than the peer.

Change: a report of another lifetime is only a reason to ask. The agent probes the worker's address on a new connection; the lifetime that answers there is the present one, whatever its time of birth. Until then the present one goes on. Agents tell the leader which lifetime has answered.

IdleWorker, HeldPolls and FakeWorker answer probes now: they answer polls in the same way, and a worker that answers none of them is never found. A test that counts probes counts the one of the report too.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -41,6 +41,17 @@
                   const std::vector<std::string> &cores = m_link.directory().cores;
                   return std::find(cores.begin(), cores.end(), address) != cores.end();
               })
+    , m_verifier(loop, {}, port,
+                 {[this] { return fence(); },
+                  [this](std::string_view worker) {
+                      return m_facts && m_facts->lifetime.worker == worker;
+                  },
+                  [this](const ReportedWorker &report) { lifetimeFound(report); },
+                  [this](std::uint64_t refused) {
+                      // A new session gets a higher token.
+                      if (m_link.isOpen() && refused == fence())
+                          m_link.renew("fenced off by the worker");
+                  }})
     , m_lease(settings.bounds.maxWorkerLease, BootClock::now())
     , m_acknowledgements(agent.longestCallDelay)
 {
@@ -81,7 +92,7 @@
         m_link.send(*m_lastCrash);
     }
     if (m_facts)
-        m_link.send(WorkerReport{*m_facts});
+        sendFacts();
     // A new leader has not learned any interference yet.
     m_link.send(InterferenceReport{m_throttler.learned()});
     renewLease();
@@ -175,85 +186,87 @@
 
 // The worker's reports about itself.
 
-void AgentNode::workerReported(const ReportedWorker &report)
+void AgentNode::workerReported(const ReportedWorker &report, ReportCallback answered)
 {
-    WorkerFacts facts = report.facts;
-    const bool isNew = !m_facts || m_facts->lifetime != facts.lifetime;
-    // A report of an ended lifetime may arrive late. Its worker started earlier.
-    if (isNew && m_facts && facts.lifetime.startedAt < m_facts->lifetime.startedAt)
-        return logReport("report-ignored", report);
-    if (!isNew && report.sequence <= m_sequence)
+    if (!isCurrent(report.facts.lifetime))
+        return m_verifier.verify(report, std::move(answered));
+    presentReported(report);
+    answered(ReportAnswer::Taken);
+}
+
+void AgentNode::presentReported(const ReportedWorker &report)
+{
+    if (report.sequence <= m_sequence)
         return;
     m_sequence = report.sequence;
-    if (isNew) {
-        logReport("lifetime-reported", report);
-        if (m_facts)
-            endLostLifetime(LifetimeProof::Report);
-        m_goodbyeAt.reset();
-        // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
-        // waiting.
-        ++m_pollEpoch;
-        m_openPolls = 0;
-        m_openProbes = 0;
-        m_isIdentifying = false;
-        m_connections.lifetimeChanged();
-        m_acknowledgements.lifetimeFound(facts.lifetime);
-        applyHiddenEnds(facts);
-        m_takesEarlierCalls = true;
-        m_facts = facts;
-        // Of the first lifetime, and of one that is found again, ends were acknowledged before.
-        m_readsAllEnds = m_lastFound && m_lastFound != facts.lifetime;
-        m_lastFound = facts.lifetime;
-        m_foundAt = BootClock::now();
-        m_listedUpTo = 0;
-        m_listedAt.clear();
-        m_endedAt.clear();
-        // The worker may have restarted under its name. With a higher token, this lifetime refuses
-        // all calls that were meant for the one before it.
-        recallLifetime();
-        raiseFence();
-        m_inventoryDue = m_link.isOpen();
-        m_inventoryFence = fence();
-        m_unreachable = false;
-        logEvent(LogLevel::Info, "worker-found",
-                 {{"worker", facts.lifetime.worker},
-                  {"born", facts.lifetime.startedAt},
-                  {"service", facts.service},
-                  {"milli_cores", facts.capacity.milliCores}});
-        if (const std::uint64_t hidden = m_acknowledgements.hiddenUpTo(facts.lifetime); hidden > 0)
-            logEvent(LogLevel::Warning, "lifetime-unused",
-                     {{"worker", facts.lifetime.worker},
-                      {"born", facts.lifetime.startedAt},
-                      {"may_hide_up_to", hidden}});
-    } else {
-        applyGoodbye(facts);
-        applyHiddenEnds(facts);
-        if (*m_facts == facts)
-            return;
-    }
+    WorkerFacts facts = report.facts;
+    applyGoodbye(facts);
+    applyHiddenEnds(facts);
+    if (*m_facts == facts)
+        return;
     const bool drains = facts.draining && !m_facts->draining;
-    m_facts = facts;
+    m_facts = std::move(facts);
     if (drains)
-        logEvent(LogLevel::Info, "worker-drains", {{"worker", facts.lifetime.worker}});
-    m_link.send(WorkerReport{facts});
-    if (isNew) {
-        renewLease();
-        poll(Duration::zero());
-    }
+        logEvent(LogLevel::Info, "worker-drains", {{"worker", m_facts->lifetime.worker}});
+    sendFacts();
+}
+
+void AgentNode::sendFacts()
+{
+    m_link.send(LifetimeAnswered{m_facts->lifetime});
+    m_link.send(WorkerReport{*m_facts});
 }
 
-void AgentNode::logReport(std::string_view event, const ReportedWorker &report) const
+void AgentNode::lifetimeFound(const ReportedWorker &report)
 {
     const Lifetime &lifetime = report.facts.lifetime;
-    logEvent(LogLevel::Info, event,
+    if (m_facts)
+        endLostLifetime(m_facts->lifetime.worker == lifetime.worker
+                            ? LifetimeProof::AnsweredByNext
+                            : LifetimeProof::AnsweredByAnother);
+    m_sequence = report.sequence;
+    m_goodbyeAt.reset();
+    // Polls of an earlier lifetime may still be open. Only those of this one keep the next poll
+    // waiting.
+    ++m_pollEpoch;
+    m_openPolls = 0;
+    m_openProbes = 0;
+    m_isIdentifying = false;
+    m_connections.lifetimeChanged();
+    m_verifier.presentChanged();
+    m_acknowledgements.lifetimeFound(lifetime);
+    m_takesEarlierCalls = true;
+    m_facts = report.facts;
+    applyHiddenEnds(*m_facts);
+    // Of the first lifetime, and of one that is found again, ends were acknowledged before.
+    m_readsAllEnds = m_lastFound && m_lastFound != lifetime;
+    m_lastFound = lifetime;
+    m_foundAt = BootClock::now();
+    m_listedUpTo = 0;
+    m_listedAt.clear();
+    m_endedAt.clear();
+    // The worker may have restarted under its name. With a higher token, this lifetime refuses all
+    // calls that were meant for the one before it.
+    recallLifetime();
+    raiseFence();
+    m_inventoryDue = m_link.isOpen();
+    m_inventoryFence = fence();
+    m_unreachable = false;
+    logEvent(LogLevel::Info, "worker-found",
              {{"worker", lifetime.worker},
               {"born", lifetime.startedAt},
               {"address", report.address},
-              {"service", report.facts.service},
+              {"service", m_facts->service},
               {"sequence", report.sequence},
-              {"present_worker", m_facts ? m_facts->lifetime.worker : std::string()},
-              {"present_born", m_facts ? m_facts->lifetime.startedAt : 0},
-              {"polls_answered", m_answersPolls}});
+              {"milli_cores", m_facts->capacity.milliCores}});
+    if (const std::uint64_t hidden = m_acknowledgements.hiddenUpTo(lifetime); hidden > 0)
+        logEvent(LogLevel::Warning, "lifetime-unused",
+                 {{"worker", lifetime.worker},
+                  {"born", lifetime.startedAt},
+                  {"may_hide_up_to", hidden}});
+    sendFacts();
+    renewLease();
+    poll(Duration::zero());
 }
 
 void AgentNode::recallLifetime()
@@ -275,17 +288,17 @@
     m_lastOpenStarts.reset();
 }
 
-void AgentNode::workerStopping(const std::string &worker)
+ReportAnswer AgentNode::workerStopping(const std::string &worker)
 {
     if (!m_facts || m_facts->lifetime.worker != worker)
-        return;
+        return ReportAnswer::NotOurs;
     logEvent(LogLevel::Info, "worker-leaves",
              {{"worker", worker}, {"born", m_facts->lifetime.startedAt}, {"runs", m_runs.size()}});
     // Without an acknowledgement the worker goes on for some seconds. Polls show when it is gone.
     m_goodbyeAt = BootClock::now();
-    if (std::exchange(m_facts->draining, true))
-        return;
-    m_link.send(WorkerReport{*m_facts});
+    if (!std::exchange(m_facts->draining, true))
+        sendFacts();
+    return ReportAnswer::Taken;
 }
 
 void AgentNode::applyGoodbye(WorkerFacts &facts)
@@ -309,12 +322,6 @@
     endLifetime(m_facts->draining ? LifetimeEnd::Left : LifetimeEnd::Crashed, proof);
 }
 
-LifetimeProof AgentNode::proofIn(const WorkerReply &reply)
-{
-    return reply.result == WorkerCallResult::OtherLifetime ? LifetimeProof::AnsweredByAnother
-                                                           : LifetimeProof::AnsweredByNext;
-}
-
 std::vector<TaskRun> AgentNode::openStarts() const
 {
     std::vector<TaskRun> open;
@@ -540,11 +547,11 @@
     else if (!m_pollsFailSince)
         m_pollsFailSince = now;
     m_lastPollResult = reply.result;
+    if (const auto proof = proofOfEnd(reply, m_facts->lifetime))
+        return endLostLifetime(*proof);
     switch (reply.result) {
     case WorkerCallResult::Done:
         break;
-    case WorkerCallResult::OtherLifetime:
-        return endLostLifetime(proofIn(reply));
     case WorkerCallResult::FencedOff:
         // Another session has sent a higher token to the worker. A new session gets a higher one.
         if (request.fence == fence())
@@ -571,10 +578,6 @@
             schedulePoll(m_pollsFailSince == now ? Duration::zero() : m_agent.retryPause);
         return;
     }
-    if (reply.born != 0 && reply.born != m_facts->lifetime.startedAt) {
-        // The worker restarted under the same name. Its report will follow.
-        return endLostLifetime(proofIn(reply));
-    }
     if (m_unreachable) {
         m_unreachable = false;
         m_inventoryDue = true;
@@ -858,9 +861,8 @@
 
 void AgentNode::probeAnswered(const WorkerReply &reply)
 {
-    if (reply.result == WorkerCallResult::OtherLifetime
-        || (reply.born != 0 && reply.born != m_facts->lifetime.startedAt))
-        return endLostLifetime(proofIn(reply));
+    if (const auto proof = proofOfEnd(reply, m_facts->lifetime))
+        return endLostLifetime(*proof);
     if (isAnswered(reply.result)) {
         m_probesAnswered = true;
         if (!mayBeFromOther(m_facts->lifetime, reply))
@@ -938,8 +940,8 @@
     if (result == WorkerCallResult::Done && mayBeFromOther(lifetime, reply)) {
         // The worker restarted under the same name, and its next lifetime carried the start out.
         run.stage = Stage::Unconfirmed;
-        if (reply.born != 0)
-            return endLostLifetime(proofIn(reply));
+        if (const auto proof = proofOfEnd(reply, lifetime))
+            return endLostLifetime(*proof);
         result = WorkerCallResult::NoAnswer;
     }
     switch (result) {
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -6,7 +6,7 @@
 #include <Guavashift/Fleet/LifetimeConnections.h>
 #include <Guavashift/Fleet/OrderBarrier.h>
 #include <Guavashift/Fleet/Relay.h>
-#include <Guavashift/Fleet/ReportedWorker.h>
+#include <Guavashift/Fleet/ReportVerifier.h>
 #include <Guavashift/Fleet/RoundMonitor.h>
 #include <Guavashift/Fleet/TailFilter.h>
 #include <Guavashift/Fleet/Throttler.h>
@@ -75,11 +75,13 @@
     /// Replaces the seeds after a change of the settings.
     void setSeeds(const std::vector<std::string> &seeds) { m_link.setSeeds(seeds); }
 
-    /// Takes a report of the worker about itself. Ignores one that is older than the last.
-    void workerReported(const ReportedWorker &report);
+    /// Takes a report. One of the present lifetime counts unless it is older than the last. That of
+    /// another lifetime counts once that one has answered at the worker's address.
+    void workerReported(
+        const ReportedWorker &report, ReportCallback answered = [](ReportAnswer) {});
     /// Takes a worker's goodbye: it gets no more starts, and its runs will end. They count as ended
     /// only once it lists their ends, begins another lifetime or loses its lease.
-    void workerStopping(const std::string &worker);
+    ReportAnswer workerStopping(const std::string &worker);
 
 private:
     enum class Stage : std::uint8_t { Starting, Unconfirmed, Running };
@@ -107,6 +109,12 @@
 
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
+    // Reports.
+    void presentReported(const ReportedWorker &report);
+    /// Begins with a lifetime that has answered at the worker's address. The present one has ended.
+    void lifetimeFound(const ReportedWorker &report);
+    void sendFacts();
+
     // Leader.
     void opened(const SessionOpened &session);
     void lost();
@@ -180,19 +188,15 @@
     void sendStop(const RunKey &key);
     void refuse(const StartOrder &order, std::string_view reason);
     void drop(RunKey key, std::string_view reason);
-    void logReport(std::string_view event, const ReportedWorker &report) const;
     /// Marks a worker that has said goodbye as draining, unless it goes on reporting itself as
     /// ready for so long that the goodbye was not its own.
     void applyGoodbye(WorkerFacts &facts);
     /// Marks a worker as draining if its present lifetime may have received an acknowledgement for
     /// an earlier one: what ends there could stay unknown.
     void applyHiddenEnds(WorkerFacts &facts) const;
-    /// Ends the lifetime of a worker whose program was replaced, or that refuses connections and
-    /// has lost its lease.
+    /// Ends the lifetime of a worker whose program has ended.
     void endLostLifetime(LifetimeProof proof);
     void endLifetime(LifetimeEnd end, LifetimeProof proof);
-    /// What an answer that is not from the present lifetime shows.
-    [[nodiscard]] static LifetimeProof proofIn(const WorkerReply &reply);
     /// Withdraws what was reported of the end of the present lifetime, if that was found again.
     void recallLifetime();
     /// Runs whose start has no answer.
@@ -219,6 +223,7 @@
     std::uint64_t m_inventoryFence = 0; ///< Least fencing token of the poll that it is read with.
     Duration m_leaseLength = Duration::zero();
 
+    ReportVerifier m_verifier;
     std::optional<WorkerFacts> m_facts;
     Instant m_foundAt; ///< When the present lifetime was found.
     /// Calls for an earlier lifetime may still be carried out by the present one, until it has
@@ -229,7 +234,7 @@
     /// Sent again in each session: the leader may have lost them with its leadership.
     std::optional<OpenStarts> m_lastOpenStarts;
     std::optional<WorkerCrashed> m_lastCrash;
-    LifetimeProof m_lastCrashProof = LifetimeProof::Report;
+    LifetimeProof m_lastCrashProof = LifetimeProof::LeaseRanOut;
     OrderBarrier m_barrier;
     bool m_unreachable = false; ///< Its lease ran out without an answer.
     bool m_answersPolls = true; ///< The last poll was answered.
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -162,6 +162,11 @@
     return std::tie(value.lifetime, value.proof);
 }
 
+auto fields(Is<LifetimeAnswered> auto &value)
+{
+    return std::tie(value.lifetime);
+}
+
 auto fields(Is<WorkerCrashed> auto &value)
 {
     return std::tie(value.lifetime, value.recentRuns);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -128,11 +128,18 @@
     bool unreachable = false; ///< The lease ran out while the worker did not answer.
 };
 
-/// Why the lifetime counts as ended. Sent before WorkerCrashed and LifetimeEnded.
+/// What shows that the lifetime has ended. Sent before WorkerCrashed and LifetimeEnded.
 struct EndProven
 {
     Lifetime lifetime;
-    LifetimeProof proof = LifetimeProof::Report;
+    LifetimeProof proof = LifetimeProof::LeaseRanOut;
+};
+
+/// The lifetime has answered at the address of the agent's worker, so that no other one runs there.
+/// Sent before its WorkerReport in each session.
+struct LifetimeAnswered
+{
+    Lifetime lifetime;
 };
 
 /// The worker's program ended without notice in that lifetime. Sent before LifetimeEnded.
@@ -212,7 +219,7 @@
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
                  StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
-                 OpenStarts, EndProven>;
+                 OpenStarts, EndProven, LifetimeAnswered>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -53,11 +53,12 @@
     WorkerConnections connections;
 };
 
-/// Asks on any connection, also a new one, which lifetime answers there.
+/// Asks which lifetime answers at the worker's address.
 struct ProbeRequest
 {
     std::string worker;
     std::uint64_t fence = 0;
+    bool onNewConnection = false; ///< If not, on any connection, also a new one.
 };
 
 struct StartRequest
--- a/Guavashift/Http/AsyncHttpClient.h
+++ b/Guavashift/Http/AsyncHttpClient.h
@@ -25,6 +25,8 @@
     bool mayResend = true;
     /// If set, the request is sent only on one of these connections while it is open and idle.
     std::optional<std::vector<HttpConnectionId>> connections;
+    /// Whether the request is sent on a new connection only.
+    bool onNewConnection = false;
 };
 
 /// Why a call has no answer.
--- a/UnitTests/Fleet/AgentFixture.cpp
+++ b/UnitTests/Fleet/AgentFixture.cpp
@@ -62,9 +62,20 @@
     const std::size_t before = m_worker.polls().size();
     m_reportedAt = BootClock::now();
     m_agent->workerReported({facts, sequence, {}});
+    confirm(facts);
     until([&] { return m_worker.polls().size() > before; });
 }
 
+void AgentFixture::confirm(const WorkerFacts &facts)
+{
+    // An answer may lead to further probes.
+    for (std::size_t i = 0; i < m_worker.probes().size(); ++i) {
+        HeldWorker::Call<ProbeRequest> &probe = m_worker.probes()[i];
+        if (probe.request.onNewConnection)
+            probe.answer(replyOf(facts.lifetime.startedAt));
+    }
+}
+
 void AgentFixture::grant()
 {
     until([this] {
--- a/UnitTests/Fleet/AgentFixture.h
+++ b/UnitTests/Fleet/AgentFixture.h
@@ -24,8 +24,10 @@
     /// The order to start run 1 of `task` in that lifetime.
     [[nodiscard]] static StartOrder orderFor(const WorkerFacts &facts);
 
-    /// Reports a lifetime and waits for the first poll of it.
+    /// Reports a lifetime, which its worker confirms, and waits for the first poll of it.
     void report(const WorkerFacts &facts, std::uint64_t sequence = 1);
+    /// Answers the probes that verify reports, in that lifetime.
+    void confirm(const WorkerFacts &facts);
     /// Grants the lease that the agent asked for, for the lifetime reported last.
     void grant();
     /// Reports a lifetime, answers its first poll and has the agent send a start, which stays
--- a/UnitTests/Fleet/AgentNodeTest.cpp
+++ b/UnitTests/Fleet/AgentNodeTest.cpp
@@ -29,7 +29,12 @@
             callback(reply);
         });
     }
-    void probe(const ProbeRequest &, Callback) override { }
+    void probe(const ProbeRequest &, Callback callback) override
+    {
+        WorkerReply reply;
+        reply.result = WorkerCallResult::Done;
+        callback(reply);
+    }
     void start(const StartRequest &, Callback callback) override { callback({}); }
     void stop(const StopRequest &, Callback callback) override
     {
--- a/UnitTests/Fleet/AgentPollTest.cpp
+++ b/UnitTests/Fleet/AgentPollTest.cpp
@@ -23,7 +23,12 @@
     {
         m_polls.push_back({request, std::move(callback)});
     }
-    void probe(const ProbeRequest &, Callback) override { }
+    void probe(const ProbeRequest &, Callback callback) override
+    {
+        WorkerReply reply;
+        reply.result = WorkerCallResult::Done;
+        callback(reply);
+    }
     void start(const StartRequest &, Callback callback) override { callback({}); }
     void stop(const StopRequest &, Callback callback) override { callback({}); }
     void throttle(const ThrottleRequest &, Callback callback) override { callback({}); }
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -183,6 +183,8 @@
 {
     if (m_failsWith)
         return fail(callback);
+    if (request.worker != m_id)
+        return callback(reply(WorkerCallResult::OtherLifetime));
     callback(
         reply(acceptFence(request.fence) ? WorkerCallResult::Done : WorkerCallResult::FencedOff));
 }
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -65,6 +65,7 @@
         WorkerCrashed{lifetime, {{task, 4}}},
         OpenStarts{lifetime, {{task, 5}}},
         EndProven{lifetime, LifetimeProof::LeaseRanOut},
+        LifetimeAnswered{lifetime},
     };
 }
 
--- a/UnitTests/Fleet/ForeignReportTest.cpp
+++ b/UnitTests/Fleet/ForeignReportTest.cpp
@@ -11,6 +11,11 @@
     CPPUNIT_TEST(reportOfAnotherWorkerEndsNoLifetime);
     CPPUNIT_TEST(reportOfALaterBirthEndsNoLifetime);
     CPPUNIT_TEST(strangersReportHidesNoWorkerFromTheLeader);
+    CPPUNIT_TEST(refusesReportsThatTheWorkerDisproves);
+    CPPUNIT_TEST(acknowledgesNoReportThatCannotBeVerified);
+    CPPUNIT_TEST(takesTheNextLifetimeWhoseClockWasSetBack);
+    CPPUNIT_TEST(believesNoAnswerFromBeforeTheLifetimeThatWasFoundSince);
+    CPPUNIT_TEST(proofPrecedesTheEndOfALifetime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,7 +51,120 @@
         CPPUNIT_ASSERT(m_leader->workers().empty());
     }
 
+    /// Guards against a worker that drains, counts on an acknowledgement by another node's agent
+    /// and goes on to get starts from its own.
+    void refusesReportsThatTheWorkerDisproves()
+    {
+        runTask();
+        WorkerFacts other = factsOf(2000);
+        other.lifetime.worker = "w9";
+        other.draining = true;
+        std::optional<ReportAnswer> answer;
+        m_agent->workerReported({other, 1, {}}, [&](ReportAnswer given) { answer = given; });
+        CPPUNIT_ASSERT(!answer);
+        WorkerReply refusal;
+        refusal.result = WorkerCallResult::OtherLifetime;
+        verification().answer(refusal);
+        CPPUNIT_ASSERT(ReportAnswer::NotOurs == answer);
+        CPPUNIT_ASSERT(ReportAnswer::NotOurs == m_agent->workerStopping("w9"));
+        assertWorksOn();
+    }
+
+    /// Guards against the same while the worker's address does not answer.
+    void acknowledgesNoReportThatCannotBeVerified()
+    {
+        runTask();
+        std::optional<ReportAnswer> answer;
+        m_agent->workerReported({factsOf(2000), 1, {}},
+                                [&](ReportAnswer given) { answer = given; });
+        WorkerReply none;
+        none.result = WorkerCallResult::ConnectionRefused;
+        verification().answer(none);
+        until([&] { return answer.has_value(); });
+        CPPUNIT_ASSERT(ReportAnswer::Unverified == answer);
+        // It is asked again, and found once it answers.
+        until([this] { return m_worker.probes().back().callback != nullptr; });
+        confirm(factsOf(2000));
+        until([this] { return m_leader->workers().size() == 2; });
+        CPPUNIT_ASSERT(m_leader->workers().back() == factsOf(2000));
+    }
+
+    /// Guards against a worker that gets no work after the time of day was set back: its birth is
+    /// before that of the lifetime before.
+    void takesTheNextLifetimeWhoseClockWasSetBack()
+    {
+        runTask();
+        std::optional<ReportAnswer> answer;
+        m_agent->workerReported({factsOf(500), 1, {}}, [&](ReportAnswer given) { answer = given; });
+        confirm(factsOf(500));
+        CPPUNIT_ASSERT(ReportAnswer::Taken == answer);
+        until([this] { return m_leader->workers().size() == 2; });
+        CPPUNIT_ASSERT(m_leader->workers().back() == factsOf(500));
+        CPPUNIT_ASSERT(factsOf(1000).lifetime == m_leader->all<LifetimeEnded>().back().lifetime);
+        // A late report of the earlier one changes nothing.
+        m_agent->workerReported({factsOf(1000), 9, {}},
+                                [&](ReportAnswer given) { answer = given; });
+        confirm(factsOf(500));
+        CPPUNIT_ASSERT(ReportAnswer::NotOurs == answer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<LifetimeEnded>().size());
+    }
+
+    /// Guards against a lifetime that ends because of an answer which is older than it.
+    void believesNoAnswerFromBeforeTheLifetimeThatWasFoundSince()
+    {
+        runTask();
+        m_agent->workerReported({factsOf(2000), 1, {}});
+        const std::size_t late = m_worker.probes().size() - 1;
+        m_agent->workerReported({factsOf(3000), 1, {}});
+        m_worker.probes().back().answer(replyOf(3000));
+        m_worker.probes()[late].answer(replyOf(2000));
+        CPPUNIT_ASSERT(m_worker.probes().size() > late + 2);
+        m_worker.probes().back().answer(replyOf(3000));
+        until([this] { return m_leader->workers().size() == 2; });
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(m_leader->workers().back() == factsOf(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<LifetimeEnded>().size());
+    }
+
+    /// Guards against a leader that must settle runs without a proof.
+    void proofPrecedesTheEndOfALifetime()
+    {
+        runTask();
+        report(factsOf(2000));
+        until([this] { return m_leader->workers().size() == 2; });
+        const auto place = [this](const auto &isWanted) {
+            const std::vector<FleetMessage> &all = m_leader->messages();
+            return std::find_if(all.begin(), all.end(), isWanted) - all.begin();
+        };
+        const auto proof = place([](const FleetMessage &each) {
+            const auto *proven = std::get_if<EndProven>(&each);
+            return proven != nullptr && proven->lifetime == factsOf(1000).lifetime
+                && proven->proof == LifetimeProof::AnsweredByNext;
+        });
+        const auto crash = place(
+            [](const FleetMessage &each) { return std::get_if<WorkerCrashed>(&each) != nullptr; });
+        const auto end = place(
+            [](const FleetMessage &each) { return std::get_if<LifetimeEnded>(&each) != nullptr; });
+        const auto answered = place([](const FleetMessage &each) {
+            const auto *message = std::get_if<LifetimeAnswered>(&each);
+            return message != nullptr && message->lifetime == factsOf(2000).lifetime;
+        });
+        CPPUNIT_ASSERT(proof < crash && crash < end && end < answered);
+        CPPUNIT_ASSERT(answered < static_cast<std::ptrdiff_t>(m_leader->messages().size()));
+    }
+
 private:
+    /// The last probe that verifies a report.
+    HeldWorker::Call<ProbeRequest> &verification()
+    {
+        auto &probes = m_worker.probes();
+        const auto found = std::find_if(probes.rbegin(), probes.rend(), [](const auto &each) {
+            return each.request.onNewConnection;
+        });
+        CPPUNIT_ASSERT(found != probes.rend());
+        return *found;
+    }
+
     /// Has the worker run the task in the lifetime that began at 1000.
     void runTask()
     {
--- a/UnitTests/Fleet/LifetimeConnectionsTest.cpp
+++ b/UnitTests/Fleet/LifetimeConnectionsTest.cpp
@@ -133,7 +133,8 @@
     {
         report(factsOf(1000));
         m_worker.polls().back().answer(replyOf(1000));
-        CPPUNIT_ASSERT_EQUAL(m_agentSettings.spareConnections, m_worker.probes().size());
+        // The first probe has verified the report.
+        CPPUNIT_ASSERT_EQUAL(1 + m_agentSettings.spareConnections, m_worker.probes().size());
     }
 
     /// Guards against two runs of a task at once: the next leader had settled a run whose start was
--- a/UnitTests/Http/AsyncHttpClientTest.cpp
+++ b/UnitTests/Http/AsyncHttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include <Guavashift/Http/AsyncHttpClient.h>
+#include <Guavashift/Http/AsyncHttpServer.h>
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
@@ -91,6 +92,7 @@
     CPPUNIT_TEST(sendsACallOnceIfItMustNotBeResent);
     CPPUNIT_TEST(resendsOtherCalls);
     CPPUNIT_TEST(sendsACallOnTheConnectionsThatItNamesOnly);
+    CPPUNIT_TEST(opensAConnectionForACallThatWantsANewOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +131,28 @@
         CPPUNIT_ASSERT_EQUAL(4, m_server.requests());
     }
 
+    /// Guards against a verified report that rests on the answer of a process which only an open
+    /// connection still reaches.
+    void opensAConnectionForACallThatWantsANewOne()
+    {
+        AsyncHttpServer server(HttpServerSettings{},
+                               [](const HttpRequest &, const HttpResponder &respond) {
+                                   respond(HttpResponse::json(200, Json::object()));
+                               });
+        CPPUNIT_ASSERT(server.start());
+        AsyncHttpCall call;
+        call.address = fmt::format("127.0.0.1:{}", server.port());
+        const HttpConnectionId first = send(call)->connection;
+        CPPUNIT_ASSERT_EQUAL(first, send(call)->connection);
+        call.onNewConnection = true;
+        const HttpConnectionId second = send(call)->connection;
+        CPPUNIT_ASSERT(second != first);
+        CPPUNIT_ASSERT(send(call)->connection != second);
+        call.onNewConnection = false;
+        CPPUNIT_ASSERT(send(call).has_value());
+        server.stop();
+    }
+
 private:
     AsyncHttpClient::Answer
     send(bool mayResend, std::optional<std::vector<HttpConnectionId>> connections = std::nullopt)
@@ -137,8 +161,13 @@
         call.connections = std::move(connections);
         call.address = m_server.address();
         call.body = "ping";
-        call.timeout = std::chrono::seconds(10);
         call.mayResend = mayResend;
+        return send(std::move(call));
+    }
+
+    AsyncHttpClient::Answer send(AsyncHttpCall call)
+    {
+        call.timeout = std::chrono::seconds(10);
         std::promise<AsyncHttpClient::Answer> answered;
         m_client.send(std::move(call), [&answered](AsyncHttpClient::Answer answer) {
             answered.set_value(std::move(answer));
