Settle the runs of a lifetime on a proof of its end only

Cause: the leader settled all runs of a worker as left when its node reported a worker of another name, and took an agent's word for each end. A report that an agent of an earlier version believes would still get through, and so would the next way in.

Change: lifetimeEnded() takes a LifetimeProof: an answer of another worker or lifetime at the worker's address, or the end of its last lease. An agent's report of an end without a proof only keeps new runs away; the runs that are bound wait for the lease. Another worker's report settles runs at once only if its lifetime has answered at the node's worker. Lifetimes of one name are ordered by these proofs; times of birth order only those of which there is none, since clocks may be set back.

Two tests of LifetimeChangeTest expected that a report of another worker settles runs at once; they hold with its answer, which they record now.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -79,6 +79,7 @@
     m_due.clear();
     m_comparedSteps.clear();
     m_failureRecords.clear();
+    m_answered.clear();
     m_lastTrials.clear();
     m_commands.clear();
     m_orders.clear();
@@ -292,26 +293,49 @@
         m_orders.emplace_back(worker.node, StopOrder{lifetime, run.task, run.run});
 }
 
+void Dispatcher::lifetimeAnswered(const std::string &node, const Lifetime &lifetime)
+{
+    m_answered[node] = lifetime;
+}
+
+bool Dispatcher::follows(const PoolWorker &worker, const PoolWorker &other)
+{
+    if (worker.provenOrder != other.provenOrder)
+        return worker.provenOrder > other.provenOrder;
+    return worker.facts.lifetime.startedAt > other.facts.lifetime.startedAt;
+}
+
 void Dispatcher::workerReported(const std::string &node, const WorkerFacts &facts, Instant now)
 {
-    // One machine has one worker: an earlier lifetime there has ended, and this one refuses calls
-    // that name the other worker.
+    const auto answered = m_answered.find(node);
+    const bool isProven = answered != m_answered.end() && answered->second == facts.lifetime;
+    PoolWorker &worker = m_pool.add(facts.lifetime);
+    if (isProven)
+        worker.provenOrder = ++m_lastProvenOrder;
     for (const Lifetime &lifetime : m_pool.lifetimesLastReportedBy(node)) {
-        if (lifetime.worker == facts.lifetime.worker
-            || lifetime.startedAt > facts.lifetime.startedAt)
+        if (lifetime.worker == facts.lifetime.worker)
             continue;
-        closeStarts(*m_pool.find(lifetime));
-        settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::Report, {});
+        PoolWorker &other = *m_pool.find(lifetime);
+        if (isProven) {
+            // This worker refuses calls that name the other one.
+            closeStarts(other);
+            settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother, {});
+        } else if (lifetime.startedAt <= facts.lifetime.startedAt) {
+            doubt(other);
+        }
     }
     bool followsAnother = false;
     for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
-        if (lifetime.startedAt >= facts.lifetime.startedAt)
+        PoolWorker &other = *m_pool.find(lifetime);
+        if (!follows(worker, other))
             continue;
         followsAnother = true;
-        assumeLongestLease(*m_pool.find(lifetime), now);
-        supersede(*m_pool.find(lifetime));
+        assumeLongestLease(other, now);
+        if (isProven)
+            supersede(other);
+        else
+            doubt(other);
     }
-    PoolWorker &worker = m_pool.add(facts.lifetime);
     const bool drains = facts.draining && !worker.facts.draining;
     // The same use of processors is another share of another capacity, so no report from before
     // may be compared with a later one.
@@ -339,6 +363,12 @@
     m_pool.removeIfIdle(lifetime);
 }
 
+void Dispatcher::doubt(PoolWorker &worker)
+{
+    worker.hasFacts = false;
+    m_pool.setNode(worker, {});
+}
+
 void Dispatcher::assumeLongestLease(PoolWorker &worker, Instant now) const
 {
     worker.leaseEnd =
@@ -370,6 +400,7 @@
 
 void Dispatcher::nodeLost(const std::string &node)
 {
+    m_answered.erase(node);
     // The inventory of the node's next session settles the runs of these orders.
     std::erase_if(m_orders, [&](const auto &order) { return order.first == node; });
     for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node))
@@ -471,9 +502,9 @@
 {
     const Lifetime &lifetime = worker.facts.lifetime;
     for (const Lifetime &other : m_pool.lifetimesOf(lifetime.worker)) {
-        if (other.startedAt >= lifetime.startedAt)
-            continue;
         PoolWorker &earlier = *m_pool.find(other);
+        if (!follows(worker, earlier))
+            continue;
         std::vector<TaskRef> runsHere;
         for (const auto &[task, run] : earlier.runs) {
             const auto found = running.find(task);
@@ -566,9 +597,10 @@
 bool Dispatcher::isBoundToEarlier(const Lifetime &lifetime, const RunStatus &row) const
 {
     const auto placed = m_placed.find(row.task);
-    return placed != m_placed.end() && placed->second.worker == lifetime.worker
-        && placed->second.startedAt < lifetime.startedAt
-        && m_pool.workers().at(placed->second).runs.at(row.task).run == row.run;
+    if (placed == m_placed.end() || placed->second.worker != lifetime.worker)
+        return false;
+    const PoolWorker &other = m_pool.workers().at(placed->second);
+    return follows(m_pool.workers().at(lifetime), other) && other.runs.at(row.task).run == row.run;
 }
 
 void Dispatcher::forgetUnbound(const TaskRef &task, std::uint32_t run)
@@ -592,6 +624,20 @@
     assumeLongestLease(*worker, m_now);
 }
 
+void Dispatcher::lifetimeDoubted(const Lifetime &lifetime)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr || !worker->hasFacts)
+        return;
+    logEvent(LogLevel::Warning, "end-unproven",
+             {{"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"node", worker->node},
+              {"runs", worker->runs.size()},
+              {"lease_left_ms", toMs(worker->leaseEnd - m_now)}});
+    doubt(*worker);
+}
+
 void Dispatcher::lifetimeEnded(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                                std::span<const TaskRun> recentRuns)
 {
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -142,9 +142,13 @@
     void start(Instant now);
     void stop();
 
-    /// Handles facts from the agent on `node`. A new lifetime there ends the previous one. Runs of
-    /// earlier lifetimes of the same worker stay bound until inventoryReported(): a start that was
-    /// meant for one of them may be carried out by this one.
+    /// Records that the lifetime has answered at the address of the node's worker in the agent's
+    /// session: no other one runs there. To be called before workerReported().
+    void lifetimeAnswered(const std::string &node, const Lifetime &lifetime);
+    /// Handles facts from the agent on `node`. Other lifetimes there get no new runs. If this one
+    /// has answered, those of other workers have ended; otherwise their runs stay bound until their
+    /// leases run out. Runs of earlier lifetimes of the same worker stay bound until
+    /// inventoryReported(): a start that was meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
     /// Records a lease on the lifetimes that the agent on `node` has reported in its session.
     /// Returns false if there is none: then no lease may be granted.
@@ -156,7 +160,10 @@
     /// the worker, that are not in it never start.
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
-    /// Handles an agent's report that no run of that lifetime runs now or ever will again. That of
+    /// Handles an agent's report that a lifetime has ended, without a proof: it gets no new runs,
+    /// and those that it has stay bound until its lease runs out.
+    void lifetimeDoubted(const Lifetime &lifetime);
+    /// Handles an agent's proof that no run of that lifetime runs now or ever will again. That of
     /// an unreachable worker stays known. `recentRuns`: started shortly before a crash. Runs of
     /// which the agent knows nothing, because it restarted after their starts, are kept like those
     /// in startsOpen().
@@ -271,6 +278,11 @@
                       const std::set<TaskRef> &suspected);
     /// Takes no more facts of a lifetime that has ended. It stays known while runs are bound to it.
     void supersede(PoolWorker &worker);
+    /// The same for one that may go on: it stays known until its lease runs out.
+    void doubt(PoolWorker &worker);
+    /// Whether `worker` is a later lifetime than `other`. Times of birth order only those of which
+    /// no agent has proven the presence: clocks may be set back.
+    [[nodiscard]] static bool follows(const PoolWorker &worker, const PoolWorker &other);
     /// Keeps the runs bound to a lifetime for the longest lease: calls for another one under its
     /// name may let them run for so long without an agent.
     void assumeLongestLease(PoolWorker &worker, Instant now) const;
@@ -430,6 +442,8 @@
     Instant m_nextWaitLog;
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
+    std::map<std::string, Lifetime> m_answered;            ///< In sessions that are open, by node.
+    std::uint64_t m_lastProvenOrder = 0;
     /// When a long-running task under which workers have crashed was last bound. A new leader
     /// begins with no pause.
     std::map<StepRef, Instant> m_lastTrials;
--- a/Guavashift/Dispatch/LifetimeProof.h
+++ b/Guavashift/Dispatch/LifetimeProof.h
@@ -5,12 +5,12 @@
 
 namespace guavashift {
 
-/// Why a lifetime of a worker counts as ended.
+/// What shows that nothing runs in a lifetime of a worker any more. Nothing else does: no report,
+/// no refused connection and no silence.
 enum class LifetimeProof : std::uint8_t {
     AnsweredByAnother, ///< A worker of another name has answered at its address.
     AnsweredByNext,    ///< Another lifetime of its name has answered at its address.
-    LeaseRanOut,       ///< The last lease that it may hold is over.
-    Report             ///< A report has named another lifetime.
+    LeaseRanOut        ///< The last lease that it may hold is over.
 };
 /// Name in logs; "other" for a value that a later version has sent.
 std::string_view nameOf(LifetimeProof proof);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -59,6 +59,8 @@
     std::string node;         ///< Node whose agent reports for it; empty: none at present.
     std::string lastNode;     ///< Node whose agent reported for it last.
     bool hasFacts = false;    ///< False if the worker is known from bound runs only.
+    /// Rises with each proof that a lifetime is present; 0: there was none for this one.
+    std::uint64_t provenOrder = 0;
     bool unreachable = false; ///< Does not answer its agent.
     /// Calls for an earlier lifetime of the worker may still be carried out there, until its first
     /// inventory.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -30,6 +30,11 @@
     return hasBegun ? "running" : "queued";
 }
 
+std::string_view nameOfProof(const std::optional<LifetimeProof> &proof)
+{
+    return proof ? nameOf(*proof) : "none";
+}
+
 bool isJobId(std::string_view text)
 {
     constexpr std::size_t maxCharacters = 128;
@@ -169,33 +174,44 @@
             },
             [&](const OpenStarts &open) { m_dispatcher.startsOpen(open.lifetime, open.runs); },
             [&](const EndProven &proven) { session.proven = proven; },
+            [&](const LifetimeAnswered &answered) {
+                m_dispatcher.lifetimeAnswered(session.node, answered.lifetime);
+            },
             [&](const WorkerCrashed &crashed) {
                 // An agent reports its last crash again in each session.
                 if (m_dispatcher.runsOn(crashed.lifetime) == 0)
                     return;
                 logCrash(session, crashed);
-                m_dispatcher.lifetimeEnded(crashed.lifetime, LifetimeEnd::Crashed,
-                                           proofOf(session, crashed.lifetime), crashed.recentRuns);
+                handleEnd(session, crashed.lifetime, LifetimeEnd::Crashed, crashed.recentRuns);
             },
             [&](const LifetimeEnded &ended) {
-                m_dispatcher.lifetimeEnded(ended.lifetime,
-                                           ended.unreachable ? LifetimeEnd::Unreachable
-                                                             : LifetimeEnd::Left,
-                                           proofOf(session, ended.lifetime), {});
+                handleEnd(session, ended.lifetime,
+                          ended.unreachable ? LifetimeEnd::Unreachable : LifetimeEnd::Left, {});
                 logEvent(LogLevel::Info, "worker-ended",
                          {{"worker", ended.lifetime.worker},
                           {"born", ended.lifetime.startedAt},
-                          {"proof", nameOf(proofOf(session, ended.lifetime))},
+                          {"proof", nameOfProof(proofOf(session, ended.lifetime))},
                           {"silent", ended.unreachable}});
             },
             [](const auto &) {}},
         message);
 }
 
-LifetimeProof FleetLeader::proofOf(const Session &session, const Lifetime &lifetime)
+std::optional<LifetimeProof> FleetLeader::proofOf(const Session &session, const Lifetime &lifetime)
+{
+    if (!session.proven || session.proven->lifetime != lifetime)
+        return std::nullopt;
+    return session.proven->proof;
+}
+
+void FleetLeader::handleEnd(const Session &session, const Lifetime &lifetime, LifetimeEnd end,
+                            std::span<const TaskRun> recentRuns)
 {
-    return session.proven && session.proven->lifetime == lifetime ? session.proven->proof
-                                                                  : LifetimeProof::Report;
+    // Agents of earlier versions send no proof.
+    if (const auto proof = proofOf(session, lifetime))
+        m_dispatcher.lifetimeEnded(lifetime, end, *proof, recentRuns);
+    else
+        m_dispatcher.lifetimeDoubted(lifetime);
 }
 
 void FleetLeader::logCrash(const Session &session, const WorkerCrashed &crashed) const
@@ -209,7 +225,7 @@
     logEvent(LogLevel::Info, "worker-crashed",
              {{"worker", crashed.lifetime.worker},
               {"node", session.node},
-              {"proof", nameOf(proofOf(session, crashed.lifetime))},
+              {"proof", nameOfProof(proofOf(session, crashed.lifetime))},
               {"runs", m_dispatcher.runsOn(crashed.lifetime)},
               {"recent_count", crashed.recentRuns.size()},
               {"recent", recent}});
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -60,8 +60,11 @@
 
     void receiveFromAgent(Session &session, const FleetMessage &message);
     void handleRunsEnded(SessionId id, const RunsEnded &ended);
-    /// Why the agent counts the lifetime as ended.
-    [[nodiscard]] static LifetimeProof proofOf(const Session &session, const Lifetime &lifetime);
+    /// What the agent has shown to prove the end of the lifetime, if anything.
+    [[nodiscard]] static std::optional<LifetimeProof> proofOf(const Session &session,
+                                                              const Lifetime &lifetime);
+    void handleEnd(const Session &session, const Lifetime &lifetime, LifetimeEnd end,
+                   std::span<const TaskRun> recentRuns);
     void logCrash(const Session &session, const WorkerCrashed &crashed) const;
     void logBinding(const StartRun &start, const StageOutcome &outcome,
                     const std::optional<BindingTimes> &times, Instant now) const;
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -626,7 +626,7 @@
                 return;
         }
         m_facts = facts;
-        send(WorkerReport{facts});
+        sendFacts();
         if (isNew) {
             renewLease();
             poll(0);
@@ -638,7 +638,7 @@
             return;
         m_goodbyeAt = m_world.now();
         if (!std::exchange(m_facts->draining, true))
-            send(WorkerReport{*m_facts});
+            sendFacts();
     }
 
 private:
@@ -723,10 +723,15 @@
         if (m_lastCrash)
             send(*m_lastCrash);
         if (m_facts)
-            send(WorkerReport{*m_facts});
+            sendFacts();
         renewLease();
         poll(0);
     }
+    void sendFacts()
+    {
+        send(LifetimeAnswered{m_facts->lifetime});
+        send(WorkerReport{*m_facts});
+    }
     void renewLease()
     {
         if (m_facts)
@@ -1477,6 +1482,9 @@
                     if (mayAnswer() && m_dispatcher->leaseGranted(node, now))
                         sendTo(link, LeaseGranted{renew.sentAt});
                 },
+                [&](const LifetimeAnswered &answered) {
+                    m_dispatcher->lifetimeAnswered(node, answered.lifetime);
+                },
                 [&](const WorkerReport &report) {
                     m_dispatcher->workerReported(node, report.facts, now);
                 },
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -127,6 +127,7 @@
     void restartsAtOnceWhenAnotherWorkerTookTheMachine()
     {
         bindTask();
+        m_dispatcher->lifetimeAnswered("n1", {"w9", 2});
         m_dispatcher->workerReported("n1", worker("w9", 2), at(10));
         decideAndCommit(11);
         decideAndCommit(12);
@@ -239,6 +240,7 @@
     {
         bindTask();
         restartAgentAndWorker();
+        m_dispatcher->lifetimeAnswered("n1", {"w9", 2});
         m_dispatcher->workerReported("n1", worker("w9", 2), at(21));
         decideAndCommit(22);
         decideAndCommit(23);
--- a/UnitTests/Dispatch/UnprovenEndTest.cpp
+++ b/UnitTests/Dispatch/UnprovenEndTest.cpp
@@ -9,6 +9,9 @@
 {
     CPPUNIT_TEST_SUITE(UnprovenEndTest);
     CPPUNIT_TEST(reportOfAnotherWorkerSettlesNothing);
+    CPPUNIT_TEST(answerOfAnotherWorkerSettlesAtOnce);
+    CPPUNIT_TEST(endWithoutProofSettlesNothing);
+    CPPUNIT_TEST(settlesRunsOfALifetimeBornLaterByAClockThatWasSetBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,6 +28,7 @@
         commit({AcceptJob{"j", "batch", plan(1, 10'000)}}, 0);
         decideAndCommit(1);
         CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
     }
 
     /// Guards against runs that are started elsewhere while they work: a report of another worker
@@ -36,6 +40,47 @@
         assertBoundForTheLease(bound == "w1" ? "n2" : "n1");
     }
 
+    /// The address of a worker belongs to one lifetime at a time.
+    void answerOfAnotherWorkerSettlesAtOnce()
+    {
+        const std::string node = task().lifetime.worker == "w1" ? "n1" : "n2";
+        m_dispatcher->lifetimeAnswered(node, {"w9", 2});
+        m_dispatcher->workerReported(node, worker("w9", 2), at(10));
+        decideAndCommit(11);
+        decideAndCommit(12);
+        CPPUNIT_ASSERT_EQUAL(2U, task().run);
+    }
+
+    /// Guards against the same by agents of earlier versions, whose reports of an end may rest on a
+    /// report of another worker.
+    void endWithoutProofSettlesNothing()
+    {
+        const Lifetime lifetime = task().lifetime;
+        m_dispatcher->lifetimeDoubted(lifetime);
+        assertBoundForTheLease(lifetime.worker == "w1" ? "n2" : "n1");
+    }
+
+    /// Guards against runs that stay bound for a whole lease, or run twice, because the clock was
+    /// set back between two lifetimes of their worker.
+    void settlesRunsOfALifetimeBornLaterByAClockThatWasSetBack()
+    {
+        const std::string name = task().lifetime.worker;
+        const std::string node = name == "w1" ? "n1" : "n2";
+        m_dispatcher->lifetimeAnswered(node, {name, 1});
+        m_dispatcher->workerReported(node, worker(name), at(5));
+        m_dispatcher->lifetimeAnswered(node, {name, 0});
+        m_dispatcher->workerReported(node, worker(name, 0), at(10));
+        decideAndCommit(11);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        const std::vector<RunStatus> listed{{{"j", 0, 0, 0}, 1, {}, 10, 0}};
+        m_dispatcher->inventoryReported({name, 0}, listed, at(5));
+        decideAndCommit(12);
+        // The later lifetime carries out the start for the earlier one.
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(m_dispatcher->takeOrders().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->traitsOf({name, 0}).size());
+    }
+
 private:
     /// Asserts that the run stays bound until its worker's lease is over, and is bound anew then.
     /// The worker on `other` goes on.
