Keep a run that was listed and is gone from its worker

What callers would see: a task is started again although it is done.

Cause: a run that an inventory lacked, or that a stop did not find, counted as never started, also if its worker had listed it as running before. Such a run did start. Agents send all ends that are not committed before the inventory, so its end is hidden: its worker took an acknowledgement for another lifetime's ends. What is hidden counts as taken note of (RULES, TWICE), and it may be `done`.

Change: settleAbsent() takes only runs that were never listed on their lifetime as not started. Runs of long-running steps, which cannot be done, and of jobs that have ended, which are not started again, lapse at once.

Weighed: how a hidden end was cannot be found out, since the worker has forgotten it. To take it for `done` would show a job as completed without proof (MIXED), to start the task again may break TWICE, to wait may break LOST if it was not done. Waiting concludes nothing. It ends with the lifetime or its lease, as before: a run that nothing frees is a job that never ends. A second run after a hidden `done` is still possible then, and after a change of leader, since the next leader does not know what was listed.

Tests: of MissingRunTest, inventoryWithoutAListedRunRestartsNothing and refusalOfAListedRunRestartsNothing failed before; the other four hold on both sides and keep a late end, the end of the lifetime, long-running tasks and cancelled jobs from waiting.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -419,7 +419,7 @@
         return;
     worker->unreachable = false;
     noteListed(*worker, rows, now);
-    logMissing(*worker, now);
+    checkMissing(*worker, now);
     // The end of a run that the inventory listed may have been proposed before.
     stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
@@ -441,27 +441,42 @@
     }
 }
 
-void Dispatcher::logMissing(PoolWorker &worker, Instant now) const
+void Dispatcher::checkMissing(PoolWorker &worker, Instant now) const
 {
-    const Lifetime &lifetime = worker.facts.lifetime;
     for (auto &[task, run] : worker.runs) {
-        // Nothing can be concluded from it: the run may have ended as done, and its worker counts
-        // the end as acknowledged.
-        if (!run.committed || run.missing || run.listedAt == Instant()
-            || now - run.listedAt <= m_settings.longestLease + m_settings.leaseMargin
-            || m_endsProposed.contains({task, run.run}))
-            continue;
-        run.missing = true;
-        logEvent(LogLevel::Warning, "run-missing",
-                 {{"task", task.text()},
-                  {"run", run.run},
-                  {"worker", lifetime.worker},
-                  {"born", lifetime.startedAt},
-                  {"listed_ms", toMs(now - run.listedAt)},
-                  {"stop_requested", run.stopRequested}});
+        if (run.committed && run.listedAt != Instant()
+            && now - run.listedAt > m_settings.longestLease + m_settings.leaseMargin)
+            logMissing(worker.facts.lifetime, run, now);
     }
 }
 
+void Dispatcher::logMissing(const Lifetime &lifetime, PlacedRun &run, Instant now) const
+{
+    // Nothing can be concluded from it: the run may have ended as done, and its worker counts the
+    // end as acknowledged.
+    if (m_endsProposed.contains({run.task, run.run}) || std::exchange(run.missing, true))
+        return;
+    logEvent(LogLevel::Warning, "run-missing",
+             {{"task", run.task.text()},
+              {"run", run.run},
+              {"worker", lifetime.worker},
+              {"born", lifetime.startedAt},
+              {"listed_ms", toMs(now - run.listedAt)},
+              {"stop_requested", run.stopRequested}});
+}
+
+void Dispatcher::settleAbsent(const Lifetime &lifetime, PlacedRun &run, SettleReason reason)
+{
+    if (!run.listed)
+        return queueEnd(run, RunEnd::NotStarted, reason);
+    const StageJob *job = m_jobTable.find(run.task.job);
+    // Its end may be hidden, and be `done`. A task without an end cannot be done, and one of a job
+    // that has ended is not started again.
+    if (job != nullptr && job->isActive() && !run.longRunning)
+        return logMissing(lifetime, run, m_now);
+    queueEnd(run, RunEnd::Lapsed, reason, evidenceOf(run));
+}
+
 void Dispatcher::inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                                    Instant boundBefore)
 {
@@ -491,7 +506,7 @@
             continue;
         }
         if (run.committed && run.boundAt <= boundBefore)
-            queueEnd(run, RunEnd::NotStarted, SettleReason::NotInInventory);
+            settleAbsent(lifetime, run, SettleReason::NotInInventory);
     }
     // The agent may have forgotten the stops that were ordered before.
     worker->unboundRuns.clear();
@@ -773,8 +788,10 @@
     // worker.
     if (found == worker->runs.end() || found->second.run != run || !found->second.committed)
         return;
-    worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
-    queueEnd(found->second, RunEnd::NotStarted, SettleReason::StartRefused);
+    // A stop found no run that was listed before: that is no refusal of its start.
+    if (!found->second.listed)
+        worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+    settleAbsent(lifetime, found->second, SettleReason::StartRefused);
 }
 
 const PlacedRun *Dispatcher::committedRun(const TaskRef &ref, std::uint32_t run)
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -157,7 +157,8 @@
     void runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows, Instant now);
     /// Handles the full list of runs on a worker, read with a fencing token above that of all
     /// starts for earlier lifetimes. Runs bound up to `boundBefore`, or to an earlier lifetime of
-    /// the worker, that are not in it never start.
+    /// the worker, that are not in it never start. Those that this lifetime has listed before stay
+    /// bound: they have ended, perhaps as done.
     void inventoryReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
                            Instant boundBefore);
     /// Handles an agent's report that a lifetime has ended, without a proof: it gets no new runs,
@@ -396,7 +397,13 @@
     /// was proposed before.
     void noteListed(PoolWorker &worker, std::span<const RunStatus> rows, Instant now) const;
     /// Logs runs that were listed and that no list has named for longer than any lease.
-    void logMissing(PoolWorker &worker, Instant now) const;
+    void checkMissing(PoolWorker &worker, Instant now) const;
+    /// Logs once that a run is gone and its worker has listed no end of it.
+    void logMissing(const Lifetime &lifetime, PlacedRun &run, Instant now) const;
+    /// Handles that a committed run is not on its worker, which has listed no end of it. One that
+    /// was never listed has not started. The others stay bound until their end is reported or
+    /// their lifetime ends, unless no end of them can mean that the task is done.
+    void settleAbsent(const Lifetime &lifetime, PlacedRun &run, SettleReason reason);
     /// Handles that a run which is not bound any more has ended.
     void forgetUnbound(const TaskRef &task, std::uint32_t run);
     /// Tasks of which a worker is known to carry out a run that is not bound any more. None of them
