Order lifetimes without their times of birth at the agent

What callers would see: a task that is done runs again, on workers that close their connections, after the time of day was set back.

Cause: an acknowledgement without an answer was expected to reach only lifetimes born after the one that it was meant for. With a clock that was set back, the next lifetime got work although it may forget its ends unread.

Change: each other lifetime of the name may take the acknowledgement; ends are forgotten in the order in which their lifetimes were added.

Test: usesNoNextLifetimeWhoseClockWasSetBack fails without the change (in the review that found it).

--- a/Guavashift/Fleet/EndAcknowledgements.cpp
+++ b/Guavashift/Fleet/EndAcknowledgements.cpp
@@ -7,8 +7,8 @@
     m_committedUpTo = m_acknowledgedUpTo = 0;
     m_awaited.reset();
     for (const auto &[id, sent] : m_unsettled) {
-        if (sent.lifetime.worker != lifetime.worker
-            || sent.lifetime.startedAt >= lifetime.startedAt)
+        // Times of birth do not tell which came first: clocks may be set back.
+        if (sent.lifetime.worker != lifetime.worker || sent.lifetime == lifetime)
             continue;
         // It is remembered: a lifetime may be found again.
         m_hiding[lifetime].emplace(id, sent.upTo);
--- a/Guavashift/Fleet/UncommittedEnds.cpp
+++ b/Guavashift/Fleet/UncommittedEnds.cpp
@@ -11,36 +11,40 @@
 
 void UncommittedEnds::add(const Lifetime &lifetime, const ListedEnd &end)
 {
-    m_ends[lifetime].try_emplace(end.number, end);
-    if (m_ends.size() <= maxLifetimes)
+    const auto [position, added] = m_lifetimes.try_emplace(lifetime);
+    if (added)
+        position->second.order = ++m_lastOrder;
+    position->second.ends.try_emplace(end.number, end);
+    if (m_lifetimes.size() <= maxLifetimes)
         return;
-    const auto earliest =
-        std::min_element(m_ends.begin(), m_ends.end(), [](const auto &left, const auto &right) {
-            return left.first.startedAt < right.first.startedAt;
-        });
+    const auto earliest = std::min_element(m_lifetimes.begin(), m_lifetimes.end(),
+                                           [](const auto &left, const auto &right) {
+                                               return left.second.order < right.second.order;
+                                           });
     logEvent(LogLevel::Warning, "ends-forgotten",
              {{"worker", earliest->first.worker},
               {"born", earliest->first.startedAt},
-              {"ends", earliest->second.size()}});
-    m_ends.erase(earliest);
+              {"ends", earliest->second.ends.size()}});
+    m_lifetimes.erase(earliest);
 }
 
 void UncommittedEnds::committed(const Lifetime &lifetime, std::uint64_t upTo)
 {
-    const auto found = m_ends.find(lifetime);
-    if (found == m_ends.end())
+    const auto found = m_lifetimes.find(lifetime);
+    if (found == m_lifetimes.end())
         return;
-    found->second.erase(found->second.begin(), found->second.upper_bound(upTo));
-    if (found->second.empty())
-        m_ends.erase(found);
+    auto &ends = found->second.ends;
+    ends.erase(ends.begin(), ends.upper_bound(upTo));
+    if (ends.empty())
+        m_lifetimes.erase(found);
 }
 
 std::vector<RunsEnded> UncommittedEnds::messages() const
 {
     std::vector<RunsEnded> messages;
-    for (const auto &[lifetime, ends] : m_ends) {
+    for (const auto &[lifetime, kept] : m_lifetimes) {
         messages.push_back({lifetime, {}});
-        for (const auto &[number, end] : ends) {
+        for (const auto &[number, end] : kept.ends) {
             if (messages.back().ends.size() == maxEndsPerMessage)
                 messages.push_back({lifetime, {}});
             messages.back().ends.push_back(end);
--- a/Guavashift/Fleet/UncommittedEnds.h
+++ b/Guavashift/Fleet/UncommittedEnds.h
@@ -10,7 +10,7 @@
 class UncommittedEnds final
 {
 public:
-    /// Keeps an end. Forgets those of the earliest lifetime if there are too many lifetimes.
+    /// Keeps an end. Forgets those of the lifetime that was added first if there are too many lifetimes.
     void add(const Lifetime &lifetime, const ListedEnd &end);
     /// Forgets the ends of a lifetime up to that number.
     void committed(const Lifetime &lifetime, std::uint64_t upTo);
@@ -18,7 +18,14 @@
     [[nodiscard]] std::vector<RunsEnded> messages() const;
 
 private:
-    std::map<Lifetime, std::map<std::uint64_t, ListedEnd>> m_ends;
+    struct Kept
+    {
+        std::uint64_t order = 0; ///< Rises with each lifetime that is added.
+        std::map<std::uint64_t, ListedEnd> ends;
+    };
+
+    std::map<Lifetime, Kept> m_lifetimes;
+    std::uint64_t m_lastOrder = 0;
 };
 
 } // namespace guavashift
--- a/UnitTests/Fleet/EndAcknowledgementsTest.cpp
+++ b/UnitTests/Fleet/EndAcknowledgementsTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(usesTheNextLifetimeAfterAnAnsweredAcknowledgement);
     CPPUNIT_TEST(usesTheNextLifetimeLongAfterAnAcknowledgement);
     CPPUNIT_TEST(usesALaterLifetime);
+    CPPUNIT_TEST(usesNoNextLifetimeWhoseClockWasSetBack);
     CPPUNIT_TEST(logsEndsThatALifetimeHides);
     CPPUNIT_TEST(hidesNothingOnceTheAcknowledgementIsAccountedFor);
     CPPUNIT_TEST_SUITE_END();
@@ -98,6 +99,15 @@
         assertUsed(2000);
     }
 
+    /// Guards against ends that stay hidden because the time of day was set back between the
+    /// lifetime of an acknowledgement and the next one, which may take it.
+    void usesNoNextLifetimeWhoseClockWasSetBack()
+    {
+        commitAnEnd();
+        last().answer(failed(WorkerCallResult::NoAnswer));
+        CPPUNIT_ASSERT(drains(500));
+    }
+
     void usesALaterLifetime()
     {
         commitAnEnd();
