Settle runs by another worker's answer only where both have answered

What callers would see: runs that are started elsewhere while they work, with agents of two versions in a fleet.

Cause: a report that nobody had verified, from an agent of an earlier version, moved a worker to that agent's node. Its own agent got no more leases for it, and the next answer of the other node's own worker settled its runs. An unreachable worker of such an agent lost its session's leases for good, since that agent does not report it again when it answers.

Change: a report of a lifetime that has answered at another node changes nothing. The answer of a worker settles the runs of those that have answered at the same node before; others wait for their lease. A worker that is reported as unreachable has lost its lease, which is the proof.

The fixtures of two tests record that their workers have answered.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -309,22 +309,33 @@
     return worker.facts.lifetime.startedAt > other.facts.lifetime.startedAt;
 }
 
+bool Dispatcher::isProvenElsewhere(const std::string &node, const Lifetime &lifetime) const
+{
+    return std::any_of(m_answered.begin(), m_answered.end(), [&](const auto &each) {
+        return each.first != node && each.second == lifetime;
+    });
+}
+
 void Dispatcher::workerReported(const std::string &node, const WorkerFacts &facts, Instant now)
 {
     const auto answered = m_answered.find(node);
     const bool isProven = answered != m_answered.end() && answered->second == facts.lifetime;
+    if (!isProven && isProvenElsewhere(node, facts.lifetime))
+        return;
     PoolWorker &worker = m_pool.add(facts.lifetime);
-    if (isProven)
+    if (isProven) {
         worker.provenOrder = ++m_lastProvenOrder;
+        worker.provenNode = node;
+    }
     for (const Lifetime &lifetime : m_pool.lifetimesLastReportedBy(node)) {
         if (lifetime.worker == facts.lifetime.worker)
             continue;
         PoolWorker &other = *m_pool.find(lifetime);
-        if (isProven) {
+        if (isProven && other.provenNode == node) {
             // This worker refuses calls that name the other one.
             closeStarts(other);
             settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother, {});
-        } else if (lifetime.startedAt <= facts.lifetime.startedAt) {
+        } else if (isProven || lifetime.startedAt <= facts.lifetime.startedAt) {
             doubt(other);
         }
     }
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -146,9 +146,11 @@
     /// session: no other one runs there. To be called before workerReported().
     void lifetimeAnswered(const std::string &node, const Lifetime &lifetime);
     /// Handles facts from the agent on `node`. Other lifetimes there get no new runs. If this one
-    /// has answered, those of other workers have ended; otherwise their runs stay bound until their
-    /// leases run out. Runs of earlier lifetimes of the same worker stay bound until
-    /// inventoryReported(): a start that was meant for one of them may be carried out by this one.
+    /// has answered, those of other workers that had answered there have ended; the runs of all
+    /// others stay bound until their leases run out. A report of a lifetime that has answered at
+    /// another node changes nothing, unless it has answered here too. Runs of earlier lifetimes of
+    /// the same worker stay bound until inventoryReported(): a start that was meant for one of them
+    /// may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
     /// Records a lease on the lifetimes that the agent on `node` has reported in its session.
     /// Returns false if there is none: then no lease may be granted.
@@ -281,6 +283,9 @@
     void supersede(PoolWorker &worker);
     /// The same for one that may go on: it stays known until its lease runs out.
     void doubt(PoolWorker &worker);
+    /// Whether the lifetime has answered at the worker of another node, so that a report from
+    /// `node` is not that of its own worker.
+    [[nodiscard]] bool isProvenElsewhere(const std::string &node, const Lifetime &lifetime) const;
     /// Whether `worker` is a later lifetime than `other`. Times of birth order only those of which
     /// no agent has proven the presence: clocks may be set back.
     [[nodiscard]] static bool follows(const PoolWorker &worker, const PoolWorker &other);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -61,6 +61,7 @@
     bool hasFacts = false; ///< False if the worker is known from bound runs only.
     /// Rises with each proof that a lifetime is present; 0: there was none for this one.
     std::uint64_t provenOrder = 0;
+    std::string provenNode;   ///< Node of the agent that gave the last of them.
     bool unreachable = false; ///< Does not answer its agent.
     /// Calls for an earlier lifetime of the worker may still be carried out there, until its first
     /// inventory. A leader does not know of those before its time.
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -207,8 +207,12 @@
 void FleetLeader::handleEnd(const Session &session, const Lifetime &lifetime, LifetimeEnd end,
                             std::span<const TaskRun> recentRuns)
 {
-    // Agents of earlier versions send no proof.
-    if (const auto proof = proofOf(session, lifetime))
+    // Agents of earlier versions send no proof. They report a worker as unreachable only after its
+    // lease, and do not report it again when it answers.
+    auto proof = proofOf(session, lifetime);
+    if (!proof && end == LifetimeEnd::Unreachable)
+        proof = LifetimeProof::LeaseRanOut;
+    if (proof)
         m_dispatcher.lifetimeEnded(lifetime, end, *proof, recentRuns);
     else
         m_dispatcher.lifetimeDoubted(lifetime);
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -34,6 +34,7 @@
         m_jobTable->apply(0, ReplaceConfiguration{"x"});
         m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
         m_dispatcher->start(at(0));
+        m_dispatcher->lifetimeAnswered("n1", {"w1", 1});
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
         m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
     }
--- a/UnitTests/Dispatch/UnprovenEndTest.cpp
+++ b/UnitTests/Dispatch/UnprovenEndTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(reportOfAnotherWorkerSettlesNothing);
     CPPUNIT_TEST(answerOfAnotherWorkerSettlesAtOnce);
     CPPUNIT_TEST(endWithoutProofSettlesNothing);
+    CPPUNIT_TEST(keepsAWorkerAtItsNodeWhenAnotherOneReportsIt);
+    CPPUNIT_TEST(settlesNoRunsOfAWorkerThatNeverAnsweredAtTheNode);
     CPPUNIT_TEST(settlesRunsOfALifetimeBornLaterByAClockThatWasSetBack);
     CPPUNIT_TEST_SUITE_END();
 
@@ -21,8 +23,10 @@
         m_jobTable->apply(0, ReplaceConfiguration{"x"});
         m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
         m_dispatcher->start(at(0));
+        m_dispatcher->lifetimeAnswered("n1", {"w1", 1});
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
         m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
+        m_dispatcher->lifetimeAnswered("n2", {"w2", 1});
         m_dispatcher->workerReported("n2", worker("w2"), at(0));
         m_dispatcher->inventoryReported({"w2", 1}, {}, at(0));
         commit({AcceptJob{"j", "batch", plan(1, 10'000)}}, 0);
@@ -60,6 +64,38 @@
         assertBoundForTheLease(lifetime.worker == "w1" ? "n2" : "n1");
     }
 
+    /// Guards against a worker that gets no lease any more, because it reported to the agent of
+    /// another node, of an earlier version, while its own was late.
+    void keepsAWorkerAtItsNodeWhenAnotherOneReportsIt()
+    {
+        m_dispatcher->workerReported("n2", worker("w1"), at(10));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(100)));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(100)));
+    }
+
+    /// Guards against runs that are started elsewhere while they work: such an agent had reported
+    /// their worker, while the session of its own was closed, and then its own worker answered.
+    void settlesNoRunsOfAWorkerThatNeverAnsweredAtTheNode()
+    {
+        const Lifetime bound = task().lifetime;
+        const std::string home = bound.worker == "w1" ? "n1" : "n2";
+        const std::string away = bound.worker == "w1" ? "n2" : "n1";
+        const std::string neighbour = bound.worker == "w1" ? "w2" : "w1";
+        m_dispatcher->nodeLost(home);
+        m_dispatcher->workerReported(away, worker(bound.worker), at(10));
+        m_dispatcher->nodeLost(away);
+        m_dispatcher->lifetimeAnswered(away, {neighbour, 1});
+        m_dispatcher->workerReported(away, worker(neighbour), at(20));
+        m_dispatcher->inventoryReported({neighbour, 1}, {}, at(15));
+        decideAndCommit(21);
+        decideAndCommit(22);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        // Its own agent has a session again.
+        m_dispatcher->lifetimeAnswered(home, bound);
+        m_dispatcher->workerReported(home, worker(bound.worker), at(30));
+        CPPUNIT_ASSERT(m_dispatcher->leaseGranted(home, at(31)));
+    }
+
     /// Guards against runs that stay bound for a whole lease, or run twice, because the clock was
     /// set back between two lifetimes of their worker.
     void settlesRunsOfALifetimeBornLaterByAClockThatWasSetBack()
