--- a/Guavashift/Fleet/UncommittedEnds.cpp
+++ b/Guavashift/Fleet/UncommittedEnds.cpp
@@ -17,10 +17,9 @@
     position->second.ends.try_emplace(end.number, end);
     if (m_lifetimes.size() <= maxLifetimes)
         return;
-    const auto earliest = std::min_element(m_lifetimes.begin(), m_lifetimes.end(),
-                                           [](const auto &left, const auto &right) {
-                                               return left.second.order < right.second.order;
-                                           });
+    const auto earliest = std::min_element(
+        m_lifetimes.begin(), m_lifetimes.end(),
+        [](const auto &left, const auto &right) { return left.second.order < right.second.order; });
     logEvent(LogLevel::Warning, "ends-forgotten",
              {{"worker", earliest->first.worker},
               {"born", earliest->first.startedAt},
--- a/Guavashift/Fleet/UncommittedEnds.h
+++ b/Guavashift/Fleet/UncommittedEnds.h
@@ -10,7 +10,8 @@
 class UncommittedEnds final
 {
 public:
-    /// Keeps an end. Forgets those of the lifetime that was added first if there are too many lifetimes.
+    /// Keeps an end. Forgets those of the lifetime that was added first if there are too many
+    /// lifetimes.
     void add(const Lifetime &lifetime, const ListedEnd &end);
     /// Forgets the ends of a lifetime up to that number.
     void committed(const Lifetime &lifetime, std::uint64_t upTo);
