Bound the calls that verify reports

Beside eight reported strangers, the real next lifetime was refused.

Change: one retry at a time for each reported lifetime, at most eight senders wait for it, and the lifetime that was reported the longest time ago makes room for another. The calls use connections of their own.

Tests: asksASilentWorkerOnceInEachPause, strangersKeepNoNextLifetimeOut and the last line of opensAConnectionForACallThatWantsANewOne.

--- a/Guavashift/Fleet/ReportVerifier.cpp
+++ b/Guavashift/Fleet/ReportVerifier.cpp
@@ -20,18 +20,15 @@
 {
     const Lifetime lifetime = report.facts.lifetime;
     const Instant now = BootClock::now();
-    const auto found = m_claims.find(lifetime);
-    if (found == m_claims.end() && m_claims.size() >= m_settings.mostLifetimes) {
-        logEvent(LogLevel::Warning, "report-unverified",
-                 {{"worker", lifetime.worker},
-                  {"born", lifetime.startedAt},
-                  {"reason", "too many lifetimes are asked for"}});
-        return answered(ReportAnswer::Unverified);
-    }
-    Claim &claim = m_claims[lifetime];
-    if (found == m_claims.end() || report.sequence >= claim.latest.sequence)
+    if (!m_claims.contains(lifetime) && m_claims.size() >= m_settings.mostLifetimes)
+        dropOldest();
+    const auto [position, added] = m_claims.try_emplace(lifetime);
+    Claim &claim = position->second;
+    if (added || report.sequence >= claim.latest.sequence)
         claim.latest = report;
     claim.reportedAt = now;
+    if (claim.waiting.size() >= m_settings.mostWaiting)
+        return answered(ReportAnswer::Unverified);
     const std::uint64_t number = ++m_lastNumber;
     claim.waiting.emplace_back(number, std::move(answered));
     m_loop.after(m_settings.answerLimit, [this, lifetime, number, isAlive = m_isAlive] {
@@ -44,7 +41,7 @@
 void ReportVerifier::ask(const Lifetime &lifetime)
 {
     Claim &claim = m_claims.at(lifetime);
-    if (std::exchange(claim.isAsked, true))
+    if (claim.retryTimer != 0 || std::exchange(claim.isAsked, true))
         return;
     // An open connection may be that of another lifetime, or lead nowhere any more.
     const ProbeRequest request{lifetime.worker, m_hooks.fence(), true};
@@ -117,10 +114,26 @@
                   {"reason", "the worker does not answer"}});
         return close(found, ReportAnswer::Unverified);
     }
-    m_loop.after(m_settings.retryPause, [this, lifetime, isAlive = m_isAlive] {
-        if (*isAlive && m_claims.contains(lifetime))
+    found->second.retryTimer =
+        m_loop.after(m_settings.retryPause, [this, lifetime, isAlive = m_isAlive] {
+            if (!*isAlive || !m_claims.contains(lifetime))
+                return;
+            m_claims.at(lifetime).retryTimer = 0;
             ask(lifetime);
-    });
+        });
+}
+
+void ReportVerifier::dropOldest()
+{
+    const auto oldest =
+        std::min_element(m_claims.begin(), m_claims.end(), [](const auto &left, const auto &right) {
+            return left.second.reportedAt < right.second.reportedAt;
+        });
+    logEvent(LogLevel::Warning, "report-unverified",
+             {{"worker", oldest->first.worker},
+              {"born", oldest->first.startedAt},
+              {"reason", "too many lifetimes are reported"}});
+    close(oldest, ReportAnswer::Unverified);
 }
 
 void ReportVerifier::giveUp(const Lifetime &lifetime, std::uint64_t number)
@@ -141,6 +154,8 @@
 void ReportVerifier::close(std::map<Lifetime, Claim>::iterator claim, ReportAnswer answer)
 {
     const auto waiting = std::move(claim->second.waiting);
+    if (claim->second.retryTimer != 0)
+        m_loop.cancel(claim->second.retryTimer);
     m_claims.erase(claim);
     for (const auto &[number, answered] : waiting)
         answered(answer);
--- a/Guavashift/Fleet/ReportVerifier.h
+++ b/Guavashift/Fleet/ReportVerifier.h
@@ -15,8 +15,11 @@
     Duration validity = std::chrono::seconds(3);
     /// Pause between two calls for a lifetime without a decision.
     Duration retryPause = std::chrono::milliseconds(150);
-    /// Lifetimes that are asked for at the same time. Reports of further ones are not verified.
+    /// Lifetimes that are asked for at the same time. A further one takes the place of that which
+    /// was reported the longest time ago.
     std::size_t mostLifetimes = 8;
+    /// Reports of one lifetime whose senders wait at the same time.
+    std::size_t mostWaiting = 8;
 };
 
 /// Verifies reports of lifetimes that have not answered yet. A report only shows that somebody sent
@@ -59,6 +62,7 @@
         Instant reportedAt;
         std::vector<std::pair<std::uint64_t, ReportCallback>> waiting; ///< By number.
         bool isAsked = false;
+        EventLoop::TimerId retryTimer = 0; ///< Set while the next call waits for its pause.
     };
 
     void ask(const Lifetime &lifetime);
@@ -69,6 +73,8 @@
     void confirm(const Lifetime &lifetime);
     void disprove(const Lifetime &lifetime, const WorkerReply &reply);
     void askAgain(const Lifetime &lifetime);
+    /// Makes room for another lifetime.
+    void dropOldest();
     /// Tells the sender of one report that it could not be verified in time.
     void giveUp(const Lifetime &lifetime, std::uint64_t number);
     /// Takes the claim out and answers all reports of it that still wait.
--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -58,7 +58,8 @@
 {
     std::string worker;
     std::uint64_t fence = 0;
-    bool onNewConnection = false; ///< If not, on any connection, also a new one.
+    /// Whether to ask on a connection of its own. If not, on any connection, also a new one.
+    bool onNewConnection = false;
 };
 
 struct StartRequest
--- a/Guavashift/Http/AsyncHttpClient.cpp
+++ b/Guavashift/Http/AsyncHttpClient.cpp
@@ -179,6 +179,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.onNewConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.onNewConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onOpening);
         curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onConnected);
--- a/Guavashift/Http/AsyncHttpClient.h
+++ b/Guavashift/Http/AsyncHttpClient.h
@@ -25,7 +25,7 @@
     bool mayResend = true;
     /// If set, the request is sent only on one of these connections while it is open and idle.
     std::optional<std::vector<HttpConnectionId>> connections;
-    /// Whether the request is sent on a new connection only.
+    /// Whether the request is sent on a connection of its own.
     bool onNewConnection = false;
 };
 
--- a/UnitTests/Fleet/ForeignReportTest.cpp
+++ b/UnitTests/Fleet/ForeignReportTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(takesTheNextLifetimeWhoseClockWasSetBack);
     CPPUNIT_TEST(believesNoAnswerFromBeforeTheLifetimeThatWasFoundSince);
     CPPUNIT_TEST(proofPrecedesTheEndOfALifetime);
+    CPPUNIT_TEST(asksASilentWorkerOnceInEachPause);
+    CPPUNIT_TEST(strangersKeepNoNextLifetimeOut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +155,43 @@
         CPPUNIT_ASSERT(answered < static_cast<std::ptrdiff_t>(m_leader->messages().size()));
     }
 
+    /// Guards against calls that grow with the number of reports while the worker is silent.
+    void asksASilentWorkerOnceInEachPause()
+    {
+        constexpr int reports = 50;
+        const Duration pause = ReportVerifierSettings{}.retryPause;
+        runTask();
+        const Instant first = BootClock::now();
+        std::size_t answers = 0;
+        WorkerReply none;
+        none.result = WorkerCallResult::ConnectionRefused;
+        for (int i = 1; i <= reports; ++i) {
+            m_agent->workerReported({factsOf(2000), static_cast<std::uint64_t>(i), {}},
+                                    [&](ReportAnswer) { ++answers; });
+            verification().answer(none);
+            runFor(std::chrono::milliseconds(10));
+        }
+        const auto probes = static_cast<std::size_t>(
+            std::count_if(m_worker.probes().begin(), m_worker.probes().end(),
+                          [](const auto &each) { return each.request.onNewConnection; }));
+        CPPUNIT_ASSERT(probes <= static_cast<std::size_t>((BootClock::now() - first) / pause) + 2);
+        until([&] { return answers == reports; });
+    }
+
+    /// Guards against a worker whose next lifetime is not taken in while strangers report.
+    void strangersKeepNoNextLifetimeOut()
+    {
+        runTask();
+        for (std::size_t i = 0; i < 2 * ReportVerifierSettings{}.mostLifetimes; ++i)
+            m_agent->workerReported({factsOf(3000 + static_cast<std::int64_t>(i)), 1, {}});
+        std::optional<ReportAnswer> answer;
+        m_agent->workerReported({factsOf(2000), 1, {}},
+                                [&](ReportAnswer given) { answer = given; });
+        CPPUNIT_ASSERT(!answer);
+        verification().answer(replyOf(2000));
+        CPPUNIT_ASSERT(ReportAnswer::Taken == answer);
+    }
+
 private:
     /// The last probe that verifies a report.
     HeldWorker::Call<ProbeRequest> &verification()
--- a/UnitTests/Http/AsyncHttpClientTest.cpp
+++ b/UnitTests/Http/AsyncHttpClientTest.cpp
@@ -148,8 +148,9 @@
         const HttpConnectionId second = send(call)->connection;
         CPPUNIT_ASSERT(second != first);
         CPPUNIT_ASSERT(send(call)->connection != second);
+        // Those connections do not take the place of the first one.
         call.onNewConnection = false;
-        CPPUNIT_ASSERT(send(call).has_value());
+        CPPUNIT_ASSERT_EQUAL(first, send(call)->connection);
         server.stop();
     }
 
