Count the answer to a stop for the lifetime that gave it

Cause: an answer of the next lifetime to a stop could count as that of the present one. A later poll shows the other lifetime, so no run is known to have been affected; found by reading.

Change: the answer counts unless another lifetime may have given it.

--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -1002,7 +1002,8 @@
                     const auto run = m_runs.find(key);
                     if (run == m_runs.end() || !isCurrent(lifetime))
                         return;
-                    if (reply.result == WorkerCallResult::Done) {
+                    if (reply.result == WorkerCallResult::Done
+                        && !mayBeFromOther(lifetime, reply)) {
                         run->second.stopAnswered = true;
                         run->second.stopSentAt = BootClock::now();
                         poll(Duration::zero());
