Record the first lifetime's answer only where a test needs it

Cause: the fixture of LifetimeChangeTest recorded the answer for all tests; their later lifetimes have none, and one without a proof follows none that has one.

Change: the two tests of another worker's answer record it.

--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -34,7 +34,6 @@
         m_jobTable->apply(0, ReplaceConfiguration{"x"});
         m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, *m_jobTable);
         m_dispatcher->start(at(0));
-        m_dispatcher->lifetimeAnswered("n1", {"w1", 1});
         m_dispatcher->workerReported("n1", worker("w1"), at(0));
         m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
     }
@@ -130,6 +129,7 @@
     void restartsAtOnceWhenAnotherWorkerTookTheMachine()
     {
         bindTask();
+        answerFirstLifetime();
         m_dispatcher->lifetimeAnswered("n1", {"w9", 2});
         m_dispatcher->workerReported("n1", worker("w9", 2), at(10));
         decideAndCommit(11);
@@ -271,6 +271,7 @@
     void restartsSuchARunWhenAnotherWorkerTookTheMachine()
     {
         bindTask();
+        answerFirstLifetime();
         restartAgentAndWorker();
         m_dispatcher->lifetimeAnswered("n1", {"w9", 2});
         m_dispatcher->workerReported("n1", worker("w9", 2), at(21));
@@ -327,6 +328,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
     }
 
+    /// Has the first lifetime answer at its node's worker.
+    void answerFirstLifetime()
+    {
+        m_dispatcher->lifetimeAnswered("n1", {"w1", 1});
+        m_dispatcher->workerReported("n1", worker("w1"), at(2));
+    }
+
     /// Has the agent restart and find the worker, whose program ends before it lists its runs.
     void restartAgentAndWorker()
     {
