Let the soak send reports of other lifetimes

Cause: reports that ended a lifetime at a wrong agent were seen by no soak: the stand-in's worker knew one agent, no stranger reported, and all lifetimes of a worker were born by one clock.

Change: fleet-soak.sh draws three more kinds. `reports`: beside the other faults, reports of a stranger, of an earlier or invented lifetime, or of another machine's worker arrive at agents. `next-agent`: workers report and say goodbye to the next agents without an acknowledgement of their own, and agents are frozen or restarted for that long. `clock-steps`: the time of day differs by up to five seconds between lifetimes. One more check: no such report is acknowledged.

--- a/UnitTests/Process/fleet-soak.sh
+++ b/UnitTests/Process/fleet-soak.sh
@@ -11,22 +11,29 @@
 #   power    agents and workers that are killed together
 #   waves    planned leaves of several workers that overlap with crashes and impaired paths
 #   cancel   jobs that are cancelled
-# Not covered: cuts between agents and control, disks, clocks, configuration, gangs, frozen workers.
-all_kinds="refuse late close new-ids power waves cancel"
+#   reports  reports that the present lifetime of their worker did not send arrive at agents
+#   next-agent   workers report to the next agents when their own does not acknowledge within a second
+#   clock-steps  the time of day differs between the lifetimes of a worker
+# Not covered: cuts between agents and control, disks, clocks that step under a process, configuration, gangs, frozen
+# workers.
+old_kinds="refuse late close new-ids power waves cancel"
+all_kinds="$old_kinds reports next-agent clock-steps"
 if [ -z "${SEED:-}" ]; then
     for seed in 11 34; do
         SEED=$seed KINDS= LOGS=${LOGS:+$LOGS/$seed} "$0" || exit
     done
-    SEED=204 KINDS=$all_kinds LOGS=${LOGS:+$LOGS/204} "$0" || exit
+    SEED=204 KINDS=$old_kinds LOGS=${LOGS:+$LOGS/204} "$0" || exit
+    # Guards against lifetimes that end by a report of another one.
+    SEED=700 KINDS=$all_kinds LOGS=${LOGS:+$LOGS/700} "$0" || exit
     exit
 fi
 source "$(dirname "$0")/fleet.sh"
 sides=${SIDES:-6} traffic_s=${TRAFFIC_S:-25} kinds=${KINDS-$all_kinds}
-report() {
+judge() {
     [ "$1" -eq 0 ] || echo "FAILED with SEED=$SEED SIDES=$sides TRAFFIC_S=$traffic_s KINDS=\"$kinds\"" >&2
     finish "$1"
 }
-trap 'code=$?; report "$code"; exit $code' EXIT
+trap 'code=$?; judge "$code"; exit $code' EXIT
 RANDOM=$SEED
 for kind in $kinds; do [[ " $all_kinds " == *" $kind "* ]] || cannot_run "$kind is not one of $all_kinds"; done
 
@@ -140,6 +147,21 @@
         draw 4
         [ "$drawn" = 0 ] || worker_ids[$n]="i-$n-$((lives += 1))"
     fi
+    start_life "$n" "$@"
+}
+# start_life N ARGUMENTS...: starts worker N under the id that it has now
+start_life() {
+    local n=$1 next
+    shift
+    if plays next-agent; then
+        for next in $((n % sides + 1)) $(((n + 1) % sides + 1)); do
+            [ "$next" = "$n" ] || set -- "$@" --also-agent "$net.3.$next:$control_port"
+        done
+    fi
+    if plays clock-steps; then
+        draw 3
+        if [ "$drawn" != 0 ]; then draw 10000; set -- "$@" --born-offset-ms $((drawn - 5000)); fi
+    fi
     start_worker "$n" "$(id_of "$n")" "$@"
 }
 
@@ -203,6 +225,67 @@
         come_back "$n"
     done
 }
+# lives_of N: the id and time of birth of each lifetime of worker N
+lives_of() {
+    events '"event":"born"' | sed -n "s/.*\"born\":\([0-9]*\).*\"worker\":\"\(i-$1\(-[0-9]*\)\?\)\".*/\2 \1/p"
+}
+# report AGENT ID N BORN SERVICE STATE SEQUENCE: sends a report of worker ID on side N to an agent; keeps the answer's status
+report() {
+    local status
+    status=$(curl -s -m 1 -o /dev/null -w '%{http_code}' -X PUT -H 'Content-Type: application/json' \
+        "http://$net.3.$1:$control_port/guavashift/instances/$2" \
+        -d "{\"service\":\"$5\",\"address\":\"$net.3.$3:$app_port\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\"$6\",\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":64000,\"mem_mb\":256000,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":100,\"sequence\":$7,\"born\":$4}") || true
+    echo "{\"at\":$(now_ms),\"event\":\"foreign-report\",\"agent\":$1,\"id\":\"$2\",\"reported\":$4,\"status\":\"$status\"}" >> "$record"
+}
+# Reports of another lifetime arrive at an agent, one or a few in a row.
+foreign_reports() {
+    local to other what id n born=0 service=desk state=ready sequence number gap shift lives
+    draw_side; to=$side
+    draw_side; other=$side
+    draw 5; what=$drawn
+    draw 2; [ "$drawn" = 0 ] || state=draining
+    draw 2; [ "$drawn" = 0 ] || service=nosuch
+    draw 2; sequence=$((drawn == 0 ? 5 : 900000))
+    draw 4; number=$((1 + drawn))
+    draw 700; gap=$drawn
+    draw 5000; shift=$((1 + drawn))
+    draw 32768
+    mapfile -t lives < <(lives_of "$to")
+    [ ${#lives[@]} -gt 0 ] || return 0
+    id=${lives[-1]% *} n=$to born=${lives[-1]#* }
+    # Its first lifetime follows none.
+    [ "$what" != 3 ] || [ ${#lives[@]} -gt 1 ] || what=1
+    [ "$what" != 4 ] || [ "$other" != "$to" ] || what=0
+    case $what in
+    0) id=x-$to-$drawn n=$((drawn % 2 == 0 ? to : 200 + to)) born=$(($(now_ms) + shift - 2500)) ;;
+    1) born=$((born + shift)) service=desk state=ready ;;
+    2) born=$((born - shift)) service=desk ;;
+    3) drawn=$((drawn % (${#lives[@]} - 1))); id=${lives[drawn]% *} born=${lives[drawn]#* } service=desk ;;
+    4)
+        mapfile -t lives < <(lives_of "$other")
+        id=${lives[-1]% *} n=$other born=${lives[-1]#* } service=desk
+        ;;
+    esac
+    note "$number reports of $id, born $born, $state, $service, to side-$to"
+    (
+        while [ "$number" -gt 0 ]; do
+            number=$((number - 1)) sequence=$((sequence + 1))
+            report "$to" "$id" "$n" "$born" "$service" "$state" "$sequence"
+            nap "$gap"
+        done
+    ) &
+}
+# Some agents are frozen or restarted for long enough that their workers report elsewhere.
+lose_agents() {
+    local n
+    for n in $(seq 1 "$sides"); do
+        draw 6
+        case $drawn in
+        0 | 1) freeze "side-$n" 1200 4000 ;;
+        2) restart "side-$n" KILL 200 1500 ;;
+        esac
+    done
+}
 
 faults=(freeze_one freeze_one freeze_zone freeze_control lose_leader_and_agents kill_one kill_control kill_agents
     stop_one stop_agents stop_control silence_path silence_path crash_worker crash_silent_worker crash_silent_worker leave_worker)
@@ -210,6 +293,7 @@
 ! plays late || faults+=(late_path late_path)
 ! plays power || faults+=(lose_power)
 ! plays waves || faults+=(leave_in_wave)
+! plays next-agent || faults+=(lose_agents lose_agents)
 # shuffle: a new order of the faults, so that each kind has its turn
 shuffle() {
     local at other
@@ -248,13 +332,23 @@
     wait
 }
 
+send_foreign_reports() {
+    RANDOM=$((SEED + 2))
+    while [ "$SECONDS" -lt "$end" ]; do
+        foreign_reports
+        draw_nap 200 1500
+    done
+    wait
+}
+
 laters=() lives=0
 start_deployment "$sides" 2
-for n in $(seq 1 "$sides"); do start_worker "$n" "i-$n"; done
+for n in $(seq 1 "$sides"); do start_life "$n"; done
 for n in $(seq 1 "$sides"); do wait_for 20 is_held "$n" || cannot_run "worker $n is not polled"; done
 end=$((SECONDS + traffic_s))
 traffic &
 load=$!
+if plays reports; then send_foreign_reports & laters+=($!); fi
 played=0
 while [ "$SECONDS" -lt "$end" ]; do
     at=$((played % ${#faults[@]}))
@@ -272,8 +366,13 @@
 wait_for 15 has_state "$last" completed || note "the last job is not completed"
 echo "seed $SEED: $played faults"
 failures=()
+[ -z "$(events '"event":"born"' | sed 's/"at":[0-9]*,//' | sort | uniq -d)" ] \
+    || cannot_run "two lifetimes of a worker have one time of birth"
 "$tool" twice --record "$record" || failures+=("tasks ran twice")
 early_seen || failures+=("ends were acknowledged that a lifetime had not had")
+# Their senders count on the acknowledgement, so only the agent of that worker may give it.
+taken=$(events '"event":"(foreign-report".*"status":"2|acked-elsewhere")')
+[ -z "$taken" ] || { head -n 10 <<< "$taken"; failures+=("reports of other lifetimes were acknowledged"); }
 [ ${#failures[@]} -eq 0 ] || fail "$(IFS=";"; echo "${failures[*]}")"
 runs=$(count '"event":"end"')
 [ "$runs" -ge $((traffic_s * 8)) ] || fail "only $runs runs ended"
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -44,20 +44,28 @@
 constexpr int retryMs = 300;
 constexpr int callTimeoutMs = 1000;
 
+bool isAck(int status)
+{
+    constexpr int perClass = 100;
+    return status / perClass == 2;
+}
+
 std::int64_t unixMs()
 {
     using namespace std::chrono;
     return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
 }
 
-/// Named command-line arguments: `--name value`.
+/// Named command-line arguments: `--name value`. Some may be repeated.
 class Arguments final
 {
 public:
     Arguments(int argc, char **argv)
     {
-        for (int i = 2; i + 1 < argc; i += 2)
+        for (int i = 2; i + 1 < argc; i += 2) {
             m_values[argv[i]] = argv[i + 1];
+            m_all[argv[i]].emplace_back(argv[i + 1]);
+        }
     }
 
     [[nodiscard]] std::string text(const std::string &name, const std::string &other = {}) const
@@ -72,8 +80,15 @@
         return found == m_values.end() ? other : std::stoll(found->second);
     }
 
+    [[nodiscard]] std::vector<std::string> all(const std::string &name) const
+    {
+        const auto found = m_all.find(name);
+        return found == m_all.end() ? std::vector<std::string>() : found->second;
+    }
+
 private:
     std::map<std::string, std::string> m_values;
+    std::map<std::string, std::vector<std::string>> m_all;
 };
 
 /// Appends events to a file that several processes share.
@@ -254,6 +269,7 @@
     explicit Worker(const Arguments &arguments)
         : m_id(arguments.text("--id"))
         , m_agent(arguments.text("--agent"))
+        , m_otherAgents(arguments.all("--also-agent"))
         , m_record(arguments.text("--record"))
         , m_gangFolder(arguments.text("--gangs"))
         , m_maxHoldMs(arguments.number("--max-hold-ms", 6000))
@@ -266,7 +282,7 @@
         , m_label(arguments.text("--label", "r1-1"))
         , m_cpu(arguments.number("--cpu", 64000))
         , m_memory(arguments.number("--mem", 256000))
-        , m_born(unixMs())
+        , m_born(unixMs() + arguments.number("--born-offset-ms", 0))
         , m_began(Clock::now())
     {
     }
@@ -451,9 +467,21 @@
 
     bool sendReport()
     {
-        return call(m_agent, "PUT", "/guavashift/instances/" + m_id, "Host: a\r\n", report(),
-                    callTimeoutMs)
-            == 200;
+        return isAck(callAgents("PUT", [this] { return report(); }));
+    }
+
+    /// Calls the own agent, and the others in turn until one acknowledges. Returns the last status.
+    int callAgents(const std::string &method, const std::function<std::string()> &body)
+    {
+        const std::string path = "/guavashift/instances/" + m_id;
+        int status = call(m_agent, method, path, "Host: a\r\n", body(), callTimeoutMs);
+        for (auto agent = m_otherAgents.begin(); agent != m_otherAgents.end() && !isAck(status);
+             ++agent) {
+            status = call(*agent, method, path, "Host: a\r\n", body(), callTimeoutMs);
+            if (isAck(status))
+                record("acked-elsewhere", {{"agent", *agent}, {"method", method}});
+        }
+        return status;
     }
 
     void reportForever()
@@ -479,10 +507,9 @@
         record("draining-acked", {});
         std::this_thread::sleep_for(std::chrono::milliseconds(m_drainMs));
         m_leaving = true;
-        const int status = call(m_agent, "DELETE", "/guavashift/instances/" + m_id, "Host: a\r\n",
-                                "", callTimeoutMs);
+        const int status = callAgents("DELETE", [] { return std::string(); });
         record("goodbye", {{"status", status}});
-        if (status == 0)
+        if (status == 0 || (!m_otherAgents.empty() && !isAck(status)))
             std::this_thread::sleep_for(std::chrono::milliseconds(m_leaveMs));
         const std::lock_guard lock(m_mutex);
         for (const auto &[task, run] : m_runs)
@@ -635,6 +662,7 @@
 
     std::string m_id;
     std::string m_agent;
+    std::vector<std::string> m_otherAgents; ///< Called in turn when the agent before fails.
     Recorder m_record;
     std::string m_gangFolder; ///< In which the members of gangs meet; workers share it.
     std::int64_t m_maxHoldMs;
@@ -647,7 +675,7 @@
     std::string m_label;
     std::int64_t m_cpu;
     std::int64_t m_memory;
-    std::int64_t m_born;
+    std::int64_t m_born; ///< By its machine's time of day, which may have been set.
     Clock::time_point m_began;
 
     std::mutex m_mutex;
