Keep runs bound whose starts the next lifetime may carry out

A start for a worker that closes its connections had no answer; the task was started elsewhere, and the worker restarted and carried the old start out.

Cause: such starts go out on any connection. A poll with a higher fencing token disproves a start for the present lifetime only, since the next one has seen no token, and its clock starts anew, so that the lease end in the start may lie ahead of it too.

Change: after a start that went out on any connection and has no answer, the agent refuses the run only once no later lifetime can carry it out: 15 s after the start, and for an unreachable worker after the longest lease as well. Until then it names such starts to the leader (LateStarts) before each inventory, which leaves them bound. An agent that has just restarted does not know what its earlier process has sent. It says so, and sends another inventory once the delay is over, or at once when a connection turns out to stay open. If the agent is lost, the leader keeps runs of such a worker that no list has named until the last start can have no effect any more.

Why it works: a call is carried out once at most, within that delay, and an answer of the present lifetime to a poll sent after it shows that no later one has received the start. Starts on connections of one lifetime, and answered or listed ones, wait for nothing. For workers that keep connections a restart of the agent costs one more poll, which does not wait. The simulated agent mirrors the changes.

Not covered: two restarts within the delay, since the inventory of the next lifetime settles the run; a new leader that has no session with the agent yet; a start while the agent has not found that connections are closed is on known connections as before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -403,8 +403,11 @@
     m_answered.erase(node);
     // The inventory of the node's next session settles the runs of these orders.
     std::erase_if(m_orders, [&](const auto &order) { return order.first == node; });
-    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node))
-        m_pool.setNode(*m_pool.find(lifetime), {});
+    for (const Lifetime &lifetime : m_pool.lifetimesReportedBy(node)) {
+        PoolWorker &worker = *m_pool.find(lifetime);
+        worker.lateStarts.reset();
+        m_pool.setNode(worker, {});
+    }
 }
 
 void Dispatcher::runsReported(const Lifetime &lifetime, std::span<const RunStatus> rows,
@@ -473,6 +476,8 @@
         running[row.task] = std::max(running[row.task], row.run);
         m_progress.begun(row.task.job);
     }
+    const std::optional<LateStartsNotice> late = std::exchange(worker->lateStarts, std::nullopt);
+    worker->startsOnAnyConnection = late.has_value();
     settleEarlierLifetimes(*worker, running);
     noteListed(*worker, rows, m_now);
     for (auto &[task, run] : worker->runs) {
@@ -486,7 +491,8 @@
                 orderStop(lifetime, *worker, run);
             continue;
         }
-        if (run.committed && run.boundAt <= boundBefore)
+        const bool mayStart = late && (!late->namesAll || late->runs.contains({task, run.run}));
+        if (run.committed && run.boundAt <= boundBefore && !mayStart)
             queueEnd(run, RunEnd::NotStarted, SettleReason::NotInInventory);
     }
     // The agent may have forgotten the stops that were ordered before.
@@ -624,6 +630,24 @@
     assumeLongestLease(*worker, m_now);
 }
 
+void Dispatcher::startsMayArriveLate(const Lifetime &lifetime, std::span<const TaskRun> runs,
+                                     bool namesAll)
+{
+    PoolWorker *worker = m_pool.find(lifetime);
+    if (worker == nullptr)
+        return;
+    worker->startsOnAnyConnection = true;
+    LateStartsNotice &notice = worker->lateStarts.emplace();
+    notice.namesAll = namesAll;
+    for (const TaskRun &each : runs)
+        notice.runs.emplace(each.task, each.run);
+}
+
+bool Dispatcher::mayStartLate(const PoolWorker &worker, const PlacedRun &run)
+{
+    return worker.startsOnAnyConnection && run.committed && !run.listed;
+}
+
 void Dispatcher::lifetimeDoubted(const Lifetime &lifetime)
 {
     PoolWorker *worker = m_pool.find(lifetime);
@@ -817,13 +841,27 @@
 
 void Dispatcher::expireLeases(Instant now)
 {
+    // The last start was sent before the lease ended. The next lifetime may carry it out by a clock
+    // of its own.
+    const auto lateRunsMayWork = [&](const PoolWorker &worker) {
+        return now <= worker.leaseEnd + m_settings.longestCallDelay + m_settings.longestLease;
+    };
     std::vector<Lifetime> expired;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (now > worker.leaseEnd)
+        if (now <= worker.leaseEnd)
+            continue;
+        const bool waits = !worker.runs.empty() && lateRunsMayWork(worker)
+            && std::all_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &each) {
+                   return mayStartLate(worker, each.second);
+               });
+        if (!waits)
             expired.push_back(lifetime);
     }
     for (const Lifetime &lifetime : expired) {
-        closeStarts(*m_pool.find(lifetime));
+        PoolWorker &worker = *m_pool.find(lifetime);
+        const bool keepsLate = lateRunsMayWork(worker);
+        for (auto &[task, run] : worker.runs)
+            run.startIsOpen = keepsLate && mayStartLate(worker, run);
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
         // usable again. It would not be reported again if its lifetime were removed here.
         if (m_pool.find(lifetime)->node.empty())
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -19,6 +19,8 @@
     Duration workerLease = std::chrono::milliseconds(4500);
     /// Time for which a worker may run on whatever lease end it was sent; limit of the deployment.
     Duration longestLease = std::chrono::milliseconds(6000);
+    /// Longest time after which a call to a worker that has no answer is carried out.
+    Duration longestCallDelay = std::chrono::seconds(15);
     /// Added before a lease counts as expired: allows for late timers and clocks that run 2 % slow.
     Duration leaseMargin = std::chrono::milliseconds(400);
     /// Time for which a worker gets no new runs after it refused a start.
@@ -173,6 +175,12 @@
     /// same name. They stay bound after the end of the lifetime, until the inventory of the next
     /// one, a refusal, or the end of the longest lease.
     void startsOpen(const Lifetime &lifetime, std::span<const TaskRun> runs);
+    /// Handles that starts for a lifetime go out on any connection, so that those without an answer
+    /// may be carried out by the next one under the same name. The next inventory leaves these runs
+    /// bound if it does not list them, and if they are not all, other runs as well. Their agent
+    /// refuses them, or sends another inventory, once they cannot start any more.
+    void startsMayArriveLate(const Lifetime &lifetime, std::span<const TaskRun> runs,
+                             bool namesAll);
     void startRefused(const Lifetime &lifetime, const TaskRef &task, std::uint32_t run,
                       Instant now);
     void endReported(const EndRun &end);
@@ -270,6 +278,8 @@
     void keepUnknownStarts(PoolWorker &worker) const;
     /// Handles that no lifetime can carry out the worker's open starts any more.
     static void closeStarts(PoolWorker &worker);
+    /// Whether the next lifetime of the worker may carry out the run's start.
+    [[nodiscard]] static bool mayStartLate(const PoolWorker &worker, const PlacedRun &run);
     /// Settles an ended lifetime, all runs but those whose start is open.
     void settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                         std::span<const TaskRun> recentRuns);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -50,21 +50,33 @@
     double remaining = 0;
 };
 
+/// What an agent has said of starts that the next lifetime of its worker may still carry out,
+/// because they went out on any connection.
+struct LateStartsNotice
+{
+    std::set<std::pair<TaskRef, std::uint32_t>> runs;
+    bool namesAll = true; ///< False if an earlier process of the agent may have sent others.
+};
+
 /// The leader's state of one lifetime of a worker.
 struct PoolWorker
 {
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
     WorkerFacts facts;
-    std::string node;         ///< Node whose agent reports for it; empty: none at present.
-    std::string lastNode;     ///< Node whose agent reported for it last.
-    bool hasFacts = false;    ///< False if the worker is known from bound runs only.
+    std::string node;      ///< Node whose agent reports for it; empty: none at present.
+    std::string lastNode;  ///< Node whose agent reported for it last.
+    bool hasFacts = false; ///< False if the worker is known from bound runs only.
     /// Rises with each proof that a lifetime is present; 0: there was none for this one.
     std::uint64_t provenOrder = 0;
     bool unreachable = false; ///< Does not answer its agent.
     /// Calls for an earlier lifetime of the worker may still be carried out there, until its first
     /// inventory.
     bool takesEarlierCalls = false;
+    /// For the next inventory.
+    std::optional<LateStartsNotice> lateStarts;
+    /// Its starts may go out on any connection, so that the next lifetime may carry them out late.
+    bool startsOnAnyConnection = false;
     Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
     Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
     Instant suspectAloneUntil; ///< A run under suspicion has just started there.
--- a/Guavashift/Fleet/AgentNode.cpp
+++ b/Guavashift/Fleet/AgentNode.cpp
@@ -79,6 +79,7 @@
     m_leaseLength = std::chrono::milliseconds(session.leaseMs);
     m_inventoryDue = true;
     m_inventoryFence = fence();
+    m_namedAllStarts = true;
     m_barrier.sessionOpened();
     for (const RunsEnded &ended : m_uncommittedEnds.messages())
         m_link.send(ended);
@@ -91,8 +92,11 @@
         m_link.send(EndProven{m_lastCrash->lifetime, m_lastCrashProof});
         m_link.send(*m_lastCrash);
     }
-    if (m_facts)
+    if (m_facts) {
         sendFacts();
+        if (!m_connections.staysOpen())
+            announceLateStarts(BootClock::now());
+    }
     // A new leader has not learned any interference yet.
     m_link.send(InterferenceReport{m_throttler.learned()});
     renewLease();
@@ -251,6 +255,7 @@
     raiseFence();
     m_inventoryDue = m_link.isOpen();
     m_inventoryFence = fence();
+    m_namedAllStarts = true;
     m_unreachable = false;
     logEvent(LogLevel::Info, "worker-found",
              {{"worker", lifetime.worker},
@@ -356,17 +361,20 @@
 void AgentNode::endLifetime(LifetimeEnd end, LifetimeProof proof)
 {
     const Lifetime lifetime = m_facts->lifetime;
+    const std::size_t runs = m_runs.size();
     const std::vector<TaskRun> recent =
         end == LifetimeEnd::Crashed ? recentRuns() : std::vector<TaskRun>();
-    // The lease in a start that reaches a worker after it was unreachable has expired.
-    const std::vector<TaskRun> open =
-        end == LifetimeEnd::Unreachable ? std::vector<TaskRun>() : openStarts();
+    // The lease in a start that reaches this lifetime after it was unreachable has expired. By the
+    // clock of the next one it may not have.
+    if (end == LifetimeEnd::Unreachable)
+        std::erase_if(m_runs, [this](const auto &each) { return !mayWorkInNext(each.second); });
+    const std::vector<TaskRun> open = openStarts();
     logEvent(LogLevel::Info, "lifetime-ended",
              {{"worker", lifetime.worker},
               {"born", lifetime.startedAt},
               {"end", nameOf(end)},
               {"proof", nameOf(proof)},
-              {"runs", m_runs.size()},
+              {"runs", runs},
               {"recent_runs", recent.size()},
               {"open_starts", open.size()}});
     // A crash without such runs must not replace one with some.
@@ -374,15 +382,17 @@
         m_lastCrash = WorkerCrashed{lifetime, recent}, m_lastCrashProof = proof;
     m_link.send(EndProven{lifetime, proof});
     if (!open.empty()) {
-        m_lastOpenStarts = OpenStarts{lifetime, open};
-        m_link.send(*m_lastOpenStarts);
+        m_link.send(OpenStarts{lifetime, open});
+        // An unreachable worker's are sent again when its end is.
+        if (end != LifetimeEnd::Unreachable)
+            m_lastOpenStarts = OpenStarts{lifetime, open};
     }
     if (end == LifetimeEnd::Crashed)
         m_link.send(WorkerCrashed{lifetime, recent});
     m_link.send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
     m_barrier.lifetimeEnded(lifetime);
-    m_runs.clear();
     if (end != LifetimeEnd::Unreachable) {
+        m_runs.clear();
         m_facts.reset();
         m_lease.workerChanged(BootClock::now());
     }
@@ -423,6 +433,9 @@
         else
             request.wait = Duration::zero();
     }
+    // The leader keeps runs bound until it is known whether connections stay open.
+    if (!m_namedAllStarts && m_connections.staysOpen() && !m_connections.isKnownToStayOpen())
+        request.wait = Duration::zero();
     sendPoll(std::move(request));
 }
 
@@ -527,9 +540,12 @@
 {
     const bool stayedOpen = m_connections.staysOpen();
     m_connections.callNotSent();
-    if (stayedOpen && !m_connections.staysOpen())
-        logEvent(LogLevel::Warning, "connections-closed",
-                 {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
+    if (!stayedOpen || m_connections.staysOpen())
+        return;
+    logEvent(LogLevel::Warning, "connections-closed",
+             {{"worker", m_facts->lifetime.worker}, {"born", m_facts->lifetime.startedAt}});
+    announceLateStarts(BootClock::now());
+    m_inventoryDue = m_link.isOpen();
 }
 
 void AgentNode::handlePollReply(const PollRequest &request, Instant sent, const WorkerReply &reply)
@@ -563,6 +579,8 @@
         // The failure of another poll may be that of one connection only.
         if (!request.connections)
             refuseUnsentStarts("no answer");
+        if (m_unreachable)
+            dropOverdueStarts();
         // Once the lease has expired without an answer, nothing runs on the worker any more. Before
         // that, a refused connection does not show that its program has ended: it may work on
         // behind a path that refuses connections.
@@ -683,7 +701,7 @@
     // Until all ends are listed, a run that is in neither list may have ended.
     if (!reply.listsAllEnds)
         return;
-    resolveUnconfirmed(request, running);
+    resolveUnconfirmed(request, sent, running);
     // processEnds() has removed the runs with a listed end. A run that a poll sent after an
     // answered stop does not list never ran.
     for (auto at = m_runs.begin(); at != m_runs.end();) {
@@ -691,13 +709,16 @@
         const Run &run = current->second;
         if (running.contains(current->first))
             continue;
-        if (run.stopAnswered && sent > run.stopSentAt)
+        if (run.stopAnswered && sent > run.stopSentAt && !mayArriveAfter(run, sent))
             drop(current->first, "stopped before it ran");
         else if (run.stage == Stage::Running && !run.stopWanted && sent > run.seenAt)
             forgetVanished(current->first);
     }
+    if (!m_namedAllStarts && knowsAllStarts(sent))
+        m_inventoryDue = m_link.isOpen();
     if (m_inventoryDue && request.fence >= m_inventoryFence) {
         m_inventoryDue = false;
+        announceLateStarts(sent);
         // From now on the lifetime refuses calls for an earlier one.
         if (std::exchange(m_takesEarlierCalls, false))
             m_lease.assumeLongestLease(BootClock::now());
@@ -722,14 +743,54 @@
               {"born", m_facts->lifetime.startedAt}});
 }
 
-void AgentNode::resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running)
+bool AgentNode::mayArriveAfter(const Run &run, Instant time)
+{
+    return run.stage != Stage::Running && !run.unsent && time < run.mayArriveUntil;
+}
+
+bool AgentNode::mayWorkInNext(const Run &run) const
+{
+    // Worker clocks may be 2 % slow.
+    const Duration longestLease = m_settings.bounds.maxWorkerLease * 100 / 98;
+    return mayArriveAfter(run, BootClock::now() - longestLease);
+}
+
+bool AgentNode::knowsAllStarts(Instant time) const
+{
+    return m_connections.isKnownToStayOpen() || time > m_createdAt + m_agent.longestCallDelay;
+}
+
+void AgentNode::announceLateStarts(Instant sent)
+{
+    m_namedAllStarts = knowsAllStarts(sent);
+    LateStarts late{m_facts->lifetime, {}, m_namedAllStarts};
+    for (const auto &[key, run] : m_runs) {
+        if (mayArriveAfter(run, sent))
+            late.runs.push_back({key.first, key.second});
+    }
+    if (!m_connections.staysOpen() || !m_namedAllStarts || !late.runs.empty())
+        m_link.send(late);
+}
+
+void AgentNode::dropOverdueStarts()
+{
+    for (auto at = m_runs.begin(); at != m_runs.end();) {
+        const auto current = at++;
+        if (current->second.stage == Stage::Unconfirmed && !mayWorkInNext(current->second))
+            drop(current->first, "never arrived");
+    }
+}
+
+void AgentNode::resolveUnconfirmed(const PollRequest &request, Instant sent,
+                                   const std::set<RunKey> &running)
 {
     // The worker has observed a higher token, so it rejects a start that arrives with a lower one.
+    // Its next lifetime has not, and may carry out what was sent on any connection.
     for (auto at = m_runs.begin(); at != m_runs.end();) {
         const auto current = at++;
         const Run &run = current->second;
         const bool settled = run.stage == Stage::Unconfirmed && run.fence < request.fence
-            && !running.contains(current->first);
+            && !running.contains(current->first) && !mayArriveAfter(run, sent);
         if (settled)
             drop(current->first, "never arrived");
     }
@@ -782,7 +843,9 @@
     run.unsent.reset();
     run.fence = sentUnder;
     run.startSentAt = now;
-    m_port.start({sentUnder, m_lease.untilMs(now, suspendedTime()), order, m_connections.allowed()},
+    const WorkerConnections connections = m_connections.allowed();
+    run.mayArriveUntil = connections ? Instant() : now + m_agent.longestCallDelay;
+    m_port.start({sentUnder, m_lease.untilMs(now, suspendedTime()), order, connections},
                  [this, order, key, sentUnder](const WorkerReply &reply) {
                      if (reply.result == WorkerCallResult::NotSent)
                          return startNotSent(order, sentUnder);
@@ -979,7 +1042,13 @@
     if (added) {
         position->second.traits.task = order.task;
         position->second.traits.run = order.run;
-        position->second.stage = Stage::Running;
+        // An earlier process of the agent may have sent a start that has no answer.
+        if (knowsAllStarts(BootClock::now())) {
+            position->second.stage = Stage::Running;
+        } else {
+            position->second.stage = Stage::Unconfirmed;
+            position->second.mayArriveUntil = m_createdAt + m_agent.longestCallDelay;
+        }
     }
     if (position->second.unsent)
         return drop(key, "stopped before it was sent");
--- a/Guavashift/Fleet/AgentNode.h
+++ b/Guavashift/Fleet/AgentNode.h
@@ -99,6 +99,9 @@
         Instant seenAt;    ///< Known to run at this time at least.
         /// When the start was sent; 0 for a run that an earlier process of the agent started.
         Instant startSentAt;
+        /// Until then the next lifetime may carry its start out; 0: it was sent on a connection of
+        /// the present one.
+        Instant mayArriveUntil;
         RunStatus row;
         TailFilter tail;
         std::int32_t sharePercent = 100; ///< As last sent to the worker.
@@ -160,7 +163,19 @@
     void logHiddenEnds(const WorkerReply &reply) const;
     /// Forgets a run that worked in this lifetime and is neither running nor among the ends.
     void forgetVanished(RunKey key);
-    void resolveUnconfirmed(const PollRequest &request, const std::set<RunKey> &running);
+    void resolveUnconfirmed(const PollRequest &request, Instant sent,
+                            const std::set<RunKey> &running);
+    /// Whether a lifetime that begins after `time` may carry the run's start out.
+    [[nodiscard]] static bool mayArriveAfter(const Run &run, Instant time);
+    /// Whether the run may work in the next lifetime of a worker that does not answer.
+    [[nodiscard]] bool mayWorkInNext(const Run &run) const;
+    /// Whether no start of an earlier process of the agent can arrive after `time`.
+    [[nodiscard]] bool knowsAllStarts(Instant time) const;
+    /// Tells the leader which starts a lifetime that begins after `sent` may still carry out.
+    /// Before an inventory that is when its poll was sent.
+    void announceLateStarts(Instant sent);
+    /// Refuses the runs of an unreachable worker whose starts can have no effect any more.
+    void dropOverdueStarts();
     void startRun(const StartOrder &order);
     /// Sends a start on a connection on which the present lifetime has answered, so that no other
     /// lifetime carries it out.
@@ -226,6 +241,9 @@
     ReportVerifier m_verifier;
     std::optional<WorkerFacts> m_facts;
     Instant m_foundAt; ///< When the present lifetime was found.
+    Instant m_createdAt = BootClock::now();
+    /// Whether the last inventory was sent with the knowledge of all starts.
+    bool m_namedAllStarts = true;
     /// Calls for an earlier lifetime may still be carried out by the present one, until it has
     /// answered the poll for its inventory.
     bool m_takesEarlierCalls = false;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -173,6 +173,9 @@
                           {"reason", refused.reason}});
             },
             [&](const OpenStarts &open) { m_dispatcher.startsOpen(open.lifetime, open.runs); },
+            [&](const LateStarts &late) {
+                m_dispatcher.startsMayArriveLate(late.lifetime, late.runs, late.namesAll);
+            },
             [&](const EndProven &proven) { session.proven = proven; },
             [&](const LifetimeAnswered &answered) {
                 m_dispatcher.lifetimeAnswered(session.node, answered.lifetime);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -157,6 +157,16 @@
     std::vector<TaskRun> runs;
 };
 
+/// Starts for that lifetime may go out on any connection, and without an answer the next lifetime
+/// may carry them out. The next inventory settles none of these runs, nor any other run unless
+/// `namesAll`. Sent before an Inventory.
+struct LateStarts
+{
+    Lifetime lifetime;
+    std::vector<TaskRun> runs;
+    bool namesAll = true; ///< False if an earlier process of the agent may have sent others.
+};
+
 struct KnownRuns
 {
     std::vector<RunTraits> runs;
@@ -219,7 +229,7 @@
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
                  StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
-                 OpenStarts, EndProven, LifetimeAnswered>;
+                 OpenStarts, EndProven, LifetimeAnswered, LateStarts>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/Guavashift/Fleet/LifetimeConnections.cpp
+++ b/Guavashift/Fleet/LifetimeConnections.cpp
@@ -18,6 +18,7 @@
         return;
     if (std::find(m_answered.begin(), m_answered.end(), connection) != m_answered.end()) {
         m_staysOpen = true;
+        m_isKnownToStayOpen = true;
         m_closedInARow = 0;
         return;
     }
@@ -29,7 +30,7 @@
 void LifetimeConnections::callNotSent()
 {
     if (std::exchange(m_isIdentified, false) && ++m_closedInARow >= maxClosedInARow)
-        m_staysOpen = false;
+        m_staysOpen = m_isKnownToStayOpen = false;
 }
 
 void LifetimeConnections::callSent()
--- a/Guavashift/Fleet/LifetimeConnections.h
+++ b/Guavashift/Fleet/LifetimeConnections.h
@@ -27,12 +27,15 @@
     /// answer: without a lease, nothing could run on it.
     [[nodiscard]] WorkerConnections allowed() const;
     [[nodiscard]] bool staysOpen() const { return m_staysOpen; }
+    /// Whether it has answered twice on one connection.
+    [[nodiscard]] bool isKnownToStayOpen() const { return m_isKnownToStayOpen; }
 
 private:
     std::deque<WorkerConnection> m_answered; ///< The latest last.
     bool m_isIdentified = false; ///< It has answered since the last call that was not sent.
     int m_closedInARow = 0;      ///< Connections that were closed right after an answer.
     bool m_staysOpen = true;
+    bool m_isKnownToStayOpen = false;
 };
 
 } // namespace guavashift
--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -143,6 +143,8 @@
 
     [[nodiscard]] bool isUp() const { return m_isUp; }
     [[nodiscard]] bool mayRestart() const { return m_isUp && m_world.now() >= m_restartFrom; }
+    /// Whether starts for it go out on any connection, as its agent learns from its calls.
+    [[nodiscard]] bool closesConnections() const { return m_closesConnections; }
     [[nodiscard]] bool pathIsSilent() const { return m_world.now() < m_silentUntil; }
     [[nodiscard]] WorkerFacts facts() const
     {
@@ -558,6 +560,7 @@
         , m_send(std::move(send))
     {
         m_lease.latestEnd = world.now() + AgentLease::longest;
+        m_knowsAllFrom = world.now() + longestDelay + 1;
         renewRegularly();
         sendTable();
     }
@@ -628,6 +631,7 @@
         m_facts = facts;
         sendFacts();
         if (isNew) {
+            announceLateStarts(m_world.now());
             renewLease();
             poll(0);
         }
@@ -653,6 +657,7 @@
         Ms stopSentAt = 0;
         Ms seenAt = -1;
         Ms startSentAt = -1;
+        Ms mayArriveUntil = -1;
     };
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -722,8 +727,10 @@
             send(*m_lastOpenStarts);
         if (m_lastCrash)
             send(*m_lastCrash);
-        if (m_facts)
+        if (m_facts) {
             sendFacts();
+            announceLateStarts(m_world.now());
+        }
         renewLease();
         poll(0);
     }
@@ -791,24 +798,31 @@
         std::vector<TaskRun> recent;
         std::vector<TaskRun> open;
         for (const auto &[key, run] : m_runs) {
+            const bool isOpen = end == LifetimeEnd::Unreachable
+                ? mayWorkInNext(run)
+                : run.stage != Stage::Running && !run.unsent;
             if (end == LifetimeEnd::Crashed && run.stage == Stage::Running && run.startSentAt >= 0
                 && m_pollsFailSince.value_or(m_world.now()) - run.startSentAt <= 250)
                 recent.push_back({key.first, key.second});
-            if (end != LifetimeEnd::Unreachable && run.stage != Stage::Running && !run.unsent)
+            if (isOpen)
                 open.push_back({key.first, key.second});
         }
         if (!recent.empty())
             m_lastCrash = WorkerCrashed{lifetime, recent};
         if (!open.empty()) {
-            m_lastOpenStarts = OpenStarts{lifetime, open};
-            send(*m_lastOpenStarts);
+            send(OpenStarts{lifetime, open});
+            if (end != LifetimeEnd::Unreachable)
+                m_lastOpenStarts = OpenStarts{lifetime, open};
         }
         if (end == LifetimeEnd::Crashed)
             send(WorkerCrashed{lifetime, recent});
         send(LifetimeEnded{lifetime, end == LifetimeEnd::Unreachable});
         m_barrier.ended = lifetime;
         m_barrier.answersLeft.reset();
-        m_runs.clear();
+        if (end == LifetimeEnd::Unreachable)
+            std::erase_if(m_runs, [this](const auto &each) { return !mayWorkInNext(each.second); });
+        else
+            m_runs.clear();
         if (end != LifetimeEnd::Unreachable) {
             m_facts.reset();
             m_lease.workerChanged(m_world.now());
@@ -894,6 +908,8 @@
         default:
             if (!request.connections)
                 refuseUnsentStarts("no answer");
+            if (m_unreachable)
+                dropOverdueStarts();
             if (now > m_lease.latestEnd && !m_unreachable) {
                 if (refused && m_facts->draining)
                     return endLostLifetime();
@@ -949,24 +965,58 @@
         const auto runs = m_runs;
         for (const auto &[key, run] : runs) {
             if (run.stage == Stage::Unconfirmed && run.fence < request.fence
-                && !running.contains(key))
+                && !running.contains(key) && !mayArriveAfter(run, sent))
                 drop(key, "never arrived");
         }
         for (const auto &[key, run] : runs) {
             if (running.contains(key) || !m_runs.contains(key))
                 continue;
-            if (run.stopAnswered && sent > run.stopSentAt)
+            if (run.stopAnswered && sent > run.stopSentAt && !mayArriveAfter(run, sent))
                 drop(key, "stopped before it ran");
             else if (run.stage == Stage::Running && !run.stopWanted && sent > run.seenAt)
                 m_runs.erase(key);
         }
+        if (!m_namedAllStarts && sent > m_knowsAllFrom)
+            m_inventoryDue = m_isOpen;
         if (m_inventoryDue && request.fence >= m_inventoryFence) {
             m_inventoryDue = false;
             trace(fmt::format("inventory of {}", reply.running.size()));
+            announceLateStarts(sent);
             send(Inventory{m_facts->lifetime, reply.running});
             m_barrier.inventorySent(m_facts->lifetime);
         }
     }
+    /// Whether a lifetime that begins after `time` may carry the start out.
+    [[nodiscard]] static bool mayArriveAfter(const Run &run, Ms time)
+    {
+        return run.stage != Stage::Running && !run.unsent && time < run.mayArriveUntil;
+    }
+    /// Whether the run may work in a next lifetime of a worker that does not answer.
+    [[nodiscard]] bool mayWorkInNext(const Run &run) const
+    {
+        return mayArriveAfter(run, m_world.now() - AgentLease::longest);
+    }
+    /// Tells the leader which starts may be carried out by the next lifetime.
+    void announceLateStarts(Ms sent)
+    {
+        if (!m_machine.closesConnections())
+            return;
+        m_namedAllStarts = sent > m_knowsAllFrom;
+        LateStarts late{m_facts->lifetime, {}, m_namedAllStarts};
+        for (const auto &[key, run] : m_runs) {
+            if (mayArriveAfter(run, sent))
+                late.runs.push_back({key.first, key.second});
+        }
+        send(late);
+    }
+    void dropOverdueStarts()
+    {
+        const auto runs = m_runs;
+        for (const auto &[key, run] : runs) {
+            if (run.stage == Stage::Unconfirmed && !mayWorkInNext(run))
+                drop(key, "never arrived");
+        }
+    }
     void drop(const RunKey &key, std::string_view reason)
     {
         m_runs.erase(key);
@@ -1002,6 +1052,8 @@
         run.unsent.reset();
         run.fence = fence();
         run.startSentAt = now;
+        if (m_machine.closesConnections())
+            run.mayArriveUntil = now + longestDelay + 1;
         m_machine.start(
             {fence(), m_lease.untilMs(now), order, m_connections},
             guardedReply([this, order, sentUnder = fence()](const WorkerReply &reply) {
@@ -1098,8 +1150,12 @@
         if (m_endedAt.contains(key))
             return;
         const auto [position, added] = m_runs.try_emplace(key);
-        if (added)
+        if (added && m_machine.closesConnections() && m_world.now() <= m_knowsAllFrom) {
+            position->second.stage = Stage::Unconfirmed;
+            position->second.mayArriveUntil = m_knowsAllFrom;
+        } else if (added) {
             position->second.stage = Stage::Running;
+        }
         if (position->second.unsent)
             return drop(key, "stopped before it was sent");
         position->second.stopWanted = true;
@@ -1127,6 +1183,8 @@
     SendToLeader m_send;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     LinkPointer m_link;
+    bool m_namedAllStarts = true;
+    Ms m_knowsAllFrom = 0; ///< Then starts of an earlier process of the agent cannot arrive.
     bool m_isOpen = false;
     std::uint64_t m_sessionFence = 0;
     std::uint64_t m_fenceStep = 0;
@@ -1342,7 +1400,8 @@
         ++m_term;
         m_sessionsOpened = 0;
         m_world.trace("leader {} starts", m_term);
-        m_dispatcher = std::make_unique<Dispatcher>(DispatchSettings{}, m_table);
+        m_dispatcher = std::make_unique<Dispatcher>(
+            DispatchSettings{.longestCallDelay = std::chrono::milliseconds(longestDelay)}, m_table);
         m_dispatcher->start(instant());
         m_lastCommit = m_world.now();
     }
@@ -1499,6 +1558,9 @@
                 [&](const StartRefused &refused) {
                     m_dispatcher->startRefused(refused.lifetime, refused.task, refused.run, now);
                 },
+                [&](const LateStarts &late) {
+                    m_dispatcher->startsMayArriveLate(late.lifetime, late.runs, late.namesAll);
+                },
                 [&](const OpenStarts &open) { m_dispatcher->startsOpen(open.lifetime, open.runs); },
                 [&](const WorkerCrashed &crashed) {
                     if (m_dispatcher->runsOn(crashed.lifetime) > 0)
--- a/UnitTests/Dispatch/LifetimeChangeTest.cpp
+++ b/UnitTests/Dispatch/LifetimeChangeTest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(restartsSuchARunWhenAnotherWorkerTookTheMachine);
     CPPUNIT_TEST(keepsAdoptedRunForTheLongestLeaseFromTheInventory);
     CPPUNIT_TEST(grantsNoLeaseToANodeWithoutAReport);
+    CPPUNIT_TEST(keepsRunWhoseStartTheNextLifetimeMayCarryOut);
+    CPPUNIT_TEST(keepsRunsWhileAnAgentMayNotKnowAllStarts);
+    CPPUNIT_TEST(keepsUnlistedRunOfALostWorkerWhoseStartMayArrive);
     CPPUNIT_TEST(sendsNoOrderForARunThatWasSettled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -36,6 +39,52 @@
         m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
     }
 
+    /// Guards against a task that runs twice: it was started elsewhere as soon as its lifetime had
+    /// disproved a start that the next one carried out.
+    void keepsRunWhoseStartTheNextLifetimeMayCarryOut()
+    {
+        bindTask();
+        const std::vector<TaskRun> late{{ref, 1}};
+        m_dispatcher->startsMayArriveLate({"w1", 1}, late, true);
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(100));
+        decideAndCommit(101);
+        decideAndCommit(102);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        m_dispatcher->startRefused({"w1", 1}, ref, 1, at(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeCommands().size());
+    }
+
+    /// Guards against the same after a restart of the agent.
+    void keepsRunsWhileAnAgentMayNotKnowAllStarts()
+    {
+        bindTask();
+        m_dispatcher->startsMayArriveLate({"w1", 1}, {}, false);
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(100));
+        decideAndCommit(101);
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+        CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        m_dispatcher->startsMayArriveLate({"w1", 1}, {}, true);
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeCommands().size());
+    }
+
+    /// Guards against the same if the agent is lost before it has told of the start.
+    void keepsUnlistedRunOfALostWorkerWhoseStartMayArrive()
+    {
+        m_dispatcher->startsMayArriveLate({"w1", 1}, {}, true);
+        m_dispatcher->inventoryReported({"w1", 1}, {}, at(0));
+        bindTask();
+        m_dispatcher->nodeLost("n1");
+        // The last lease, the longest delay of a call and the longest lease.
+        for (int now = 1000; now <= 25'000; now += 1000) {
+            decideAndCommit(now);
+            CPPUNIT_ASSERT(TaskStage::Bound == task().stage);
+        }
+        decideAndCommit(27'000);
+        CPPUNIT_ASSERT(TaskStage::Bound != task().stage);
+    }
+
     /// Guards against a task that runs twice: its start was on the way when the worker restarted
     /// under its name, the new lifetime carries it out, and the task was started elsewhere as well.
     void restartsNoRunBeforeTheNextLifetimeIsListed()
--- a/UnitTests/Fleet/LifetimeConnectionsTest.cpp
+++ b/UnitTests/Fleet/LifetimeConnectionsTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(keepsAStartWhileOneProbeIsAnswered);
     CPPUNIT_TEST(startsNothingOnAWorkerThatStopsAnswering);
     CPPUNIT_TEST(startsRunsOnAWorkerThatClosesItsConnections);
+    CPPUNIT_TEST(keepsAnUnansweredStartThatTheNextLifetimeMayCarryOut);
+    CPPUNIT_TEST(settlesRunsOfAnEarlierProcessOnceConnectionsStayOpen);
     CPPUNIT_TEST(extendsTheLeaseOfAWorkerThatClosesItsConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -197,29 +199,63 @@
     /// Guards against tasks that never start on a worker that closes its connections.
     void startsRunsOnAWorkerThatClosesItsConnections()
     {
-        startUnsent();
-        WorkerConnection next = 5000;
+        startOnAnyConnection();
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+    }
+
+    /// Guards against two runs of a task at once: a start that its lifetime had disproved was
+    /// carried out by the next one.
+    void keepsAnUnansweredStartThatTheNextLifetimeMayCarryOut()
+    {
+        startOnAnyConnection();
+        m_worker.starts().back().answer(failed(WorkerCallResult::NoAnswer));
+        const auto answerFor = [this](Duration time) {
+            const Instant end = BootClock::now() + time;
+            until([&] {
+                for (std::size_t i = 0; i < m_worker.polls().size(); ++i)
+                    m_worker.polls()[i].answer(replyOnNewConnection());
+                return BootClock::now() > end;
+            });
+        };
+        answerFor(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
+        // The leader of the next session learns of it before the inventory.
+        const std::size_t sessions = m_leader->all<OpenSession>().size();
+        const std::size_t inventories = m_leader->all<Inventory>().size();
+        m_leader->disconnect();
+        until([&] { return m_leader->all<OpenSession>().size() > sessions; });
         until([&] {
-            WorkerReply reply = replyOf(1000);
-            for (std::size_t i = 0; i < m_worker.probes().size(); ++i) {
-                reply.connection = ++next;
-                m_worker.probes()[i].answer(reply);
-            }
-            for (std::size_t i = 0; i < m_worker.polls().size(); ++i) {
-                reply.connection = ++next;
-                m_worker.polls()[i].answer(m_worker.polls()[i].request.connections
-                                               ? failed(WorkerCallResult::NotSent)
-                                               : reply);
-            }
-            for (std::size_t i = 0; i < m_worker.starts().size(); ++i) {
-                if (m_worker.starts()[i].request.connections)
-                    m_worker.starts()[i].answer(failed(WorkerCallResult::NotSent));
-            }
-            return !m_worker.starts().back().request.connections;
+            answerFor(std::chrono::milliseconds(1));
+            return m_leader->all<Inventory>().size() > inventories;
+        });
+        CPPUNIT_ASSERT(!m_leader->all<LateStarts>().empty());
+        const LateStarts late = m_leader->all<LateStarts>().back();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.runs.size());
+        CPPUNIT_ASSERT(late.runs[0].task == task && late.runs[0].run == 1);
+        // So does that of its end.
+        until([this] {
+            m_worker.polls().back().answer(replyOf(2000));
+            return !m_leader->all<LifetimeEnded>().empty();
         });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<OpenStarts>().size());
         CPPUNIT_ASSERT(m_leader->all<StartRefused>().empty());
     }
 
+    /// Guards against tasks that wait for starts of an earlier process of the agent where starts
+    /// belong to one lifetime.
+    void settlesRunsOfAnEarlierProcessOnceConnectionsStayOpen()
+    {
+        report(factsOf(1000));
+        until([this] {
+            m_worker.answerPolls(replyOf(1000));
+            return m_leader->all<Inventory>().size() == 2;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_leader->all<LateStarts>().size());
+        CPPUNIT_ASSERT(!m_leader->all<LateStarts>().back().namesAll);
+        runFor(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_leader->all<Inventory>().size());
+    }
+
     /// Guards against runs that lapse on a worker that answers each call and closes the connection.
     void extendsTheLeaseOfAWorkerThatClosesItsConnections()
     {
@@ -252,6 +288,34 @@
         return std::vector<WorkerConnection>{number};
     }
 
+    WorkerReply replyOnNewConnection()
+    {
+        WorkerReply reply = replyOf(1000);
+        reply.connection = ++m_lastConnection;
+        return reply;
+    }
+
+    /// Has the agent learn that its worker closes its connections, and send a start on any
+    /// connection, which stays unanswered.
+    void startOnAnyConnection()
+    {
+        startUnsent();
+        until([&] {
+            for (std::size_t i = 0; i < m_worker.probes().size(); ++i)
+                m_worker.probes()[i].answer(replyOnNewConnection());
+            for (std::size_t i = 0; i < m_worker.polls().size(); ++i) {
+                m_worker.polls()[i].answer(m_worker.polls()[i].request.connections
+                                               ? failed(WorkerCallResult::NotSent)
+                                               : replyOnNewConnection());
+            }
+            for (std::size_t i = 0; i < m_worker.starts().size(); ++i) {
+                if (m_worker.starts()[i].request.connections)
+                    m_worker.starts()[i].answer(failed(WorkerCallResult::NotSent));
+            }
+            return !m_worker.starts().back().request.connections;
+        });
+    }
+
     /// Has the agent keep a start, since no connection is open for it. The probes that follow are
     /// open.
     void startUnsent()
@@ -294,6 +358,8 @@
             return false;
         });
     }
+
+    WorkerConnection m_lastConnection = 5000;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LifetimeConnectionsTest);
