--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -871,27 +871,30 @@
     m_commands.emplace_back(std::move(command));
 }
 
-void Dispatcher::expireLeases(Instant now)
+bool Dispatcher::lateStartsMayWork(const PoolWorker &worker, Instant now) const
 {
     // The last start was sent before the lease ended. The next lifetime may carry it out by a clock
     // of its own.
-    const auto lateRunsMayWork = [&](const PoolWorker &worker) {
-        return now <= worker.leaseEnd + m_settings.longestCallDelay + m_settings.longestLease;
-    };
+    return now <= worker.leaseEnd + m_settings.longestCallDelay + m_settings.longestLease;
+}
+
+bool Dispatcher::holdsLateStartsOnly(const PoolWorker &worker, Instant now) const
+{
+    return !worker.runs.empty() && lateStartsMayWork(worker, now)
+        && std::all_of(worker.runs.begin(), worker.runs.end(),
+                       [&worker](const auto &each) { return mayStartLate(worker, each.second); });
+}
+
+void Dispatcher::expireLeases(Instant now)
+{
     std::vector<Lifetime> expired;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (now <= worker.leaseEnd)
-            continue;
-        const bool waits = !worker.runs.empty() && lateRunsMayWork(worker)
-            && std::all_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &each) {
-                   return mayStartLate(worker, each.second);
-               });
-        if (!waits)
+        if (now > worker.leaseEnd && !holdsLateStartsOnly(worker, now))
             expired.push_back(lifetime);
     }
     for (const Lifetime &lifetime : expired) {
         PoolWorker &worker = *m_pool.find(lifetime);
-        const bool keepsLate = lateRunsMayWork(worker);
+        const bool keepsLate = lateStartsMayWork(worker, now);
         for (auto &[task, run] : worker.runs)
             run.startIsOpen = keepsLate && mayStartLate(worker, run);
         // While its agent's session lasts, the worker only lacks a lease: the next grant makes it
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -283,6 +283,10 @@
     static void closeStarts(PoolWorker &worker);
     /// Whether the next lifetime of the worker may carry out the run's start.
     [[nodiscard]] static bool mayStartLate(const PoolWorker &worker, const PlacedRun &run);
+    /// Whether late starts may still be carried out after the end of the worker's lease.
+    [[nodiscard]] bool lateStartsMayWork(const PoolWorker &worker, Instant now) const;
+    /// Whether all runs of the worker are such, and none may be settled yet.
+    [[nodiscard]] bool holdsLateStartsOnly(const PoolWorker &worker, Instant now) const;
     /// Settles an ended lifetime, all runs but those whose start is open.
     void settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
                         std::span<const TaskRun> recentRuns);
