--- a/Guavashift/Fleet/WorkerPort.h
+++ b/Guavashift/Fleet/WorkerPort.h
@@ -20,6 +20,8 @@
     NoAnswer           ///< It is unknown whether the call was carried out or still will be.
 };
 std::string_view nameOf(WorkerCallResult result);
+/// Whether the worker has answered a poll, be it that another session has sent a higher token.
+bool isAnswered(WorkerCallResult result);
 
 /// Identifies a connection to the worker, which belongs to one of its lifetimes; 0: none.
 using WorkerConnection = std::uint64_t;
