--- a/Guavashift/Dispatch/LifetimeProof.cpp
+++ b/Guavashift/Dispatch/LifetimeProof.cpp
@@ -12,4 +12,9 @@
     return index < names.size() ? names.at(index) : "other";
 }
 
+std::string_view nameOf(const std::optional<LifetimeProof> &proof)
+{
+    return proof ? nameOf(*proof) : "none";
+}
+
 } // namespace guavashift
--- a/Guavashift/Dispatch/LifetimeProof.h
+++ b/Guavashift/Dispatch/LifetimeProof.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace guavashift {
@@ -14,5 +15,7 @@
 };
 /// Name in logs; "other" for a value that a later version has sent.
 std::string_view nameOf(LifetimeProof proof);
+/// The same, "none" without one.
+std::string_view nameOf(const std::optional<LifetimeProof> &proof);
 
 } // namespace guavashift
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -30,11 +30,6 @@
     return hasBegun ? "running" : "queued";
 }
 
-std::string_view nameOfProof(const std::optional<LifetimeProof> &proof)
-{
-    return proof ? nameOf(*proof) : "none";
-}
-
 bool isJobId(std::string_view text)
 {
     constexpr std::size_t maxCharacters = 128;
@@ -193,7 +188,7 @@
                 logEvent(LogLevel::Info, "worker-ended",
                          {{"worker", ended.lifetime.worker},
                           {"born", ended.lifetime.startedAt},
-                          {"proof", nameOfProof(proofOf(session, ended.lifetime))},
+                          {"proof", nameOf(proofOf(session, ended.lifetime))},
                           {"silent", ended.unreachable}});
             },
             [](const auto &) {}},
@@ -221,23 +216,6 @@
         m_dispatcher.lifetimeDoubted(lifetime);
 }
 
-void FleetLeader::logCrash(const Session &session, const WorkerCrashed &crashed) const
-{
-    constexpr std::size_t maxNamed = 8;
-    std::string recent;
-    for (std::size_t i = 0; i < std::min(crashed.recentRuns.size(), maxNamed); ++i) {
-        const TaskRun &each = crashed.recentRuns[i];
-        recent += fmt::format("{}{}:{}", i == 0 ? "" : ",", each.task.text(), each.run);
-    }
-    logEvent(LogLevel::Info, "worker-crashed",
-             {{"worker", crashed.lifetime.worker},
-              {"node", session.node},
-              {"proof", nameOfProof(proofOf(session, crashed.lifetime))},
-              {"runs", m_dispatcher.runsOn(crashed.lifetime)},
-              {"recent_count", crashed.recentRuns.size()},
-              {"recent", recent}});
-}
-
 void FleetLeader::handleRunsEnded(SessionId id, const RunsEnded &ended)
 {
     std::uint64_t upTo = 0;
@@ -292,23 +270,6 @@
                command);
 }
 
-void FleetLeader::logBinding(const StartRun &start, const StageOutcome &outcome,
-                             const std::optional<BindingTimes> &times, Instant now) const
-{
-    // The times of bindings that an earlier leader decided are not known.
-    const std::string ready =
-        times ? std::to_string(toMs(times->decidedAt - times->readyAt)) : "unknown";
-    const std::string commit = times ? std::to_string(toMs(now - times->decidedAt)) : "unknown";
-    logEvent(LogLevel::Info, "run-bound",
-             {{"task", start.task.text()},
-              {"run", start.run},
-              {"worker", start.lifetime.worker},
-              {"ready_ms", ready},
-              {"commit_ms", commit},
-              {"applied", outcome.applied},
-              {"reason", outcome.reason}});
-}
-
 void FleetLeader::endRound()
 {
     if (!m_active)
@@ -334,58 +295,6 @@
     }
 }
 
-void FleetLeader::reportLongRunningWaits(const LongRunningWaits &waits) const
-{
-    m_metrics.setLongRunningWaits(waits.count, waits.age);
-    if (waits.count == 0)
-        return;
-    constexpr std::string_view event = "long-running-waits";
-    const LogField count{"count", waits.count};
-    const LogField task{"task", waits.oldest.text()};
-    const LogField age{"age_ms", toMs(waits.age)};
-    std::visit(
-        Overloaded{[&](const UntrackedState &) {
-                       logEvent(LogLevel::Info, event, {count, task, age, {"state", "untracked"}});
-                   },
-                   [&](const QueuedState &queued) {
-                       logEvent(LogLevel::Info, event,
-                                {count,
-                                 task,
-                                 age,
-                                 {"state", "queued"},
-                                 {"eligible", queued.eligible},
-                                 {"no_session", queued.excludedBy(Exclusion::NoSession)},
-                                 {"no_lease", queued.excludedBy(Exclusion::NoLease)},
-                                 {"unreachable", queued.excludedBy(Exclusion::Unreachable)},
-                                 {"draining", queued.excludedBy(Exclusion::Draining)},
-                                 {"suspect", queued.excludedBy(Exclusion::Suspect)},
-                                 {"other_service", queued.excludedBy(Exclusion::OtherService)},
-                                 {"label", queued.excludedBy(Exclusion::Label)},
-                                 {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
-                                 {"crash_suspect", queued.excludedBy(Exclusion::CrashSuspect)},
-                                 {"awaits_trial", queued.awaitsTrial},
-                                 {"capacity", queued.excludedBy(Exclusion::Capacity)},
-                                 {"interference", queued.excludedBy(Exclusion::Interference)}});
-                   },
-                   [&](const BoundState &bound) {
-                       const std::string reportAge =
-                           bound.reportAge ? std::to_string(toMs(*bound.reportAge)) : "unknown";
-                       logEvent(LogLevel::Info, event,
-                                {count,
-                                 task,
-                                 age,
-                                 {"state", "bound"},
-                                 {"run", bound.run},
-                                 {"worker", bound.worker},
-                                 {"committed", bound.committed},
-                                 {"listed", bound.listed},
-                                 {"report_age_ms", reportAge},
-                                 {"stop_requested", bound.stopRequested},
-                                 {"end_proposed", bound.endProposed}});
-                   }},
-        waits.state);
-}
-
 void FleetLeader::flushOrders()
 {
     for (auto &[node, order] : m_dispatcher.takeOrders()) {
@@ -507,15 +416,4 @@
             std::string(stateName(*found, m_dispatcher.hasBegun(job, *found))), 0};
 }
 
-void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
-{
-    logEvent(LogLevel::Info, "call-answered",
-             {{"request", call.request},
-              {"kind", nameOf(call.kind)},
-              {"path", call.path},
-              {"result", nameOf(answer.result)},
-              {"configuration", m_jobTable.queues().version()},
-              {"reason", call.kind == CallKind::ReadConfiguration ? std::string() : answer.text}});
-}
-
 } // namespace guavashift
