Log each report that cannot be verified

Cause: the sender of a report got 503 after 0.7 s, or beside eight that wait, without a line in the log.

Change: report-unverified names the reason in these cases too.

Measured: acknowledgesNoReportThatCannotBeVerified looks for the line; ForeignReportTest 10 OK, test-dispatch without ForgottenLifetimeTest (known red) 140 OK.

--- a/Guavashift/Fleet/ReportVerifier.cpp
+++ b/Guavashift/Fleet/ReportVerifier.cpp
@@ -27,8 +27,10 @@
     if (added || report.sequence >= claim.latest.sequence)
         claim.latest = report;
     claim.reportedAt = now;
-    if (claim.waiting.size() >= m_settings.mostWaiting)
+    if (claim.waiting.size() >= m_settings.mostWaiting) {
+        logUnverified(lifetime, "too many reports of it wait");
         return answered(ReportAnswer::Unverified);
+    }
     const std::uint64_t number = ++m_lastNumber;
     claim.waiting.emplace_back(number, std::move(answered));
     m_loop.after(m_settings.answerLimit, [this, lifetime, number, isAlive = m_isAlive] {
@@ -108,10 +110,7 @@
 {
     const auto found = m_claims.find(lifetime);
     if (BootClock::now() - found->second.reportedAt > m_settings.validity) {
-        logEvent(LogLevel::Warning, "report-unverified",
-                 {{"worker", lifetime.worker},
-                  {"born", lifetime.startedAt},
-                  {"reason", "the worker does not answer"}});
+        logUnverified(lifetime, "the worker does not answer");
         return close(found, ReportAnswer::Unverified);
     }
     found->second.retryTimer =
@@ -129,10 +128,7 @@
         std::min_element(m_claims.begin(), m_claims.end(), [](const auto &left, const auto &right) {
             return left.second.reportedAt < right.second.reportedAt;
         });
-    logEvent(LogLevel::Warning, "report-unverified",
-             {{"worker", oldest->first.worker},
-              {"born", oldest->first.startedAt},
-              {"reason", "too many lifetimes are reported"}});
+    logUnverified(oldest->first, "too many lifetimes are reported");
     close(oldest, ReportAnswer::Unverified);
 }
 
@@ -148,9 +144,16 @@
         return;
     const ReportCallback answered = std::move(each->second);
     waiting.erase(each);
+    logUnverified(lifetime, "no answer in time");
     answered(ReportAnswer::Unverified);
 }
 
+void ReportVerifier::logUnverified(const Lifetime &lifetime, std::string_view reason)
+{
+    logEvent(LogLevel::Warning, "report-unverified",
+             {{"worker", lifetime.worker}, {"born", lifetime.startedAt}, {"reason", reason}});
+}
+
 void ReportVerifier::close(std::map<Lifetime, Claim>::iterator claim, ReportAnswer answer)
 {
     const auto waiting = std::move(claim->second.waiting);
--- a/Guavashift/Fleet/ReportVerifier.h
+++ b/Guavashift/Fleet/ReportVerifier.h
@@ -77,6 +77,7 @@
     void dropOldest();
     /// Tells the sender of one report that it could not be verified in time.
     void giveUp(const Lifetime &lifetime, std::uint64_t number);
+    static void logUnverified(const Lifetime &lifetime, std::string_view reason);
     /// Takes the claim out and answers all reports of it that still wait.
     void close(std::map<Lifetime, Claim>::iterator claim, ReportAnswer answer);
 
--- a/UnitTests/Fleet/ForeignReportTest.cpp
+++ b/UnitTests/Fleet/ForeignReportTest.cpp
@@ -1,4 +1,5 @@
 #include <UnitTests/Fleet/AgentFixture.h>
+#include <UnitTests/Support/LogCapture.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -76,6 +77,7 @@
     void acknowledgesNoReportThatCannotBeVerified()
     {
         runTask();
+        test::LogCapture log;
         std::optional<ReportAnswer> answer;
         m_agent->workerReported({factsOf(2000), 1, {}},
                                 [&](ReportAnswer given) { answer = given; });
@@ -84,6 +86,7 @@
         verification().answer(none);
         until([&] { return answer.has_value(); });
         CPPUNIT_ASSERT(ReportAnswer::Unverified == answer);
+        CPPUNIT_ASSERT(log.text().find("event=report-unverified") != std::string::npos);
         // It is asked again, and found once it answers.
         until([this] { return m_worker.probes().back().callback != nullptr; });
         confirm(factsOf(2000));
