--- /dev/null
+++ b/Guavashift/Scheduling/Scheduling.h
@@ -0,0 +1,5 @@
+#pragma once
+
+// Public header of the Scheduling library: decisions on jobs and workers that need neither a
+// network nor a clock.
+#include <Guavashift/Scheduling/RetryAdvice.h>
