Add the evacuation of a failure domain

Operators could not take a failure domain out of use: no call, no state and no decision knew of it.

The replicated state keeps the evacuated domains and the time of each return; two commands at the end of the list change it. The dispatcher excludes workers of an evacuated domain from every placement. A binding that commits after the evacuation is withdrawn before its order is sent, for a gang as a whole, and an order that its worker has not carried out is stopped once a list that came well after it does not name the run. What runs goes on. Workers that return or have just started get a limited number of runs where the settings name the bounds.

Ruled out: refusing bindings in the job table, which does not know the workers' domains; stopping every unlisted run at once, which could end tasks at work.

--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -1,7 +1,9 @@
 #pragma once
 
 // Public header of the Dispatch library: the leader's scheduling of staged jobs.
+#include <Guavashift/Dispatch/ColdWorkers.h>
 #include <Guavashift/Dispatch/Dispatcher.h>
+#include <Guavashift/Dispatch/EvacuationGuard.h>
 #include <Guavashift/Dispatch/HeadroomTrend.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/InterferenceTable.h>
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -12,6 +12,8 @@
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
     : m_settings(settings)
     , m_jobTable(jobTable)
+    , m_evacuation(settings.evacuation, jobTable.evacuations())
+    , m_coldWorkers(settings.warmUp)
 {
 }
 
@@ -412,7 +414,9 @@
 {
     m_now = now;
     expireLeases(now);
+    stopEvacuated();
     beginDueOccurrences(wallNow);
+    m_coldWorkers.update(m_pool.workers(), m_jobTable.evacuations(), now, wallNow);
     placeReady(now, wallNow, betweenTasks);
     moveThrottled(now, betweenTasks);
     return takeCommands();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Guavashift/Dispatch/ColdWorkers.h>
+#include <Guavashift/Dispatch/EvacuationGuard.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LifetimeProof.h>
@@ -105,6 +107,8 @@
     double otherImagePenalty = 2;
     /// Factor by which a task is slower away from its data; limit of the deployment.
     double remoteFactor = 1.5;
+    EvacuationGuardSettings evacuation = {};
+    WarmUpSettings warmUp = {};
 };
 
 /// A task that is ready to run. Its order is that of placement among tasks of equal priority and
@@ -391,6 +395,14 @@
                                                        const QueueSettings &queue,
                                                        const StepPlan &step, const TaskRef &ref,
                                                        Instant now) const;
+    /// Whether the task, or a member of its gang, is placed in an evacuated failure domain.
+    [[nodiscard]] bool isBoundIntoEvacuated(const StageJob &job, const TaskRef &ref) const;
+    /// Proposes the end of a committed run whose start was not ordered.
+    void withholdStart(const PlacedRun &run, const PoolWorker &worker);
+    /// Takes back the starts in evacuated failure domains that are bound and not ordered yet.
+    void withholdEvacuated();
+    /// Stops runs in evacuated failure domains that have not begun some time after their order.
+    void stopEvacuated();
     [[nodiscard]] QueuedState queuedState(const TaskRef &ref, Instant now) const;
     [[nodiscard]] BoundState boundState(const TaskRef &ref, const Lifetime &lifetime,
                                         Instant now) const;
@@ -455,6 +467,8 @@
     using StepRef = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
     JobProgress m_progress;
+    EvacuationGuard m_evacuation;
+    ColdWorkers m_coldWorkers;
     InterferenceTable m_interference;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -47,7 +47,9 @@
                                   runEnded(end, now);
                               else
                                   releaseSettled(end);
-                          }},
+                          },
+                          [&](const EvacuateDomain &) { withholdEvacuated(); },
+                          [](const TakeBackDomain &) {}},
                command);
 }
 
@@ -83,6 +85,8 @@
     if (worker.node.empty())
         return queueEnd(run, RunEnd::NotStarted, SettleReason::NoSession);
     const StageJob &job = *m_jobTable.find(start.task.job);
+    if (isBoundIntoEvacuated(job, start.task))
+        return withholdStart(run, worker);
     // Members of a gang are ordered all the same: the others would wait for one that is missing.
     if (worker.isOverCapacity() && !job.plan.steps[start.task.step].gang) {
         logEvent(LogLevel::Info, "start-withheld",
--- a/Guavashift/Dispatch/DispatcherLifetimes.cpp
+++ b/Guavashift/Dispatch/DispatcherLifetimes.cpp
@@ -79,6 +79,9 @@
     if (facts.capacity.milliCores != worker.facts.capacity.milliCores)
         worker.activityAt = {};
     worker.facts = facts;
+    const Duration coldLeft = std::chrono::milliseconds(facts.coldLeftMs);
+    worker.coldUntil = now + coldLeft;
+    worker.coldInAll = std::max(worker.coldInAll, coldLeft);
     worker.spareVersion = 0;
     m_pool.setNode(worker, node);
     worker.hasFacts = true;
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -226,6 +226,8 @@
         return Exclusion::Unreachable;
     if (worker.facts.draining)
         return Exclusion::Draining;
+    if (m_evacuation.excludes(worker))
+        return Exclusion::Evacuated;
     if (now >= worker.leaseEnd)
         return Exclusion::NoLease;
     if (now < worker.suspectUntil)
@@ -242,6 +244,8 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
+    if (!m_coldWorkers.mayStart(worker))
+        return Exclusion::Cold;
     // After a crash it must be clear which run was the cause.
     if (crashesOf(ref) > 0 ? hasOtherSuspect(worker, step, ref) : now < worker.suspectAloneUntil)
         return Exclusion::CrashSuspect;
@@ -394,6 +398,8 @@
                    static_cast<double>(worker.available().memoryMb) / memory);
     if (step.tailTargetMs > 0)
         score += colocationScore(worker, step);
+    if (step.tailTargetMs > 0 || step.longRunning)
+        score -= m_coldWorkers.penaltyOf(worker);
     // A task takes longer away from its data, by a known factor.
     if (!step.dataRack.empty() && !worker.facts.hasLabel(step.dataRack))
         score -= m_settings.remoteFactor;
--- a/Guavashift/Dispatch/LongRunningWaits.h
+++ b/Guavashift/Dispatch/LongRunningWaits.h
@@ -13,15 +13,17 @@
     OtherService, ///< It belongs to another pool than the task's queue uses.
     Unreachable,  ///< It does not answer its agent.
     Draining,
+    Evacuated, ///< Its failure domain is evacuated.
     NoLease,
     Suspect, ///< Paused after refusals or failures.
     Label,   ///< It lacks the required label.
     SpreadLimit,
+    Cold,         ///< It has the runs that it may have while it warms up.
     CrashSuspect, ///< A task under which a worker has crashed has just started there.
     Capacity,
     Interference ///< It would slow a best-effort task down, or be slowed down by it.
 };
-constexpr std::size_t exclusionCount = 11;
+constexpr std::size_t exclusionCount = 13;
 
 /// A task that is in the queue.
 struct QueuedState
--- a/Guavashift/Dispatch/SettleReason.cpp
+++ b/Guavashift/Dispatch/SettleReason.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> reasonNames{
-    "start-refused", "not-in-inventory", "earlier-lifetime",
-    "lifetime-left", "lifetime-crashed", "lifetime-unreachable",
-    "lease-expired", "no-session",       "over-capacity"};
+constexpr std::array<std::string_view, 10> reasonNames{"start-refused",    "not-in-inventory",
+                                                       "earlier-lifetime", "lifetime-left",
+                                                       "lifetime-crashed", "lifetime-unreachable",
+                                                       "lease-expired",    "no-session",
+                                                       "over-capacity",    "evacuated"};
 
 } // namespace
 
--- a/Guavashift/Dispatch/SettleReason.h
+++ b/Guavashift/Dispatch/SettleReason.h
@@ -15,7 +15,8 @@
     LifetimeUnreachable, ///< The lease ran out without an answer to the agent.
     LeaseExpired,        ///< The last lease that the leader recorded has expired.
     NoSession,           ///< No agent reported for its worker when the binding was committed.
-    OverCapacity         ///< Its worker's capacity had shrunk when the binding was committed.
+    OverCapacity,        ///< Its worker's capacity had shrunk when the binding was committed.
+    Evacuated            ///< Its worker's failure domain was evacuated before the order was sent.
 };
 std::string_view nameOf(SettleReason reason);
 
--- a/Guavashift/Dispatch/WorkerFacts.h
+++ b/Guavashift/Dispatch/WorkerFacts.h
@@ -15,6 +15,7 @@
     std::vector<std::string> labels; ///< Kind and rack.
     bool draining = false;
     std::int64_t drainLeftMs = 0; ///< Least time until a draining worker leaves.
+    std::int64_t coldLeftMs = 0;  ///< Time for which it is slow after its start.
 
     bool operator==(const WorkerFacts &) const = default;
 
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -81,6 +81,8 @@
     Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
     Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
     Instant suspectAloneUntil; ///< A run under suspicion has just started there.
+    Instant coldUntil;         ///< It is slow until then, after its start.
+    Duration coldInAll = Duration::zero(); ///< The longest time that it reported as left.
     Resources reserved; ///< By all placed runs, without the processor share of best-effort ones.
     std::int64_t bestEffortMilliCores = 0;      ///< That best-effort tasks would use at full speed.
     std::int64_t latencyCriticalMilliCores = 0; ///< Reserved by latency-critical tasks.
--- a/Guavashift/Fleet/AgentNodeLifetimes.cpp
+++ b/Guavashift/Fleet/AgentNodeLifetimes.cpp
@@ -20,6 +20,12 @@
     WorkerFacts facts = report.facts;
     applyGoodbye(facts);
     applyHiddenEnds(facts);
+    if (*m_facts == facts)
+        return;
+    // The leader counts the time down by itself.
+    const bool onlyWarmer = facts.coldLeftMs <= m_facts->coldLeftMs;
+    if (onlyWarmer)
+        m_facts->coldLeftMs = facts.coldLeftMs;
     if (*m_facts == facts)
         return;
     const bool drains = facts.draining && !m_facts->draining;
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -34,6 +34,9 @@
     settings.longestLease = bounds.maxWorkerLease;
     settings.leaseMargin = bounds.thawSlack + settings.workerLease / 50;
     settings.remoteFactor = bounds.remoteFactor;
+    settings.evacuation.limit = bounds.evacuationLimit;
+    settings.warmUp.overshoot = bounds.coldOvershoot;
+    settings.warmUp.slack = bounds.coldSlack;
     return settings;
 }
 
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -58,7 +58,9 @@
     logEvent(LogLevel::Info, "leading",
              {{"term", m_driver.term()},
               {"jobs", m_jobTable.jobs().size()},
-              {"configuration", m_jobTable.queues().version()}});
+              {"configuration", m_jobTable.queues().version()},
+              {"evacuated", m_jobTable.evacuations().names().size()}});
+    m_metrics.setEvacuatedDomains(m_jobTable.evacuations().names().size());
 }
 
 void FleetLeader::deactivate()
@@ -69,6 +71,7 @@
     m_dispatcher.stop();
     m_proposedConfiguration.reset();
     m_metrics.setLongRunningWaits(0, Duration::zero());
+    m_metrics.setEvacuatedDomains(0);
     // This makes the nodes look for the new leader at once.
     for (const auto &[id, session] : m_sessions)
         session.send(LeaderReply{false, m_driver.leaderAddress()});
@@ -266,6 +269,12 @@
                                         {"crash", nameOf(end.evidence)},
                                         {"applied", outcome.applied}});
                           },
+                          [&](const EvacuateDomain &evacuate) {
+                              logEvacuation("domain-evacuated", evacuate.domain, outcome);
+                          },
+                          [&](const TakeBackDomain &takeBack) {
+                              logEvacuation("domain-taken-back", takeBack.domain, outcome);
+                          },
                           [](const auto &) {}},
                command);
 }
@@ -333,6 +342,9 @@
         return logged(unavailable(call, "this process does not lead"));
     if (call.kind == CallKind::ReplaceConfiguration)
         return replaceConfiguration(call, logged);
+    // Nothing in a configuration bears on it, so the operator need not send one first.
+    if (call.kind == CallKind::Evacuate || call.kind == CallKind::TakeBack)
+        return changeEvacuation(call, logged);
     if (m_jobTable.document().empty())
         return logged(unavailable(call, "there is no configuration yet"));
     if (call.kind == CallKind::ReadConfiguration)
@@ -407,6 +419,26 @@
                      });
 }
 
+void FleetLeader::changeEvacuation(const FleetCall &call, const Answer &answer)
+{
+    const std::string &domain = call.document;
+    if (!EvacuatedDomains::isName(domain))
+        return answer({call.id, CallResult::Invalid, "no name of a failure domain", 0});
+    const bool evacuates = call.kind == CallKind::Evacuate;
+    const StageCommand command =
+        evacuates ? StageCommand(EvacuateDomain{domain}) : StageCommand(TakeBackDomain{domain});
+    // Proposed also if it would change nothing now: an opposite call may be proposed before it.
+    m_driver.propose(
+        {command}, [this, answer, id = call.id, domain, evacuates](bool committed, auto) {
+            if (!committed)
+                return answer({id, CallResult::Unknown, "leadership was lost", 0});
+            const EvacuatedDomains &evacuated = m_jobTable.evacuations();
+            if (evacuates && evacuated.isFull() && !evacuated.contains(domain))
+                return answer({id, CallResult::Invalid, "too many domains are evacuated", 0});
+            answer({id, CallResult::Done, {}, 0});
+        });
+}
+
 FleetAnswer FleetLeader::stateOf(const FleetCall &call, std::string_view job) const
 {
     const StageJob *found = m_jobTable.find(job);
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -75,6 +75,10 @@
     void submit(const FleetCall &call, const QueueMatch &match, const Answer &answer);
     void cancel(const FleetCall &call, std::string_view job, const Answer &answer);
     void replaceConfiguration(const FleetCall &call, const Answer &answer);
+    /// Evacuates a failure domain, or takes it back.
+    void changeEvacuation(const FleetCall &call, const Answer &answer);
+    void logEvacuation(std::string_view event, std::string_view domain,
+                       const StageOutcome &outcome) const;
     [[nodiscard]] FleetAnswer stateOf(const FleetCall &call, std::string_view job) const;
     void logAnswer(const FleetCall &call, const FleetAnswer &answer) const;
 
--- a/Guavashift/Fleet/FleetLeaderLog.cpp
+++ b/Guavashift/Fleet/FleetLeaderLog.cpp
@@ -60,10 +60,12 @@
                                  {"no_lease", queued.excludedBy(Exclusion::NoLease)},
                                  {"unreachable", queued.excludedBy(Exclusion::Unreachable)},
                                  {"draining", queued.excludedBy(Exclusion::Draining)},
+                                 {"evacuated", queued.excludedBy(Exclusion::Evacuated)},
                                  {"suspect", queued.excludedBy(Exclusion::Suspect)},
                                  {"other_service", queued.excludedBy(Exclusion::OtherService)},
                                  {"label", queued.excludedBy(Exclusion::Label)},
                                  {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
+                                 {"cold", queued.excludedBy(Exclusion::Cold)},
                                  {"crash_suspect", queued.excludedBy(Exclusion::CrashSuspect)},
                                  {"awaits_trial", queued.awaitsTrial},
                                  {"capacity", queued.excludedBy(Exclusion::Capacity)},
@@ -88,6 +90,18 @@
         waits.state);
 }
 
+void FleetLeader::logEvacuation(std::string_view event, std::string_view domain,
+                                const StageOutcome &outcome) const
+{
+    const std::size_t evacuated = m_jobTable.evacuations().names().size();
+    m_metrics.setEvacuatedDomains(evacuated);
+    logEvent(LogLevel::Info, event,
+             {{"domain", domain},
+              {"applied", outcome.applied},
+              {"reason", outcome.reason},
+              {"evacuated", evacuated}});
+}
+
 void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
 {
     logEvent(LogLevel::Info, "call-answered",
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> kindNames{"submit", "ask", "cancel",
-                                                    "replace-configuration", "read-configuration"};
+constexpr std::array<std::string_view, 7> kindNames{
+    "submit",   "ask",      "cancel", "replace-configuration", "read-configuration",
+    "evacuate", "take-back"};
 constexpr std::array<std::string_view, 9> resultNames{"done",     "state",       "pending",
                                                       "document", "no-queue",    "no-job",
                                                       "invalid",  "unavailable", "unknown"};
@@ -69,7 +70,7 @@
 auto fields(Is<WorkerFacts> auto &value)
 {
     return std::tie(value.lifetime, value.service, value.zone, value.machine, value.capacity,
-                    value.labels, value.draining, value.drainLeftMs);
+                    value.labels, value.draining, value.drainLeftMs, value.coldLeftMs);
 }
 
 auto fields(Is<LeaderQuery> auto &)
@@ -213,6 +214,12 @@
     return std::tie(value.rows);
 }
 
+/// Number of the last fields of a type, all of them numbers, that nodes of the version before do
+/// not send. They read only the fields that they know. Those that are 0 are left out at the end.
+template <typename Value> constexpr std::size_t addedFields = 0;
+template <> constexpr std::size_t addedFields<WorkerFacts> = 1;
+template <> constexpr std::size_t addedFields<WorkerReport> = addedFields<WorkerFacts>;
+
 template <typename Value>
 concept HasFields = requires(Value &value)
 {
@@ -248,6 +255,9 @@
 {
     Json json = Json::array();
     std::apply([&](const auto &...each) { (json.push_back(packField(each)), ...); }, fields(value));
+    constexpr std::size_t added = addedFields<std::remove_cvref_t<decltype(value)>>;
+    for (std::size_t i = 0; i < added && json.back() == 0; ++i)
+        json.erase(json.size() - 1);
     return json;
 }
 
@@ -281,9 +291,15 @@
 
 void unpack(const Json &json, auto &value)
 {
+    constexpr std::size_t added = addedFields<std::remove_cvref_t<decltype(value)>>;
+    constexpr std::size_t count = std::tuple_size_v<decltype(fields(value))>;
     std::size_t position = 0;
-    std::apply([&](auto &...each) { (unpackField(json.at(position++), each), ...); },
-               fields(value));
+    const auto unpackNext = [&](auto &each) {
+        const std::size_t at = position++;
+        if (at < count - added || at < json.size())
+            unpackField(json.at(at), each);
+    };
+    std::apply([&](auto &...each) { (unpackNext(each), ...); }, fields(value));
 }
 
 /// Reads the alternative with the index `wanted`. `index` is the one that is compared now.
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -177,7 +177,9 @@
     Query,
     Cancel,
     ReplaceConfiguration,
-    ReadConfiguration
+    ReadConfiguration,
+    Evacuate, ///< `document` names the failure domain.
+    TakeBack  ///< The same.
 };
 
 /// Name of the kind in logs and metrics.
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -47,6 +47,8 @@
                                          "Long-running tasks that are not running"))
     , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
                                           "Time for which the oldest of them has not been running"))
+    , m_evacuatedDomains(m_metrics.gauge("guavashift_fleet_evacuated_domains",
+                                         "Failure domains that are evacuated"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.histogram("guavashift_fleet_agent_end_commit_seconds",
@@ -95,6 +97,11 @@
     m_longRunningOldest.Set(seconds(oldest));
 }
 
+void FleetMetrics::setEvacuatedDomains(std::size_t domains)
+{
+    m_evacuatedDomains.Set(static_cast<double>(domains));
+}
+
 void FleetMetrics::answered(CallKind kind, CallResult result)
 {
     m_metrics
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -36,6 +36,8 @@
     void setSilentVoters(std::size_t voters);
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
+    /// Number of failure domains that are evacuated; 0 if this process does not lead.
+    void setEvacuatedDomains(std::size_t domains);
     void answered(CallKind kind, CallResult result);
 
     // Entry.
@@ -67,6 +69,7 @@
     prometheus::Gauge &m_silentVoters;
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
+    prometheus::Gauge &m_evacuatedDomains;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
--- a/Guavashift/Fleet/FleetSettings.h
+++ b/Guavashift/Fleet/FleetSettings.h
@@ -16,6 +16,10 @@
     Duration thawSlack = std::chrono::milliseconds(300);    ///< Longest delay after a freeze.
     double remoteFactor = 1.5;             ///< Slowdown of a task away from its data.
     std::uint32_t toleratedDiskLosses = 1; ///< Disks lost at once.
+    /// From the acknowledgement of an evacuation to the last start in the failure domain.
+    Duration evacuationLimit = std::chrono::seconds(5);
+    double coldOvershoot = 0; ///< See WarmUpSettings; 0: the deployment names none.
+    double coldSlack = 0;     ///< The same.
 };
 
 /// Settings of every process of a fleet.
--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -24,6 +24,7 @@
     : m_settings(settings)
     , m_reader(std::move(reader))
     , m_earlyCancels(settings.maxEarlyCancels)
+    , m_evacuations(settings.evacuation)
 {
 }
 
@@ -213,6 +214,24 @@
     return {true};
 }
 
+StageOutcome JobTable::handle(const EvacuateDomain &command)
+{
+    if (m_evacuations.contains(command.domain))
+        return {false, "the domain is evacuated"};
+    if (!m_evacuations.evacuate(command.domain))
+        return {false, "the name is invalid, or too many domains are evacuated"};
+    m_digest ^= hashBytes(command.domain);
+    return {true};
+}
+
+StageOutcome JobTable::handle(const TakeBackDomain &command)
+{
+    if (!m_evacuations.takeBack(command.domain, m_time))
+        return {false, "the domain is not evacuated"};
+    m_digest ^= hashBytes(command.domain);
+    return {true};
+}
+
 void JobTable::taskDone(StageJob &job, const TaskRef &ref)
 {
     StageOccurrence &occurrence = job.occurrences.at(ref.occurrence);
@@ -300,6 +319,7 @@
 void JobTable::removeExpired()
 {
     m_earlyCancels.removeBefore(m_time - m_settings.endedJobRetentionMs);
+    m_evacuations.removeExpired(m_time);
     while (!m_ended.empty() && m_ended.begin()->first + m_settings.endedJobRetentionMs < m_time) {
         const auto found = m_jobs.find(m_ended.begin()->second);
         // A job with bound runs is kept until their ends are known.
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Guavashift/Stages/EarlyCancels.h>
+#include <Guavashift/Stages/EvacuatedDomains.h>
 #include <Guavashift/Stages/OccurrenceSet.h>
 #include <Guavashift/Stages/QueueTable.h>
 #include <Guavashift/Stages/StageCommands.h>
@@ -78,6 +79,7 @@
     /// A job fails once so many workers have crashed under one of its tasks, see
     /// CrashEvidence::Suspected.
     std::uint32_t maxCrashes = 2;
+    EvacuationSettings evacuation = {};
 };
 
 /// Whether a command changed the state, and if not, why.
@@ -108,6 +110,9 @@
     /// Settings of the job's queue: those in force, or those at the job's acceptance if the queue
     /// was removed.
     [[nodiscard]] const QueueSettings &queueSettingsOf(const StageJob &job) const;
+    /// Failure domains in which nothing may start. Bindings are not checked against them: the table
+    /// does not know the workers' domains.
+    [[nodiscard]] const EvacuatedDomains &evacuations() const { return m_evacuations; }
     /// The configuration as the operator sent it; empty before the first one.
     [[nodiscard]] const std::string &document() const { return m_document; }
     /// Number of accepted jobs of a queue that have not ended and of which no run was ever bound.
@@ -132,6 +137,8 @@
     StageOutcome handle(const CancelJob &command);
     StageOutcome handle(const StartRun &command);
     StageOutcome handle(const EndRun &command);
+    StageOutcome handle(const EvacuateDomain &command);
+    StageOutcome handle(const TakeBackDomain &command);
 
     StageTask *findTask(const TaskRef &ref);
     StageOccurrence &occurrenceOf(StageJob &job, std::uint32_t occurrence);
@@ -149,6 +156,7 @@
     QueueTable m_queues;
     std::map<std::string, StageJob, std::less<>> m_jobs;
     EarlyCancels m_earlyCancels;
+    EvacuatedDomains m_evacuations;
     std::uint64_t m_digest = 0;
 
     // Derived from the members above.
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int formatVersion = 1;
+/// Name in the object that holds the state added since; earlier versions do not read it.
+constexpr const char *evacuationsField = "evacuations";
 
 Json saveTask(const StageTask &task)
 {
@@ -132,9 +134,10 @@
     for (const auto &[id, job] : m_jobs)
         jobs.push_back(saveJob(id, job));
     std::string bytes;
-    Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
-                               m_earlyCancels.entries()}),
-                  bytes);
+    Json::to_cbor(
+        Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
+                     m_earlyCancels.entries(), Json{{evacuationsField, m_evacuations.save()}}}),
+        bytes);
     return bytes;
 }
 
@@ -162,6 +165,9 @@
             for (const Json &entry : json.at(5))
                 loaded.m_earlyCancels.record(entry.at(1).get<std::string>(), entry.at(0));
         }
+        constexpr std::size_t addedState = 6;
+        if (json.size() > addedState && json.at(addedState).contains(evacuationsField))
+            loaded.m_evacuations.load(json.at(addedState).at(evacuationsField));
     } catch (const Json::exception &error) {
         return fail(ErrorCode::InvalidArgument, error.what());
     }
--- a/Guavashift/Stages/StageCommands.cpp
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-enum class Kind { Configuration, Accept, Cancel, Start, End };
+enum class Kind { Configuration, Accept, Cancel, Start, End, Evacuate, TakeBack };
 
 Json encodeTask(const TaskRef &ref)
 {
@@ -37,6 +37,12 @@
                                  [](const EndRun &end) {
                                      return Json::array({Kind::End, encodeTask(end.task), end.run,
                                                          end.end, end.checkpoint, end.evidence});
+                                 },
+                                 [](const EvacuateDomain &evacuate) {
+                                     return Json::array({Kind::Evacuate, evacuate.domain});
+                                 },
+                                 [](const TakeBackDomain &takeBack) {
+                                     return Json::array({Kind::TakeBack, takeBack.domain});
                                  }},
                       command);
 }
@@ -63,6 +69,10 @@
             json.at(5).get_to(end.evidence);
         return end;
     }
+    case Kind::Evacuate:
+        return EvacuateDomain{json.at(1).get<std::string>()};
+    case Kind::TakeBack:
+        return TakeBackDomain{json.at(1).get<std::string>()};
     }
     throw Json::other_error::create(501, "unknown kind of command", &json);
 }
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -48,7 +48,20 @@
     CrashEvidence evidence = CrashEvidence::None;
 };
 
-using StageCommand = std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun>;
+/// Evacuates a failure domain: nothing may start on its workers.
+struct EvacuateDomain
+{
+    std::string domain;
+};
+
+/// Ends the evacuation of a failure domain.
+struct TakeBackDomain
+{
+    std::string domain;
+};
+
+using StageCommand = std::variant<ReplaceConfiguration, AcceptJob, CancelJob, StartRun, EndRun,
+                                  EvacuateDomain, TakeBackDomain>;
 
 /// Commands that are proposed together, with the leader's wall-clock time.
 struct StageBatch
--- a/Tool/Main.cpp
+++ b/Tool/Main.cpp
@@ -37,6 +37,7 @@
     std::vector<std::string> ids;
     Json job = Json::object();
     std::string vm;
+    std::string domain;
     bool undo = false;
 };
 
@@ -60,6 +61,14 @@
         return print(m_client.send("POST", apiRoot + target, body), {});
     }
 
+    /// Evacuates a failure domain of a fleet, or takes it back. Both are safe to repeat.
+    int evacuate(const std::string &domain, bool takeBack)
+    {
+        return print(m_client.send(takeBack ? "DELETE" : "POST",
+                                   apiRoot + "/evacuations/" + encodeSegment(domain)),
+                     {});
+    }
+
     int patch(bool checkOnly)
     {
         const std::optional<Json> document = readDocument();
@@ -84,6 +93,22 @@
     }
 
 private:
+    /// Escapes a text for use as one part of a path.
+    static std::string encodeSegment(std::string_view text)
+    {
+        constexpr std::string_view unescaped =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+            "0123456789-._~";
+        std::string encoded;
+        for (const char c : text) {
+            if (unescaped.find(c) != std::string_view::npos)
+                encoded += c;
+            else
+                encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        }
+        return encoded;
+    }
+
     static std::string newId()
     {
         std::random_device device;
@@ -268,6 +293,12 @@
         if (!drain->parsed())
             action = [](Tool &tool) { return tool.show("/workers", workerColumns); };
     });
+    CLI::App *evacuate = app.add_subcommand(
+        "evacuate", "start nothing more in a failure domain of a fleet; safe to repeat");
+    evacuate->add_option("domain", options.domain)->required();
+    evacuate->add_flag("--undo", options.undo, "take it back");
+    evacuate->callback(
+        [&] { action = [&](Tool &tool) { return tool.evacuate(options.domain, options.undo); }; });
     CLI::App *members =
         app.add_subcommand("members", "the control replicas")->require_subcommand(1);
     members->add_subcommand("list", "all members")->callback([&] {
--- a/UnitTests/Fleet/FakeWorker.cpp
+++ b/UnitTests/Fleet/FakeWorker.cpp
@@ -15,6 +15,7 @@
     WorkerFacts facts;
     facts.lifetime = {m_id, m_born};
     facts.service = "orders";
+    facts.zone = m_zone;
     facts.capacity = {16'000, 32'000, 0};
     facts.labels = {"a", "r1"};
     return facts;
--- a/UnitTests/Fleet/FakeWorker.h
+++ b/UnitTests/Fleet/FakeWorker.h
@@ -25,6 +25,8 @@
     void setBirthStep(std::int64_t step) { m_birthStep = step; }
     /// Sets how many ends it lists at a time.
     void setEndsPerList(std::size_t count) { m_endsPerList = count; }
+    /// Sets the failure domain that it reports from now on.
+    void setZone(std::string zone) { m_zone = std::move(zone); }
     void setTaskTime(Duration time) { m_taskTime = time; }
     /// Sets whether polls get no answer. Starts are still carried out.
     void ignorePolls(bool ignore) { m_ignoresPolls = ignore; }
@@ -80,6 +82,7 @@
 
     EventLoop &m_loop;
     std::string m_id;
+    std::string m_zone;
     std::int64_t m_born;
     std::int64_t m_birthStep = 1;
     Instant m_startedAt;
