Keep where lifetimes with bound runs have answered in the state

Cause: after a loss of all power the next leader does not know at which worker's address an earlier lifetime had answered, so the answer of another lifetime there ends nothing, and runs wait for the longest lease.

Ruled out: a command of its own. A replica of the version before skips the whole entry of a command that it cannot read, with the starts beside it, and its state would differ from then on. It ignores a further field of a start.

Change: StartRun carries the node whose agent is ordered to start the run, and whether the lifetime had answered there. AnsweredLifetimes holds one entry for each lifetime with bound runs; runs by another way, or by an unknown one, leave it without a node.

Nothing reads it yet.

--- a/Guavashift/Stages/JobTable.cpp
+++ b/Guavashift/Stages/JobTable.cpp
@@ -177,6 +177,7 @@
     task.run = command.run;
     task.lifetime = command.lifetime;
     ++job.bound;
+    m_answered.bound(command.lifetime, command.path);
     if (!job.started) {
         job.started = true;
         --m_pending[job.queue];
@@ -199,6 +200,7 @@
         return {false, "the run is not the current one"};
     const StepPlan &plan = job.plan.steps[command.task.step];
     task->stage = TaskStage::Waiting;
+    m_answered.released(task->lifetime);
     if (!isDerived(command.end) || plan.longRunning)
         task->lifetime = {};
     if (!command.checkpoint.empty())
@@ -223,8 +225,10 @@
         StageTask &task = step.tasks[i];
         if ((i != ref.task && !wholeStep) || task.stage == TaskStage::Done)
             continue;
-        if (task.stage == TaskStage::Bound)
+        if (task.stage == TaskStage::Bound) {
             --job.bound;
+            m_answered.released(task.lifetime);
+        }
         task.stage = TaskStage::Done;
         task.lifetime = {};
         task.checkpoint.clear();
--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -116,6 +116,9 @@
     /// the same commands.
     [[nodiscard]] std::uint64_t digest() const { return m_digest; }
 
+    /// Where each lifetime with bound runs has answered.
+    [[nodiscard]] const AnsweredLifetimes &answeredLifetimes() const { return m_answered; }
+
     /// Whether the steps that `step` waits for are done in that occurrence.
     [[nodiscard]] static bool isReady(const StageJob &job, std::uint32_t occurrence,
                                       std::uint32_t step);
@@ -149,6 +152,7 @@
     QueueTable m_queues;
     std::map<std::string, StageJob, std::less<>> m_jobs;
     EarlyCancels m_earlyCancels;
+    AnsweredLifetimes m_answered;
     std::uint64_t m_digest = 0;
 
     // Derived from the members above.
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -119,6 +119,26 @@
     return job;
 }
 
+Json saveAnswered(const AnsweredLifetimes &answered)
+{
+    Json list = Json::array();
+    for (const auto &[lifetime, entry] : answered.entries())
+        list.push_back(Json::array({lifetime.worker, lifetime.startedAt, entry.node, entry.order}));
+    return Json::array({answered.lastOrder(), std::move(list)});
+}
+
+void addBoundRuns(AnsweredLifetimes &answered, const StageJob &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const StageStep &step : occurrence.steps) {
+            for (const StageTask &task : step.tasks) {
+                if (task.stage == TaskStage::Bound)
+                    answered.boundBefore(task.lifetime);
+            }
+        }
+    }
+}
+
 } // namespace
 
 void JobTable::clear()
@@ -133,7 +153,7 @@
         jobs.push_back(saveJob(id, job));
     std::string bytes;
     Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
-                               m_earlyCancels.entries()}),
+                               m_earlyCancels.entries(), saveAnswered(m_answered)}),
                   bytes);
     return bytes;
 }
@@ -155,6 +175,7 @@
                 loaded.m_ended.emplace(job.endedAt, id);
             else if (!job.started)
                 ++loaded.m_pending[job.queue];
+            addBoundRuns(loaded.m_answered, job);
             loaded.m_jobs.emplace(id, std::move(job));
         }
         // Snapshots of earlier versions have no early cancels.
@@ -162,6 +183,14 @@
             for (const Json &entry : json.at(5))
                 loaded.m_earlyCancels.record(entry.at(1).get<std::string>(), entry.at(0));
         }
+        // Nor do they tell where lifetimes have answered.
+        if (json.size() > 6) {
+            loaded.m_answered.restoreLastOrder(json.at(6).at(0).get<std::uint64_t>());
+            for (const Json &entry : json.at(6).at(1))
+                loaded.m_answered.restore(
+                    {entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>()},
+                    entry.at(2).get<std::string>(), entry.at(3).get<std::uint64_t>());
+        }
     } catch (const Json::exception &error) {
         return fail(ErrorCode::InvalidArgument, error.what());
     }
--- a/Guavashift/Stages/StageCommands.cpp
+++ b/Guavashift/Stages/StageCommands.cpp
@@ -32,7 +32,8 @@
                                  [](const StartRun &start) {
                                      return Json::array({Kind::Start, encodeTask(start.task),
                                                          start.run, start.lifetime.worker,
-                                                         start.lifetime.startedAt});
+                                                         start.lifetime.startedAt, start.path.node,
+                                                         start.path.hasAnswered});
                                  },
                                  [](const EndRun &end) {
                                      return Json::array({Kind::End, encodeTask(end.task), end.run,
@@ -51,10 +52,16 @@
                          json.at(3).get<JobPlan>(), json.size() <= 4 || json.at(4).get<bool>()};
     case Kind::Cancel:
         return CancelJob{json.at(1).get<std::string>()};
-    case Kind::Start:
-        return StartRun{decodeTask(json.at(1)),
-                        json.at(2).get<std::uint32_t>(),
-                        {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()}};
+    case Kind::Start: {
+        StartRun start{decodeTask(json.at(1)),
+                       json.at(2).get<std::uint32_t>(),
+                       {json.at(3).get<std::string>(), json.at(4).get<std::int64_t>()},
+                       {}};
+        // Entries of earlier versions have no path.
+        if (json.size() > 6)
+            start.path = {json.at(5).get<std::string>(), json.at(6).get<bool>()};
+        return start;
+    }
     case Kind::End: {
         EndRun end{decodeTask(json.at(1)), json.at(2).get<std::uint32_t>(),
                    json.at(3).get<RunEnd>(), json.at(4).get<std::string>(), CrashEvidence::None};
--- a/Guavashift/Stages/StageCommands.h
+++ b/Guavashift/Stages/StageCommands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Stages/AnsweredLifetimes.h>
 #include <Guavashift/Stages/JobPlan.h>
 
 #include <variant>
@@ -36,6 +37,9 @@
     TaskRef task;
     std::uint32_t run = 0;
     Lifetime lifetime;
+    /// Not a command of its own: replicas of earlier versions skip all of an entry that has a kind
+    /// of command they cannot read. Entries of theirs have no path.
+    StartPath path = {};
 };
 
 /// Records the end of a run, as reported by its worker or derived from the worker's lease.
