Settle lifetimes that answered in the time of earlier leaders

Change: a new leader takes from the state where each lifetime with bound runs had answered (EarlierAnswers). Once a worker of another name answers at the same node in a session of this leader, that lifetime is settled, as it already was by a leader that had heard both answers. Not for the next lifetime of the name, starts on any connection, starts that are named as open, lifetimes of which an agent has told this leader anything, two nodes, or answers whose order contradicts it. lifetime-settled says known_from=state or session.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -19,6 +19,7 @@
 {
     stop();
     m_now = now;
+    m_earlierAnswers = EarlierAnswers(m_jobTable.answeredLifetimes());
     for (const auto &[id, job] : m_jobTable.jobs()) {
         if (job.isActive() && job.started)
             m_progress.bound(id, job.queue);
@@ -71,6 +72,7 @@
     m_comparedSteps.clear();
     m_failureRecords.clear();
     m_answered.clear();
+    m_earlierAnswers = {};
     m_lastTrials.clear();
     m_commands.clear();
     m_orders.clear();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Guavashift/Dispatch/EarlierAnswers.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
 #include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LifetimeProof.h>
@@ -148,11 +149,11 @@
     /// session: no other one runs there. To be called before workerReported().
     void lifetimeAnswered(const std::string &node, const Lifetime &lifetime);
     /// Handles facts from the agent on `node`. Other lifetimes there get no new runs. If this one
-    /// has answered, those of other workers that had answered there have ended; the runs of all
-    /// others stay bound until their leases run out. A report of a lifetime that has answered at
-    /// another node changes nothing, unless it has answered here too. Runs of earlier lifetimes of
-    /// the same worker stay bound until inventoryReported(): a start that was meant for one of them
-    /// may be carried out by this one.
+    /// has answered, those of other workers that had answered there have ended, in the time of this
+    /// leader or of earlier ones; the runs of all others stay bound until their leases run out. A
+    /// report of a lifetime that has answered at another node changes nothing, unless it has
+    /// answered here too. Runs of earlier lifetimes of the same worker stay bound until
+    /// inventoryReported(): a start that was meant for one of them may be carried out by this one.
     void workerReported(const std::string &node, const WorkerFacts &facts, Instant now);
     /// Records a lease on the lifetimes that the agent on `node` has reported in its session.
     /// Returns false if there is none: then no lease may be granted.
@@ -220,6 +221,10 @@
     /// Whether a task of the job is known to have started on a worker.
     [[nodiscard]] bool hasBegun(std::string_view id, const StageJob &job) const;
 
+    /// Number of lifetimes that were settled by what the replicated state tells of them, since
+    /// this object exists.
+    [[nodiscard]] std::uint64_t settledFromState() const { return m_settledFromState; }
+
     /// Number of runs placed on a lifetime.
     [[nodiscard]] std::size_t runsOn(const Lifetime &lifetime) const;
 
@@ -287,9 +292,18 @@
     [[nodiscard]] bool lateStartsMayWork(const PoolWorker &worker, Instant now) const;
     /// Whether all runs of the worker are such, and none may be settled yet.
     [[nodiscard]] bool holdsLateStartsOnly(const PoolWorker &worker, Instant now) const;
-    /// Settles an ended lifetime, all runs but those whose start is open.
+    /// Settles the lifetimes that had answered at the node in the time of earlier leaders, now that
+    /// `present`, of another name, has answered there. Starts that the agent has named as open stay
+    /// so, and one of which an agent has told this leader anything is not settled here.
+    void settleEarlierAnswers(const std::string &node, const Lifetime &present);
+    /// Whether the worker has a run that the end of its lifetime would settle.
+    [[nodiscard]] bool hasUnsettledRuns(const PoolWorker &worker) const;
+    /// What is known of the way by which a run bound to the worker now will be started.
+    [[nodiscard]] StartPath startPathTo(const PoolWorker &worker) const;
+    /// Settles an ended lifetime, all runs but those whose start is open. `earlierNode`: where it
+    /// answered by the replicated state, if the proof rests on that.
     void settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
-                        std::span<const TaskRun> recentRuns);
+                        std::span<const TaskRun> recentRuns, const std::string &earlierNode = {});
     /// Ends all runs of a lifetime but those whose start is open.
     void lapseAllRuns(const Lifetime &lifetime, SettleReason reason,
                       const std::set<TaskRef> &suspected);
@@ -469,6 +483,8 @@
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
     std::map<std::string, Lifetime> m_answered;            ///< In sessions that are open, by node.
+    EarlierAnswers m_earlierAnswers;
+    std::uint64_t m_settledFromState = 0;
     std::uint64_t m_lastProvenOrder = 0;
     /// When a long-running task under which workers have crashed was last bound. A new leader
     /// begins with no pause.
--- a/Guavashift/Dispatch/DispatcherLifetimes.cpp
+++ b/Guavashift/Dispatch/DispatcherLifetimes.cpp
@@ -61,6 +61,8 @@
             doubt(other);
         }
     }
+    if (isProven && !isProvenElsewhere(node, facts.lifetime))
+        settleEarlierAnswers(node, facts.lifetime);
     bool followsAnother = false;
     for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
         PoolWorker &other = *m_pool.find(lifetime);
@@ -91,6 +93,33 @@
         evacuate(worker, now);
 }
 
+void Dispatcher::settleEarlierAnswers(const std::string &node, const Lifetime &present)
+{
+    for (const Lifetime &lifetime : m_earlierAnswers.endedBy(node, present)) {
+        const PoolWorker *other = m_pool.find(lifetime);
+        if (other == nullptr || !other->lastNode.empty() || !hasUnsettledRuns(*other))
+            continue;
+        ++m_settledFromState;
+        settleLifetime(lifetime, LifetimeEnd::Left, LifetimeProof::AnsweredByAnother, {}, node);
+    }
+}
+
+bool Dispatcher::hasUnsettledRuns(const PoolWorker &worker) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const auto &each) {
+        const PlacedRun &run = each.second;
+        return run.committed && !run.startIsOpen && !m_endsProposed.contains({run.task, run.run});
+    });
+}
+
+StartPath Dispatcher::startPathTo(const PoolWorker &worker) const
+{
+    const auto answered = m_answered.find(worker.node);
+    const bool isPresent =
+        answered != m_answered.end() && answered->second == worker.facts.lifetime;
+    return {worker.node, isPresent && worker.provenNode == worker.node && worker.startsReachOnlyIt};
+}
+
 void Dispatcher::supersede(PoolWorker &worker)
 {
     const Lifetime lifetime = worker.facts.lifetime;
@@ -201,6 +230,7 @@
     if (worker == nullptr)
         return;
     worker->startsOnAnyConnection = true;
+    worker->startsReachOnlyIt = false;
     LateStartsNotice &notice = worker->lateStarts.emplace();
     notice.namesAll = namesAll;
     for (const TaskRun &each : runs)
@@ -261,15 +291,17 @@
 }
 
 void Dispatcher::settleLifetime(const Lifetime &lifetime, LifetimeEnd end, LifetimeProof proof,
-                                std::span<const TaskRun> recentRuns)
+                                std::span<const TaskRun> recentRuns, const std::string &earlierNode)
 {
     PoolWorker *worker = m_pool.find(lifetime);
+    const bool isFromState = !earlierNode.empty();
     logEvent(LogLevel::Info, "lifetime-settled",
              {{"worker", lifetime.worker},
               {"born", lifetime.startedAt},
-              {"node", worker->lastNode},
+              {"node", isFromState ? earlierNode : worker->lastNode},
               {"end", nameOf(end)},
               {"proof", nameOf(proof)},
+              {"known_from", isFromState ? "state" : "session"},
               {"runs", worker->runs.size()},
               {"lease_left_ms", toMs(worker->leaseEnd - m_now)}});
     // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
--- a/Guavashift/Dispatch/DispatcherLists.cpp
+++ b/Guavashift/Dispatch/DispatcherLists.cpp
@@ -85,6 +85,7 @@
     }
     const std::optional<LateStartsNotice> late = std::exchange(worker->lateStarts, std::nullopt);
     worker->startsOnAnyConnection = late.has_value();
+    worker->startsReachOnlyIt = !late && !worker->node.empty();
     settleEarlierLifetimes(*worker, running);
     noteListed(*worker, rows, m_now);
     for (auto &[task, run] : worker->runs) {
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -86,6 +86,7 @@
         return;
     for (auto &[task, run] : worker.runs)
         run.ordered = false;
+    worker.startsReachOnlyIt = false;
     move(m_byNode, worker.facts.lifetime, worker.node, node);
     worker.node = node;
     if (node.empty())
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -78,6 +78,9 @@
     std::optional<LateStartsNotice> lateStarts;
     /// Its starts may go out on any connection, so that the next lifetime may carry them out late.
     bool startsOnAnyConnection = false;
+    /// Its agent has listed its runs in this session, and no lifetime but this one can carry out a
+    /// start for it.
+    bool startsReachOnlyIt = false;
     Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
     Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
     Instant suspectAloneUntil; ///< A run under suspicion has just started there.
