Play losses of all power in the simulations of doubled runs

Change: PowerLossSimulationTest ends the leader, most agents and workers at one time; workers come back under other names mostly, and leaders read reports of other workers that no answer confirms. Late starts and closed connections are played with it too. It also demands that lifetimes are settled from the state.

--- a/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
+++ b/UnitTests/Dispatch/LeaderChangeSimulationTest.cpp
@@ -155,6 +155,12 @@
     }
     [[nodiscard]] std::uint64_t nextSequence() { return ++m_sequence; }
 
+    /// Whether this lifetime answers at the machine's address.
+    [[nodiscard]] bool isPresent(const Lifetime &lifetime) const
+    {
+        return m_isUp && lifetime == Lifetime{m_name, m_born};
+    }
+
     void silence(Ms duration) { m_silentUntil = m_world.now() + duration; }
     /// Has the path to the worker refuse connections while the worker goes on.
     void refuse(Ms duration) { m_refusingUntil = m_world.now() + duration; }
@@ -170,6 +176,15 @@
             each(false);
         m_world.after(m_world.between(20, 900), [this] { begin(); });
     }
+    /// Ends at once; the next worker mostly has another name.
+    void losePower()
+    {
+        if (!m_isUp)
+            return;
+        if (m_world.chance(700))
+            m_nextName = fmt::format("w{}-{}", m_number, m_life + 1);
+        crash();
+    }
     /// Drains, says goodbye and ends; the next worker has another name or the same.
     void leave(const std::function<void(const std::string &)> &goodbye)
     {
@@ -1231,6 +1246,9 @@
     bool pathsRefuse = false;
     /// Whether workers close each connection after their answer, as far as starts are concerned.
     bool closesConnections = false;
+    /// Whether leaders, agents and workers lose power together, and agents pass on reports of other
+    /// workers that they have not verified, as those of earlier versions do.
+    bool losesAllPower = false;
 };
 
 /// Leaders, their log and job table, agents, workers and callers in virtual time. Calls the
@@ -1241,6 +1259,7 @@
     Simulation(std::uint64_t seed, const SimulationSettings &settings, bool traces)
         : m_world(seed, traces)
         , m_pathsRefuse(settings.pathsRefuse)
+        , m_losesAllPower(settings.losesAllPower)
         , m_judge(m_world)
         , m_table({.maxCrashes = 1'000'000}, readAny)
     {
@@ -1262,6 +1281,8 @@
         for (int i = 0; i < 6; ++i)
             m_weights.at(static_cast<std::size_t>(i)) = m_world.between(0, 3);
         fault();
+        if (m_losesAllPower)
+            m_world.after(m_world.between(3500, 8000), [this] { losePower(); });
     }
 
     /// Returns whether no rule was broken and all jobs have ended.
@@ -1276,6 +1297,11 @@
     }
     [[nodiscard]] const World &world() const { return m_world; }
     [[nodiscard]] std::uint64_t starts() const { return m_judge.starts(); }
+    /// Lifetimes that leaders settled by what the job table told of them.
+    [[nodiscard]] std::uint64_t settledFromState() const
+    {
+        return m_settledFromState + (m_dispatcher ? m_dispatcher->settledFromState() : 0);
+    }
 
 private:
     struct Session
@@ -1360,11 +1386,13 @@
     {
         if (site.machine->isUp() && !site.machine->pathIsSilent()) {
             const Ms late = m_world.hasFaults() && m_world.chance(20) ? 1500 : 5;
-            m_world.after(
-                m_world.between(1, late),
-                [&site, facts = site.machine->facts(), sequence = site.machine->nextSequence()] {
-                    site.agent->workerReported(facts, sequence);
-                });
+            m_world.after(m_world.between(1, late),
+                          [this, &site, facts = site.machine->facts(),
+                           sequence = site.machine->nextSequence()] {
+                              // In place of the agent's question to the worker's address.
+                              if (!m_losesAllPower || site.machine->isPresent(facts.lifetime))
+                                  site.agent->workerReported(facts, sequence);
+                          });
         }
         m_world.after(m_world.between(200, 400), [this, &site] { report(site); });
     }
@@ -1408,6 +1436,7 @@
     void stopLeader()
     {
         m_world.trace("leader {} ends", m_term);
+        m_settledFromState = settledFromState();
         m_dispatcher.reset();
         // The next leader may have some of the entries that were not known as committed.
         const bool keepsSome = m_world.chance(500);
@@ -1542,6 +1571,8 @@
                         sendTo(link, LeaseGranted{renew.sentAt});
                 },
                 [&](const LifetimeAnswered &answered) {
+                    if (m_losesAllPower && m_world.chance(200))
+                        m_dispatcher->workerReported(node, worker("x-" + node, m_world.now()), now);
                     m_dispatcher->lifetimeAnswered(node, answered.lifetime);
                 },
                 [&](const WorkerReport &report) {
@@ -1597,6 +1628,30 @@
     }
 
     // Faults.
+    /// Ends the leader, and most agents with their workers, at one time.
+    void losePower()
+    {
+        const bool mayRestart = std::all_of(m_sites.begin(), m_sites.end(), [](const auto &site) {
+            return site->machine->mayRestart();
+        });
+        if (m_world.hasFaults())
+            m_world.after(m_world.between(mayRestart ? 3500 : 100, mayRestart ? 8000 : 500),
+                          [this] { losePower(); });
+        if (!mayRestart || !m_world.hasFaults())
+            return;
+        m_world.trace("power is lost");
+        if (m_dispatcher)
+            stopLeader();
+        const bool isWhole = m_world.chance(600);
+        for (const auto &site : m_sites) {
+            if (!isWhole && m_world.chance(400))
+                continue;
+            if (site->agent->hasLink())
+                breakLink(site->agent->link());
+            startAgent(*site);
+            site->machine->losePower();
+        }
+    }
     void fault()
     {
         m_world.after(m_world.between(100, 1500), [this] {
@@ -1664,6 +1719,8 @@
 
     World m_world;
     bool m_pathsRefuse;
+    bool m_losesAllPower;
+    std::uint64_t m_settledFromState = 0; ///< By leaders before the present one.
     Judge m_judge;
     JobTable m_table;
     std::vector<std::unique_ptr<Site>> m_sites;
@@ -1708,10 +1765,12 @@
     std::string trace;
     std::uint64_t failed = 0;
     std::uint64_t starts = 0;
+    std::uint64_t settledFromState = 0;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         Simulation simulation(seed, settings, false);
         const bool succeeds = simulation.run();
         starts += simulation.starts();
+        settledFromState += simulation.settledFromState();
         if (succeeds)
             continue;
         if (++failed == 1)
@@ -1723,6 +1782,9 @@
         fmt::format("{} of {} seeds failed:{}\n{}", failed, count, failures, trace), failed == 0);
     // Simulations that start next to nothing prove nothing.
     CPPUNIT_ASSERT(starts > 5 * count);
+    // Paths of starts on any connection tell nothing.
+    const bool mustSettle = settings.losesAllPower && !settings.closesConnections;
+    CPPUNIT_ASSERT(!mustSettle || count < seeds || settledFromState > count / 2);
 }
 
 } // namespace
@@ -1780,6 +1842,7 @@
 {
     CPPUNIT_TEST_SUITE(ClosingLateStartSimulationTest);
     CPPUNIT_TEST(runsNoTaskTwice);
+    CPPUNIT_TEST(runsNoTaskTwiceAfterLossesOfPower);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -1789,9 +1852,37 @@
     /// Guards against a task that runs twice because a start, which may go out on any connection
     /// there, reaches the next lifetime of its worker.
     void runsNoTaskTwice() { playSeeds({.takesLateStarts = true, .closesConnections = true}); }
+    /// The same with losses of all power.
+    void runsNoTaskTwiceAfterLossesOfPower()
+    {
+        playSeeds({.takesLateStarts = true, .closesConnections = true, .losesAllPower = true});
+    }
+};
+
+/// The same with losses of all power, after which workers come back under new names.
+class PowerLossSimulationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PowerLossSimulationTest);
+    CPPUNIT_TEST(runsNoTaskTwice);
+    CPPUNIT_TEST(runsNoTaskTwiceWithLateStarts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { setLogLevel(LogLevel::Error); }
+    void tearDown() override { setLogLevel(LogLevel::Info); }
+
+    /// Guards against a task that runs twice because the next leader settles runs of workers that
+    /// work on: by a report without an answer, or by an answer at another address.
+    void runsNoTaskTwice() { playSeeds({.losesAllPower = true}); }
+    /// The same if it takes a lifetime for ended that the next one under its name follows.
+    void runsNoTaskTwiceWithLateStarts()
+    {
+        playSeeds({.takesLateStarts = true, .losesAllPower = true});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderChangeSimulationTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(PowerLossSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(ClosingLateStartSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(RefusedPathSimulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(LateStartSimulationTest);
