Remember that a worker's earlier lifetime has ended

The leader forgets an ended lifetime without runs, so it did not know that calls for it may have given the next one under its name the longest lease, and settled that one's runs 1.5 s too early.

Ruled out: the longest lease for each lifetime that a leader hears of first.

Change: the name stays known for the longest delay of a call and the longest lease after the end. A leader that begins in between does not know it, and assumes the normal lease for a lifetime without runs, as before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -73,6 +73,7 @@
     m_failureRecords.clear();
     m_answered.clear();
     m_earlierAnswers = {};
+    m_endedWorkers.clear();
     m_lastTrials.clear();
     m_commands.clear();
     m_orders.clear();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -483,6 +483,7 @@
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
     std::map<std::string, Lifetime> m_answered;            ///< In sessions that are open, by node.
+    std::map<std::string, Instant> m_endedWorkers; ///< When a lifetime of theirs ended last.
     EarlierAnswers m_earlierAnswers;
     std::uint64_t m_settledFromState = 0;
     std::uint64_t m_lastProvenOrder = 0;
--- a/Guavashift/Dispatch/DispatcherLifetimes.cpp
+++ b/Guavashift/Dispatch/DispatcherLifetimes.cpp
@@ -63,7 +63,10 @@
     }
     if (isProven && !isProvenElsewhere(node, facts.lifetime))
         settleEarlierAnswers(node, facts.lifetime);
-    bool followsAnother = false;
+    // An ended lifetime without runs is not in the pool any more.
+    const auto ended = m_endedWorkers.find(facts.lifetime.worker);
+    bool followsAnother = worker.lastNode.empty() && ended != m_endedWorkers.end()
+        && now - ended->second <= m_settings.longestCallDelay + m_settings.longestLease;
     for (const Lifetime &lifetime : m_pool.lifetimesOf(facts.lifetime.worker)) {
         PoolWorker &other = *m_pool.find(lifetime);
         if (!follows(worker, other))
@@ -304,6 +307,10 @@
               {"known_from", isFromState ? "state" : "session"},
               {"runs", worker->runs.size()},
               {"lease_left_ms", toMs(worker->leaseEnd - m_now)}});
+    std::erase_if(m_endedWorkers, [this](const auto &each) {
+        return m_now - each.second > m_settings.longestCallDelay + m_settings.longestLease;
+    });
+    m_endedWorkers[lifetime.worker] = m_now;
     // Only its agent knows that a worker crashed. A worker that is lost together with its agent may
     // have lost power.
     lapseAllRuns(lifetime, settleReasonOf(end),
