--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -21,6 +21,7 @@
 {
     stop();
     m_now = now;
+    m_earlierAnswers = EarlierAnswers(m_jobTable.answeredLifetimes());
     for (const auto &[id, job] : m_jobTable.jobs()) {
         if (job.isActive() && job.started)
             m_progress.bound(id, job.queue);
@@ -73,6 +74,8 @@
     m_comparedSteps.clear();
     m_failureRecords.clear();
     m_answered.clear();
+    m_earlierAnswers = {};
+    m_endedWorkers.clear();
     m_lastTrials.clear();
     m_commands.clear();
     m_orders.clear();
--- a/Guavashift/Stages/JobTableStorage.cpp
+++ b/Guavashift/Stages/JobTableStorage.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr int formatVersion = 1;
-/// Name in the object that holds the state added since; earlier versions do not read it.
+/// Names in the object that holds the state added since; earlier versions do not read it.
 constexpr const char *evacuationsField = "evacuations";
+constexpr const char *answeredField = "answered-lifetimes";
 
 Json saveTask(const StageTask &task)
 {
@@ -121,6 +122,34 @@
     return job;
 }
 
+Json saveAnswered(const AnsweredLifetimes &answered)
+{
+    Json list = Json::array();
+    for (const auto &[lifetime, entry] : answered.entries())
+        list.push_back(Json::array({lifetime.worker, lifetime.startedAt, entry.node, entry.order}));
+    return Json::array({answered.lastOrder(), std::move(list)});
+}
+
+void loadAnswered(AnsweredLifetimes &answered, const Json &json)
+{
+    answered.restoreLastOrder(json.at(0).get<std::uint64_t>());
+    for (const Json &entry : json.at(1))
+        answered.restore({entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>()},
+                         entry.at(2).get<std::string>(), entry.at(3).get<std::uint64_t>());
+}
+
+void addBoundRuns(AnsweredLifetimes &answered, const StageJob &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const StageStep &step : occurrence.steps) {
+            for (const StageTask &task : step.tasks) {
+                if (task.stage == TaskStage::Bound)
+                    answered.boundBefore(task.lifetime);
+            }
+        }
+    }
+}
+
 } // namespace
 
 void JobTable::clear()
@@ -134,10 +163,10 @@
     for (const auto &[id, job] : m_jobs)
         jobs.push_back(saveJob(id, job));
     std::string bytes;
-    Json::to_cbor(
-        Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
-                     m_earlyCancels.entries(), Json{{evacuationsField, m_evacuations.save()}}}),
-        bytes);
+    Json added{{evacuationsField, m_evacuations.save()}, {answeredField, saveAnswered(m_answered)}};
+    Json::to_cbor(Json::array({formatVersion, m_time, m_document, m_digest, std::move(jobs),
+                               m_earlyCancels.entries(), std::move(added)}),
+                  bytes);
     return bytes;
 }
 
@@ -158,6 +187,7 @@
                 loaded.m_ended.emplace(job.endedAt, id);
             else if (!job.started)
                 ++loaded.m_pending[job.queue];
+            addBoundRuns(loaded.m_answered, job);
             loaded.m_jobs.emplace(id, std::move(job));
         }
         // Snapshots of earlier versions have no early cancels.
@@ -166,8 +196,11 @@
                 loaded.m_earlyCancels.record(entry.at(1).get<std::string>(), entry.at(0));
         }
         constexpr std::size_t addedState = 6;
-        if (json.size() > addedState && json.at(addedState).contains(evacuationsField))
-            loaded.m_evacuations.load(json.at(addedState).at(evacuationsField));
+        const Json added = json.size() > addedState ? json.at(addedState) : Json::object();
+        if (added.contains(evacuationsField))
+            loaded.m_evacuations.load(added.at(evacuationsField));
+        if (added.contains(answeredField))
+            loadAnswered(loaded.m_answered, added.at(answeredField));
     } catch (const Json::exception &error) {
         return fail(ErrorCode::InvalidArgument, error.what());
     }
