Refuse calls that certainly reached no leader

An entry answered "unknown" for every call that it had passed to a session, and callers cannot send those again elsewhere. It did so also for calls whose frame never left its send queue, for calls that each receiver had refused, and for all calls of the 1.6 s in which a leader without power still has its sessions.

- CallAttempts keeps what is known of the attempts to forward one call.
Each attempt has an id of its own and the position of its frame in the session's output.
One that ended before the kernel took its first byte, or that its receiver refused, was certainly not done.
All others leave the call in doubt as before.
- A leader that has not been heard for 0.5 s since it was sent a call gets no more calls until it is heard again.
- After 2 s without a session and without a control process that names a leader, new calls are refused at once.
Before that, a call still waits 0.5 s.
- Number and bytes of waiting calls are bounded.
- Retry-After is spread by RetryAdvice, at entries and at the leader.

Ruled out: ending a silent session instead of holding calls back, since each slow round of a leader would break all sessions.

--- a/Guavashift/Channel/FrameConnection.cpp
+++ b/Guavashift/Channel/FrameConnection.cpp
@@ -157,6 +157,7 @@
         if (sent <= 0)
             return closeAndNotify("sending failed");
         m_outputSent += static_cast<std::size_t>(sent);
+        m_bytesWritten += static_cast<std::uint64_t>(sent);
         m_lastOutput = BootClock::now();
     }
     m_output.clear();
--- a/Guavashift/Channel/FrameConnection.h
+++ b/Guavashift/Channel/FrameConnection.h
@@ -54,6 +54,16 @@
     /// Closes without calling onClosed.
     void close();
     [[nodiscard]] bool isOpen() const { return m_handle != ACE_INVALID_HANDLE; }
+    /// Bytes of all frames that were passed to send(), with their headers.
+    [[nodiscard]] std::uint64_t bytesQueued() const
+    {
+        return m_bytesWritten + (m_output.size() - m_outputSent);
+    }
+    /// Bytes that the kernel has taken. A frame that was queued behind more than these has not left
+    /// this process; nothing is known about the fate of the others.
+    [[nodiscard]] std::uint64_t bytesWritten() const { return m_bytesWritten; }
+    /// When something was last received; when the connection was established if nothing was.
+    [[nodiscard]] Instant lastInput() const { return m_lastInput; }
 
     // ACE_Event_Handler
     ACE_HANDLE get_handle() const override { return m_handle; } // NOLINT
@@ -82,6 +92,7 @@
     std::string m_input;
     std::string m_output;
     std::size_t m_outputSent = 0;
+    std::uint64_t m_bytesWritten = 0;
     Instant m_lastInput;
     Instant m_lastOutput;
     Instant m_connectStarted;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -1,5 +1,7 @@
 #include <Guavashift/Fleet/FleetLeader.h>
 
+#include <Guavashift/Scheduling/Scheduling.h>
+
 namespace guavashift {
 
 namespace {
@@ -7,12 +9,13 @@
 constexpr Duration directoryInterval = std::chrono::milliseconds(500);
 /// Number of sessions in one term that get distinct fencing tokens.
 constexpr std::uint64_t sessionsPerTerm = 1 << 16;
-/// Time that callers are asked to wait before they send a refused call again.
-constexpr std::int64_t retryAfterSeconds = 1;
 
 FleetAnswer unavailable(const FleetCall &call, std::string reason)
 {
-    return {call.id, CallResult::Unavailable, std::move(reason), retryAfterSeconds};
+    // Callers return as soon as they may, but spread out.
+    const std::int64_t seconds =
+        RetryAdvice(RetryAdviceSettings()).seconds(call.path, Duration::zero(), Duration::zero());
+    return {call.id, CallResult::Unavailable, std::move(reason), seconds};
 }
 
 std::string_view stateName(const StageJob &job, bool hasBegun)
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -116,6 +116,15 @@
     m_waiting.Set(static_cast<double>(calls));
 }
 
+void FleetMetrics::refused(std::string_view reason)
+{
+    m_metrics
+        .counter("guavashift_fleet_entry_refused_total",
+                 "Calls refused as not done without an answer of a leader",
+                 {{"reason", std::string(reason)}})
+        .Increment();
+}
+
 void FleetMetrics::polled()
 {
     m_polls.Increment();
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -43,6 +43,8 @@
     /// Records a result that was returned to a caller, and how long the caller waited for it.
     void finished(CallResult result, Duration waited);
     void setWaiting(std::size_t calls);
+    /// Records a call that was refused as not done without asking a leader.
+    void refused(std::string_view reason);
 
     // Agent.
 
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <Guavashift/Fleet/CallAttempts.h>
 #include <Guavashift/Fleet/LeaderLink.h>
 #include <Guavashift/Fleet/Relay.h>
 #include <Guavashift/Fleet/RoundMonitor.h>
+#include <Guavashift/Scheduling/Scheduling.h>
 
 namespace guavashift {
 
@@ -10,6 +12,18 @@
 {
     /// Longest time that a call waits for a session with a leader before it is refused as not done.
     Duration leaderTimeout = std::chrono::milliseconds(500);
+    /// Longest time that a change of the leader takes. After this long without one, new calls are
+    /// refused at once.
+    Duration failoverTime = std::chrono::seconds(2);
+    /// A leader that has been silent for this long since it was sent a call is sent no more calls
+    /// until it is heard again. The control processes elect another leader after the same time.
+    Duration silenceLimit = std::chrono::milliseconds(500);
+    /// Interval between two checks whether a silent leader is heard again.
+    Duration silenceCheckInterval = std::chrono::milliseconds(20);
+    /// Limits of the calls that wait for an answer. Calls beyond them are refused at once.
+    std::size_t maxPendingCalls = 4096;
+    std::size_t maxPendingBytes = 32 << 20;
+    RetryAdviceSettings retryAdvice;
     /// Part of the caller's deadline that is reserved for returning the answer.
     Duration deadlineMargin = std::chrono::milliseconds(100);
     /// Longest time from a call's arrival to its answer.
@@ -22,10 +36,13 @@
 /// state of jobs. A call that was forwarded and not answered is forwarded again to the next leader:
 /// all calls are idempotent.
 ///
-/// A call is refused as not done (`Unavailable`) only if it was never forwarded, or forwarded once
-/// and refused by its only receiver, which refuses before it proposes anything. Once a call was
-/// forwarded again, a refusal does not cover the earlier attempts, whose proposal may still be
-/// committed. Such a call waits for a decision and ends as `Unknown` at its time limit.
+/// A call is refused as not done (`Unavailable`) only if each attempt to forward it has not left
+/// this process before its session ended, or was refused by its receiver, which refuses before it
+/// proposes anything. The proposal of any other attempt may still be committed. Such a call waits
+/// for a decision and ends as `Unknown` at its time limit.
+///
+/// Calls are held back from a leader that seems to be dead, so that they can be forwarded to the
+/// next one or refused truthfully.
 ///
 /// This covers one request, not earlier requests for the same job, through this entry or another:
 /// after an answer of `Unknown`, or none, the job may be accepted although a later request for it
@@ -50,8 +67,8 @@
     /// Refuses new calls as not done from now on. Pending calls still wait for their answer.
     void refuseNewCalls() { m_refusing = true; }
     [[nodiscard]] std::size_t pendingCalls() const { return m_pending.size(); }
-    /// Answers all pending calls and refuses new ones. Calls that were never forwarded are refused
-    /// as not done; the others end as unknown.
+    /// Answers all pending calls and refuses new ones. Calls that certainly reached no leader are
+    /// refused as not done; the others end as unknown.
     void endCalls(std::string_view reason);
 
     /// Whether calls can be answered now.
@@ -63,17 +80,29 @@
         FleetCall call;
         Answer answer;
         Instant receivedAt;
-        std::uint32_t sent = 0; ///< How often it was forwarded to a leader.
+        Duration deadline = Duration::zero(); ///< Longest time that the caller waits; zero: none.
+        std::size_t bytes = 0;
+        CallAttempts attempts;
         EventLoop::TimerId leaderTimer = 0;
         EventLoop::TimerId deadlineTimer = 0;
         EventLoop::TimerId resendTimer = 0;
     };
 
     void opened();
+    void lost();
     void received(const FleetMessage &message);
-    void forward(Pending &pending);
+    /// Why a new call of this size is refused at once; empty: it is not.
+    [[nodiscard]] std::string_view refusalOf(std::size_t bytes) const;
+    /// Whether the leader has not been heard for too long since it was sent a call.
+    [[nodiscard]] bool leaderIsSilent() const;
+    /// Forwards the call, or holds it back while the leader is silent.
+    void forward(std::uint64_t id, Pending &pending);
+    /// Forwards the calls that were held back once the leader is heard again.
+    void forwardHeld();
+    /// Refuses the call after the leader timeout unless it was forwarded by then.
+    void awaitLeader(std::uint64_t id, Pending &pending);
     void forwardLater(std::uint64_t id, Pending &pending);
-    /// Ends a call without an answer of the leader: as not done if it was never forwarded,
+    /// Ends a call without an answer of the leader: as not done if it certainly reached none,
     /// otherwise as unknown.
     void abandon(std::uint64_t id, std::string_view reason);
     void finish(std::uint64_t id, FleetAnswer answer);
@@ -85,8 +114,18 @@
     LeaderLink m_link;
     Relay m_relay;
     std::string m_address;
+    RetryAdvice m_retryAdvice;
     std::map<std::uint64_t, Pending> m_pending;
+    std::size_t m_pendingBytes = 0;
     std::uint64_t m_nextCall = 1;
+    /// The calls of attempts that may still be answered. Each attempt has an id of its own, so that
+    /// a refusal is not taken for the answer to another attempt.
+    std::map<std::uint64_t, std::uint64_t> m_callOfAttempt;
+    std::uint64_t m_nextAttempt = 1;
+    /// When the first call was forwarded that the leader has not been heard since.
+    Instant m_unheardSince;
+    std::vector<std::uint64_t> m_held; ///< Calls held back from a silent leader.
+    EventLoop::TimerId m_heldTimer = 0;
     bool m_refusing = false;
 };
 
--- a/Guavashift/Fleet/LeaderLink.cpp
+++ b/Guavashift/Fleet/LeaderLink.cpp
@@ -24,21 +24,38 @@
     m_enabled = enabled;
     if (enabled) {
         m_discoveryRounds = 0;
+        m_leaderSeen = BootClock::now();
         startDiscoveryRound();
         return;
     }
     if (m_timer != 0)
         m_loop.cancel(std::exchange(m_timer, 0));
     m_attempts.clear();
-    m_session.reset();
-    if (std::exchange(m_isOpen, false))
-        m_observer.lost();
+    endSession();
 }
 
-void LeaderLink::send(const FleetMessage &message)
+std::optional<std::uint64_t> LeaderLink::send(const FleetMessage &message)
 {
-    if (m_isOpen && m_session)
-        m_session->send(encodeFrame(message));
+    if (!m_isOpen || !m_session)
+        return std::nullopt;
+    const std::uint64_t position = m_session->bytesQueued();
+    m_session->send(encodeFrame(message));
+    return position;
+}
+
+std::uint64_t LeaderLink::bytesWritten() const
+{
+    return m_session ? m_session->bytesWritten() : m_lastBytesWritten;
+}
+
+Instant LeaderLink::lastHeard() const
+{
+    return m_session ? m_session->lastInput() : Instant{};
+}
+
+Duration LeaderLink::withoutLeader(Instant now) const
+{
+    return m_isOpen ? Duration::zero() : now - m_leaderSeen;
 }
 
 void LeaderLink::renew(std::string_view reason)
@@ -134,6 +151,7 @@
     const std::string hint = leader->address;
     if (hint.empty() || hint == found->second.target || hint == m_fleet.channelAddress())
         return;
+    m_leaderSeen = BootClock::now();
     m_loop.post([this, hint, relay = found->second.relay] {
         if (m_enabled && !m_session)
             attempt(hint, relay);
@@ -195,13 +213,22 @@
         return;
     logEvent(LogLevel::Warning, "leader-lost", {{"path", m_sessionPath}, {"reason", reason}});
     m_sessionTimedOut = reason == "silent";
-    m_session.reset();
     if (m_timer != 0)
         m_loop.cancel(std::exchange(m_timer, 0));
-    if (std::exchange(m_isOpen, false))
-        m_observer.lost();
+    endSession();
     m_discoveryRounds = 0;
     startDiscoveryRound();
 }
 
+void LeaderLink::endSession()
+{
+    if (m_session)
+        m_lastBytesWritten = m_session->bytesWritten();
+    m_session.reset();
+    if (!std::exchange(m_isOpen, false))
+        return;
+    m_leaderSeen = BootClock::now();
+    m_observer.lost();
+}
+
 } // namespace guavashift
--- a/Guavashift/Fleet/LeaderLink.h
+++ b/Guavashift/Fleet/LeaderLink.h
@@ -37,8 +37,16 @@
 
     /// Starts the search for a leader, or ends the session and the search.
     void setEnabled(bool enabled);
-    /// Sends a message to the leader; drops it if no session is open.
-    void send(const FleetMessage &message);
+    /// Sends a message to the leader; drops it if no session is open. Returns the number of bytes
+    /// that were queued in the session before the message, or nothing if it was dropped.
+    std::optional<std::uint64_t> send(const FleetMessage &message);
+    /// Bytes that the kernel has taken in this session, or took in the last one. A message with as
+    /// many bytes before it, or more, has not left this process.
+    [[nodiscard]] std::uint64_t bytesWritten() const;
+    /// When the leader was last heard in this session.
+    [[nodiscard]] Instant lastHeard() const;
+    /// Time for which there has been neither a session nor a control process that names a leader.
+    [[nodiscard]] Duration withoutLeader(Instant now) const;
     /// Replaces the seeds: control processes that are queried beside those that the leader names.
     void setSeeds(const std::vector<std::string> &seeds) { m_fleet.seeds = seeds; }
     [[nodiscard]] bool isOpen() const { return m_isOpen; }
@@ -63,6 +71,7 @@
     void answered(AttemptId id, std::string_view frame);
     void adopt(AttemptId id);
     void sessionClosed(std::string_view reason);
+    void endSession();
     void sessionFrame(std::string_view frame);
     [[nodiscard]] std::vector<std::string> knownCores() const;
     [[nodiscard]] std::vector<std::string> pickRelays();
@@ -82,6 +91,8 @@
     AttemptId m_nextAttempt = 1;
     std::unique_ptr<FrameConnection> m_session;
     std::string m_sessionPath;
+    std::uint64_t m_lastBytesWritten = 0; ///< Of the session that ended last.
+    Instant m_leaderSeen;                 ///< Last time that a leader was known or named.
     EventLoop::TimerId m_timer = 0;
 };
 
