--- a/Guavashift/Dispatch/Dispatch.h
+++ b/Guavashift/Dispatch/Dispatch.h
@@ -2,6 +2,7 @@
 
 // Public header of the Dispatch library: the leader's scheduling of staged jobs.
 #include <Guavashift/Dispatch/ColdWorkers.h>
+#include <Guavashift/Dispatch/DispatchSettings.h>
 #include <Guavashift/Dispatch/Dispatcher.h>
 #include <Guavashift/Dispatch/EvacuationGuard.h>
 #include <Guavashift/Dispatch/HeadroomTrend.h>
