Bound what clients make a process hold

Both HTTP servers kept each body that was at most 4 MiB long until its connection timed out, and nothing bounded all bodies together. An announced length was compared with the limit only by the thread server; the other one read and dropped a body over its limit without end.

RequestBudget is the account of a server: bodies by capacity, headers by what their copies take, answers until they are written, and the answer that a request in progress is expected to get. When it runs short it names the connection to cut: the one whose bytes times its time without progress are most, never one whose request may have run. RequestGuard does it for both servers: the client gets 503 with Retry-After (408 if the whole body took more than 30 s), as far as it still reads, and the socket is shut down. Announced lengths over the limit get 413 before the body, others are cut when they cross it. Connections beyond half of the process's descriptors or what half of its memory holds, unread bytes included, displace the one that has been still for the longest time. Accepted sockets get small receive buffers, since unread bytes count as memory.

--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -62,6 +62,15 @@
     m_round.Observe(seconds(duration));
 }
 
+void FleetMetrics::refused(RefusalReason reason)
+{
+    m_metrics
+        .counter("guavashift_fleet_clients_refused_total",
+                 "Requests refused and connections closed to bound what clients hold",
+                 {{"reason", std::string(nameOf(reason))}})
+        .Increment();
+}
+
 void FleetMetrics::committed(std::size_t commands, Duration commit, Duration sync)
 {
     m_commitCommands.Observe(static_cast<double>(commands));
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Guavashift/Fleet/WorkerPort.h>
+#include <Guavashift/Http/RequestBudget.h>
 #include <Guavashift/Metrics/Metrics.h>
 
 #include <atomic>
@@ -18,6 +19,9 @@
 
     /// Records a round of the event loop.
     void roundEnded(Duration duration);
+    /// Records a request that was refused, or a connection that was closed, to bound what clients
+    /// make the process hold.
+    void refused(RefusalReason reason);
 
     // Control process.
 
--- a/Guavashift/Fleet/FleetSettings.h
+++ b/Guavashift/Fleet/FleetSettings.h
@@ -29,6 +29,7 @@
     std::string dataFolder;         ///< Of control processes only.
     bool firstStart = false;        ///< The fleet starts for the first time.
     std::size_t maxHandles = 1024;
+    std::size_t memoryBytes = std::size_t{256} << 20; ///< The process is killed beyond it.
     FleetBounds bounds;
 
     [[nodiscard]] std::string channelAddress() const
--- a/Guavashift/Http/AsyncHttpServer.cpp
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -1,5 +1,6 @@
 #include <Guavashift/Http/AsyncHttpServer.h>
 #include <Guavashift/Http/MicrohttpdSupport.h>
+#include <Guavashift/Http/RequestGuard.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -18,6 +19,11 @@
 class Exchange final
 {
 public:
+    explicit Exchange(std::shared_ptr<RequestGuard> guard)
+        : m_guard(std::move(guard))
+    {
+    }
+
     /// Sets the answer, unless there is one already, and resumes a suspended connection.
     void answer(HttpResponse response)
     {
@@ -27,29 +33,35 @@
         m_answered = true;
         m_response = std::move(response);
         // The pointer is still valid, since a suspended connection is resumed only here.
-        if (m_suspended != nullptr)
+        if (m_suspended != nullptr) {
+            m_guard->answered(m_suspended, m_response);
             MHD_resume_connection(m_suspended);
+        }
     }
 
-    /// Returns the answer. If there is none yet, suspends the connection until it is given and
-    /// returns null.
-    const HttpResponse *responseOrSuspend(MHD_Connection *connection)
+    /// Takes the answer. If there is none yet, suspends the connection until it is given.
+    std::optional<HttpResponse> takeResponseOrSuspend(MHD_Connection *connection)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_answered)
-            return &m_response;
+        if (m_answered) {
+            if (m_suspended == nullptr)
+                m_guard->answered(connection, m_response);
+            return std::exchange(m_response, {});
+        }
         m_suspended = connection;
         MHD_suspend_connection(connection);
-        return nullptr;
+        return std::nullopt;
     }
 
     // Used on the server's thread only.
     HttpRequest request;
-    bool tooLarge = false;
+    /// Whether the client has its refusal already.
+    bool refused = false;
     /// Whether the handler has the request. Set under the server's lock.
     bool dispatched = false;
 
 private:
+    const std::shared_ptr<RequestGuard> m_guard;
     std::mutex m_mutex;
     bool m_answered = false;
     MHD_Connection *m_suspended = nullptr;
@@ -80,6 +92,7 @@
     Implementation(const HttpServerSettings &settings, Handler handler)
         : m_settings(settings)
         , m_handler(std::move(handler))
+        , m_guard(std::make_shared<RequestGuard>(settings))
     {
     }
 
@@ -93,13 +106,15 @@
         m_daemon = MHD_start_daemon(
             MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, m_settings.port,
             nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR, &*address,
-            MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+            MHD_OPTION_CONNECTION_LIMIT, connectionLimit(m_settings), MHD_OPTION_CONNECTION_TIMEOUT,
             idleSeconds(m_settings), MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
             MHD_OPTION_LISTEN_BACKLOG_SIZE, httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE,
             1U, MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-            &Implementation::onCompleted, this, MHD_OPTION_END);
+            &Implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+            &Implementation::onConnection, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
             return tl::unexpected(listenError(m_settings));
+        limitReceiveBuffers(m_daemon);
         return {};
     }
 
@@ -130,6 +145,7 @@
     }
 
     void startClosing() { m_closing = true; }
+    void setMaxBodyBytes(std::size_t bytes) { m_guard->setMaxBodyBytes(bytes); }
 
     [[nodiscard]] std::uint16_t port() const
     {
@@ -146,10 +162,22 @@
                                                           uploadSize, context);
     }
 
-    static void onCompleted(void *cls, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    static void onConnection(void *cls, MHD_Connection *connection, void **,
+                             MHD_ConnectionNotificationCode code)
+    {
+        auto &server = *static_cast<Implementation *>(cls);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            server.m_guard->opened(connection);
+        else
+            server.m_guard->closed(connection);
+    }
+
+    static void onCompleted(void *cls, MHD_Connection *connection, void **context,
+                            MHD_RequestTerminationCode)
     {
         if (*context == nullptr)
             return;
+        static_cast<Implementation *>(cls)->m_guard->finished(connection);
         const std::unique_ptr<ExchangePointer> exchange(static_cast<ExchangePointer *>(*context));
         *context = nullptr;
         static_cast<Implementation *>(cls)->completed(*exchange);
@@ -184,7 +212,7 @@
     {
         // The first call passes only the headers.
         if (*context == nullptr) {
-            auto exchange = std::make_shared<Exchange>();
+            auto exchange = std::make_shared<Exchange>(m_guard);
             exchange->request.method = method;
             exchange->request.path = url;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
@@ -193,26 +221,34 @@
                 const std::lock_guard lock(m_mutex);
                 m_openExchanges.insert(exchange);
             }
-            *context = new ExchangePointer(std::move(exchange));
-            return MHD_YES;
+            *context = new ExchangePointer(exchange);
+            const RequestGuard::Verdict verdict = m_guard->begin(connection, exchange->request);
+            if (verdict == RequestGuard::Verdict::Close)
+                return MHD_NO;
+            exchange->refused = verdict == RequestGuard::Verdict::TooLarge;
+            return exchange->refused ? respond(connection, m_guard->tooLargeResponse()) : MHD_YES;
         }
         const ExchangePointer exchange = *static_cast<ExchangePointer *>(*context);
         // Further calls pass the body in parts.
-        if (appendBody(exchange->request, exchange->tooLarge, m_settings.maxBodyBytes, uploadData,
-                       uploadSize))
-            return MHD_YES;
-        if (exchange->tooLarge)
-            return respond(connection,
-                           HttpResponse::json(413, {{"error", "the body is too large"}}));
+        if (const std::size_t bytes = std::exchange(*uploadSize, 0); bytes > 0) {
+            if (exchange->refused)
+                return MHD_YES;
+            return m_guard->append(connection, {uploadData, bytes})
+                    == RequestGuard::Verdict::Proceed
+                ? MHD_YES
+                : MHD_NO;
+        }
         // The next call expects the answer. It is repeated after the connection is resumed.
         if (!exchange->dispatched) {
+            if (!m_guard->dispatch(connection))
+                return respond(connection, RequestGuard::noRoomResponse());
             if (!admit(*exchange))
                 return respond(connection, notCarriedOutResponse());
             m_handler(std::move(exchange->request),
                       [exchange](HttpResponse response) { exchange->answer(std::move(response)); });
         }
-        const HttpResponse *answer = exchange->responseOrSuspend(connection);
-        return answer == nullptr ? MHD_YES : respond(connection, *answer);
+        const std::optional<HttpResponse> answer = exchange->takeResponseOrSuspend(connection);
+        return answer ? respond(connection, *answer) : MHD_YES;
     }
 
     MHD_Result respond(MHD_Connection *connection, const HttpResponse &response) const
@@ -222,6 +258,7 @@
 
     HttpServerSettings m_settings;
     Handler m_handler;
+    const std::shared_ptr<RequestGuard> m_guard;
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<bool> m_closing = false;
     std::mutex m_mutex;
@@ -252,6 +289,11 @@
     m_implementation->startClosing();
 }
 
+void AsyncHttpServer::setMaxBodyBytes(std::size_t bytes)
+{
+    m_implementation->setMaxBodyBytes(bytes);
+}
+
 void AsyncHttpServer::startRefusing()
 {
     m_implementation->startRefusing();
--- a/Guavashift/Http/AsyncHttpServer.h
+++ b/Guavashift/Http/AsyncHttpServer.h
@@ -26,6 +26,8 @@
     Result<void> start();
     /// Answers carry "Connection: close" from now on, so that callers connect elsewhere.
     void startClosing();
+    /// Replaces the settings' limit of a body. Safe to call from any thread.
+    void setMaxBodyBytes(std::size_t bytes);
     /// Requests that are read from now on are answered with 503 and do not reach the handler. Those
     /// that reached it before may still be answered.
     void startRefusing();
--- a/Guavashift/Http/HttpServer.cpp
+++ b/Guavashift/Http/HttpServer.cpp
@@ -1,8 +1,8 @@
 #include <Guavashift/Http/HttpServer.h>
 #include <Guavashift/Http/MicrohttpdSupport.h>
+#include <Guavashift/Http/RequestGuard.h>
 
 #include <atomic>
-#include <charconv>
 #include <condition_variable>
 #include <fcntl.h>
 #include <map>
@@ -38,7 +38,8 @@
 struct Transfer
 {
     HttpRequest request;
-    bool tooLarge = false;
+    /// Whether the client is cut off, or has its refusal already.
+    bool closes = false;
 };
 
 MHD_Result addQuery(void *cls, MHD_ValueKind, const char *key, const char *value)
@@ -62,6 +63,7 @@
     Implementation(const HttpServerSettings &settings, Handler handler)
         : m_settings(settings)
         , m_handler(std::move(handler))
+        , m_guard(settings)
     {
     }
 
@@ -76,8 +78,8 @@
             MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL
                 | MHD_USE_ITC | MHD_USE_TURBO,
             m_settings.port, nullptr, nullptr, &Implementation::onAccess, this,
-            MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_CONNECTION_LIMIT, m_settings.maxConnections,
-            MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds(m_settings),
+            MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_CONNECTION_LIMIT,
+            connectionLimit(m_settings), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds(m_settings),
             MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
             MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
             httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_UNESCAPE_CALLBACK,
@@ -85,6 +87,7 @@
             MHD_OPTION_NOTIFY_CONNECTION, &Implementation::onConnection, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
             return tl::unexpected(listenError(m_settings));
+        limitReceiveBuffers(m_daemon);
         return {};
     }
 
@@ -117,6 +120,7 @@
     }
 
     void startClosing() { m_closing = true; }
+    void setMaxBodyBytes(std::size_t bytes) { m_guard.setMaxBodyBytes(bytes); }
 
     [[nodiscard]] std::uint16_t port() const
     {
@@ -138,6 +142,7 @@
     {
         if (*context == nullptr)
             return;
+        static_cast<Implementation *>(cls)->m_guard.finished(connection);
         delete static_cast<Transfer *>(*context);
         *context = nullptr;
         static_cast<Implementation *>(cls)->completed(connection);
@@ -147,10 +152,13 @@
                              MHD_ConnectionNotificationCode code)
     {
         auto &server = *static_cast<Implementation *>(cls);
-        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
             server.opened(connection);
-        else
+            server.m_guard.opened(connection);
+        } else {
+            server.m_guard.closed(connection);
             server.closed(connection);
+        }
     }
 
     /// Accepts what has connected already; closing the listening socket would reset it.
@@ -224,39 +232,33 @@
                                       &transfer->request.query);
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
                                       &transfer->request.headers);
-            const bool tooLarge = declaresOversizedBody(transfer->request);
+            const RequestGuard::Verdict verdict = m_guard.begin(connection, transfer->request);
+            transfer->closes = verdict == RequestGuard::Verdict::TooLarge;
             *context = transfer.release();
             {
                 const std::lock_guard lock(m_mutex);
                 m_connections.at(connection).phase = CallerConnection::Phase::Active;
             }
-            return tooLarge ? respond(connection, tooLargeResponse()) : MHD_YES;
+            if (verdict == RequestGuard::Verdict::Close)
+                return MHD_NO;
+            return verdict == RequestGuard::Verdict::TooLarge
+                ? respond(connection, m_guard.tooLargeResponse())
+                : MHD_YES;
         }
         auto &transfer = *static_cast<Transfer *>(*context);
         // Further calls pass the body in parts.
-        if (appendBody(transfer.request, transfer.tooLarge, m_settings.maxBodyBytes, uploadData,
-                       uploadSize))
-            return MHD_YES;
+        if (const std::size_t bytes = std::exchange(*uploadSize, 0); bytes > 0) {
+            if (transfer.closes)
+                return MHD_YES;
+            return m_guard.append(connection, {uploadData, bytes}) == RequestGuard::Verdict::Proceed
+                ? MHD_YES
+                : MHD_NO;
+        }
         // The last call expects the answer.
-        return respond(connection,
-                       transfer.tooLarge ? tooLargeResponse() : m_handler(transfer.request));
-    }
-
-    [[nodiscard]] bool declaresOversizedBody(const HttpRequest &request) const
-    {
-        const std::optional<std::string_view> length = request.headers.find("Content-Length");
-        std::uint64_t bytes = 0;
-        if (length)
-            std::from_chars(length->data(), length->data() + length->size(), bytes);
-        return bytes > m_settings.maxBodyBytes;
-    }
-
-    [[nodiscard]] HttpResponse tooLargeResponse() const
-    {
-        HttpResponse response = HttpResponse::json(
-            413, {{"error", fmt::format("the body exceeds {} bytes", m_settings.maxBodyBytes)}});
-        response.headers.add("Guavashift-Run", "not-run");
-        return response;
+        const HttpResponse response = m_guard.dispatch(connection) ? m_handler(transfer.request)
+                                                                   : RequestGuard::noRoomResponse();
+        m_guard.answered(connection, response);
+        return respond(connection, response);
     }
 
     MHD_Result respond(MHD_Connection *connection, const HttpResponse &response) const
@@ -266,6 +268,7 @@
 
     HttpServerSettings m_settings;
     Handler m_handler;
+    RequestGuard m_guard;
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<bool> m_closing = false;
     std::mutex m_mutex;
@@ -297,6 +300,11 @@
     m_implementation->startClosing();
 }
 
+void HttpServer::setMaxBodyBytes(std::size_t bytes)
+{
+    m_implementation->setMaxBodyBytes(bytes);
+}
+
 std::uint16_t HttpServer::port() const
 {
     return m_implementation->port();
--- a/Guavashift/Http/HttpServer.h
+++ b/Guavashift/Http/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Guavashift/Http/HttpMessage.h>
+#include <Guavashift/Http/RequestBudget.h>
 
 #include <functional>
 #include <memory>
@@ -12,14 +13,26 @@
 {
     std::string ip = "127.0.0.1";
     std::uint16_t port = 0;
+    /// Beyond these, the one that has made no progress for the longest time is closed.
     unsigned maxConnections = 1024;
     std::size_t maxBodyBytes = 4 << 20;
     /// Memory for the request line and headers of one connection.
     std::size_t maxHeaderBytes = 32 << 10;
     /// Connections that send nothing for this long are closed.
     Duration idleTimeout = std::chrono::seconds(30);
+    /// Longest time from a request's headers to the end of its body.
+    Duration bodyTimeout = std::chrono::seconds(30);
+    /// Memory for all requests that are not answered, and for answers that are not taken.
+    std::size_t requestMemoryBytes = 128 << 20;
+    /// Called for each refusal, on any thread and under a lock, so it must not call the server.
+    std::function<void(RefusalReason)> refused;
 };
 
+/// The settings' connections, bounded by the memory and descriptors of the process: half of each at
+/// most, the memory with what the system keeps unread.
+unsigned boundedConnections(const HttpServerSettings &settings, std::size_t memoryBytes,
+                            std::size_t descriptors);
+
 /// Serves HTTP with libmicrohttpd, one thread per connection; the handler may block.
 class HttpServer final
 {
@@ -37,6 +50,8 @@
     void stop();
     /// Answers carry "Connection: close" from now on, so that callers connect elsewhere.
     void startClosing();
+    /// Replaces the settings' limit of a body.
+    void setMaxBodyBytes(std::size_t bytes);
 
     [[nodiscard]] std::uint16_t port() const;
 
--- a/Guavashift/Http/MicrohttpdSupport.cpp
+++ b/Guavashift/Http/MicrohttpdSupport.cpp
@@ -1,10 +1,21 @@
 #include <Guavashift/Http/MicrohttpdSupport.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace guavashift {
 
+unsigned boundedConnections(const HttpServerSettings &settings, std::size_t memoryBytes,
+                            std::size_t descriptors)
+{
+    const std::size_t bytesEach = settings.maxHeaderBytes + 2 * std::size_t{receiveBufferBytes};
+    const std::size_t most =
+        std::max<std::size_t>(1, std::min(memoryBytes / 2 / bytesEach, descriptors / 2));
+    return static_cast<unsigned>(std::min<std::size_t>(settings.maxConnections, most));
+}
+
 Result<sockaddr_in> listenAddress(const HttpServerSettings &settings)
 {
     sockaddr_in address{};
@@ -36,17 +47,21 @@
     return std::char_traits<char>::length(text);
 }
 
-bool appendBody(HttpRequest &request, bool &tooLarge, std::size_t limit, const char *data,
-                std::size_t *size)
+unsigned connectionLimit(const HttpServerSettings &settings)
+{
+    constexpr unsigned cutConnections = 32;
+    return settings.maxConnections + cutConnections;
+}
+
+void limitReceiveBuffers(MHD_Daemon *daemon)
 {
-    const std::size_t bytes = std::exchange(*size, 0);
-    if (bytes == 0)
-        return false;
-    if (request.body.size() + bytes > limit)
-        tooLarge = true;
-    else
-        request.body.append(data, bytes);
-    return true;
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    // Accepted sockets inherit the size.
+    if (info == nullptr
+        || ::setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+                        sizeof receiveBufferBytes)
+            != 0)
+        logEvent(LogLevel::Warning, "receive-buffers-unlimited", {{"errno", errno}});
 }
 
 MHD_Result sendResponse(MHD_Connection *connection, const HttpResponse &response, bool closing)
--- a/Guavashift/Http/MicrohttpdSupport.h
+++ b/Guavashift/Http/MicrohttpdSupport.h
@@ -10,6 +10,8 @@
 namespace guavashift {
 
 constexpr unsigned httpListenBacklog = 1024;
+/// Passed to SO_RCVBUF. The system may keep twice as much.
+constexpr int receiveBufferBytes = 32 << 10;
 
 Result<sockaddr_in> listenAddress(const HttpServerSettings &settings);
 Error listenError(const HttpServerSettings &settings);
@@ -21,10 +23,12 @@
 /// Unescape callback that changes nothing, since paths and queries are forwarded unchanged.
 std::size_t keepEscapes(void *, MHD_Connection *, char *text);
 
-/// Appends a part of the body, or sets `tooLarge` if the body exceeds `limit`. False if there was
-/// no part.
-bool appendBody(HttpRequest &request, bool &tooLarge, std::size_t limit, const char *data,
-                std::size_t *size);
+/// Connections that libmicrohttpd may have open: more than the server keeps, so that a new one is
+/// accepted while another is cut.
+unsigned connectionLimit(const HttpServerSettings &settings);
+
+/// Limits what the system keeps unread for each connection that the daemon accepts from now on.
+void limitReceiveBuffers(MHD_Daemon *daemon);
 
 /// Sends the answer. A closing server adds "Connection: close", so that the caller connects
 /// elsewhere.
