Apply the callers' limits of the configuration at entries

Entries took bodies of 4 MiB whatever the configuration said. The leader sends the limits of the configuration in force to each gateway when its session opens and when they change, in a message of its own that earlier versions ignore; until then, and from a leader of an earlier version, the defaults hold. Control processes and agents keep 4 MiB for configurations and reports.

Of max_body_bytes and idle_timeout_ms so far: max_header_bytes and header_timeout_ms stay with libmicrohttpd's memory for headers (32 KiB) and its idle timeout.

--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -89,6 +89,8 @@
     m_sessionOfNode[request.node] = id;
     session.send(SessionOpened{fence, toMs(m_workerLease)});
     session.send(m_directory);
+    if (request.role == NodeRole::Gateway)
+        session.send(CallerLimitsInForce{m_jobTable.queues().callerLimits()});
     logEvent(LogLevel::Info, "session-opened",
              {{"node", request.node}, {"fence", fence}, {"address", request.address}});
 }
@@ -292,6 +294,7 @@
     if (now >= m_nextDirectory) {
         m_nextDirectory = now + directoryInterval;
         sendDirectory();
+        sendCallerLimits();
     }
 }
 
@@ -321,6 +324,18 @@
         session.send(m_directory);
 }
 
+void FleetLeader::sendCallerLimits()
+{
+    const CallerLimits &limits = m_jobTable.queues().callerLimits();
+    if (limits == m_sentCallerLimits)
+        return;
+    m_sentCallerLimits = limits;
+    for (const auto &[id, session] : m_sessions) {
+        if (session.role == NodeRole::Gateway)
+            session.send(CallerLimitsInForce{limits});
+    }
+}
+
 void FleetLeader::handle(const FleetCall &call, const Answer &answer)
 {
     const auto logged = [this, call, answer](FleetAnswer result) {
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -70,6 +70,7 @@
                     const std::optional<BindingTimes> &times, Instant now) const;
     void reportLongRunningWaits(const LongRunningWaits &waits) const;
     void sendDirectory();
+    void sendCallerLimits();
     void flushOrders();
     void propose(const std::vector<StageCommand> &commands);
     void submit(const FleetCall &call, const QueueMatch &match, const Answer &answer);
@@ -90,6 +91,7 @@
     std::map<std::string, SessionId> m_sessionOfNode;
     Directory m_directory;
     Instant m_nextDirectory;
+    CallerLimits m_sentCallerLimits; ///< To all gateways that had a session by then.
     /// The latest proposed configuration, until it is decided or leadership ends.
     std::shared_ptr<ProposedConfiguration> m_proposedConfiguration;
 };
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -177,6 +177,11 @@
     return std::tie(value.lifetime, value.runs);
 }
 
+auto fields(Is<CallerLimitsInForce> auto &value)
+{
+    return std::tie(value.limits.maxBodyBytes, value.limits.idleMs);
+}
+
 auto fields(Is<LateStarts> auto &value)
 {
     return std::tie(value.lifetime, value.runs, value.namesAll);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -167,6 +167,12 @@
     bool namesAll = true; ///< False if an earlier process of the agent may have sent others.
 };
 
+/// The callers' limits of the configuration in force. Sent to gateways; earlier versions ignore it.
+struct CallerLimitsInForce
+{
+    CallerLimits limits;
+};
+
 struct KnownRuns
 {
     std::vector<RunTraits> runs;
@@ -229,7 +235,7 @@
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
                  StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
-                 OpenStarts, EndProven, LifetimeAnswered, LateStarts>;
+                 OpenStarts, EndProven, LifetimeAnswered, LateStarts, CallerLimitsInForce>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/Guavashift/Fleet/GatewayNode.cpp
+++ b/Guavashift/Fleet/GatewayNode.cpp
@@ -98,6 +98,11 @@
 
 void GatewayNode::received(const FleetMessage &message)
 {
+    if (const auto *inForce = std::get_if<CallerLimitsInForce>(&message)) {
+        if (m_gateway.limitsReceived)
+            m_gateway.limitsReceived(inForce->limits);
+        return;
+    }
     const auto *answer = std::get_if<FleetAnswer>(&message);
     if (answer == nullptr)
         return;
--- a/Guavashift/Fleet/GatewayNode.h
+++ b/Guavashift/Fleet/GatewayNode.h
@@ -16,6 +16,8 @@
     Duration answerTimeout = std::chrono::milliseconds(2500);
     /// Pause before a call that the leader could not decide is forwarded to it again.
     Duration resendDelay = std::chrono::milliseconds(150);
+    /// Called with the callers' limits in force, on the event loop's thread.
+    std::function<void(const CallerLimits &)> limitsReceived;
 };
 
 /// Forwards callers' requests to the leader, which decides them, and returns its answers. Keeps no
--- a/Guavashift/Http/AsyncHttpServer.cpp
+++ b/Guavashift/Http/AsyncHttpServer.cpp
@@ -107,11 +107,11 @@
             MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, m_settings.port,
             nullptr, nullptr, &Implementation::onAccess, this, MHD_OPTION_SOCK_ADDR, &*address,
             MHD_OPTION_CONNECTION_LIMIT, connectionLimit(m_settings), MHD_OPTION_CONNECTION_TIMEOUT,
-            idleSeconds(m_settings), MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
-            MHD_OPTION_LISTEN_BACKLOG_SIZE, httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-            1U, MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-            &Implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
-            &Implementation::onConnection, this, MHD_OPTION_END);
+            idleSeconds(m_settings.idleTimeout), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            m_settings.maxHeaderBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE, httpListenBacklog,
+            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes,
+            nullptr, MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted, this,
+            MHD_OPTION_NOTIFY_CONNECTION, &Implementation::onConnection, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
             return tl::unexpected(listenError(m_settings));
         limitReceiveBuffers(m_daemon);
@@ -145,7 +145,10 @@
     }
 
     void startClosing() { m_closing = true; }
-    void setMaxBodyBytes(std::size_t bytes) { m_guard->setMaxBodyBytes(bytes); }
+    void setLimits(std::size_t maxBodyBytes, Duration idleTimeout)
+    {
+        m_guard->setLimits(maxBodyBytes, idleTimeout);
+    }
 
     [[nodiscard]] std::uint16_t port() const
     {
@@ -289,9 +292,9 @@
     m_implementation->startClosing();
 }
 
-void AsyncHttpServer::setMaxBodyBytes(std::size_t bytes)
+void AsyncHttpServer::setLimits(std::size_t maxBodyBytes, Duration idleTimeout)
 {
-    m_implementation->setMaxBodyBytes(bytes);
+    m_implementation->setLimits(maxBodyBytes, idleTimeout);
 }
 
 void AsyncHttpServer::startRefusing()
--- a/Guavashift/Http/AsyncHttpServer.h
+++ b/Guavashift/Http/AsyncHttpServer.h
@@ -26,8 +26,9 @@
     Result<void> start();
     /// Answers carry "Connection: close" from now on, so that callers connect elsewhere.
     void startClosing();
-    /// Replaces the settings' limit of a body. Safe to call from any thread.
-    void setMaxBodyBytes(std::size_t bytes);
+    /// Replaces the settings' limits, for requests whose headers are read from now on. Safe to call
+    /// from any thread.
+    void setLimits(std::size_t maxBodyBytes, Duration idleTimeout);
     /// Requests that are read from now on are answered with 503 and do not reach the handler. Those
     /// that reached it before may still be answered.
     void startRefusing();
--- a/Guavashift/Http/HttpServer.cpp
+++ b/Guavashift/Http/HttpServer.cpp
@@ -79,12 +79,13 @@
                 | MHD_USE_ITC | MHD_USE_TURBO,
             m_settings.port, nullptr, nullptr, &Implementation::onAccess, this,
             MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_CONNECTION_LIMIT,
-            connectionLimit(m_settings), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds(m_settings),
-            MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_settings.maxHeaderBytes,
-            MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-            httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_UNESCAPE_CALLBACK,
-            &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted, this,
-            MHD_OPTION_NOTIFY_CONNECTION, &Implementation::onConnection, this, MHD_OPTION_END);
+            connectionLimit(m_settings), MHD_OPTION_CONNECTION_TIMEOUT,
+            idleSeconds(m_settings.idleTimeout), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            m_settings.maxHeaderBytes, MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes,
+            MHD_OPTION_LISTEN_BACKLOG_SIZE, httpListenBacklog, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+            1U, MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
+            &Implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+            &Implementation::onConnection, this, MHD_OPTION_END);
         if (m_daemon == nullptr)
             return tl::unexpected(listenError(m_settings));
         limitReceiveBuffers(m_daemon);
@@ -120,7 +121,6 @@
     }
 
     void startClosing() { m_closing = true; }
-    void setMaxBodyBytes(std::size_t bytes) { m_guard.setMaxBodyBytes(bytes); }
 
     [[nodiscard]] std::uint16_t port() const
     {
@@ -300,11 +300,6 @@
     m_implementation->startClosing();
 }
 
-void HttpServer::setMaxBodyBytes(std::size_t bytes)
-{
-    m_implementation->setMaxBodyBytes(bytes);
-}
-
 std::uint16_t HttpServer::port() const
 {
     return m_implementation->port();
--- a/Guavashift/Http/HttpServer.h
+++ b/Guavashift/Http/HttpServer.h
@@ -50,8 +50,6 @@
     void stop();
     /// Answers carry "Connection: close" from now on, so that callers connect elsewhere.
     void startClosing();
-    /// Replaces the settings' limit of a body.
-    void setMaxBodyBytes(std::size_t bytes);
 
     [[nodiscard]] std::uint16_t port() const;
 
--- a/Guavashift/Http/MicrohttpdSupport.cpp
+++ b/Guavashift/Http/MicrohttpdSupport.cpp
@@ -31,9 +31,9 @@
     return {ErrorCode::Io, fmt::format("cannot listen on {}:{}", settings.ip, settings.port)};
 }
 
-unsigned idleSeconds(const HttpServerSettings &settings)
+unsigned idleSeconds(Duration timeout)
 {
-    return static_cast<unsigned>(toMs(settings.idleTimeout) / 1000);
+    return static_cast<unsigned>(std::chrono::ceil<std::chrono::seconds>(timeout).count());
 }
 
 MHD_Result addHeader(void *headers, MHD_ValueKind, const char *key, const char *value)
--- a/Guavashift/Http/MicrohttpdSupport.h
+++ b/Guavashift/Http/MicrohttpdSupport.h
@@ -15,7 +15,8 @@
 
 Result<sockaddr_in> listenAddress(const HttpServerSettings &settings);
 Error listenError(const HttpServerSettings &settings);
-unsigned idleSeconds(const HttpServerSettings &settings);
+/// The timeout in the library's unit, rounded up.
+unsigned idleSeconds(Duration timeout);
 
 /// Callback that adds one header to the HttpHeaders at `headers`.
 MHD_Result addHeader(void *headers, MHD_ValueKind, const char *key, const char *value);
--- a/Guavashift/Http/RequestGuard.cpp
+++ b/Guavashift/Http/RequestGuard.cpp
@@ -1,3 +1,4 @@
+#include <Guavashift/Http/MicrohttpdSupport.h>
 #include <Guavashift/Http/RequestGuard.h>
 
 #include <algorithm>
@@ -86,14 +87,16 @@
 RequestGuard::RequestGuard(const HttpServerSettings &settings)
     : m_settings(settings)
     , m_maxBodyBytes(settings.maxBodyBytes)
+    , m_idleTimeout(settings.idleTimeout)
     , m_budget({settings.requestMemoryBytes, settings.maxConnections, settings.bodyTimeout})
 {
 }
 
-void RequestGuard::setMaxBodyBytes(std::size_t bytes)
+void RequestGuard::setLimits(std::size_t maxBodyBytes, Duration idleTimeout)
 {
     const std::lock_guard lock(m_mutex);
-    m_maxBodyBytes = bytes;
+    m_maxBodyBytes = maxBodyBytes;
+    m_idleTimeout = idleTimeout;
 }
 
 void RequestGuard::opened(MHD_Connection *connection)
@@ -122,6 +125,10 @@
         refused(RefusalReason::TooLarge, now);
         return Verdict::TooLarge;
     }
+    // The library knows only the timeout of the settings.
+    if (m_idleTimeout != m_settings.idleTimeout)
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  idleSeconds(m_idleTimeout));
     Open &open = m_open.at(connection);
     open.request = &request;
     m_budget.received(idOf(connection), bytesOf(request), now);
--- a/Guavashift/Http/RequestGuard.h
+++ b/Guavashift/Http/RequestGuard.h
@@ -24,7 +24,7 @@
 
     explicit RequestGuard(const HttpServerSettings &settings);
 
-    void setMaxBodyBytes(std::size_t bytes);
+    void setLimits(std::size_t maxBodyBytes, Duration idleTimeout);
 
     void opened(MHD_Connection *connection);
     void closed(MHD_Connection *connection);
@@ -55,6 +55,7 @@
     const HttpServerSettings m_settings;
     mutable std::mutex m_mutex;
     std::size_t m_maxBodyBytes;
+    Duration m_idleTimeout;
     RequestBudget m_budget;
     std::unordered_map<MHD_Connection *, Open> m_open;
     static constexpr std::size_t reasonCount = 4;
--- a/Guavashift/Stages/QueueTable.cpp
+++ b/Guavashift/Stages/QueueTable.cpp
@@ -6,10 +6,11 @@
 namespace guavashift {
 
 QueueTable::QueueTable(std::uint64_t version, std::vector<QueueSettings> queues,
-                       std::map<std::string, PoolSettings> pools)
+                       std::map<std::string, PoolSettings> pools, const CallerLimits &callerLimits)
     : m_version(version)
     , m_queues(std::move(queues))
     , m_pools(std::move(pools))
+    , m_callerLimits(callerLimits)
 {
     for (std::size_t i = 0; i < m_queues.size(); ++i) {
         m_byName.emplace(m_queues[i].name, i);
--- a/Guavashift/Stages/QueueTable.h
+++ b/Guavashift/Stages/QueueTable.h
@@ -44,6 +44,15 @@
     bool operator==(const PoolSettings &) const = default;
 };
 
+/// Limits of callers' requests and connections. 0: the configuration does not name the limit.
+struct CallerLimits
+{
+    std::uint64_t maxBodyBytes = 0;
+    std::int64_t idleMs = 0; ///< After which an unused connection is closed.
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
 /// A queue and the remainder of a path after the queue's prefix.
 struct QueueMatch
 {
@@ -57,12 +66,14 @@
 public:
     QueueTable() = default;
     QueueTable(std::uint64_t version, std::vector<QueueSettings> queues,
-               std::map<std::string, PoolSettings> pools);
+               std::map<std::string, PoolSettings> pools, const CallerLimits &callerLimits = {});
 
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::vector<QueueSettings> &queues() const { return m_queues; }
     [[nodiscard]] const std::map<std::string, PoolSettings> &pools() const { return m_pools; }
 
+    [[nodiscard]] const CallerLimits &callerLimits() const { return m_callerLimits; }
+
     /// Finds the queue with that host and the longest prefix of `path`.
     [[nodiscard]] std::optional<QueueMatch> match(std::string_view host,
                                                   std::string_view path) const;
@@ -75,6 +86,7 @@
     std::uint64_t m_version = 0;
     std::vector<QueueSettings> m_queues;
     std::map<std::string, PoolSettings> m_pools;
+    CallerLimits m_callerLimits;
     std::map<std::string, std::size_t, std::less<>> m_byName;
     /// Indices of queues by host, the longest prefix first.
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_byHost;
--- a/UnitTests/Fleet/FleetMessagesTest.cpp
+++ b/UnitTests/Fleet/FleetMessagesTest.cpp
@@ -66,6 +66,7 @@
         OpenStarts{lifetime, {{task, 5}}},
         EndProven{lifetime, LifetimeProof::LeaseRanOut},
         LifetimeAnswered{lifetime},
+        CallerLimitsInForce{{262'144, 15'000}},
     };
 }
 
