Place whole jobs in the order of the plan under overload

Cause: under overload every job is started, and best-effort tasks are placed beyond the processors left, so that all are throttled. Change: jobs of an overloaded pool are placed by their standing; crowded workers take no more best-effort tasks than they have processors for. Without overload the order is that of before.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -2,13 +2,6 @@
 
 namespace guavashift {
 
-namespace {
-
-/// The completion of a job has a value until this multiple of the time that its objective allows.
-constexpr std::int64_t worthlessFactor = 3;
-
-} // namespace
-
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
     : m_settings(settings)
     , m_jobTable(jobTable)
@@ -17,9 +10,11 @@
 
 void Dispatcher::start(Instant now)
 {
-    stop();
     m_now = now;
+    stop();
     for (const auto &[id, job] : m_jobTable.jobs()) {
+        if (job.isActive())
+            accountJob(id, job);
         if (job.isActive() && job.started)
             m_progress.bound(id, job.queue);
         if (job.occurrencesDone.size() > 0)
@@ -39,6 +34,7 @@
                     run.boundAt = now;
                     m_pool.place(task.lifetime, std::move(run));
                     m_placed.emplace(ref, task.lifetime);
+                    m_overload.account().runBound(id, s, now);
                     if (job.isActive() && job.plan.steps[s].longRunning)
                         m_lastListed.emplace(ref, now);
                 }
@@ -66,6 +62,7 @@
     m_placed.clear();
     m_lastListed.clear();
     m_progress.clear();
+    m_overload.reset(m_now);
     m_schedules.clear();
     m_due.clear();
     m_comparedSteps.clear();
@@ -114,11 +111,10 @@
     ready.task = ref;
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const WallMs due = job.plan.occurrences == 0 ? 0 : job.plan.dueAt(ref.occurrence);
-    const auto allowed = queue.targetLatencyMs
-        + static_cast<std::int64_t>(queue.stretch * static_cast<double>(chains.longest));
+    const JobWorth worth = worthOf(queue, chains.longest, std::max(job.acceptedAt, due));
     ready.priority = queue.priority;
-    ready.objective = std::max(job.acceptedAt, due) + allowed;
-    ready.worthlessAt = ready.objective + (worthlessFactor - 1) * allowed;
+    ready.objective = worth.objective;
+    ready.worthlessAt = worth.worthlessAt;
     ready.remainingMs = chains.remaining[ref.step];
     ready.longRunning = job.plan.steps[ref.step].longRunning;
     ready.suspected = crashesOf(ref) > 0;
@@ -255,6 +251,7 @@
 void Dispatcher::withdraw(const std::string &id)
 {
     m_progress.ended(id);
+    m_overload.ended(id);
     removeSchedule(id);
     for (auto at = m_lastTrials.lower_bound({id, 0, 0});
          at != m_lastTrials.end() && std::get<0>(at->first) == id;)
@@ -413,6 +410,7 @@
     m_now = now;
     expireLeases(now);
     beginDueOccurrences(wallNow);
+    planOverload(now, wallNow);
     placeReady(now, wallNow, betweenTasks);
     moveThrottled(now, betweenTasks);
     return takeCommands();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/SettleReason.h>
+#include <Guavashift/Scheduling/Scheduling.h>
 
 #include <functional>
 #include <set>
@@ -220,6 +221,15 @@
     /// Whether a task of the job is known to have started on a worker.
     [[nodiscard]] bool hasBegun(std::string_view id, const StageJob &job) const;
 
+    /// Whether a submission cannot be served in time, by what its caller needs. `job` must not have
+    /// been accepted.
+    [[nodiscard]] std::optional<AdmissionRefusal> refusalOf(const std::string &job,
+                                                            const QueueSettings &queue,
+                                                            const JobPlan &plan, Instant now,
+                                                            WallMs wallNow);
+    [[nodiscard]] const OverloadCounts &overloadCounts() const { return m_overload.counts(); }
+    OverloadCounts takeOverloadCounts() { return m_overload.takeCounts(); }
+
     /// Number of runs placed on a lifetime.
     [[nodiscard]] std::size_t runsOn(const Lifetime &lifetime) const;
 
@@ -377,6 +387,12 @@
     /// than its job allows.
     [[nodiscard]] bool allowsDisruption(const StageJob &job, const TaskRef &ref) const;
     [[nodiscard]] bool isRunning(const TaskRef &ref) const;
+    /// Enters a job into the account of work, if it takes room for a limited time.
+    void accountJob(const std::string &id, const StageJob &job);
+    void noteTasksLeft(const StageJob &job, const TaskRef &ref);
+    /// Notes what the end of a run tells about the run times of its kind.
+    void learnRunTime(const PlacedRun &run, const EndRun &end, Instant now);
+    void planOverload(Instant now, WallMs wallNow);
     void placeReady(Instant now, WallMs wallNow, const std::function<void()> &betweenTasks);
     [[nodiscard]] std::vector<ReadyTask> schedulingOrder(WallMs wallNow) const;
     bool placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held);
@@ -455,6 +471,7 @@
     using StepRef = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
     JobProgress m_progress;
+    OverloadPlanner m_overload;
     InterferenceTable m_interference;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -66,6 +66,7 @@
 void Dispatcher::jobAccepted(const std::string &id)
 {
     const StageJob &job = *m_jobTable.find(id);
+    accountJob(id, job);
     enqueueReadySteps(id, job);
     scheduleOccurrences(id, job);
 }
@@ -79,6 +80,7 @@
     PlacedRun &run = worker.runs.at(start.task);
     run.committed = true;
     run.boundAt = now;
+    m_overload.account().runBound(start.task.job, start.task.step, now);
     // The order is sent at the commit or never: no later session of an agent receives it.
     if (worker.node.empty())
         return queueEnd(run, RunEnd::NotStarted, SettleReason::NoSession);
@@ -140,6 +142,8 @@
     const Lifetime lifetime = placed->second;
     PoolWorker &worker = *m_pool.find(lifetime);
     const PlacedRun &run = worker.runs.at(placed->first);
+    if (run.committed)
+        m_overload.account().runReleased(run.task.job, run.task.step, run.boundAt);
     if (run.listedSinceEnd && worker.hasFacts && !worker.unreachable) {
         // Its worker goes on with it. The next list tells when it has ended.
         worker.unboundRuns.try_emplace({run.task, run.run}, false);
@@ -160,6 +164,7 @@
         if (run.run == end.run) {
             updateLastListed(run);
             recordEnd(end, placed->second, now);
+            learnRunTime(run, end, now);
         }
         release(placed);
     }
@@ -168,6 +173,7 @@
         return;
     if (!job->isActive())
         return withdraw(end.task.job);
+    noteTasksLeft(*job, end.task);
     if (job->occurrencesDone.contains(end.task.occurrence))
         occurrenceEnded(end.task.job, *job);
     const StageTask *task = m_jobTable.find(end.task);
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -48,18 +48,34 @@
             return 0;
         return wallNow + ready.remainingMs <= ready.worthlessAt ? 1 : 2;
     };
-    std::vector<std::pair<int, const ReadyTask *>> order;
+    struct Entry
+    {
+        int rank = 0;
+        WallMs due = 0;
+        const ReadyTask *ready = nullptr;
+    };
+    std::vector<Entry> order;
     order.reserve(m_ready.size());
-    for (const ReadyTask &each : m_ready)
-        order.emplace_back(latenessClass(each), &each);
-    std::stable_sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
-        return std::pair(left.second->priority, left.first)
-            < std::pair(right.second->priority, right.first);
+    const bool isOverloaded = m_overload.isOverloaded();
+    for (const ReadyTask &each : m_ready) {
+        if (!isOverloaded) {
+            order.push_back({latenessClass(each), 0, &each});
+        } else if (!order.empty() && order.back().ready->task.job == each.task.job) {
+            order.push_back({order.back().rank, order.back().due, &each});
+        } else if (const auto place = m_overload.placeOf(each.task.job)) {
+            order.push_back({place->rank, place->due, &each});
+        } else {
+            order.push_back({latenessClass(each), each.objective, &each});
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [](const Entry &left, const Entry &right) {
+        return std::tuple(left.ready->priority, left.rank, left.due)
+            < std::tuple(right.ready->priority, right.rank, right.due);
     });
     std::vector<ReadyTask> ready;
     ready.reserve(order.size());
-    for (const auto &[lateness, each] : order)
-        ready.push_back(*each);
+    for (const Entry &each : order)
+        ready.push_back(*each.ready);
     return ready;
 }
 
@@ -249,8 +265,13 @@
         return Exclusion::Capacity;
     if (!step.bestEffort)
         return std::nullopt;
+    // Under overload, more runs would only make all of them slower. A worker without any still
+    // takes one that it has not all the processors for.
+    const bool isCrowded =
+        worker.bestEffortMilliCores > 0 && m_overload.isOverloaded(queue.service, true);
+    const double overcommit = isCrowded ? 0 : m_settings.bestEffortOvercommit;
     const auto slack = static_cast<std::int64_t>(
-        m_settings.bestEffortOvercommit * static_cast<double>(worker.facts.capacity.milliCores));
+        overcommit * static_cast<double>(worker.facts.capacity.milliCores));
     if (unusedMilliCores(worker) + slack < step.size.milliCores)
         return Exclusion::Capacity;
     // Also excludes a speed that is not a number.
