--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -69,6 +69,7 @@
     m_dispatcher.stop();
     m_proposedConfiguration.reset();
     m_metrics.setLongRunningWaits(0, Duration::zero());
+    m_metrics.setOverload({});
     // This makes the nodes look for the new leader at once.
     for (const auto &[id, session] : m_sessions)
         session.send(LeaderReply{false, m_driver.leaderAddress()});
@@ -283,6 +284,7 @@
     if (!m_driver.mayAnswer())
         return;
     propose(m_dispatcher.decide(now, wallNow(), [this] { m_driver.serveReplicasIfDue(); }));
+    m_metrics.setOverload(m_dispatcher.takeOverloadCounts());
     flushOrders();
     for (auto &[node, rows] : m_dispatcher.takeInterference(now)) {
         const auto session = m_sessionOfNode.find(node);
@@ -362,8 +364,19 @@
     // A request that is sent again for an accepted job gets the same answer as the first.
     if (m_jobTable.find(job) != nullptr)
         return answer({call.id, CallResult::Done, {}, 0});
+    if (!m_proposedJobs.contains(job)) {
+        const auto refusal =
+            m_dispatcher.refusalOf(job, *match.queue, *call.plan, BootClock::now(), wallNow());
+        if (refusal)
+            return answer(
+                {call.id, CallResult::Unavailable, refusal->reason, refusal->retryAfterSeconds});
+    }
+    m_proposedJobs.insert(job);
     m_driver.propose({AcceptJob{job, match.queue->name, *call.plan}},
                      [this, answer, id = call.id, job](bool committed, auto) {
+                         if (const auto found = m_proposedJobs.find(job);
+                             found != m_proposedJobs.end())
+                             m_proposedJobs.erase(found);
                          if (!committed)
                              return answer({id, CallResult::Unknown, "leadership was lost", 0});
                          // A configuration that removes the queue may have been committed first.
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -92,6 +92,9 @@
     Instant m_nextDirectory;
     /// The latest proposed configuration, until it is decided or leadership ends.
     std::shared_ptr<ProposedConfiguration> m_proposedConfiguration;
+    /// Jobs whose submission is proposed and not decided: they are not refused any more. Once for
+    /// each proposal.
+    std::multiset<std::string> m_proposedJobs;
 };
 
 } // namespace guavashift
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -4,6 +4,7 @@
 #include <Guavashift/Metrics/Metrics.h>
 
 #include <atomic>
+#include <set>
 
 namespace guavashift {
 
@@ -37,6 +38,8 @@
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
+    /// Records decisions under overload, and the load of the fullest pool. For one thread only.
+    void setOverload(const OverloadCounts &counts);
 
     // Entry.
 
@@ -67,6 +70,10 @@
     prometheus::Gauge &m_silentVoters;
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
+    prometheus::Gauge &m_load;
+    prometheus::Counter &m_putBack;
+    /// Queues with a counter of refused jobs.
+    std::set<std::string, std::less<>> m_refusedQueues;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
