--- a/Guavashift/Scheduling/OverloadOrder.cpp
+++ b/Guavashift/Scheduling/OverloadOrder.cpp
@@ -80,7 +80,8 @@
     {
         QueueSums *chosen = nullptr;
         bool chosenIsFair = false;
-        for (auto &[queue, sums] : m_queues) {
+        for (auto &entry : m_queues) {
+            QueueSums &sums = entry.second;
             if (sums.candidates.empty() || sums.candidates.top().first < m_leastCost)
                 continue;
             const double work = m_claims[sums.candidates.top().second].work;
