--- a/Guavashift/Scheduling/Scheduling.h
+++ b/Guavashift/Scheduling/Scheduling.h
@@ -2,5 +2,7 @@
 
 // Public header of the Scheduling library: decisions on jobs and workers that need neither a
 // network nor a clock.
+#include <Guavashift/Scheduling/JobWorth.h>
+#include <Guavashift/Scheduling/OverloadPlanner.h>
 #include <Guavashift/Scheduling/RetryAdvice.h>
 #include <Guavashift/Scheduling/WarmUp.h>
