Keep the page of metrics within its limit

Cause: with counters of jobs put back and refused the page of a busy control process had 4,149 bytes, and the collector keeps 4,000.

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -228,7 +228,6 @@
                                                             const JobPlan &plan, Instant now,
                                                             WallMs wallNow);
     [[nodiscard]] const OverloadCounts &overloadCounts() const { return m_overload.counts(); }
-    OverloadCounts takeOverloadCounts() { return m_overload.takeCounts(); }
 
     /// Number of runs placed on a lifetime.
     [[nodiscard]] std::size_t runsOn(const Lifetime &lifetime) const;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -69,7 +69,7 @@
     m_dispatcher.stop();
     m_proposedConfiguration.reset();
     m_metrics.setLongRunningWaits(0, Duration::zero());
-    m_metrics.setOverload({});
+    m_metrics.setLoad(0);
     // This makes the nodes look for the new leader at once.
     for (const auto &[id, session] : m_sessions)
         session.send(LeaderReply{false, m_driver.leaderAddress()});
@@ -284,7 +284,7 @@
     if (!m_driver.mayAnswer())
         return;
     propose(m_dispatcher.decide(now, wallNow(), [this] { m_driver.serveReplicasIfDue(); }));
-    m_metrics.setOverload(m_dispatcher.takeOverloadCounts());
+    m_metrics.setLoad(m_dispatcher.overloadCounts().load);
     flushOrders();
     for (auto &[node, rows] : m_dispatcher.takeInterference(now)) {
         const auto session = m_sessionOfNode.find(node);
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -51,8 +51,6 @@
                                           "Time for which the oldest of them has not been running"))
     , m_load(m_metrics.gauge("guavashift_fleet_load",
                              "Work that is due against the room until then, of the fullest pool"))
-    , m_putBack(m_metrics.counter("guavashift_fleet_put_back_total",
-                                  "Jobs that gave way to others under overload"))
     , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
     , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.histogram("guavashift_fleet_agent_end_commit_seconds",
@@ -109,24 +107,11 @@
         .Increment();
 }
 
-void FleetMetrics::setOverload(const OverloadCounts &counts)
+void FleetMetrics::setLoad(double load)
 {
     // A page of metrics has room for few digits.
     constexpr double precision = 100;
-    m_load.Set(std::round(counts.load * precision) / precision);
-    if (counts.putBack > 0)
-        m_putBack.Increment(static_cast<double>(counts.putBack));
-    for (const auto &[queue, refused] : counts.refused) {
-        // A page of metrics has room for few queues.
-        constexpr std::size_t mostQueues = 4;
-        const bool isNamed = m_refusedQueues.contains(queue) || m_refusedQueues.size() < mostQueues;
-        if (isNamed)
-            m_refusedQueues.insert(queue);
-        m_metrics
-            .counter("guavashift_fleet_refused_total", "Jobs refused for lack of room",
-                     {{"queue", isNamed ? queue : "other"}})
-            .Increment(static_cast<double>(refused));
-    }
+    m_load.Set(std::round(load * precision) / precision);
 }
 
 void FleetMetrics::finished(CallResult result, Duration waited)
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -4,7 +4,6 @@
 #include <Guavashift/Metrics/Metrics.h>
 
 #include <atomic>
-#include <set>
 
 namespace guavashift {
 
@@ -38,8 +37,8 @@
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
-    /// Records decisions under overload, and the load of the fullest pool. For one thread only.
-    void setOverload(const OverloadCounts &counts);
+    /// Work that is due against the room until then, of the fullest pool.
+    void setLoad(double load);
 
     // Entry.
 
@@ -71,9 +70,6 @@
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_load;
-    prometheus::Counter &m_putBack;
-    /// Queues with a counter of refused jobs.
-    std::set<std::string, std::less<>> m_refusedQueues;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
--- a/Guavashift/Scheduling/OverloadPlanner.cpp
+++ b/Guavashift/Scheduling/OverloadPlanner.cpp
@@ -220,11 +220,4 @@
     return refusal;
 }
 
-OverloadCounts OverloadPlanner::takeCounts()
-{
-    OverloadCounts none;
-    none.load = m_counts.load;
-    return std::exchange(m_counts, std::move(none));
-}
-
 } // namespace guavashift
--- a/Guavashift/Scheduling/OverloadPlanner.h
+++ b/Guavashift/Scheduling/OverloadPlanner.h
@@ -49,7 +49,7 @@
     std::int64_t retryAfterSeconds = 0;
 };
 
-/// Counts since they were last taken, and the present load.
+/// Counts since the leader started, and the present load.
 struct OverloadCounts
 {
     std::uint64_t putBack = 0; ///< Jobs that were put back, each time.
@@ -103,8 +103,6 @@
     refusalOf(const std::string &job, const JobDemand &demand, Instant now, WallMs wallNow);
 
     [[nodiscard]] const OverloadCounts &counts() const { return m_counts; }
-    /// Returns the counts and begins again with none.
-    OverloadCounts takeCounts();
 
 private:
     struct PoolPlan
--- a/UnitTests/Fleet/FleetMetricsTest.cpp
+++ b/UnitTests/Fleet/FleetMetricsTest.cpp
@@ -36,8 +36,7 @@
         m_metrics.answered(CallKind::Cancel, CallResult::NoJob);
         m_metrics.startAnswered(WorkerCallResult::NoCapacity);
         m_metrics.setWaiting(7);
-        m_metrics.setOverload({2, 1, {{"batch", 3}}, 1.2345});
-        m_metrics.setOverload({1, 1, {{"batch", 1}}, 0.5});
+        m_metrics.setLoad(1.2345);
         const std::string text = read("/metrics", 200);
         for (const std::string_view line :
              {"\nguavashift_fleet_commit_commands_count 2\n",
@@ -46,9 +45,7 @@
               "\nguavashift_fleet_sync_seconds_bucket{le=\"0.008\"} 2\n",
               "\nguavashift_fleet_calls_total{kind=\"cancel\",result=\"no-job\"} 1\n",
               "\nguavashift_fleet_agent_starts_total{result=\"no-room\"} 1\n",
-              "\nguavashift_fleet_entry_waiting 7\n", "\nguavashift_fleet_load 0.5\n",
-              "\nguavashift_fleet_put_back_total 3\n",
-              "\nguavashift_fleet_refused_total{queue=\"batch\"} 4\n",
+              "\nguavashift_fleet_entry_waiting 7\n", "\nguavashift_fleet_load 1.23\n",
               "\nguavashift_fleet_log_lines_dropped_total 0\n"})
             CPPUNIT_ASSERT_MESSAGE(std::string(line), text.find(line) != std::string::npos);
     }
@@ -85,12 +82,12 @@
             m_metrics.leadershipChanged();
         }
         m_metrics.setLongRunningWaits(123, std::chrono::milliseconds(123'456));
-        m_metrics.setOverload({times, times, {{"batch", times}}, 1.2345});
+        m_metrics.setLoad(12.345);
         const std::string text = read("/metrics", 200);
         for (const std::string_view name :
              {"round_seconds_count", "commit_seconds_count", "sync_seconds_count",
               "ready_to_bound_seconds_count", "commit_commands_count", "leadership_changes_total",
-              "long_running_waits", "load", "put_back_total", "log_lines_dropped_total"})
+              "long_running_waits", "load", "log_lines_dropped_total"})
             CPPUNIT_ASSERT_MESSAGE(std::string(name),
                                    text.find(fmt::format("\nguavashift_fleet_{} ", name))
                                        != std::string::npos);
