--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -5,7 +5,6 @@
 #include <Guavashift/Metrics/Metrics.h>
 
 #include <atomic>
-#include <set>
 
 namespace guavashift {
 
@@ -45,8 +44,8 @@
     void setEvacuatedDomains(std::size_t domains);
     /// Counts a call, apart from evacuations.
     void answered(CallKind kind, CallResult result);
-    /// Records decisions under overload, and the load of the fullest pool. For one thread only.
-    void setOverload(const OverloadCounts &counts);
+    /// Work that is due against the room until then, of the fullest pool.
+    void setLoad(double load);
 
     // Entry.
 
@@ -81,9 +80,6 @@
     prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_evacuatedDomains;
     prometheus::Gauge &m_load;
-    prometheus::Counter &m_putBack;
-    /// Queues with a counter of refused jobs.
-    std::set<std::string, std::less<>> m_refusedQueues;
     prometheus::Gauge &m_waiting;
     prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
