Wait for places near data or group while that pays

A task with data on a rack took the best of the workers that had room at that moment, and `sameRack` was stored but never read. With a rack in demand, either its tasks or its callers paid, and nobody weighed the two.

NearPlaces (library Scheduling) decides for each task, or group, that could take a far place now: it waits while the time until room comes free on the rack, learned from the ends there, and the time waited stay below half of what the far place costs by the estimate and below a second, and while a job that would be in time there does not risk it. Each wait counts those before it, and a rack whose waits turn out wrong is waited for less. No room is held. Groups start on the rack with room for all, wait for one by the same rule, or spread. Long-running tasks and suspected ones never wait. Steps that name neither a rack nor a group are placed as before.

Metrics of entries and agents are made when they are first used: the page of a control process had no room for another counter.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -7,11 +7,19 @@
 /// The completion of a job has a value until this multiple of the time that its objective allows.
 constexpr std::int64_t worthlessFactor = 3;
 
+NearPlacesSettings nearPlacesSettings(const DispatchSettings &dispatch)
+{
+    NearPlacesSettings settings;
+    settings.wait.remoteFactor = dispatch.remoteFactor;
+    return settings;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
     : m_settings(settings)
     , m_jobTable(jobTable)
+    , m_nearPlaces(nearPlacesSettings(settings))
 {
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/SettleReason.h>
+#include <Guavashift/Scheduling/Scheduling.h>
 
 #include <functional>
 #include <set>
@@ -105,6 +106,8 @@
     double otherImagePenalty = 2;
     /// Factor by which a task is slower away from its data; limit of the deployment.
     double remoteFactor = 1.5;
+    /// Whether tasks decline far places while waiting for a near one pays.
+    bool waitsForNearPlaces = true;
 };
 
 /// A task that is ready to run. Its order is that of placement among tasks of equal priority and
@@ -208,6 +211,9 @@
     /// Interference to send to agents where it changed, each with the agent's node.
     std::vector<std::pair<std::string, std::vector<InterferenceRow>>> takeInterference(Instant now);
 
+    /// Takes the waits for near places that have ended.
+    std::vector<NearWaitEnd> takeNearWaits() { return m_nearPlaces.takeEnds(); }
+
     /// Long-running tasks that are not running, at most once per interval of the settings.
     std::optional<LongRunningWaits> takeLongRunningWaits(Instant now);
 
@@ -383,6 +389,15 @@
     bool placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held);
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
                                            const HeldWorkers &held);
+    /// Whether the task, which could take a far place now, waits for one near its data or group.
+    [[nodiscard]] bool waitsForNearPlace(const StageJob &job, const ReadyTask &ready, Instant now,
+                                         WallMs wallNow, const HeldWorkers &held);
+    /// Records that the task was placed, for its wait or that of its group.
+    void recordNearness(const StepPlan &step, const TaskRef &ref, Instant now);
+    /// Rack on which the task would be together with all others of its step; empty: none.
+    [[nodiscard]] std::string groupRackOf(const StepPlan &step, const TaskRef &ref) const;
+    [[nodiscard]] std::vector<RackRoom> roomByRack(const StageJob &job, const TaskRef &ref,
+                                                   Instant now, const HeldWorkers &held) const;
     /// Holds the worker that lacks least for a long-running task that found no room. Returns
     /// whether there is one.
     bool holdWorker(const StageJob &job, const TaskRef &ref, Instant now, HeldWorkers &held) const;
@@ -456,6 +471,7 @@
 
     JobProgress m_progress;
     InterferenceTable m_interference;
+    NearPlaces m_nearPlaces;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
     std::set<StepRef> m_comparedSteps;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -160,6 +160,8 @@
         if (run.run == end.run) {
             updateLastListed(run);
             recordEnd(end, placed->second, now);
+            m_nearPlaces.ended(std::string(m_pool.find(placed->second)->facts.rack()),
+                               reservationOf(run), now);
         }
         release(placed);
     }
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -80,6 +80,7 @@
     if (now < m_nextPlacement)
         return;
     std::size_t candidates = m_ready.size();
+    m_nearPlaces.beginRound(now);
     HeldWorkers held(m_pool.workers(), m_settings.maxHeldShare);
     // Tasks of one step are alike, except that suspected ones may not share a worker: once one
     // finds no worker, no worker is searched for the others in this round. The value tells whether
@@ -104,7 +105,7 @@
             trials.try_emplace({each.task.job, each.task.occurrence, each.task.step}, StepTrial());
         if (added)
             trial->second = trialOf(job, each.task, now);
-        if (!mayStart(each.task, trial->second))
+        if (!mayStart(each.task, trial->second) || waitsForNearPlace(job, each, now, wallNow, held))
             continue;
         if (blocked == blockedShapes.end()) {
             if (step.gang ? placeGang(each, now, held) : placeTask(each, now, held)) {
@@ -163,6 +164,7 @@
         return false;
     const StageTask *task = m_jobTable.find(ready.task);
     bind(ready.task, task == nullptr ? 1 : task->run + 1, *worker, now);
+    recordNearness(job.plan.steps[ready.task.step], ready.task, now);
     return true;
 }
 
@@ -195,6 +197,7 @@
         m_commands.resize(commandsBefore);
         return false;
     }
+    recordNearness(job.plan.steps[ready.task.step], ready.task, now);
     return true;
 }
 
@@ -414,12 +417,15 @@
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const StepPlan &step = job.plan.steps[ref.step];
     const bool mayCrash = crashesOf(ref) > 0;
+    const std::string groupRack = groupRackOf(step, ref);
     PoolWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
         if (!held.allows(worker, step) || exclusionOf(worker, queue, step, ref, now))
             continue;
-        const double score = scoreOf(worker, step) - (mayCrash ? lossOf(worker) : 0);
+        const bool isApart = !groupRack.empty() && worker.facts.rack() != groupRack;
+        const double score = scoreOf(worker, step) - (mayCrash ? lossOf(worker) : 0)
+            - (isApart ? m_settings.remoteFactor : 0);
         if (best == nullptr || score > bestScore) {
             best = m_pool.find(lifetime);
             bestScore = score;
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -286,6 +286,7 @@
     if (!m_driver.mayAnswer())
         return;
     propose(m_dispatcher.decide(now, wallNow(), [this] { m_driver.serveReplicasIfDue(); }));
+    reportNearWaits(m_dispatcher.takeNearWaits());
     flushOrders();
     for (auto &[node, rows] : m_dispatcher.takeInterference(now)) {
         const auto session = m_sessionOfNode.find(node);
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -69,6 +69,7 @@
     void logBinding(const StartRun &start, const StageOutcome &outcome,
                     const std::optional<BindingTimes> &times, Instant now) const;
     void reportLongRunningWaits(const LongRunningWaits &waits) const;
+    void reportNearWaits(const std::vector<NearWaitEnd> &ends) const;
     void sendDirectory();
     void flushOrders();
     void propose(const std::vector<StageCommand> &commands);
--- a/Guavashift/Fleet/FleetLeaderLog.cpp
+++ b/Guavashift/Fleet/FleetLeaderLog.cpp
@@ -88,6 +88,18 @@
         waits.state);
 }
 
+void FleetLeader::reportNearWaits(const std::vector<NearWaitEnd> &ends) const
+{
+    for (const NearWaitEnd &each : ends) {
+        m_metrics.nearWaitEnded(each.outcome);
+        logEvent(LogLevel::Info, "near-wait-ended",
+                 {{"task", each.task.text()},
+                  {"outcome", nameOf(each.outcome)},
+                  {"waited_ms", toMs(each.waited)},
+                  {"saved_ms", toMs(each.saved)}});
+    }
+}
+
 void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
 {
     logEvent(LogLevel::Info, "call-answered",
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -47,8 +47,6 @@
                                          "Long-running tasks that are not running"))
     , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
                                           "Time for which the oldest of them has not been running"))
-    , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
-    , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.histogram("guavashift_fleet_agent_end_commit_seconds",
                                       "From a run's end being listed to the word of its commit",
                                       endCommitBuckets))
@@ -103,6 +101,17 @@
         .Increment();
 }
 
+void FleetMetrics::nearWaitEnded(NearOutcome outcome)
+{
+    // The page has no room for those that do not show whether waiting pays.
+    if (outcome == NearOutcome::Ended)
+        return;
+    m_metrics
+        .counter("guavashift_fleet_near_waits_total", "Waits for near places that ended",
+                 {{"outcome", std::string(nameOf(outcome))}})
+        .Increment();
+}
+
 void FleetMetrics::finished(CallResult result, Duration waited)
 {
     m_metrics
@@ -113,7 +122,8 @@
 
 void FleetMetrics::setWaiting(std::size_t calls)
 {
-    m_waiting.Set(static_cast<double>(calls));
+    m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer")
+        .Set(static_cast<double>(calls));
 }
 
 void FleetMetrics::refused(std::string_view reason)
@@ -127,7 +137,7 @@
 
 void FleetMetrics::polled()
 {
-    m_polls.Increment();
+    m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker").Increment();
 }
 
 void FleetMetrics::startAnswered(WorkerCallResult result)
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -7,8 +7,8 @@
 
 namespace guavashift {
 
-/// Counters and timings of a fleet's process. Those of other roles stay at zero. Safe to call from
-/// any thread.
+/// Counters and timings of a fleet's process. Those of other roles stay at zero or are missing.
+/// Safe to call from any thread.
 class FleetMetrics final
 {
 public:
@@ -37,6 +37,8 @@
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
     void answered(CallKind kind, CallResult result);
+    /// Records the end of a wait for a place near a task's data or group, if the task was placed.
+    void nearWaitEnded(NearOutcome outcome);
 
     // Entry.
 
@@ -69,8 +71,6 @@
     prometheus::Gauge &m_silentVoters;
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
-    prometheus::Gauge &m_waiting;
-    prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
     prometheus::Counter &m_linesDropped;
     std::atomic<std::uint64_t> m_droppedLinesExported = 0;
--- a/UnitTests/Fleet/FleetMetricsTest.cpp
+++ b/UnitTests/Fleet/FleetMetricsTest.cpp
@@ -80,6 +80,11 @@
             m_metrics.bound(std::chrono::microseconds(1373 * i + 9));
             m_metrics.leadershipChanged();
         }
+        for (int i = 0; i < times; ++i) {
+            for (const NearOutcome outcome :
+                 {NearOutcome::NearPlace, NearOutcome::GivenUp, NearOutcome::Ended})
+                m_metrics.nearWaitEnded(outcome);
+        }
         m_metrics.setLongRunningWaits(123, std::chrono::milliseconds(123'456));
         const std::string text = read("/metrics", 200);
         for (const std::string_view name :
