--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -98,6 +98,8 @@
     double otherImagePenalty = 2;
     /// Factor by which a task is slower away from its data; limit of the deployment.
     double remoteFactor = 1.5;
+    /// Whether tasks decline far places while waiting for a near one pays.
+    bool waitsForNearPlaces = true;
     EvacuationGuardSettings evacuation = {};
     WarmUpSettings warmUp = {};
 };
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -2,11 +2,23 @@
 
 namespace guavashift {
 
+namespace {
+
+NearPlacesSettings nearPlacesSettings(const DispatchSettings &dispatch)
+{
+    NearPlacesSettings settings;
+    settings.wait.remoteFactor = dispatch.remoteFactor;
+    return settings;
+}
+
+} // namespace
+
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
     : m_settings(settings)
     , m_jobTable(jobTable)
     , m_evacuation(settings.evacuation, jobTable.evacuations())
     , m_coldWorkers(settings.warmUp)
+    , m_nearPlaces(nearPlacesSettings(settings))
 {
 }
 
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -169,6 +169,8 @@
             updateLastListed(run);
             recordEnd(end, placed->second, now);
             learnRunTime(run, end, now);
+            m_nearPlaces.ended(std::string(m_pool.find(placed->second)->facts.rack()),
+                               reservationOf(run), now);
         }
         release(placed);
     }
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -299,6 +299,7 @@
         return;
     propose(m_dispatcher.decide(now, wallNow(), [this] { m_driver.serveReplicasIfDue(); }));
     m_metrics.setLoad(m_dispatcher.overloadCounts().load);
+    reportNearWaits(m_dispatcher.takeNearWaits());
     flushOrders();
     for (auto &[node, rows] : m_dispatcher.takeInterference(now)) {
         const auto session = m_sessionOfNode.find(node);
--- a/Guavashift/Fleet/FleetLeaderLog.cpp
+++ b/Guavashift/Fleet/FleetLeaderLog.cpp
@@ -102,6 +102,18 @@
               {"evacuated", evacuated}});
 }
 
+void FleetLeader::reportNearWaits(const std::vector<NearWaitEnd> &ends) const
+{
+    for (const NearWaitEnd &each : ends) {
+        m_metrics.nearWaitEnded(each.outcome);
+        logEvent(LogLevel::Info, "near-wait-ended",
+                 {{"task", each.task.text()},
+                  {"outcome", nameOf(each.outcome)},
+                  {"waited_ms", toMs(each.waited)},
+                  {"saved_ms", toMs(each.saved)}});
+    }
+}
+
 void FleetLeader::logAnswer(const FleetCall &call, const FleetAnswer &answer) const
 {
     logEvent(LogLevel::Info, "call-answered",
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -53,8 +53,6 @@
                                          "Failure domains that are evacuated"))
     , m_load(m_metrics.gauge("guavashift_fleet_load",
                              "Work that is due against the room until then, of the fullest pool"))
-    , m_waiting(m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer"))
-    , m_polls(m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker"))
     , m_endCommit(m_metrics.histogram("guavashift_fleet_agent_end_commit_seconds",
                                       "From a run's end being listed to the word of its commit",
                                       endCommitBuckets))
@@ -131,6 +129,17 @@
     m_load.Set(std::round(load * precision) / precision);
 }
 
+void FleetMetrics::nearWaitEnded(NearOutcome outcome)
+{
+    // The page has no room for those that do not show whether waiting pays.
+    if (outcome == NearOutcome::Ended)
+        return;
+    m_metrics
+        .counter("guavashift_fleet_near_waits_total", "Waits for near places that ended",
+                 {{"outcome", std::string(nameOf(outcome))}})
+        .Increment();
+}
+
 void FleetMetrics::finished(CallResult result, Duration waited)
 {
     m_metrics
@@ -141,7 +150,8 @@
 
 void FleetMetrics::setWaiting(std::size_t calls)
 {
-    m_waiting.Set(static_cast<double>(calls));
+    m_metrics.gauge("guavashift_fleet_entry_waiting", "Calls that wait for an answer")
+        .Set(static_cast<double>(calls));
 }
 
 void FleetMetrics::refused(std::string_view reason)
@@ -155,7 +165,7 @@
 
 void FleetMetrics::polled()
 {
-    m_polls.Increment();
+    m_metrics.counter("guavashift_fleet_agent_looks_total", "Looks at the worker").Increment();
 }
 
 void FleetMetrics::startAnswered(WorkerCallResult result)
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -8,8 +8,8 @@
 
 namespace guavashift {
 
-/// Counters and timings of a fleet's process. Those of other roles stay at zero. Safe to call from
-/// any thread.
+/// Counters and timings of a fleet's process. Those of other roles stay at zero or are missing.
+/// Safe to call from any thread.
 class FleetMetrics final
 {
 public:
@@ -46,6 +46,8 @@
     void answered(CallKind kind, CallResult result);
     /// Work that is due against the room until then, of the fullest pool.
     void setLoad(double load);
+    /// Records the end of a wait for a place near a task's data or group, if the task was placed.
+    void nearWaitEnded(NearOutcome outcome);
 
     // Entry.
 
@@ -80,8 +82,6 @@
     prometheus::Gauge &m_longRunningOldest;
     prometheus::Gauge &m_evacuatedDomains;
     prometheus::Gauge &m_load;
-    prometheus::Gauge &m_waiting;
-    prometheus::Counter &m_polls;
     prometheus::Histogram &m_endCommit;
     prometheus::Counter &m_cut;
     prometheus::Counter &m_linesDropped;
--- a/UnitTests/Fleet/FleetMetricsTest.cpp
+++ b/UnitTests/Fleet/FleetMetricsTest.cpp
@@ -88,6 +88,11 @@
                  {CutReason::TooLarge, CutReason::Memory, CutReason::Connections, CutReason::Slow})
                 m_metrics.refused(reason);
         }
+        for (int i = 0; i < times; ++i) {
+            for (const NearOutcome outcome :
+                 {NearOutcome::NearPlace, NearOutcome::GivenUp, NearOutcome::Ended})
+                m_metrics.nearWaitEnded(outcome);
+        }
         m_metrics.setLongRunningWaits(123, std::chrono::milliseconds(123'456));
         m_metrics.setEvacuatedDomains(123);
         m_metrics.setLoad(12.345);
