Learn the speed of workers and avoid slow ones

Cause: a worker that runs everything at a fifth of its speed gets work like any other; only failures make one suspect. Ruled out: estimates (off for all tasks of a job alike); progress in percent of young runs (half a second old); best-effort runs (their share varies). Change: WorkerSpeeds learns the speed of a lifetime from the durations of its runs against runs of the same step on other workers; medians tell it from a run that is long by nature. Slow workers lose score, a run that would end sooner elsewhere starts anew there, and observations expire.

--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -12,6 +12,7 @@
 Dispatcher::Dispatcher(const DispatchSettings &settings, const JobTable &jobTable)
     : m_settings(settings)
     , m_jobTable(jobTable)
+    , m_speeds(settings.workerSpeed)
 {
 }
 
@@ -69,6 +70,8 @@
     m_schedules.clear();
     m_due.clear();
     m_comparedSteps.clear();
+    m_speeds.clear();
+    m_slowWorkers.clear();
     m_failureRecords.clear();
     m_answered.clear();
     m_lastTrials.clear();
@@ -415,6 +418,7 @@
     beginDueOccurrences(wallNow);
     placeReady(now, wallNow, betweenTasks);
     moveThrottled(now, betweenTasks);
+    updateSlowWorkers(now);
     return takeCommands();
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
 #include <Guavashift/Dispatch/SettleReason.h>
+#include <Guavashift/Scheduling/Scheduling.h>
 
 #include <functional>
 #include <set>
@@ -105,6 +106,19 @@
     double otherImagePenalty = 2;
     /// Factor by which a task is slower away from its data; limit of the deployment.
     double remoteFactor = 1.5;
+    WorkerSpeedSettings workerSpeed = {};
+    /// A worker below this part of the others' speed is slow. Above it, the duration of one task
+    /// varies more than by a worker's speed.
+    double slowWorkerSpeed = 0.5;
+    /// Upper limit of the deduction from the score of a slow worker: it is still better than none.
+    double maxSlownessPenalty = 8;
+    /// A run counts as longer than others, before it ends, from this multiple of their duration.
+    double longRunFactor = 1.5;
+    /// Time that stopping a run and starting it elsewhere costs.
+    Duration restartCost = std::chrono::milliseconds(500);
+    /// A run on a slow worker starts anew elsewhere if it would otherwise take this many times as
+    /// long as that.
+    double minRestartGain = 1.5;
 };
 
 /// A task that is ready to run. Its order is that of placement among tasks of equal priority and
@@ -208,6 +222,9 @@
     /// Interference to send to agents where it changed, each with the agent's node.
     std::vector<std::pair<std::string, std::vector<InterferenceRow>>> takeInterference(Instant now);
 
+    /// Workers that are slower than others by the runs of the last seconds.
+    [[nodiscard]] std::size_t slowWorkers() const { return m_slowWorkers.size(); }
+
     /// Long-running tasks that are not running, at most once per interval of the settings.
     std::optional<LongRunningWaits> takeLongRunningWaits(Instant now);
 
@@ -407,6 +424,23 @@
     [[nodiscard]] double predictedSpeed(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double currentSpeed(const PoolWorker &worker, const PlacedRun &run) const;
     [[nodiscard]] std::int64_t unusedMilliCores(const PoolWorker &worker) const;
+    /// Whether the duration of a run of the task, begun now, tells about its worker's speed.
+    [[nodiscard]] bool showsSpeed(const TaskRef &ref) const;
+    /// How long the run takes if it goes on as it has, by its age and the progress reported last.
+    [[nodiscard]] static Duration projectedDuration(const PlacedRun &run, Instant now);
+    /// Learns from a run that was done.
+    void learnSpeed(const PlacedRun &run, const Lifetime &lifetime, Instant now);
+    /// Learns from runs that already take longer than others.
+    void learnFromLongRuns(const PoolWorker &worker, Instant now);
+    /// Deduction from the score of a worker that is slower than others.
+    [[nodiscard]] double slownessPenalty(const PoolWorker &worker) const;
+    void updateSlowWorkers(Instant now);
+    /// Stops runs on slow workers that would end sooner if they started anew elsewhere, on each
+    /// worker the one that is due first.
+    void restartSlowRuns(Instant now);
+    /// Whether the run would end sooner if it started anew on a worker of normal speed.
+    [[nodiscard]] bool endsSoonerElsewhere(const PoolWorker &worker, const PlacedRun &run,
+                                           Instant now) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
     /// Reserves the capacity of the listed runs that are not bound to the worker, until a later
@@ -456,6 +490,9 @@
 
     JobProgress m_progress;
     InterferenceTable m_interference;
+    WorkerSpeeds m_speeds;                    ///< By lifetime, see speedKey().
+    std::map<Lifetime, double> m_slowWorkers; ///< With their speed when it was logged.
+    Instant m_nextSpeedCheck;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
     std::set<StepRef> m_comparedSteps;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -160,6 +160,8 @@
         if (run.run == end.run) {
             updateLastListed(run);
             recordEnd(end, placed->second, now);
+            if (end.end == RunEnd::Done)
+                learnSpeed(run, placed->second, now);
         }
         release(placed);
     }
--- a/Guavashift/Dispatch/DispatcherLists.cpp
+++ b/Guavashift/Dispatch/DispatcherLists.cpp
@@ -15,6 +15,7 @@
     stopUnbound(*worker, rows);
     reserveUnbound(*worker, rows);
     learnInterference(*worker, rows, now);
+    learnFromLongRuns(*worker, now);
 }
 
 void Dispatcher::noteListed(PoolWorker &worker, std::span<const RunStatus> rows, Instant now) const
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -203,6 +203,7 @@
     PlacedRun placed = placedRun(ref, run);
     placed.boundAt = now;
     placed.decidedAt = now;
+    placed.showsSpeed = showsSpeed(ref);
     const auto ready = m_readyByTask.find(ref);
     placed.readyAt = ready->second.readyAt;
     m_ready.erase(ready->second);
@@ -397,7 +398,7 @@
     // A task takes longer away from its data, by a known factor.
     if (!step.dataRack.empty() && !worker.facts.hasLabel(step.dataRack))
         score -= m_settings.remoteFactor;
-    return score;
+    return score - slownessPenalty(worker);
 }
 
 double Dispatcher::lossOf(const PoolWorker &worker) const
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -20,10 +20,12 @@
     bool longRunning = false;
     bool committed = false;
     bool stopRequested = false;
-    bool startIsOpen = false;    ///< The start has no answer, and its lifetime has ended.
-    bool ordered = false;        ///< In the present session of its worker's agent.
-    bool listed = false;         ///< As running, in a report on the lifetime that it is bound to.
-    bool suspected = false;      ///< A worker had crashed under the task before.
+    bool startIsOpen = false; ///< The start has no answer, and its lifetime has ended.
+    bool ordered = false;     ///< In the present session of its worker's agent.
+    bool listed = false;      ///< As running, in a report on the lifetime that it is bound to.
+    bool suspected = false;   ///< A worker had crashed under the task before.
+    /// Its duration tells about its worker's speed, see Dispatcher::showsSpeed().
+    bool showsSpeed = false;
     bool listedSinceEnd = false; ///< By the latest list, which came after its end was proposed.
     Instant boundAt;
     Instant readyAt; ///< When the task became ready; 0 if an earlier leader bound the run.
