--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -100,6 +100,19 @@
     double remoteFactor = 1.5;
     /// Whether tasks decline far places while waiting for a near one pays.
     bool waitsForNearPlaces = true;
+    WorkerSpeedSettings workerSpeed = {};
+    /// A worker below this part of the others' speed is slow. Above it, the duration of one task
+    /// varies more than by a worker's speed.
+    double slowWorkerSpeed = 0.5;
+    /// Upper limit of the deduction from the score of a slow worker: it is still better than none.
+    double maxSlownessPenalty = 8;
+    /// A run counts as longer than others, before it ends, from this multiple of their duration.
+    double longRunFactor = 1.5;
+    /// Time that stopping a run and starting it elsewhere costs.
+    Duration restartCost = std::chrono::milliseconds(500);
+    /// A run on a slow worker starts anew elsewhere if it would otherwise take this many times as
+    /// long as that.
+    double minRestartGain = 1.5;
     EvacuationGuardSettings evacuation = {};
     WarmUpSettings warmUp = {};
 };
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -19,6 +19,7 @@
     , m_evacuation(settings.evacuation, jobTable.evacuations())
     , m_coldWorkers(settings.warmUp)
     , m_nearPlaces(nearPlacesSettings(settings))
+    , m_speeds(settings.workerSpeed)
 {
 }
 
@@ -81,6 +82,8 @@
     m_schedules.clear();
     m_due.clear();
     m_comparedSteps.clear();
+    m_speeds.clear();
+    m_slowWorkers.clear();
     m_failureRecords.clear();
     m_answered.clear();
     m_earlierAnswers = {};
@@ -432,6 +435,7 @@
     planOverload(now, wallNow);
     placeReady(now, wallNow, betweenTasks);
     moveThrottled(now, betweenTasks);
+    updateSlowWorkers(now);
     return takeCommands();
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -120,6 +120,8 @@
 
     /// Takes the waits for near places that have ended.
     std::vector<NearWaitEnd> takeNearWaits() { return m_nearPlaces.takeEnds(); }
+    /// Workers that are slower than others by the runs of the last seconds.
+    [[nodiscard]] std::size_t slowWorkers() const { return m_slowWorkers.size(); }
 
     /// Long-running tasks that are not running, at most once per interval of the settings.
     std::optional<LongRunningWaits> takeLongRunningWaits(Instant now);
@@ -363,6 +365,23 @@
     [[nodiscard]] double predictedSpeed(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double currentSpeed(const PoolWorker &worker, const PlacedRun &run) const;
     [[nodiscard]] std::int64_t unusedMilliCores(const PoolWorker &worker) const;
+    /// Whether the duration of a run of the task, begun now, tells about its worker's speed.
+    [[nodiscard]] bool showsSpeed(const TaskRef &ref) const;
+    /// How long the run takes if it goes on as it has, by its age and the progress reported last.
+    [[nodiscard]] static Duration projectedDuration(const PlacedRun &run, Instant now);
+    /// Learns from a run that was done.
+    void learnSpeed(const PlacedRun &run, const Lifetime &lifetime, Instant now);
+    /// Learns from runs that already take longer than others.
+    void learnFromLongRuns(const PoolWorker &worker, Instant now);
+    /// Deduction from the score of a worker that is slower than others.
+    [[nodiscard]] double slownessPenalty(const PoolWorker &worker) const;
+    void updateSlowWorkers(Instant now);
+    /// Stops runs on slow workers that would end sooner if they started anew elsewhere, on each
+    /// worker the one that is due first.
+    void restartSlowRuns(Instant now);
+    /// Whether the run would end sooner if it started anew on a worker of normal speed.
+    [[nodiscard]] bool endsSoonerElsewhere(const PoolWorker &worker, const PlacedRun &run,
+                                           Instant now) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
     /// Reserves the capacity of the listed runs that are not bound to the worker, until a later
@@ -416,6 +435,9 @@
     OverloadPlanner m_overload;
     InterferenceTable m_interference;
     NearPlaces m_nearPlaces;
+    WorkerSpeeds m_speeds;                    ///< By lifetime, see speedKey().
+    std::map<Lifetime, double> m_slowWorkers; ///< With their speed when it was logged.
+    Instant m_nextSpeedCheck;
     /// Latency-critical steps that ran on several workers at the last comparison: job, occurrence
     /// and step.
     std::set<StepRef> m_comparedSteps;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -171,6 +171,8 @@
             learnRunTime(run, end, now);
             m_nearPlaces.ended(std::string(m_pool.find(placed->second)->facts.rack()),
                                reservationOf(run), now);
+            if (end.end == RunEnd::Done)
+                learnSpeed(run, placed->second, now);
         }
         release(placed);
     }
--- a/Guavashift/Scheduling/Scheduling.h
+++ b/Guavashift/Scheduling/Scheduling.h
@@ -9,3 +9,4 @@
 #include <Guavashift/Scheduling/RetryAdvice.h>
 #include <Guavashift/Scheduling/VacancyRates.h>
 #include <Guavashift/Scheduling/WarmUp.h>
+#include <Guavashift/Scheduling/WorkerSpeeds.h>
