--- a/Guavashift/Http/RequestGuard.cpp
+++ b/Guavashift/Http/RequestGuard.cpp
@@ -104,7 +104,7 @@
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     const std::lock_guard lock(m_mutex);
     const Instant now = BootClock::now();
-    m_open[connection].socket = info->connect_fd;
+    m_open[idOf(connection)].socket = info->connect_fd;
     m_budget.opened(idOf(connection), now);
     cut(now);
 }
@@ -112,7 +112,7 @@
 void RequestGuard::closed(MHD_Connection *connection)
 {
     const std::lock_guard lock(m_mutex);
-    m_open.erase(connection);
+    m_open.erase(idOf(connection));
     m_budget.closed(idOf(connection));
 }
 
@@ -128,7 +128,7 @@
     if (m_idleTimeout != m_settings.idleTimeout)
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                   idleSeconds(m_idleTimeout));
-    Open &open = m_open.at(connection);
+    Open &open = m_open.at(idOf(connection));
     open.request = &request;
     open.headBytes = bytesOfHead(request);
     m_budget.received(idOf(connection), open.headBytes, now);
@@ -140,7 +140,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const Instant now = BootClock::now();
-    Open &open = m_open.at(connection);
+    Open &open = m_open.at(idOf(connection));
     if (open.request == nullptr)
         return Verdict::Close;
     if (open.request->body.size() + part.size() > m_maxBodyBytes) {
@@ -159,7 +159,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const Instant now = BootClock::now();
-    Open &open = m_open.at(connection);
+    Open &open = m_open.at(idOf(connection));
     const bool wasCut = open.request == nullptr;
     open.request = nullptr;
     if (wasCut || !m_budget.handle(idOf(connection), now)) {
@@ -181,7 +181,7 @@
 void RequestGuard::finished(MHD_Connection *connection)
 {
     const std::lock_guard lock(m_mutex);
-    if (const auto open = m_open.find(connection); open != m_open.end())
+    if (const auto open = m_open.find(idOf(connection)); open != m_open.end())
         open->second.request = nullptr;
     m_budget.finished(idOf(connection), BootClock::now());
 }
@@ -190,7 +190,7 @@
 {
     while (const std::optional<RequestBudget::Cut> next = m_budget.nextCut(now)) {
         refused(next->reason, now);
-        Open &open = m_open.at(reinterpret_cast<MHD_Connection *>(next->connection));
+        Open &open = m_open.at(next->connection);
         if (open.request != nullptr) {
             writeAtOnce(open.socket,
                         next->reason == CutReason::Slow
--- a/Guavashift/Http/RequestGuard.h
+++ b/Guavashift/Http/RequestGuard.h
@@ -58,7 +58,7 @@
     std::size_t m_maxBodyBytes;
     Duration m_idleTimeout;
     RequestBudget m_budget;
-    std::unordered_map<MHD_Connection *, Open> m_open;
+    std::unordered_map<RequestBudget::ConnectionId, Open> m_open;
     static constexpr std::size_t reasonCount = 4;
     std::array<std::uint64_t, reasonCount> m_unlogged{}; ///< Refusals by reason.
     Instant m_nextLogLine;
