--- a/StandIns/ClientCrowd.cpp
+++ b/StandIns/ClientCrowd.cpp
@@ -93,7 +93,7 @@
 
 std::string ClientCrowd::head() const
 {
-    const std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m_settings.method,
+    std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m_settings.method,
                                             m_settings.path, m_settings.host);
     const auto withLength = [&request](std::size_t bytes) {
         return request
