--- a/StandIns/ClientCrowd.cpp
+++ b/StandIns/ClientCrowd.cpp
@@ -94,7 +94,7 @@
 std::string ClientCrowd::head() const
 {
     std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", m_settings.method,
-                                            m_settings.path, m_settings.host);
+                                      m_settings.path, m_settings.host);
     const auto withLength = [&request](std::size_t bytes) {
         return request
             + fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n", bytes);
