--- a/UnitTests/Scheduling/OverloadLoadsTest.cpp
+++ b/UnitTests/Scheduling/OverloadLoadsTest.cpp
@@ -99,7 +99,7 @@
         std::vector<SentJob> jobs;
         const std::vector<std::string> domains{"a", "b", "c"};
         for (int wave = 0; wave < 6; ++wave) {
-            const WallMs begin = wave * 15'000;
+            const WallMs begin = wave * WallMs{15'000};
             std::vector<SentJob> sent;
             add(sent, quick, begin, begin + 5000, 25);
             add(sent, heavy, begin, begin + 5000, 400);
--- a/UnitTests/Scheduling/OverloadOrderTest.cpp
+++ b/UnitTests/Scheduling/OverloadOrderTest.cpp
@@ -102,6 +102,7 @@
     {
         std::vector<JobClaim> claims;
         std::vector<std::string> names;
+        names.reserve(100);
         for (int i = 0; i < 100; ++i)
             names.push_back(fmt::format("{:03}", i));
         // Twice what fits. The jobs of one queue are larger.
