Let a deployment name the decisions that it wants

Cause: the order of jobs under overload, the speed of workers and waits for near places acted on all deployments; what is new must be asked for. Workers of an evacuated failure domain counted as room. None is on by default. The room leaves evacuated workers out.

--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -102,7 +102,11 @@
     /// more than was declared, so this may refuse a job that could have been done.
     bool refusesLateSubmissions = false;
     /// Whether tasks decline far places while waiting for a near one pays.
-    bool waitsForNearPlaces = true;
+    bool waitsForNearPlaces = false;
+    /// Whether whole jobs are put in an order while their work exceeds the room.
+    bool ordersJobsUnderOverload = false;
+    /// Whether workers that are slower than others get less work.
+    bool avoidsSlowWorkers = false;
     WorkerSpeedSettings workerSpeed = {};
     /// A worker below this part of the others' speed is slow. Above it, the duration of one task
     /// varies more than by a worker's speed.
--- a/Guavashift/Dispatch/DispatcherRoom.cpp
+++ b/Guavashift/Dispatch/DispatcherRoom.cpp
@@ -90,12 +90,12 @@
 
 void Dispatcher::planOverload(Instant now, WallMs wallNow)
 {
-    if (!m_overload.isDue(now))
+    if (!m_settings.ordersJobsUnderOverload || !m_overload.isDue(now))
         return;
     std::map<RoomPool, double> rooms;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
         if (!worker.hasFacts || worker.node.empty() || worker.unreachable || worker.facts.draining
-            || now >= worker.leaseEnd)
+            || m_evacuation.excludes(worker) || now >= worker.leaseEnd)
             continue;
         const std::string &service = worker.facts.service;
         const Resources reservable =
--- a/Guavashift/Dispatch/DispatcherSpeed.cpp
+++ b/Guavashift/Dispatch/DispatcherSpeed.cpp
@@ -32,7 +32,7 @@
 
 void Dispatcher::learnSpeed(const PlacedRun &run, const Lifetime &lifetime, Instant now)
 {
-    if (run.showsSpeed && run.committed)
+    if (m_settings.avoidsSlowWorkers && run.showsSpeed && run.committed)
         m_speeds.observe({speedKey(lifetime), kindOf(run.task), run.task.text(), now - run.boundAt},
                          now);
 }
@@ -47,6 +47,8 @@
 
 void Dispatcher::learnFromLongRuns(const PoolWorker &worker, Instant now)
 {
+    if (!m_settings.avoidsSlowWorkers)
+        return;
     for (const auto &[task, run] : worker.runs) {
         if (!run.showsSpeed || !run.committed || !run.listed || run.stopRequested)
             continue;
@@ -70,7 +72,7 @@
 
 void Dispatcher::updateSlowWorkers(Instant now)
 {
-    if (now < m_nextSpeedCheck)
+    if (!m_settings.avoidsSlowWorkers || now < m_nextSpeedCheck)
         return;
     m_nextSpeedCheck = now + m_settings.moveInterval;
     m_speeds.expire(now);
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -26,8 +26,9 @@
     return {toMs(bounds.endedJobRetention) * 5 / 4};
 }
 
-DispatchSettings dispatchSettings(const FleetBounds &bounds)
+DispatchSettings dispatchSettings(const FleetSettings &fleet)
 {
+    const FleetBounds &bounds = fleet.bounds;
     DispatchSettings settings;
     settings.workerLease = workerLeaseOf(bounds);
     // Worker clocks may be 2 % slow.
@@ -37,6 +38,10 @@
     settings.evacuation.limit = bounds.evacuationLimit;
     settings.warmUp.overshoot = bounds.coldOvershoot;
     settings.warmUp.slack = bounds.coldSlack;
+    settings.ordersJobsUnderOverload = fleet.decisions.overloadOrder;
+    settings.refusesLateSubmissions = fleet.decisions.lateRefusals;
+    settings.avoidsSlowWorkers = fleet.decisions.workerSpeed;
+    settings.waitsForNearPlaces = fleet.decisions.nearPlaces;
     return settings;
 }
 
@@ -62,7 +67,7 @@
                 },
                 [this] { readReplicas(); }},
                seed, std::move(openStore))
-    , m_leader(settings, dispatchSettings(settings.bounds), m_jobTable, m_driver, metrics)
+    , m_leader(settings, dispatchSettings(settings), m_jobTable, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
              {[](const SessionOpened &) {}, [] {},
               [this](const FleetMessage &message) { forwardedAnswer(message); }},
--- a/Guavashift/Fleet/FleetSettings.h
+++ b/Guavashift/Fleet/FleetSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Guavashift/Core/Core.h>
+#include <Guavashift/Fleet/FleetDecisions.h>
 
 #include <string>
 #include <vector>
@@ -35,6 +35,7 @@
     std::size_t maxHandles = 1024;
     std::size_t memoryBytes = std::size_t{256} << 20; ///< The process is killed beyond it.
     FleetBounds bounds;
+    FleetDecisions decisions; ///< Of control processes only.
 
     [[nodiscard]] std::string channelAddress() const
     {
--- a/UnitTests/Dispatch/NearPlaceTest.cpp
+++ b/UnitTests/Dispatch/NearPlaceTest.cpp
@@ -21,7 +21,12 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override { begin(DispatchSettings()); }
+    void setUp() override
+    {
+        DispatchSettings settings;
+        settings.waitsForNearPlaces = true;
+        begin(settings);
+    }
 
 private:
     static constexpr std::int64_t wholeWorker = 64'000;
--- a/UnitTests/Dispatch/OverloadTest.cpp
+++ b/UnitTests/Dispatch/OverloadTest.cpp
@@ -25,6 +25,7 @@
         m_jobTable = std::make_unique<JobTable>(JobTableSettings{}, readAny);
         m_jobTable->apply(0, ReplaceConfiguration{"x"});
         DispatchSettings settings;
+        settings.ordersJobsUnderOverload = true;
         settings.refusesLateSubmissions = true;
         m_dispatcher = std::make_unique<Dispatcher>(settings, *m_jobTable);
         startLeader(0);
--- a/UnitTests/Dispatch/SlowWorkerTest.cpp
+++ b/UnitTests/Dispatch/SlowWorkerTest.cpp
@@ -23,6 +23,7 @@
         m_jobTable = std::make_unique<JobTable>(JobTableSettings{}, readAny);
         m_jobTable->apply(0, ReplaceConfiguration{"x"});
         DispatchSettings settings;
+        settings.avoidsSlowWorkers = true;
         settings.workerLease = std::chrono::minutes(1);
         m_dispatcher = std::make_unique<Dispatcher>(settings, *m_jobTable);
         m_dispatcher->start(at(0));
