Send a submission of a test again that no leader took

Cause: FleetTest::acknowledgesCommittedEndsAtOnce failed in 1 of 3 runs at a load of 9: "no leader is known". Its processes share one thread; a leader that does not run for half a second loses contact and refuses truthfully. FleetTest::emptyDiskJoinsThroughTheLeaderThatSendsToIt failed at the same assertion, without the reason. Ruled out: longer heartbeats, as the tests check the product's times. Change: FleetFixture::submit() sends again what was refused as certainly not done, for as long as other steps may take; any other answer fails as before.

--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -148,7 +148,13 @@
     call.host = "desk.example";
     call.path = "/counter/" + job;
     call.plan = plan;
-    const FleetAnswer answer = send(call);
+    // A leader that has lost contact for a moment refuses truthfully. As a caller would, the test
+    // sends again what was certainly not done, and nothing else.
+    FleetAnswer answer;
+    until([&] {
+        answer = send(call);
+        return answer.result != CallResult::Unavailable;
+    });
     CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.text, std::string(nameOf(CallResult::Done)),
                                  std::string(nameOf(answer.result)));
 }
