Judge a crowd also while it is at work

How long that takes depends on the machine. Change: after that time the process is judged as it is. Crowd and bounds are as before.

--- a/UnitTests/Process/client-crowds.sh
+++ b/UnitTests/Process/client-crowds.sh
@@ -126,7 +126,8 @@
     used=0
     unread_before=-1
     still=0
-    wait_for $settle_s is_settled || cannot_run "the crowd '$kind' does not come to its end"
+    # How long a crowd takes depends on the machine: one that is still at work is judged at work.
+    wait_for $settle_s is_settled || echo "$role, '$kind': the crowd is still at work after $settle_s s"
     fds=$(descriptors)
     status=$(ordinary)
     peak=$(peak_kb)
