Show which replicas wait to join and why a lost voter is not replaced

Four causes fit: the process does not ask to join, it does not ask the leader, the leader hears it and does not add it, or it is added and does not catch up. Change: MembershipMonitor logs who asks which addresses, who hears it and whether it acts on it, and what a leader with too few healthy voters lacks. guavashift_fleet_replica_available is 0 while a process waits to become a member. Decisions are unchanged.

--- a/Guavashift/Consensus/MembershipPlanner.cpp
+++ b/Guavashift/Consensus/MembershipPlanner.cpp
@@ -146,4 +146,27 @@
     return std::nullopt;
 }
 
+std::optional<VoterShortage> MembershipPlanner::shortageWith(const Membership &membership,
+                                                             const ReplicaId &leader, Instant now,
+                                                             const HealthMap &health) const
+{
+    VoterShortage shortage;
+    for (const Member &member : membership.members) {
+        if (!member.voter)
+            shortage.learners.push_back(member.id);
+        else if (isLost(member, leader, now, health))
+            shortage.lostVoters.push_back(member.id);
+        else
+            ++shortage.healthyVoters;
+    }
+    if (shortage.healthyVoters >= m_settings.targetVoters)
+        return std::nullopt;
+    for (const auto &[vm, request] : m_requests) {
+        if (now - request.at < m_settings.maxContactAge
+            && membership.find(request.member.id) == nullptr)
+            shortage.joining.push_back(request.member.id);
+    }
+    return shortage;
+}
+
 } // namespace guavashift
--- a/Guavashift/Consensus/MembershipPlanner.h
+++ b/Guavashift/Consensus/MembershipPlanner.h
@@ -25,6 +25,16 @@
     Instant lastContact;
 };
 
+/// Why the log has fewer healthy voters than it should, so that fewer losses are tolerated.
+struct VoterShortage
+{
+    std::size_t healthyVoters = 0;
+    std::vector<ReplicaId> lostVoters;
+    std::vector<ReplicaId> learners;
+    /// Replicas that are no members and have asked to join lately.
+    std::vector<ReplicaId> joining;
+};
+
 /// Plans membership changes, each of at most one voter. Does no I/O; time comes in as a value.
 class MembershipPlanner final
 {
@@ -41,15 +51,31 @@
                                                  const ReplicaId &leader, LogIndex commitIndex,
                                                  Instant now, const HealthOf &healthOf) const
     {
-        std::map<ReplicaId, ReplicaHealth> health;
-        for (const Member &member : membership.members)
-            health[member.id] = healthOf(member.id);
-        return planWith(membership, leader, commitIndex, now, health);
+        return planWith(membership, leader, commitIndex, now, healthMap(membership, healthOf));
+    }
+
+    /// Returns what keeps the membership below its target of healthy voters, or nothing if it has
+    /// enough. Parameters as of plan().
+    template <typename HealthOf>
+    [[nodiscard]] std::optional<VoterShortage> shortage(const Membership &membership,
+                                                        const ReplicaId &leader, Instant now,
+                                                        const HealthOf &healthOf) const
+    {
+        return shortageWith(membership, leader, now, healthMap(membership, healthOf));
     }
 
 private:
     using HealthMap = std::map<ReplicaId, ReplicaHealth>;
 
+    template <typename HealthOf>
+    static HealthMap healthMap(const Membership &membership, const HealthOf &healthOf)
+    {
+        HealthMap health;
+        for (const Member &member : membership.members)
+            health[member.id] = healthOf(member.id);
+        return health;
+    }
+
     struct JoinRequest
     {
         Member member;
@@ -59,6 +85,9 @@
     std::optional<Membership> planWith(const Membership &membership, const ReplicaId &leader,
                                        LogIndex commitIndex, Instant now,
                                        const HealthMap &health) const;
+    [[nodiscard]] std::optional<VoterShortage> shortageWith(const Membership &membership,
+                                                            const ReplicaId &leader, Instant now,
+                                                            const HealthMap &health) const;
     [[nodiscard]] std::optional<Membership> addLearner(const Membership &membership, Instant now,
                                                        const HealthMap &health) const;
     [[nodiscard]] std::optional<Membership> updateAddress(const Membership &membership,
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -25,7 +25,7 @@
 
     // Control process.
 
-    /// Whether the replica takes part, i.e. stores entries and answers the other replicas.
+    /// Whether the replica takes part, i.e. is a member, stores entries and answers the others.
     void setReplicaAvailable(bool available);
 
     // Leader.
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -22,6 +22,7 @@
     , m_random(seed)
     , m_openStore(std::move(openStore))
     , m_planner(settings.membership)
+    , m_monitor({settings.membership.targetVoters}, metrics)
 {
 }
 
@@ -112,8 +113,10 @@
 
 void ReplicaDriver::joinRequested(const Member &member)
 {
+    const Instant now = BootClock::now();
+    m_monitor.joinHeard(now, member, leads(), leaderAddress());
     if (leads())
-        m_planner.joinRequested(member, BootClock::now());
+        m_planner.joinRequested(member, now);
 }
 
 void ReplicaDriver::propose(std::vector<StageCommand> commands, Done done)
@@ -231,6 +234,7 @@
     failWaiters();
     if (std::exchange(m_wasLeader, false)) {
         m_metrics.setSilentVoters(0);
+        m_monitor.leadershipEnded();
         m_observer.roleChanged(false);
     }
 }
@@ -435,6 +439,7 @@
     m_metrics.leadershipChanged();
     m_silentVoters.clear();
     m_metrics.setSilentVoters(0);
+    m_monitor.leadershipEnded();
     if (!leadsNow)
         failWaiters();
     m_observer.roleChanged(leadsNow);
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Fleet/FleetMessages.h>
 #include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/FleetSettings.h>
+#include <Guavashift/Fleet/MembershipMonitor.h>
 
 #include <deque>
 
@@ -203,6 +204,7 @@
     std::map<LogIndex, std::uint64_t> m_digests;
     std::size_t m_bytesSinceSnapshot = 0;
     MembershipPlanner m_planner;
+    MembershipMonitor m_monitor;
     std::set<ReplicaId> m_silentVoters; ///< Of this leader.
     Instant m_nextPlan;
     Instant m_nextJoin;
--- a/Guavashift/Fleet/ReplicaDriverMembers.cpp
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -35,11 +35,13 @@
     const Instant now = BootClock::now();
     if (!m_replica->hasLease(now))
         return;
-    const std::optional<Membership> next = m_planner.plan(
-        m_replica->membership(), m_self.id, m_replica->commitIndex(), now,
-        [this](const ReplicaId &id) {
-            return ReplicaHealth{m_replica->matchIndex(id), m_replica->lastContact(id)};
-        });
+    const auto healthOf = [this](const ReplicaId &id) {
+        return ReplicaHealth{m_replica->matchIndex(id), m_replica->lastContact(id)};
+    };
+    const Membership &current = m_replica->membership();
+    m_monitor.votersCounted(now, m_planner.shortage(current, m_self.id, now, healthOf));
+    const std::optional<Membership> next =
+        m_planner.plan(current, m_self.id, m_replica->commitIndex(), now, healthOf);
     if (next && m_replica->proposeMembership(now, *next))
         logEvent(LogLevel::Info, "membership-proposed",
                  {{"members", next->members.size()}, {"voters", next->voterCount()}});
@@ -47,9 +49,12 @@
 
 void ReplicaDriver::askToJoin()
 {
+    const Instant now = BootClock::now();
     const bool isMember = m_replica->membership().find(m_self.id) != nullptr;
-    if (isMember && !m_replica->leader().isEmpty())
+    if (isMember && !m_replica->leader().isEmpty()) {
+        m_monitor.following(now);
         return;
+    }
     // The leader may send to an earlier incarnation of this disk, while this one does not know any
     // member and its seeds are outdated.
     const std::vector<std::string> known = addresses();
@@ -57,6 +62,7 @@
     for (const auto &[replica, address] : m_reportedAddresses)
         asked.insert(address);
     asked.erase(m_self.address);
+    m_monitor.asking(now, isMember, std::vector<std::string>(asked.begin(), asked.end()));
     for (const std::string &address : asked)
         sendTo(address, JoinRequest{m_self});
 }
--- a/Guavashift/Fleet/ReplicaDriverOpening.cpp
+++ b/Guavashift/Fleet/ReplicaDriverOpening.cpp
@@ -121,7 +121,7 @@
     recordSynced();
     m_stopped = false;
     m_reopenAt.reset();
-    m_metrics.setReplicaAvailable(true);
+    m_metrics.setReplicaAvailable(m_replica->membership().find(m_self.id) != nullptr);
     return {};
 }
 
