Ask the control processes of the leader's directory to join too

What callers saw: one of five control machines was replaced by an empty one at another address. Cause: a replica without a log sent its requests to join to its seeds only. Followers drop them, so it never became a voter while the leader was none of its seeds. Its process had a session with the leader, and with it the addresses of all members, which the replica did not use. Ruled out: followers that pass the request on or answer it with the leader's address, since all seeds may be gone while the directory holds. Change: askToJoin() also asks the control processes that the process's LeaderLink knows of. Why it works: the directory names all members, the leader among them, and comes with each session; a process without a session finds the leader by the hints of any follower.

--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -65,7 +65,7 @@
                         m_leader.deactivate();
                     m_link.setEnabled(!leads);
                 },
-                [this] { readReplicas(); }},
+                [this] { readReplicas(); }, [this] { return m_link.knownCores(); }},
                seed, std::move(openStore))
     , m_leader(settings, dispatchSettings(settings), m_jobTable, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
--- a/Guavashift/Fleet/LeaderLink.h
+++ b/Guavashift/Fleet/LeaderLink.h
@@ -52,6 +52,8 @@
     [[nodiscard]] bool isOpen() const { return m_isOpen; }
     /// The directory that the leader sent last; the seeds before the first one.
     [[nodiscard]] const Directory &directory() const { return m_directory; }
+    /// Channel addresses of the other control processes, from the directory and the seeds.
+    [[nodiscard]] std::vector<std::string> knownCores() const;
     /// Ends the session and searches for the leader again.
     void renew(std::string_view reason);
 
@@ -73,7 +75,6 @@
     void sessionClosed(std::string_view reason);
     void endSession();
     void sessionFrame(std::string_view frame);
-    [[nodiscard]] std::vector<std::string> knownCores() const;
     [[nodiscard]] std::vector<std::string> pickRelays();
 
     EventLoop &m_loop;
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -50,6 +50,9 @@
         std::function<void(bool leads)> roleChanged;
         /// Reads the messages of other replicas that have arrived and passes them to receive().
         std::function<void()> readReplicas;
+        /// Channel addresses of control processes that this process knows of, beside those that the
+        /// replica knows itself.
+        std::function<std::vector<std::string>()> otherAddresses;
     };
 
     ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
@@ -170,6 +173,7 @@
     /// Logs voters that stop or start to answer this leader, and updates the metrics of both.
     void observeVoters(Instant now);
     void planMembership();
+    /// Asks all control processes that this one knows of to let it join, as only the leader does.
     void askToJoin();
     void failWaiters();
 
--- a/Guavashift/Fleet/ReplicaDriverMembers.cpp
+++ b/Guavashift/Fleet/ReplicaDriverMembers.cpp
@@ -55,10 +55,12 @@
         m_monitor.following(now);
         return;
     }
-    // The leader may send to an earlier incarnation of this disk, while this one does not know any
-    // member and its seeds are outdated.
+    // A replica without a log knows no member, and its seeds may be outdated or follow a leader
+    // that is none of them. The leader may also send to an earlier incarnation of this disk.
     const std::vector<std::string> known = addresses();
     std::set<std::string> asked(known.begin(), known.end());
+    const std::vector<std::string> others = m_observer.otherAddresses();
+    asked.insert(others.begin(), others.end());
     for (const auto &[replica, address] : m_reportedAddresses)
         asked.insert(address);
     asked.erase(m_self.address);
--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -89,12 +89,17 @@
 {
     FleetSettings settings = settingsOf(number);
     settings.firstStart = first;
-    auto &core = m_cores[static_cast<std::size_t>(number)];
+    startCoreAt(static_cast<std::size_t>(number), settings);
+}
+
+void FleetFixture::startCoreAt(std::size_t place, const FleetSettings &settings)
+{
+    auto &core = m_cores[place];
     core = std::make_unique<Hosted<CoreNode>>([&](EventLoop &loop) {
         const auto read = [](std::string_view text) { return readVersion(text, noQueueVersion); };
         return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, read, m_metrics,
-                                          static_cast<std::uint64_t>(number) + 77,
-                                          openerOf(m_isDiskFull[static_cast<std::size_t>(number)]));
+                                          std::hash<std::string>()(settings.node),
+                                          openerOf(m_isDiskFull[place]));
     });
     if (m_coreLoops == CoreLoops::InOwnThreads)
         core->runInThread();
--- a/UnitTests/Fleet/FleetFixture.h
+++ b/UnitTests/Fleet/FleetFixture.h
@@ -31,6 +31,9 @@
 
     [[nodiscard]] FleetSettings settingsOf(int number) const;
     void startCore(int number, bool first);
+    /// Starts a control process with these settings in the place of control process `place`, which
+    /// has ended.
+    void startCoreAt(std::size_t place, const FleetSettings &settings);
     void startAgent(int number);
     [[nodiscard]] static JobPlan planOf(std::uint32_t tasks);
     FleetAnswer send(const FleetCall &call);
