Let a control process find the leader by its log

What callers saw: a control process that starts with seeds that are all gone answers every operator's call with 503, "no leader is known", although its replica follows the leader. Change: the observer of a LeaderLink may name further control processes; a control process names those of its log. Why it works: the replica follows a leader that is a member of its log, so the link queries it.

--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -70,7 +70,8 @@
     , m_leader(settings, dispatchSettings(settings), m_jobTable, m_driver, metrics)
     , m_link(loop, {channel}, settings, NodeRole::Core,
              {[](const SessionOpened &) {}, [] {},
-              [this](const FleetMessage &message) { forwardedAnswer(message); }},
+              [this](const FleetMessage &message) { forwardedAnswer(message); },
+              [this] { return m_driver.addresses(); }},
              seed + 1)
     , m_listener(loop, [this](ACE_HANDLE handle) { accept(handle); })
 {
--- a/Guavashift/Fleet/LeaderLink.cpp
+++ b/Guavashift/Fleet/LeaderLink.cpp
@@ -67,7 +67,9 @@
 std::vector<std::string> LeaderLink::knownCores() const
 {
     std::vector<std::string> cores;
-    for (const auto *list : {&m_directory.cores, &m_fleet.seeds}) {
+    const std::vector<std::string> others =
+        m_observer.otherCores ? m_observer.otherCores() : std::vector<std::string>();
+    for (const auto *list : {&m_directory.cores, &m_fleet.seeds, &others}) {
         for (const std::string &address : *list) {
             if (address != m_fleet.channelAddress()
                 && std::find(cores.begin(), cores.end(), address) == cores.end())
--- a/Guavashift/Fleet/LeaderLink.h
+++ b/Guavashift/Fleet/LeaderLink.h
@@ -30,6 +30,9 @@
         std::function<void(const SessionOpened &)> opened;
         std::function<void()> lost;
         std::function<void(const FleetMessage &)> received;
+        /// Channel addresses of control processes that this process knows of otherwise; may be
+        /// empty.
+        std::function<std::vector<std::string>()> otherCores = {};
     };
 
     LeaderLink(EventLoop &loop, const LeaderLinkSettings &settings, const FleetSettings &fleet,
@@ -52,7 +55,8 @@
     [[nodiscard]] bool isOpen() const { return m_isOpen; }
     /// The directory that the leader sent last; the seeds before the first one.
     [[nodiscard]] const Directory &directory() const { return m_directory; }
-    /// Channel addresses of the other control processes, from the directory and the seeds.
+    /// Channel addresses of the other control processes, from the directory, the seeds and the
+    /// observer.
     [[nodiscard]] std::vector<std::string> knownCores() const;
     /// Ends the session and searches for the leader again.
     void renew(std::string_view reason);
--- a/UnitTests/Fleet/CoreReplacementTest.cpp
+++ b/UnitTests/Fleet/CoreReplacementTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(joinsWhenTheLeaderIsNoSeed);
     CPPUNIT_TEST(joinsAfterTwoReplacements);
     CPPUNIT_TEST(removedMemberJoinsAgainWhenTheLeaderIsNew);
+    CPPUNIT_TEST(followerWhoseSeedsAreGoneForwardsCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,30 @@
         assertServes("after");
     }
 
+    /// Guards against a control process that refuses all operators' calls because its seeds are
+    /// gone, although its replica follows the leader.
+    void followerWhoseSeedsAreGoneForwardsCalls()
+    {
+        const auto [leader, follower, removed] = roles();
+        m_cores[follower].reset();
+        startCoreAt(follower, successor(static_cast<int>(follower), {cores, cores + 1}));
+        FleetCall call;
+        call.kind = CallKind::ReadConfiguration;
+        FleetAnswer answer;
+        bool isWaiting = false;
+        until([&] {
+            if (!isWaiting && answer.result != CallResult::Document) {
+                isWaiting = true;
+                m_cores[follower]->node->call(call, std::chrono::seconds(1), [&](FleetAnswer each) {
+                    answer = std::move(each);
+                    isWaiting = false;
+                });
+            }
+            return answer.result == CallResult::Document;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), answer.text);
+    }
+
 private:
     struct Roles
     {
