Name the leader to a replica that asks to join

What callers would see: a new guavashiftd control VM whose list of control addresses lacks the leader never becomes a voter, so the next loss is one too many. ControlNode::join acknowledged each request and dropped it on all but the leader, and JoinLoop asks the addresses of its list only. Change: a process that does not lead refuses the request with the leader's address, as it does other calls; JoinLoop asks that address too. Why it works: the leader is reached as long as one address of the list belongs to a member that follows it.

--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -50,7 +50,7 @@
     void stop();
 
     // Handlers of the control role's RPC methods. Thread-safe. They wait for the node's thread and
-    // return Timeout if it does not answer in time; receive() and join() return at once.
+    // return Timeout if it does not answer in time; receive() returns at once.
     Result<Json> receive(const Json &parameters);
     Result<Json> join(const Json &parameters);
     Result<Json> bootstrap();
--- a/Guavashift/Control/ControlNodeRequests.cpp
+++ b/Guavashift/Control/ControlNodeRequests.cpp
@@ -49,11 +49,12 @@
 Result<Json> ControlNode::join(const Json &parameters)
 {
     auto member = parameters.at("member").get<Member>();
-    post([this, member = std::move(member)] {
-        if (!m_stopped && m_replica->isLeader())
-            m_planner.joinRequested(member, BootClock::now());
+    return postAndWait([this, member = std::move(member)]() -> Result<Json> {
+        if (!m_replica->isLeader())
+            return fail(ErrorCode::NotLeader, notLeaderMessage(leaderAddress()));
+        m_planner.joinRequested(member, BootClock::now());
+        return Json(true);
     });
-    return Json(true);
 }
 
 Result<Json> ControlNode::bootstrap()
--- a/Guavashift/Control/JoinLoop.cpp
+++ b/Guavashift/Control/JoinLoop.cpp
@@ -1,6 +1,9 @@
 #include <Guavashift/Control/JoinLoop.h>
 #include <Guavashift/Control/Protocol.h>
 
+#include <algorithm>
+#include <set>
+
 namespace guavashift {
 
 namespace {
@@ -43,14 +46,26 @@
 
 void JoinLoop::sendJoinRequests()
 {
-    for (const std::string &text : m_addresses) {
-        const Result<Address> address = Address::parse(text);
-        if (!address || text == m_self.address)
-            continue;
-        // Replicas that do not lead ignore the request.
-        RpcClient client(m_settings, *address);
-        (void)client.call(method::join, {{"member", m_self}}, joinTimeout);
+    // The leader may be none of the addresses: they may be those of an earlier time.
+    std::set<std::string> leaders;
+    for (const std::string &address : m_addresses) {
+        if (std::optional<std::string> leader = requestFrom(address))
+            leaders.insert(std::move(*leader));
+    }
+    for (const std::string &leader : leaders) {
+        if (std::find(m_addresses.begin(), m_addresses.end(), leader) == m_addresses.end())
+            (void)requestFrom(leader);
     }
 }
 
+std::optional<std::string> JoinLoop::requestFrom(const std::string &address)
+{
+    const Result<Address> parsed = Address::parse(address);
+    if (!parsed || address == m_self.address)
+        return std::nullopt;
+    RpcClient client(m_settings, *parsed);
+    const Result<Json> answer = client.call(method::join, {{"member", m_self}}, joinTimeout);
+    return answer ? std::nullopt : leaderHint(answer.error());
+}
+
 } // namespace guavashift
--- a/Guavashift/Control/JoinLoop.h
+++ b/Guavashift/Control/JoinLoop.h
@@ -10,8 +10,8 @@
 
 namespace guavashift {
 
-/// Requests membership for this replica from all control addresses at a fixed interval, while
-/// enabled.
+/// Requests membership for this replica from all control addresses, and from the leader that they
+/// name, at a fixed interval while enabled.
 class JoinLoop final
 {
 public:
@@ -26,6 +26,8 @@
 private:
     void run();
     void sendJoinRequests();
+    /// Asks one control process. Returns the address of the leader if it names another one.
+    [[nodiscard]] std::optional<std::string> requestFrom(const std::string &address);
 
     RpcSettings m_settings;
     Member m_self;
