Play replaced control machines with real processes

Cause: no test or soak added a control machine at another address whose seeds do not lead, so that nothing showed that it never became a voter. The soak learns the kind "replace", which waits until a successor is a voter before it takes the next machine, and fails if one is none at the end. The seeds that it played before keep their kinds; a leader that was removed is not killed again.

--- a/UnitTests/Process/fleet-soak.sh
+++ b/UnitTests/Process/fleet-soak.sh
@@ -13,16 +13,18 @@
 #   cancel   jobs that are cancelled
 #   reports  reports that the present lifetime of their worker did not send arrive at agents
 #   next-agent  agents are frozen or restarted, and meanwhile their workers report, and say goodbye, to the next agents
+#   replace  control machines are removed for good, and others are added at new addresses whose seeds do not lead
 # Not covered: cuts between agents and control, disks, clocks, configuration, gangs, frozen workers.
 old_kinds="refuse late close new-ids power waves cancel"
-all_kinds="$old_kinds reports next-agent"
+report_kinds="$old_kinds reports next-agent"
+all_kinds="$report_kinds replace"
 if [ -z "${SEED:-}" ]; then
     for seed in 11 34; do
         SEED=$seed KINDS= LOGS=${LOGS:+$LOGS/$seed} "$0" || exit
     done
     SEED=204 KINDS=$old_kinds LOGS=${LOGS:+$LOGS/204} "$0" || exit
     # Guards against lifetimes that end by a report of another one.
-    SEED=700 KINDS=$all_kinds LOGS=${LOGS:+$LOGS/700} "$0" || exit
+    SEED=700 KINDS=$report_kinds LOGS=${LOGS:+$LOGS/700} "$0" || exit
     exit
 fi
 source "$(dirname "$0")/fleet.sh"
@@ -58,7 +60,7 @@
 draw_process() {
     draw 10
     case $drawn in
-    [0-3]) draw 3; process=core-$((1 + drawn)) ;;
+    [0-3]) draw 3; process=core-${cores[drawn]} ;;
     4) draw 2; process=edge-$((1 + drawn)) ;;
     *) draw_side; process=side-$side ;;
     esac
@@ -68,25 +70,27 @@
 freeze_zone() {
     local zone n
     draw 3; zone=$drawn
-    freeze "core-$((zone + 1))" 300 5000
+    freeze "core-${cores[zone]}" 300 5000
     freeze "edge-$((1 + zone % 2))" 300 5000
     for n in $(seq $((zone + 1)) 3 "$sides"); do freeze "side-$n" 300 5000; done
 }
-freeze_control() { local n; for n in 1 2 3; do freeze "core-$n" 500 5000; done; }
+freeze_control() { local n; for n in "${cores[@]}"; do freeze "core-$n" 500 5000; done; }
 lose_leader_and_agents() {
     local n leader
     leader=core-$(newest_leader)
     for n in 1 2 3; do draw_side; freeze "side-$side" 200 4000; done
     draw 2
+    # The one that led last may have been removed.
+    [ -n "${pids[$leader]:-}" ] || return 0
     if [ "$drawn" = 0 ]; then restart "$leader" KILL 100 2000; else freeze "$leader" 300 5000; fi
 }
 kill_one() { draw_process; restart "$process" KILL 100 900; }
 kill_control() {
     local n
-    for n in 1 2 3; do signal "core-$n" KILL; done
-    for n in 1 2 3; do forget "core-$n"; done
+    for n in "${cores[@]}"; do signal "core-$n" KILL; done
+    for n in "${cores[@]}"; do forget "core-$n"; done
     draw_nap 200 3000
-    for n in 1 2 3; do launch "core-$n" control; done
+    for n in "${cores[@]}"; do launch "core-$n" control; done
 }
 kill_agents() {
     local n
@@ -118,7 +122,31 @@
         launch "side-$n" agent
     done
 }
-stop_control() { local n; for n in 1 2 3; do kill -CONT "${pids[core-$n]}"; restart "core-$n" TERM 0 400; done; }
+stop_control() { local n; for n in "${cores[@]}"; do kill -CONT "${pids[core-$n]}"; restart "core-$n" TERM 0 400; done; }
+# successors_vote: whether the last control machine that was added is a voter, and the removed one is none
+successors_vote() {
+    [ "$replaced_at" = 0 ] || grep -h 'event=membership-proposed' "$work"/core-*.log | sort | tail -n 1 \
+        | sed 's/^time=//' | awk -v at="$replaced_at" '{ exit !($1 > at && / members=3 voters=3/) }'
+}
+# A control machine is removed for good and another one is added, whose seeds are machines that do not lead. Only one
+# disk at a time may be lost, so the last successor must be a voter before.
+replace_control() {
+    local n seeds=() leader
+    leader=$(newest_leader)
+    draw 3
+    if [ "$next_core" -gt 9 ] || ! successors_vote; then return; fi
+    for n in "${cores[@]}"; do [ "$n" = "$leader" ] || seeds+=("\"$net.1.$n:$control_port\""); done
+    n=${cores[drawn]}
+    signal "core-$n" KILL
+    forget "core-$n"
+    replaced_at=$(now_ms)
+    cores[drawn]=$next_core
+    n=$next_core
+    next_core=$((next_core + 1))
+    settings "core-$n" core "$net.1.$n" "control_plane = \"$net.1.$n:$control_port\""
+    sed -i "s/^seed_nodes = .*/seed_nodes = [$(IFS=,; echo "${seeds[*]}")]/; s/^bootstrap = .*/bootstrap = false/" "$work/core-$n.toml"
+    launch "core-$n" control
+}
 # The proxies of fleet.sh are replaced by those that know all states.
 start_proxy() {
     local closes=()
@@ -305,6 +333,7 @@
 ! plays power || faults+=(lose_power)
 ! plays waves || faults+=(leave_in_wave)
 ! plays next-agent || faults+=(lose_agents lose_agents)
+! plays replace || faults+=(replace_control replace_control replace_control)
 # shuffle: a new order of the faults, so that each kind has its turn
 shuffle() {
     local at other
@@ -380,7 +409,7 @@
     done < <(events '"event":"foreign-report".*"status":"2')
 }
 
-laters=() lives=0
+laters=() lives=0 cores=(1 2 3) next_core=4 replaced_at=0
 start_deployment "$sides" 2
 for n in $(seq 1 "$sides"); do start_worker "$n" "i-$n"; done
 for n in $(seq 1 "$sides"); do wait_for 20 is_held "$n" || cannot_run "worker $n is not polled"; done
@@ -402,8 +431,10 @@
 # The last fault may be a restart of all control processes.
 accepts_last() { [[ "$(ask 1 POST "$last" "$(job 500 4 2000)")" == 200* ]]; }
 wait_for 15 accepts_last || fail "the last job was not accepted"
+# catch_up_s, counted from the last fault.
+wait_for 15 successors_vote || fail "core-$((next_core - 1)) is no voter"
 wait_for 15 has_state "$last" completed || note "the last job is not completed"
-echo "seed $SEED: $played faults"
+echo "seed $SEED: $played faults, $((next_core - 4)) control machines replaced"
 failures=()
 "$tool" twice --record "$record" || failures+=("tasks ran twice")
 early_seen || failures+=("ends were acknowledged that a lifetime had not had")
