Let the tests of replaced control processes not depend on who leads later

Cause: clang refuses structured bindings in lambdas; two assertions on who leads would fail on a busy machine that changes its leader, which is allowed. Change: roles as a structure; the tests check only that the fleet serves, as callers see it.

--- a/UnitTests/Fleet/CoreReplacementTest.cpp
+++ b/UnitTests/Fleet/CoreReplacementTest.cpp
@@ -26,11 +26,11 @@
     void joinsWhenTheLeaderIsNoSeed()
     {
         submit("before", planOf(1));
-        const auto [leader, follower, removed] = roles();
-        m_cores[removed].reset();
-        startCoreAt(removed, successor(cores, {follower, removed}));
+        const Roles at = roles();
+        m_cores[at.removed].reset();
+        startCoreAt(at.removed, successor(cores, {at.follower, at.removed}));
         runUntil([] { return false; }, catchUpLimit);
-        m_cores[follower].reset();
+        m_cores[at.follower].reset();
         assertServes("after");
         CPPUNIT_ASSERT_EQUAL(std::string("completed"), stateOf("before"));
     }
@@ -39,15 +39,14 @@
     /// is no seed either.
     void joinsAfterTwoReplacements()
     {
-        const auto [leader, follower, removed] = roles();
-        m_cores[removed].reset();
-        startCoreAt(removed, successor(cores, {follower, removed}));
+        const Roles at = roles();
+        m_cores[at.removed].reset();
+        startCoreAt(at.removed, successor(cores, {at.follower, at.removed}));
         runUntil([] { return false; }, catchUpLimit);
-        m_cores[follower].reset();
-        startCoreAt(follower, successor(cores + 1, {follower, removed, cores}));
+        m_cores[at.follower].reset();
+        startCoreAt(at.follower, successor(cores + 1, {at.follower, at.removed, cores}));
         runUntil([] { return false; }, catchUpLimit);
-        CPPUNIT_ASSERT(m_cores[leader]->node->leads());
-        m_cores[removed].reset();
+        m_cores[at.removed].reset();
         assertServes("after");
     }
 
@@ -55,21 +54,20 @@
     /// again because it has never heard of the process that leads now.
     void removedMemberJoinsAgainWhenTheLeaderIsNew()
     {
-        const auto [leader, follower, removed] = roles();
-        m_cores[removed].reset();
-        startCoreAt(removed, settingsOf(cores));
+        const Roles at = roles();
+        m_cores[at.removed].reset();
+        startCoreAt(at.removed, settingsOf(cores));
         runUntil([] { return false; }, catchUpLimit);
-        m_cores[leader].reset();
+        m_cores[at.leader].reset();
         until([&] {
             // Only the new process can take the leadership over.
-            if (m_cores[follower]->node->leads())
-                m_cores[follower]->node->drain();
-            return m_cores[removed]->node->leads();
+            if (m_cores[at.follower]->node->leads())
+                m_cores[at.follower]->node->drain();
+            return m_cores[at.removed]->node->leads();
         });
-        startCoreAt(leader, settingsOf(static_cast<int>(removed)));
+        startCoreAt(at.leader, settingsOf(static_cast<int>(at.removed)));
         runUntil([] { return false; }, catchUpLimit);
-        CPPUNIT_ASSERT(m_cores[removed]->node->leads());
-        m_cores[follower].reset();
+        m_cores[at.follower].reset();
         assertServes("after");
     }
 
@@ -77,9 +75,9 @@
     /// gone, although its replica follows the leader.
     void followerWhoseSeedsAreGoneForwardsCalls()
     {
-        const auto [leader, follower, removed] = roles();
-        m_cores[follower].reset();
-        startCoreAt(follower, successor(static_cast<int>(follower), {cores, cores + 1}));
+        const Roles at = roles();
+        m_cores[at.follower].reset();
+        startCoreAt(at.follower, successor(static_cast<int>(at.follower), {cores, cores + 1}));
         FleetCall call;
         call.kind = CallKind::ReadConfiguration;
         FleetAnswer answer;
@@ -87,10 +85,11 @@
         until([&] {
             if (!isWaiting && answer.result != CallResult::Document) {
                 isWaiting = true;
-                m_cores[follower]->node->call(call, std::chrono::seconds(1), [&](FleetAnswer each) {
-                    answer = std::move(each);
-                    isWaiting = false;
-                });
+                m_cores[at.follower]->node->call(call, std::chrono::seconds(1),
+                                                 [&](FleetAnswer each) {
+                                                     answer = std::move(each);
+                                                     isWaiting = false;
+                                                 });
             }
             return answer.result == CallResult::Document;
         });
