--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -99,12 +99,24 @@
         const auto read = [](std::string_view text) { return readVersion(text, noQueueVersion); };
         return std::make_unique<CoreNode>(loop, settings, ChannelSettings{}, read, m_metrics,
                                           std::hash<std::string>()(settings.node),
-                                          openerOf(m_isDiskFull[place]));
+                                          openerOfDisk(place));
     });
     if (m_coreLoops == CoreLoops::InOwnThreads)
         core->runInThread();
 }
 
+LogStoreOpener FleetFixture::openerOfDisk(std::size_t place)
+{
+    return [open = openerOf(m_isDiskFull[place]),
+            &alter = m_alterStored[place]](const std::filesystem::path &folder,
+                                           PersistentState &state) {
+        Result<std::unique_ptr<LogStore>> store = open(folder, state);
+        if (store && alter)
+            alter(state);
+        return store;
+    };
+}
+
 void FleetFixture::startAgent(int number)
 {
     const auto place = static_cast<std::size_t>(number);
--- a/UnitTests/Fleet/FleetFixture.h
+++ b/UnitTests/Fleet/FleetFixture.h
@@ -35,6 +35,8 @@
     /// has ended.
     void startCoreAt(std::size_t place, const FleetSettings &settings);
     void startAgent(int number);
+    /// Opens stores on the disk of that control process, with all its faults.
+    [[nodiscard]] LogStoreOpener openerOfDisk(std::size_t place);
     [[nodiscard]] static JobPlan planOf(std::uint32_t tasks);
     FleetAnswer send(const FleetCall &call);
     void submit(const std::string &job, const JobPlan &plan);
@@ -54,6 +56,8 @@
     FleetMetrics m_metrics; ///< Shared by all nodes.
     /// While one is set, the disk of that control process refuses every write.
     std::array<std::atomic<bool>, cores> m_isDiskFull{};
+    /// Changes what the disk of that control process returns when its data folder is opened.
+    std::array<std::function<void(PersistentState &)>, cores> m_alterStored{};
     std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
     std::unique_ptr<Hosted<GatewayNode>> m_gateway;
     AgentNodeSettings m_agentSettings;
