Compute a digest of the state of all jobs

Cause: replicas compare a hash of the kinds and outcomes of commands and two counts. Two states that differ in anything else look the same until a command has another outcome, minutes later and perhaps under another leader.

Change: JobTable::stateDigest() covers jobs, tasks, early cancels, evacuations, lifetimes, the document and the time.

--- a/Guavashift/Stages/JobTable.h
+++ b/Guavashift/Stages/JobTable.h
@@ -121,6 +121,12 @@
     /// the same commands.
     [[nodiscard]] std::uint64_t digest() const { return m_digest; }
 
+    /// To be raised with each change of what stateDigest() covers.
+    static constexpr std::uint32_t stateDigestFormat = 1;
+    /// Hash of the state and of digest(). Equal on all replicas with the same state, whether they
+    /// applied all commands or loaded a snapshot. Takes time in proportion to the state.
+    [[nodiscard]] std::uint64_t stateDigest() const;
+
     /// Where each lifetime with bound runs has answered.
     [[nodiscard]] const AnsweredLifetimes &answeredLifetimes() const { return m_answered; }
 
