Keep a replica in service whose state is in doubt, and repair the state

The word of one leader was enough, for all followers at once.

Change: a replica's log and its state are two things. - Voters report the digest of their state with each reply. The leader passes on the newest digest that a quorum of the voters has; a replica with another one for that index discards its state, the leader too, which hands over. Without a quorum for any state nobody does; it is logged. - A replica without a state goes on to store and to vote.

Why it works: only a minority of the voters can differ from a quorum, and none of them stops to vote, so no digest can take the quorum away. The log is not in doubt, so what is acknowledged is as safe as before.

--- a/Guavashift/Consensus/Effects.h
+++ b/Guavashift/Consensus/Effects.h
@@ -43,7 +43,8 @@
     std::vector<LogEntry> entries;
 };
 
-/// Compare the leader's state digest at an index with the local one.
+/// Compare the digest that a quorum of the voters has at an index with the local one. If they
+/// differ, the local state is wrong.
 struct CompareDigest
 {
     StateDigest digest;
@@ -61,6 +62,7 @@
     FollowsLeader,   ///< A leader of this term or a higher one made contact.
     QuorumLost,      ///< The leader had no contact with a quorum for the longest election timeout.
     TransferTimeout, ///< The leader's transfer of leadership took too long.
+    StateDiscarded,  ///< The leader's state machine must not be used, and no voter can take over.
     NoLongerVoter    ///< The leader committed a membership in which it is not a voter.
 };
 /// Name of the reason in logs.
--- a/Guavashift/Consensus/Messages.h
+++ b/Guavashift/Consensus/Messages.h
@@ -31,10 +31,20 @@
 /// Digest of the state machine after applying `index`, compared between replicas.
 struct StateDigest
 {
-    LogIndex index = 0;
+    LogIndex index = 0; ///< 0: none.
     std::uint64_t digest = 0;
+    /// Of what is part of the digest. Digests of different formats cannot be compared.
+    std::uint32_t format = 0;
+
+    bool operator==(const StateDigest &) const = default;
+
+    /// Whether the two show that the states of two replicas differ.
+    [[nodiscard]] bool contradicts(const StateDigest &other) const
+    {
+        return index == other.index && format == other.format && digest != other.digest;
+    }
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StateDigest, index, digest)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StateDigest, index, digest, format)
 
 /// Log entries that follow (prevIndex, prevTerm); a heartbeat if there are none.
 struct AppendRequest
@@ -48,10 +58,34 @@
     /// Sequence number of the leader's sends. The reply echoes it, which proves contact as of the
     /// time of that send.
     std::uint64_t round = 0;
-    StateDigest digest;
+    /// The newest digest that a quorum of the voters has. Earlier versions do not send it.
+    StateDigest agreed;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AppendRequest, term, prevIndex, prevTerm, entries, commitIndex,
-                                   round, digest)
+
+inline void to_json(Json &json, const AppendRequest &request) // NOLINT
+{
+    json = {{"term", request.term},
+            {"prevIndex", request.prevIndex},
+            {"prevTerm", request.prevTerm},
+            {"entries", request.entries},
+            {"commitIndex", request.commitIndex},
+            {"round", request.round},
+            // Earlier versions stop for good if this one differs from their own. They ignore
+            // index 0.
+            {"digest", StateDigest{}},
+            {"agreed", request.agreed}};
+}
+
+inline void from_json(const Json &json, AppendRequest &request) // NOLINT
+{
+    json.at("term").get_to(request.term);
+    json.at("prevIndex").get_to(request.prevIndex);
+    json.at("prevTerm").get_to(request.prevTerm);
+    json.at("entries").get_to(request.entries);
+    json.at("commitIndex").get_to(request.commitIndex);
+    json.at("round").get_to(request.round);
+    request.agreed = json.value("agreed", StateDigest{});
+}
 
 struct AppendReply
 {
@@ -61,8 +95,27 @@
     /// On success the last index that matches and is synced; otherwise the `prevIndex` to try next.
     LogIndex index = 0;
     std::uint64_t round = 0;
+    /// The newest digest of the sender's state. Earlier versions do not send it.
+    StateDigest state = {};
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AppendReply, term, success, index, round)
+
+inline void to_json(Json &json, const AppendReply &reply) // NOLINT
+{
+    json = {{"term", reply.term},
+            {"success", reply.success},
+            {"index", reply.index},
+            {"round", reply.round},
+            {"state", reply.state}};
+}
+
+inline void from_json(const Json &json, AppendReply &reply) // NOLINT
+{
+    json.at("term").get_to(reply.term);
+    json.at("success").get_to(reply.success);
+    json.at("index").get_to(reply.index);
+    json.at("round").get_to(reply.round);
+    reply.state = json.value("state", StateDigest{});
+}
 
 /// Part of the leader's snapshot, starting at byte `offset`.
 struct SnapshotChunk
--- a/Guavashift/Consensus/Replica.cpp
+++ b/Guavashift/Consensus/Replica.cpp
@@ -40,7 +40,7 @@
         return;
     // A replica that is no voter starts no election, but must not keep a silent leader: it may have
     // been removed, and asks to join again only while it knows no leader.
-    if (membership().isVoter(m_self))
+    if (membership().isVoter(m_self) && m_isStateUsable)
         startPreVote(now);
     else
         becomeFollower(now, m_hardState.term, {}, RoleChangeReason::LeaderSilent);
@@ -118,6 +118,40 @@
         m_log.compact(std::move(snapshot));
 }
 
+void Replica::updateDigest(const StateDigest &digest)
+{
+    m_digest = digest;
+    if (isLeader())
+        recordDigest(m_self, digest);
+}
+
+void Replica::setStateUsable(Instant now, bool isUsable)
+{
+    m_isStateUsable = isUsable;
+    if (isUsable)
+        return;
+    // This replica vouches for no state any more.
+    m_digest = {};
+    if (m_role == ReplicaRole::Follower || (isLeader() && transferLeadership(now)))
+        return;
+    becomeFollower(now, m_hardState.term, {}, RoleChangeReason::StateDiscarded);
+}
+
+bool Replica::replaceState(LogIndex index, Term term)
+{
+    if (m_log.termAt(index) != term)
+        return false;
+    // What another replica has applied is committed.
+    m_commitIndex = std::max(m_commitIndex, index);
+    m_appliedIndex = std::max(m_appliedIndex, index);
+    return true;
+}
+
+std::optional<LogIndex> Replica::disputedState() const
+{
+    return isLeader() ? m_agreement.disputed(membership()) : std::nullopt;
+}
+
 std::vector<Effect> Replica::takeEffects()
 {
     return std::exchange(m_effects, {});
@@ -181,6 +215,8 @@
         return "quorum-lost";
     case RoleChangeReason::TransferTimeout:
         return "transfer-timeout";
+    case RoleChangeReason::StateDiscarded:
+        return "state-discarded";
     case RoleChangeReason::NoLongerVoter:
         break;
     }
--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -3,6 +3,7 @@
 #include <Guavashift/Consensus/Effects.h>
 #include <Guavashift/Consensus/EntryLog.h>
 #include <Guavashift/Consensus/PeerProgress.h>
+#include <Guavashift/Consensus/StateAgreement.h>
 
 #include <map>
 #include <optional>
@@ -72,8 +73,22 @@
     /// after that index is stored.
     void compact(SnapshotPointer snapshot);
 
-    /// Sets the digest of the state machine that is sent with heartbeats and appends.
-    void updateDigest(const StateDigest &digest) { m_digest = digest; }
+    /// Reports the digest of the state machine after a committed entry. The leader compares those
+    /// of all voters.
+    void updateDigest(const StateDigest &digest);
+
+    /// Sets whether the state machine of this replica may be used, which it may at first. A replica
+    /// without one still votes and stores what it is sent, since its log is not in doubt. It starts
+    /// no election, and as the leader it hands its leadership over.
+    void setStateUsable(Instant now, bool isUsable);
+
+    /// Records that the state machine was replaced by that of another replica, which has applied
+    /// everything up to the entry with that index and term. Returns false if the log does not reach
+    /// the entry; the state cannot be used then.
+    [[nodiscard]] bool replaceState(LogIndex index, Term term);
+
+    /// See StateAgreement::disputed(). Nothing unless this replica leads.
+    [[nodiscard]] std::optional<LogIndex> disputedState() const;
 
     [[nodiscard]] std::vector<Effect> takeEffects();
 
@@ -126,6 +141,8 @@
     void advanceCommit(Instant now);
     void emitCommitted();
     void acceptEntries(const AppendRequest &request);
+    /// Records the digest that a voter has. Emits the one that a quorum has, if that is new.
+    void recordDigest(const ReplicaId &replica, const StateDigest &digest);
     void recordSentRound(Instant now, PeerProgress &peer);
     void recordContact(Instant now, PeerProgress &peer, std::uint64_t round);
     /// Records contact with the peer that sent a reply and returns the peer. Returns null if this
@@ -168,7 +185,10 @@
     Instant m_leaderSince;
     Instant m_nextHeartbeat;
     std::optional<Instant> m_transferDeadline;
-    StateDigest m_digest;
+    StateAgreement m_agreement;
+
+    StateDigest m_digest; ///< The newest one of this replica.
+    bool m_isStateUsable = true;
 
     // Snapshot that is being received.
     std::string m_receivedData;
--- a/Guavashift/Consensus/ReplicaElection.cpp
+++ b/Guavashift/Consensus/ReplicaElection.cpp
@@ -108,6 +108,8 @@
     m_transferDeadline.reset();
     m_peers.clear();
     updatePeers(now);
+    m_agreement.clear();
+    m_agreement.record(m_self, m_digest, membership());
     emitRoleChange(now, RoleChangeReason::Elected, quorumContactAge(now));
     // Entries of earlier terms are committed only together with one of this leader's term.
     appendAsLeader(now, EntryKind::NoOp, {});
@@ -178,7 +180,8 @@
 
 void Replica::handle(Instant now, const ReplicaId &, const TimeoutNow &request)
 {
-    if (request.term == m_hardState.term && !isLeader() && membership().isVoter(m_self))
+    if (request.term == m_hardState.term && !isLeader() && membership().isVoter(m_self)
+        && m_isStateUsable)
         startElection(now, RoleChangeReason::TransferReceived);
 }
 
--- a/Guavashift/Consensus/ReplicaReplication.cpp
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -68,7 +68,7 @@
     }
     request.commitIndex = m_commitIndex;
     request.round = ++m_round;
-    request.digest = m_digest;
+    request.agreed = m_agreement.agreed();
     recordSentRound(now, peer);
     if (!request.entries.empty()) {
         peer.inFlight = true;
@@ -202,9 +202,9 @@
         m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, matched));
         emitCommitted();
     }
-    if (request.digest.index != 0)
-        m_effects.emplace_back(CompareDigest{request.digest});
-    send(from, AppendReply{m_hardState.term, true, matched, request.round}, true);
+    if (request.agreed.index != 0)
+        m_effects.emplace_back(CompareDigest{request.agreed});
+    send(from, AppendReply{m_hardState.term, true, matched, request.round, m_digest}, true);
 }
 
 void Replica::acceptEntries(const AppendRequest &request)
@@ -228,6 +228,14 @@
         m_effects.emplace_back(std::move(append));
 }
 
+void Replica::recordDigest(const ReplicaId &replica, const StateDigest &digest)
+{
+    const LogIndex before = m_agreement.agreed().index;
+    m_agreement.record(replica, digest, membership());
+    if (m_agreement.agreed().index > before)
+        m_effects.emplace_back(CompareDigest{m_agreement.agreed()});
+}
+
 PeerProgress *Replica::recordReply(Instant now, const ReplicaId &from, Term term,
                                    std::uint64_t round)
 {
@@ -261,6 +269,7 @@
         replicate(now, false);
         return;
     }
+    recordDigest(from, reply.state);
     peer.successRound = std::max(peer.successRound, reply.round);
     if (reply.index > peer.matchIndex) {
         peer.matchIndex = reply.index;
--- a/Guavashift/Fleet/CoreNode.cpp
+++ b/Guavashift/Fleet/CoreNode.cpp
@@ -160,6 +160,8 @@
                               m_driver.receive(messages);
                           },
                           [&](const JoinRequest &join) { m_driver.joinRequested(join.member); },
+                          [&](const StateRequest &request) { m_driver.stateRequested(request); },
+                          [&](const StatePart &part) { m_driver.stateReceived(part); },
                           [&](const LeaderQuery &) { send(leader); },
                           [&](const OpenSession &request) {
                               if (leader.isLeader)
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -188,6 +188,16 @@
     return std::tie(value.lifetime, value.runs, value.namesAll);
 }
 
+auto fields(Is<StateRequest> auto &value)
+{
+    return std::tie(value.address, value.index, value.offset);
+}
+
+auto fields(Is<StatePart> auto &value)
+{
+    return std::tie(value.index, value.term, value.offset, value.totalBytes, value.data);
+}
+
 auto fields(Is<KnownRuns> auto &value)
 {
     return std::tie(value.runs);
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -232,12 +232,31 @@
     std::int64_t number = 0;
 };
 
+/// Asks a replica for a part of a copy of its state. Earlier versions ignore it.
+struct StateRequest
+{
+    std::string address; ///< Channel of the sender.
+    LogIndex index = 0;  ///< Of the copy that the sender has a part of; 0: none.
+    std::uint64_t offset = 0;
+};
+
+/// Part of a copy of the sender's state after it has applied an entry.
+struct StatePart
+{
+    LogIndex index = 0;
+    Term term = 0; ///< Of that entry.
+    std::uint64_t offset = 0;
+    std::uint64_t totalBytes = 0;
+    std::string data;
+};
+
 using FleetMessage =
     std::variant<LeaderQuery, LeaderReply, OpenSession, SessionOpened, Directory, RelayTo,
                  ReplicaMessages, JoinRequest, RenewLease, LeaseGranted, WorkerReport, Inventory,
                  RunTable, RunsEnded, EndsCommitted, StartRefused, LifetimeEnded, KnownRuns,
                  StartOrder, StopOrder, FleetCall, FleetAnswer, InterferenceReport, WorkerCrashed,
-                 OpenStarts, EndProven, LifetimeAnswered, LateStarts, CallerLimitsInForce>;
+                 OpenStarts, EndProven, LifetimeAnswered, LateStarts, CallerLimitsInForce,
+                 StateRequest, StatePart>;
 
 std::string encodeFrame(const FleetMessage &message);
 /// Returns nothing for bytes that encodeFrame() did not write.
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -89,7 +89,19 @@
 
 void FleetMetrics::setReplicaAvailable(bool available)
 {
-    m_replicaAvailable.Set(available ? 1 : 0);
+    m_isReplicaAvailable = available;
+    updateReplicaAvailable();
+}
+
+void FleetMetrics::setStateUsable(bool isUsable)
+{
+    m_isStateUsable = isUsable;
+    updateReplicaAvailable();
+}
+
+void FleetMetrics::updateReplicaAvailable()
+{
+    m_replicaAvailable.Set(m_isReplicaAvailable && m_isStateUsable ? 1 : 0);
 }
 
 void FleetMetrics::setSilentVoters(std::size_t voters)
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -25,8 +25,11 @@
 
     // Control process.
 
-    /// Whether the replica takes part, i.e. is a member, stores entries and answers the others.
+    /// Whether the replica takes part, i.e. is a member, stores entries and answers the others. It
+    /// counts as available only while it has a state, too.
     void setReplicaAvailable(bool available);
+    /// Whether the replica has a state that may be used, as it has at first.
+    void setStateUsable(bool isUsable);
 
     // Leader.
 
@@ -69,6 +72,8 @@
     [[nodiscard]] std::string exposition();
 
 private:
+    void updateReplicaAvailable();
+
     Metrics m_metrics;
     prometheus::Histogram &m_round;
     prometheus::Histogram &m_commit;
@@ -85,6 +90,8 @@
     prometheus::Histogram &m_endCommit;
     prometheus::Counter &m_cut;
     prometheus::Counter &m_linesDropped;
+    std::atomic<bool> m_isReplicaAvailable = false;
+    std::atomic<bool> m_isStateUsable = true;
     std::atomic<std::uint64_t> m_droppedLinesExported = 0;
 };
 
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -21,6 +21,7 @@
     , m_observer(std::move(observer))
     , m_random(seed)
     , m_openStore(std::move(openStore))
+    , m_recovery(settings.recovery)
     , m_planner(settings.membership)
     , m_monitor({settings.membership.targetVoters}, metrics)
 {
@@ -38,7 +39,7 @@
 
 void ReplicaDriver::endRound()
 {
-    if (m_reopenAt && BootClock::now() >= *m_reopenAt)
+    if (m_stopped && BootClock::now() >= m_reopenAt)
         reopen();
     if (m_stopped || !m_replica)
         return;
@@ -57,13 +58,18 @@
     if (m_replica->isLeader() && now >= m_nextPlan) {
         m_nextPlan = now + planInterval;
         observeVoters(now);
+        reportDispute(now);
         planMembership();
     }
     if (now >= m_nextJoin) {
         m_nextJoin = now + m_settings.joinInterval;
         askToJoin();
     }
-    if (m_bytesSinceSnapshot > m_settings.snapshotBytes)
+    recoverState();
+    if (m_stopped)
+        return;
+    serveStates();
+    if (m_bytesSinceSnapshot > m_settings.snapshotBytes && !m_recovery.isActive())
         takeSnapshot();
 }
 
@@ -203,6 +209,9 @@
 
 void ReplicaDriver::applyAll(std::span<const LogEntry> entries)
 {
+    // They are applied to the state that replaces this one.
+    if (m_recovery.isActive())
+        return;
     for (const LogEntry &entry : entries) {
         apply(entry);
         serveReplicasIfDue();
@@ -215,22 +224,21 @@
 {
     if (stored || m_stopped)
         return;
-    stop(stored.error());
+    m_stopped = true;
     m_reopenPause = m_settings.reopenPause;
     m_reopenAt = BootClock::now() + m_reopenPause;
-}
-
-void ReplicaDriver::stop(const Error &error)
-{
-    m_stopped = true;
-    m_reopenAt.reset();
     m_metrics.setReplicaAvailable(false);
     logEvent(LogLevel::Error, "replica-stopped",
              {{"replica", m_self.id},
-              {"reason", error.message},
+              {"reason", stored.error().message},
               {"term", m_replica->term()},
               {"last_index", m_replica->log().lastIndex()},
               {"leads", m_wasLeader}});
+    endLeadership();
+}
+
+void ReplicaDriver::endLeadership()
+{
     failWaiters();
     if (std::exchange(m_wasLeader, false)) {
         m_metrics.setSilentVoters(0);
@@ -249,6 +257,8 @@
         // The stored state is replaced by the current one, which includes all other effects.
         const EntryLog &log = m_replica->log();
         const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
+        // It may be stored without the entries after it.
+        m_synced.index = std::min(m_synced.index, log.snapshot()->lastIndex);
         stopOnError(m_store->replaceBySnapshot(*log.snapshot(), m_replica->hardState(), tail));
         needsSync = true;
         m_bytesSinceSnapshot = 0;
@@ -352,10 +362,12 @@
     }
     if (entry.index % m_settings.digestInterval == 0) {
         constexpr std::size_t digestsKept = 64;
-        m_digests[entry.index] = m_jobTable.digest();
+        const StateDigest digest{entry.index, m_jobTable.stateDigest(),
+                                 JobTable::stateDigestFormat};
+        m_digests[entry.index] = digest;
         if (m_digests.size() > digestsKept)
             m_digests.erase(m_digests.begin());
-        m_replica->updateDigest({entry.index, m_jobTable.digest()});
+        m_replica->updateDigest(digest);
     }
     logCommitted(entry.index);
     completeWaiters(entry.index, entry.term, outcomes);
@@ -404,24 +416,6 @@
         proposal.done(false, {});
 }
 
-void ReplicaDriver::installSnapshot(const SnapshotPointer &snapshot)
-{
-    m_digests.clear();
-    // It would fail again: the stored snapshot is the same.
-    if (const Result<void> loaded = m_jobTable.load(snapshot->data); !loaded)
-        return stop(loaded.error());
-    logEvent(LogLevel::Info, "snapshot-installed",
-             {{"index", snapshot->lastIndex}, {"bytes", snapshot->data.size()}});
-}
-
-void ReplicaDriver::checkDigest(const StateDigest &digest)
-{
-    const auto found = m_digests.find(digest.index);
-    if (found != m_digests.end() && found->second != digest.digest)
-        stop({ErrorCode::Conflict,
-              fmt::format("the state differs from the leader's at index {}", digest.index)});
-}
-
 void ReplicaDriver::handleRoleChange(const RoleChanged &change)
 {
     logEvent(LogLevel::Info, "role-changed",
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -6,6 +6,7 @@
 #include <Guavashift/Fleet/FleetMetrics.h>
 #include <Guavashift/Fleet/FleetSettings.h>
 #include <Guavashift/Fleet/MembershipMonitor.h>
+#include <Guavashift/Fleet/StateSupply.h>
 
 #include <deque>
 
@@ -33,9 +34,12 @@
     Duration maxReopenPause = std::chrono::seconds(1);
     /// Digests are compared at multiples of this index.
     LogIndex digestInterval = 64;
+    StateRecoverySettings recovery;
 };
 
 /// Connects one Replica to its disk and its peers and applies committed commands to a JobTable.
+/// A replica whose disk fails is opened again, one whose disk has lost what it had confirmed takes
+/// part under a new name, and one whose state must not be used fetches that of another one.
 /// Commands that are proposed within one round of the loop share a log entry. For use on the event
 /// loop's thread only.
 class ReplicaDriver final
@@ -65,6 +69,8 @@
 
     void receive(const ReplicaMessages &messages);
     void joinRequested(const Member &member);
+    void stateRequested(const StateRequest &request);
+    void stateReceived(const StatePart &part);
 
     /// Queues commands for the next endRound(). Without commands, `done` is called once everything
     /// proposed before is committed.
@@ -83,7 +89,10 @@
     /// take a small part of a long message at a time.
     void serveReplicasIfDue();
 
-    [[nodiscard]] bool leads() const { return m_replica && m_replica->isLeader() && !m_stopped; }
+    [[nodiscard]] bool leads() const
+    {
+        return m_replica && m_replica->isLeader() && !m_stopped && !m_recovery.isActive();
+    }
     /// Whether this replica leads, holds the leader lease and has applied all entries of earlier
     /// leaders, so that it may answer from its own state without asking other replicas.
     [[nodiscard]] bool mayAnswer() const;
@@ -141,7 +150,7 @@
     /// Opens the store and reads its content.
     [[nodiscard]] Result<PersistentState> openStore();
     /// Loads the job table and starts the replica with the state.
-    [[nodiscard]] Result<void> startReplica(PersistentState state);
+    void startReplica(PersistentState state);
     /// Starts the replica again with what its disk holds, after storage failed.
     void reopen();
     void recordSynced();
@@ -160,14 +169,27 @@
     void storeAll(const std::vector<Effect> &effects);
     /// Stops the replica, which takes no part until reopen() succeeds.
     void stopOnError(const Result<void> &stored);
-    void stop(const Error &error);
     void sendMessages(const std::vector<Effect> &effects, bool afterSync);
     void sendTo(const std::string &address, const FleetMessage &message);
     void apply(const LogEntry &entry);
     void logCommitted(LogIndex index);
     void completeWaiters(LogIndex index, Term term, std::span<const StageOutcome> outcomes);
     void installSnapshot(const SnapshotPointer &snapshot);
-    void checkDigest(const StateDigest &digest);
+    /// Compares the state with the one that a quorum of the voters has.
+    void checkDigest(const StateDigest &agreed);
+    /// Stops to use the job table until it is replaced.
+    void discardState(std::string_view reason, LogIndex index);
+    /// Uses the job table again, which was replaced by one for that index.
+    void useState(LogIndex index);
+    /// Fetches the state of another replica if this one's must not be used.
+    void recoverState();
+    /// Replaces the job table by the copy and applies the entries after it.
+    void adoptState(const StateCopy &copy);
+    void serveStates();
+    [[nodiscard]] bool maySupplyState() const;
+    void reportDispute(Instant now);
+    /// Ends the waits of callers, and the leadership as far as others see it.
+    void endLeadership();
     void handleRoleChange(const RoleChanged &change);
     void takeSnapshot();
     /// Logs voters that stop or start to answer this leader, and updates the metrics of both.
@@ -188,12 +210,15 @@
     LogStoreOpener m_openStore;
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Replica> m_replica;
-    bool m_stopped = false; ///< After a storage failure or a digest mismatch.
+    bool m_stopped = false; ///< After a storage failure, until the replica is reopened.
     SyncedState m_synced;
-    /// When a stopped replica is reopened; nothing if its stored state must not be used, for
-    /// example after a digest mismatch.
-    std::optional<Instant> m_reopenAt;
+    Instant m_reopenAt; ///< Used only while stopped.
     Duration m_reopenPause = Duration::zero();
+    StateRecovery m_recovery; ///< Active while the job table must not be used.
+    StateSupply m_supply;
+    std::vector<StateRequest> m_stateRequests;
+    LogIndex m_disputedIndex = 0; ///< Highest one that was logged.
+    Instant m_nextDisputeReport;
     bool m_wasLeader = false;
     /// Latest term in which this replica led and had applied everything that earlier leaders had
     /// committed.
@@ -205,7 +230,7 @@
     std::vector<Proposal> m_proposals;
     std::multimap<LogIndex, Waiter> m_waiters;
     std::map<LogIndex, EntryTimes> m_entryTimes;
-    std::map<LogIndex, std::uint64_t> m_digests;
+    std::map<LogIndex, StateDigest> m_digests;
     std::size_t m_bytesSinceSnapshot = 0;
     MembershipPlanner m_planner;
     MembershipMonitor m_monitor;
--- a/Guavashift/Fleet/ReplicaDriverOpening.cpp
+++ b/Guavashift/Fleet/ReplicaDriverOpening.cpp
@@ -96,18 +96,17 @@
     Result<PersistentState> state = loadOrBootstrap();
     if (!state)
         return tl::unexpected(state.error());
-    if (Result<void> started = startReplica(std::move(*state)); !started)
-        return started;
+    startReplica(std::move(*state));
     scheduleTick();
     return {};
 }
 
-Result<void> ReplicaDriver::startReplica(PersistentState state)
+void ReplicaDriver::startReplica(PersistentState state)
 {
-    if (!state.snapshot)
-        m_jobTable.clear();
-    else if (Result<void> loaded = m_jobTable.load(state.snapshot->data); !loaded)
-        return loaded;
+    m_jobTable.clear();
+    const LogIndex snapshotIndex = state.snapshot ? state.snapshot->lastIndex : 0;
+    const Result<void> loaded =
+        state.snapshot ? m_jobTable.load(state.snapshot->data) : Result<void>();
     m_bytesSinceSnapshot = 0;
     for (const LogEntry &entry : state.entries)
         m_bytesSinceSnapshot += entry.payload.size();
@@ -120,9 +119,11 @@
                                           m_random(), BootClock::now());
     recordSynced();
     m_stopped = false;
-    m_reopenAt.reset();
+    if (!loaded)
+        discardState(loaded.error().message, snapshotIndex);
+    // The disk may hold the same state that was discarded.
+    m_replica->setStateUsable(BootClock::now(), !m_recovery.isActive());
     m_metrics.setReplicaAvailable(m_replica->membership().find(m_self.id) != nullptr);
-    return {};
 }
 
 void ReplicaDriver::recordSynced()
@@ -135,23 +136,27 @@
     // Nothing that the replica held in memory may be used: it may not be on the disk.
     m_deferred.clear();
     m_digests.clear();
+    m_stateRequests.clear();
+    m_supply.clear();
     m_store.reset();
     Result<PersistentState> state = openStore();
-    if (!state) {
-        m_reopenPause = std::min(m_reopenPause * 2, m_settings.maxReopenPause);
-        m_reopenAt = BootClock::now() + m_reopenPause;
-        logEvent(LogLevel::Warning, "replica-not-reopened",
+    // A replica that has forgotten its votes or entries must not take part under its name. With an
+    // empty folder, the process's next start makes it a new one.
+    if (state && (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index)) {
+        m_reopenAt = Instant::max();
+        logEvent(LogLevel::Error, "replica-stopped",
                  {{"replica", m_self.id},
-                  {"reason", state.error().message},
-                  {"next_ms", toMs(m_reopenPause)}});
+                  {"reason", "the data folder has lost what was synced"}});
         return;
     }
-    // A replica that has forgotten its votes or entries must not take part under its name. With an
-    // empty folder, the process's next start makes it a new one.
-    if (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index)
-        return stop({ErrorCode::Conflict, "the data folder has lost what was synced"});
-    if (Result<void> started = startReplica(std::move(*state)); !started)
-        stop(started.error());
+    if (state)
+        return startReplica(std::move(*state));
+    m_reopenPause = std::min(m_reopenPause * 2, m_settings.maxReopenPause);
+    m_reopenAt = BootClock::now() + m_reopenPause;
+    logEvent(LogLevel::Warning, "replica-not-reopened",
+             {{"replica", m_self.id},
+              {"reason", state.error().message},
+              {"next_ms", toMs(m_reopenPause)}});
 }
 
 } // namespace guavashift
