Let guavashiftd's control process vote while its state is in doubt

What callers saw: nothing is recorded. A control process whose state differed from its leader's neither voted nor stored until it was started again, so one leader's word could stop all others.

Cause: as in the fleet's replica, the word of one leader puts a replica out of service for good.

Change: the digest that a quorum has counts.

--- a/Guavashift/Control/ControlNode.cpp
+++ b/Guavashift/Control/ControlNode.cpp
@@ -90,6 +90,7 @@
         return;
     }
     m_reopenAt.reset();
+    m_rebuildAt.reset();
     m_stopped = false;
     m_hasFailed = false;
 }
@@ -153,6 +154,7 @@
                 break;
         }
         runPosted();
+        rebuildState();
         if (m_stopped)
             reopenReplica();
         if (m_stopped)
--- a/Guavashift/Control/ControlNode.h
+++ b/Guavashift/Control/ControlNode.h
@@ -107,14 +107,18 @@
     void applyEntry(const LogEntry &entry);
     void installSnapshot(const InstallSnapshot &install);
     [[nodiscard]] Result<void> loadSnapshot(const Snapshot &snapshot);
+    /// Compares the state with the one that a quorum of the voters has.
     void compareDigest(const CompareDigest &compare);
+    /// Builds the state again from the data folder, once that is due.
+    void rebuildState();
     void roleChanged(const RoleChanged &change);
     void startSnapshot();
     void finishSnapshot();
     void proposePending();
     /// Stops the replica after a disk error. reopenReplica() starts it again.
     void storageFailed(const Error &error);
-    /// Stops the replica. Without a time in m_reopenAt, it stays stopped.
+    /// Stops the replica. Without a time in m_reopenAt, it stays stopped. Only a folder that has
+    /// lost what was synced leaves none.
     void stopReplica(const Error &error);
     [[nodiscard]] prometheus::Gauge &leaderGauge();
     PeerLink *linkTo(const ReplicaId &id);
@@ -147,9 +151,12 @@
     LogIndex m_syncedIndex = 0;
     bool m_stopped = false; ///< The replica takes no part, see storageFailed() and stopReplica().
     std::string m_stopReason;
-    /// When a stopped replica is started again. Nothing after a state that differs from the
-    /// leader's, since the same entries would lead to the same state.
-    std::optional<Instant> m_reopenAt;
+    std::optional<Instant> m_reopenAt; ///< When a stopped replica is started again.
+    /// When a state that differs from the others' is built again. Until then the replica votes and
+    /// stores, and does not lead.
+    std::optional<Instant> m_rebuildAt;
+    /// Grows with each rebuild: the same entries may lead to the same state.
+    Duration m_rebuildPause = Duration::zero();
 
     std::map<ReplicaId, std::unique_ptr<PeerLink>> m_peers;
     std::map<ReplicaId, std::string> m_addresses; ///< As sent by the replicas themselves.
--- a/Guavashift/Control/ControlNodeState.cpp
+++ b/Guavashift/Control/ControlNodeState.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr Duration firstRebuildPause = std::chrono::seconds(1);
+constexpr Duration maxRebuildPause = std::chrono::seconds(60);
+
 Json outcomesToJson(std::span<const Outcome> outcomes)
 {
     Json list = Json::array();
@@ -85,7 +88,7 @@
 {
     // The snapshot must not contain a membership change that comes after its index.
     const LogIndex index = m_replica->appliedIndex();
-    if (m_snapshotJob.valid() || m_replica->log().membershipIndex() > index)
+    if (m_snapshotJob.valid() || m_replica->log().membershipIndex() > index || m_rebuildAt)
         return;
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->lastIndex = index;
@@ -107,8 +110,9 @@
         || m_snapshotJob.wait_for(Duration::zero()) != std::future_status::ready)
         return;
     const SnapshotPointer snapshot = m_snapshotJob.get();
-    // The leader may have sent a newer snapshot in the meantime.
-    if (snapshot->lastIndex < m_replica->log().firstIndex())
+    // The leader may have sent a newer snapshot in the meantime, or the state was found to be
+    // wrong.
+    if (snapshot->lastIndex < m_replica->log().firstIndex() || m_rebuildAt)
         return;
     const Instant started = BootClock::now();
     m_snapshotIndex = snapshot->lastIndex;
@@ -129,10 +133,29 @@
 void ControlNode::compareDigest(const CompareDigest &compare)
 {
     const auto found = m_digests.find(compare.digest.index);
-    if (found != m_digests.end() && found->second != compare.digest.digest)
-        stopReplica(
-            {ErrorCode::Conflict,
-             fmt::format("the state differs from the leader's at index {}", compare.digest.index)});
+    if (found == m_digests.end() || m_rebuildAt
+        || !StateDigest{found->first, found->second}.contradicts(compare.digest))
+        return;
+    const Instant now = BootClock::now();
+    m_rebuildPause = std::clamp(m_rebuildPause * 2, firstRebuildPause, maxRebuildPause);
+    m_rebuildAt = now + m_rebuildPause;
+    logEvent(LogLevel::Error, "state-discarded",
+             {{"reason", "a quorum of the voters has another state"},
+              {"index", compare.digest.index},
+              {"rebuilt_in_ms", toMs(m_rebuildPause)}});
+    for (auto &[index, waiter] : m_waiters)
+        waiter.promise->set_value(fail(ErrorCode::Timeout, "the state of this replica is wrong"));
+    m_waiters.clear();
+    m_replica->setStateUsable(now, false);
+}
+
+void ControlNode::rebuildState()
+{
+    if (!m_rebuildAt || BootClock::now() < *m_rebuildAt)
+        return;
+    m_rebuildAt.reset();
+    stopReplica({ErrorCode::Conflict, "the state is built again"});
+    m_reopenAt = BootClock::now();
 }
 
 } // namespace guavashift
