Use a recovered state only once it is stored

Cause: the recovery ended in memory, while the disk still led to the discarded state.

Change: - A discarded state is marked in the data folder.

--- a/Guavashift/Consensus/DataFolder.cpp
+++ b/Guavashift/Consensus/DataFolder.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::string_view identityName = "identity";
+/// Exists while the state in the folder is wrong.
+constexpr std::string_view wrongStateName = "wrong-state";
 
 /// Content of the file `identity`.
 struct Identity
@@ -62,4 +64,23 @@
     return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
 }
 
+Result<void> DataFolder::markState(const std::filesystem::path &path, bool isWrong)
+{
+    if (isWrong)
+        return replaceFile(path / wrongStateName, {});
+    if (!isStateWrong(path))
+        return {};
+    std::error_code error;
+    std::filesystem::remove(path / wrongStateName, error);
+    if (error)
+        return fail(ErrorCode::Io, fmt::format("{}: {}", path.string(), error.message()));
+    return syncFolder(path);
+}
+
+bool DataFolder::isStateWrong(const std::filesystem::path &path)
+{
+    std::error_code error;
+    return std::filesystem::exists(path / wrongStateName, error);
+}
+
 } // namespace guavashift
--- a/Guavashift/Consensus/DataFolder.h
+++ b/Guavashift/Consensus/DataFolder.h
@@ -22,6 +22,10 @@
                                                   std::string_view clusterId, std::string_view vm,
                                                   std::string_view incarnation);
 
+    /// Records whether the snapshot and the log in the folder lead to a wrong state, durably.
+    static Result<void> markState(const std::filesystem::path &path, bool isWrong);
+    [[nodiscard]] static bool isStateWrong(const std::filesystem::path &path);
+
     [[nodiscard]] const std::filesystem::path &path() const { return m_path; }
     [[nodiscard]] const ReplicaId &replica() const { return m_replica; }
 
--- a/Guavashift/Consensus/Replica.cpp
+++ b/Guavashift/Consensus/Replica.cpp
@@ -27,6 +27,9 @@
         checkQuorum(now);
         if (m_role != ReplicaRole::Leader)
             return;
+        // It leads only to pass on its log.
+        if (!m_isStateUsable && !m_transferDeadline && m_commitIndex >= m_termStartIndex)
+            (void)transferLeadership(now);
         // The TimeoutNow message may still arrive late, so this leader must not resume its lease in
         // this term.
         if (m_transferDeadline && now >= *m_transferDeadline) {
@@ -40,7 +43,7 @@
         return;
     // A replica that is no voter starts no election, but must not keep a silent leader: it may have
     // been removed, and asks to join again only while it knows no leader.
-    if (membership().isVoter(m_self) && m_isStateUsable)
+    if (membership().isVoter(m_self) && mayStartElection(now))
         startPreVote(now);
     else
         becomeFollower(now, m_hardState.term, {}, RoleChangeReason::LeaderSilent);
@@ -118,6 +121,12 @@
         m_log.compact(std::move(snapshot));
 }
 
+bool Replica::mayStartElection(Instant now) const
+{
+    // One without a state may have entries that all others lack, so that none of them is elected.
+    return m_isStateUsable || now - m_lastLeaderContact >= m_settings.electionWithoutState;
+}
+
 void Replica::updateDigest(const StateDigest &digest)
 {
     m_digest = digest;
--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -23,6 +23,9 @@
     /// Time for which contact with a quorum allows the leader to answer reads, counted from the
     /// send time. Must be less than electionTimeoutMin.
     Duration leaderLease = std::chrono::milliseconds(450);
+    /// Time without contact to a leader after which a voter whose state must not be used starts an
+    /// election too.
+    Duration electionWithoutState = std::chrono::milliseconds(4000);
     /// Time after which an unanswered append is sent again to a peer that answers other messages.
     Duration resendInterval = std::chrono::milliseconds(300);
     /// Time allowed for a leadership transfer; after it the old leader steps down.
@@ -79,7 +82,8 @@
 
     /// Sets whether the state machine of this replica may be used, which it may at first. A replica
     /// without one still votes and stores what it is sent, since its log is not in doubt. It starts
-    /// no election, and as the leader it hands its leadership over.
+    /// no election as long as another voter may win one, and as the leader it hands its leadership
+    /// over.
     void setStateUsable(Instant now, bool isUsable);
 
     /// Records that the state machine was replaced by that of another replica, which has applied
@@ -127,6 +131,7 @@
     void requestVotes(Term term, bool preVote, bool transfer);
     void countVotes(Instant now);
     [[nodiscard]] bool hasRecentLeaderContact(Instant now) const;
+    [[nodiscard]] bool mayStartElection(Instant now) const;
     [[nodiscard]] bool isUpToDate(const VoteRequest &request) const;
     void handle(Instant now, const ReplicaId &from, const VoteRequest &request);
     void handle(Instant now, const ReplicaId &from, const VoteReply &reply);
--- a/Guavashift/Fleet/FleetMessages.cpp
+++ b/Guavashift/Fleet/FleetMessages.cpp
@@ -195,7 +195,8 @@
 
 auto fields(Is<StatePart> auto &value)
 {
-    return std::tie(value.index, value.term, value.offset, value.totalBytes, value.data);
+    return std::tie(value.index, value.term, value.offset, value.totalBytes, value.data,
+                    value.digest, value.format);
 }
 
 auto fields(Is<KnownRuns> auto &value)
--- a/Guavashift/Fleet/FleetMessages.h
+++ b/Guavashift/Fleet/FleetMessages.h
@@ -248,6 +248,8 @@
     std::uint64_t offset = 0;
     std::uint64_t totalBytes = 0;
     std::string data;
+    std::uint64_t digest = 0; ///< Of the state.
+    std::uint32_t format = 0; ///< Of the digest, see StateDigest.
 };
 
 using FleetMessage =
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -55,7 +55,7 @@
     // Everything committed is applied now, including entries of earlier leaders.
     if (m_replica->isLeader() && m_replica->hasLease(now))
         m_caughtUpTerm = m_replica->term();
-    if (m_replica->isLeader() && now >= m_nextPlan) {
+    if (leads() && now >= m_nextPlan) {
         m_nextPlan = now + planInterval;
         observeVoters(now);
         reportDispute(now);
@@ -70,7 +70,7 @@
         return;
     serveStates();
     if (m_bytesSinceSnapshot > m_settings.snapshotBytes && !m_recovery.isActive())
-        takeSnapshot();
+        (void)takeSnapshot();
 }
 
 void ReplicaDriver::serveReplicas()
@@ -210,7 +210,7 @@
 void ReplicaDriver::applyAll(std::span<const LogEntry> entries)
 {
     // They are applied to the state that replaces this one.
-    if (m_recovery.isActive())
+    if (m_recovery.isActive() && !m_isCopyAdopted)
         return;
     for (const LogEntry &entry : entries) {
         apply(entry);
@@ -426,7 +426,8 @@
               {"reason", nameOf(change.reason)},
               {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
                toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
-    const bool leadsNow = change.role == ReplicaRole::Leader;
+    // Without a state, it leads only until another replica has its log.
+    const bool leadsNow = change.role == ReplicaRole::Leader && !m_recovery.isActive();
     if (leadsNow == m_wasLeader)
         return;
     m_wasLeader = leadsNow;
@@ -439,13 +440,13 @@
     m_observer.roleChanged(leadsNow);
 }
 
-void ReplicaDriver::takeSnapshot()
+bool ReplicaDriver::takeSnapshot()
 {
     // The snapshot stores the current membership, so a membership entry after the applied index
     // must be applied first.
     const LogIndex index = m_replica->appliedIndex();
     if (m_replica->log().membershipIndex() > index || index < m_replica->log().firstIndex())
-        return;
+        return false;
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->lastIndex = index;
     snapshot->lastTerm = *m_replica->log().termAt(index);
@@ -456,10 +457,11 @@
     const std::vector<LogEntry> tail = log.slice(log.firstIndex(), SIZE_MAX, SIZE_MAX);
     stopOnError(m_store->replaceBySnapshot(*snapshot, m_replica->hardState(), tail));
     if (m_stopped)
-        return;
+        return false;
     m_bytesSinceSnapshot = 0;
     logEvent(LogLevel::Info, "snapshot-taken",
              {{"index", index}, {"bytes", snapshot->data.size()}});
+    return true;
 }
 
 } // namespace guavashift
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -107,6 +107,7 @@
     void transferLeadership();
 
 private:
+
     struct Peer
     {
         std::unique_ptr<FrameConnection> connection;
@@ -185,13 +186,19 @@
     void recoverState();
     /// Replaces the job table by the copy and applies the entries after it.
     void adoptState(const StateCopy &copy);
+    /// Ends the recovery once the job table is stored.
+    void storeAdoptedState();
+    void rejectCopy(std::string_view reason);
+    /// Records on the disk whether what it holds leads to a wrong state.
+    void markStoredState(bool isWrong);
     void serveStates();
     [[nodiscard]] bool maySupplyState() const;
     void reportDispute(Instant now);
     /// Ends the waits of callers, and the leadership as far as others see it.
     void endLeadership();
     void handleRoleChange(const RoleChanged &change);
-    void takeSnapshot();
+    /// Returns whether one was taken and stored.
+    bool takeSnapshot();
     /// Logs voters that stop or start to answer this leader, and updates the metrics of both.
     void observeVoters(Instant now);
     void planMembership();
@@ -215,6 +222,8 @@
     Instant m_reopenAt; ///< Used only while stopped.
     Duration m_reopenPause = Duration::zero();
     StateRecovery m_recovery; ///< Active while the job table must not be used.
+    /// Whether the job table is that of a copy, and only has to be stored.
+    bool m_isCopyAdopted = false;
     StateSupply m_supply;
     std::vector<StateRequest> m_stateRequests;
     LogIndex m_disputedIndex = 0; ///< Highest one that was logged.
--- a/Guavashift/Fleet/ReplicaDriverOpening.cpp
+++ b/Guavashift/Fleet/ReplicaDriverOpening.cpp
@@ -119,9 +119,11 @@
                                           m_random(), BootClock::now());
     recordSynced();
     m_stopped = false;
+    m_isCopyAdopted = false;
     if (!loaded)
         discardState(loaded.error().message, snapshotIndex);
-    // The disk may hold the same state that was discarded.
+    else if (DataFolder::isStateWrong(m_fleet.dataFolder))
+        discardState("the data folder leads to a state that was discarded", snapshotIndex);
     m_replica->setStateUsable(BootClock::now(), !m_recovery.isActive());
     m_metrics.setReplicaAvailable(m_replica->membership().find(m_self.id) != nullptr);
 }
--- a/Guavashift/Fleet/ReplicaDriverState.cpp
+++ b/Guavashift/Fleet/ReplicaDriverState.cpp
@@ -1,3 +1,4 @@
+#include <Guavashift/Consensus/DataFolder.h>
 #include <Guavashift/Fleet/ReplicaDriver.h>
 
 // The part of ReplicaDriver that compares the state with that of other replicas, and replaces it.
@@ -6,6 +7,8 @@
 
 namespace {
 
+/// Time after which a copy is given up that the log does not reach.
+constexpr Duration maxCopyAge = std::chrono::seconds(2);
 constexpr Duration disputeReportInterval = std::chrono::seconds(5);
 
 } // namespace
@@ -13,8 +16,14 @@
 void ReplicaDriver::checkDigest(const StateDigest &agreed)
 {
     const auto found = m_digests.find(agreed.index);
-    if (found != m_digests.end() && found->second.contradicts(agreed))
-        discardState("a quorum of the voters has another state", agreed.index);
+    if (found == m_digests.end() || !found->second.contradicts(agreed))
+        return;
+    if (!m_recovery.isActive()) {
+        markStoredState(true);
+        return discardState("a quorum of the voters has another state", agreed.index);
+    }
+    m_digests.clear();
+    rejectCopy("a quorum of the voters has another state");
 }
 
 void ReplicaDriver::discardState(std::string_view reason, LogIndex index)
@@ -23,6 +32,7 @@
         return;
     const Instant now = BootClock::now();
     m_recovery.begin(now);
+    m_isCopyAdopted = false;
     m_digests.clear();
     m_supply.clear();
     m_metrics.setStateUsable(false);
@@ -37,9 +47,17 @@
     m_replica->setStateUsable(now, false);
 }
 
+void ReplicaDriver::markStoredState(bool isWrong)
+{
+    if (const Result<void> marked = DataFolder::markState(m_fleet.dataFolder, isWrong); !marked)
+        logEvent(LogLevel::Error, "state-not-marked",
+                 {{"replica", m_self.id}, {"wrong", isWrong}, {"reason", marked.error().message}});
+}
+
 void ReplicaDriver::useState(LogIndex index)
 {
     const Instant now = BootClock::now();
+    markStoredState(false);
     logEvent(LogLevel::Info, "state-recovered",
              {{"replica", m_self.id},
               {"index", index},
@@ -65,6 +83,8 @@
 {
     if (!m_recovery.isActive())
         return;
+    if (m_isCopyAdopted)
+        return storeAdoptedState();
     if (const StateCopy *copy = m_recovery.copy())
         return adoptState(*copy);
     std::vector<std::string> others = addresses();
@@ -81,33 +101,48 @@
     sendTo(request->address, StateRequest{m_self.address, request->index, request->offset});
 }
 
+void ReplicaDriver::rejectCopy(std::string_view reason)
+{
+    logEvent(LogLevel::Warning, "state-rejected", {{"replica", m_self.id}, {"reason", reason}});
+    m_isCopyAdopted = false;
+    m_recovery.rejectCopy(BootClock::now());
+}
+
 void ReplicaDriver::adoptState(const StateCopy &copy)
 {
     const EntryLog &log = m_replica->log();
-    // The leader still sends the entries up to the copy, or a snapshot in their place.
-    if (copy.index > log.lastIndex())
+    if (copy.index > log.lastIndex()) {
+        // The leader still sends the entries up to the copy, or a snapshot in their place.
+        if (m_recovery.copyAge(BootClock::now()) > maxCopyAge)
+            rejectCopy("the log does not reach it");
         return;
-    const auto reject = [&](std::string_view reason) {
-        logEvent(LogLevel::Warning, "state-rejected", {{"index", copy.index}, {"reason", reason}});
-        m_recovery.rejectCopy(BootClock::now());
-    };
+    }
     if (!m_replica->replaceState(copy.index, copy.term))
-        return reject("the log does not continue it");
+        return rejectCopy("the log does not continue it");
     if (const Result<void> loaded = m_jobTable.load(copy.data); !loaded)
-        return reject(loaded.error().message);
-    const LogIndex first = copy.index + 1;
-    const LogIndex last = m_replica->appliedIndex();
-    useState(copy.index);
-    for (LogIndex index = first; index <= last && !m_stopped; ++index) {
-        apply(log.at(index));
-        serveReplicasIfDue();
-    }
-    // What the disk holds leads to the state that was discarded.
-    m_bytesSinceSnapshot = m_settings.snapshotBytes + 1;
+        return rejectCopy(loaded.error().message);
+    const StateDigest digest{copy.index, m_jobTable.stateDigest(), JobTable::stateDigestFormat};
+    if (digest.contradicts({copy.index, copy.digest, copy.format}))
+        return rejectCopy("it is not the state that was sent");
+    // Copies, since a snapshot of the leader may shorten the log meanwhile.
+    const LogIndex applied = m_replica->appliedIndex();
+    const std::vector<LogEntry> entries = applied > copy.index
+        ? log.slice(copy.index + 1, applied - copy.index, SIZE_MAX)
+        : std::vector<LogEntry>();
+    m_isCopyAdopted = true;
+    applyAll(entries);
     if (!m_stopped)
         processEffects();
 }
 
+void ReplicaDriver::storeAdoptedState()
+{
+    // What the disk holds leads to the state that was discarded, until a snapshot replaces it.
+    const LogIndex index = m_replica->appliedIndex();
+    if (takeSnapshot())
+        useState(index);
+}
+
 void ReplicaDriver::stateRequested(const StateRequest &request)
 {
     // Answered at the end of the round, when everything committed is applied.
@@ -134,7 +169,8 @@
         return;
     const auto makeCopy = [this] {
         const LogIndex index = m_replica->appliedIndex();
-        return StateCopy{index, *m_replica->log().termAt(index), m_jobTable.save()};
+        return StateCopy{index, *m_replica->log().termAt(index), m_jobTable.save(),
+                         m_jobTable.stateDigest(), JobTable::stateDigestFormat};
     };
     for (const StateRequest &request : requests)
         sendTo(request.address, m_supply.answer(now, request, makeCopy));
--- a/Guavashift/Fleet/StateRecovery.cpp
+++ b/Guavashift/Fleet/StateRecovery.cpp
@@ -17,6 +17,9 @@
         : Duration::zero();
     m_since = now;
     m_nextRequest = now + m_pause;
+    // The copy before may have been wrong.
+    if (followsAnother)
+        ++m_asked;
     dropCopy();
 }
 
@@ -47,13 +50,15 @@
     if (!isActive() || m_isComplete)
         return;
     if (part.offset == 0)
-        m_copy = {part.index, part.term, {}};
-    else if (part.index != m_copy.index || part.offset != m_copy.data.size())
+        m_copy = {part.index, part.term, {}, part.digest, part.format};
+    else if (part.index != m_copy.index || part.digest != m_copy.digest
+             || part.offset != m_copy.data.size())
         return;
     m_copy.data += part.data;
     m_isAnswerDue = false;
     m_nextRequest = now;
     m_isComplete = m_copy.data.size() == part.totalBytes;
+    m_completeSince = now;
 }
 
 void StateRecovery::rejectCopy(Instant now)
--- a/Guavashift/Fleet/StateRecovery.h
+++ b/Guavashift/Fleet/StateRecovery.h
@@ -13,12 +13,14 @@
     LogIndex index = 0;
     Term term = 0;
     std::string data;
+    std::uint64_t digest = 0;
+    std::uint32_t format = 0; ///< Of the digest, see StateDigest.
 };
 
 struct StateRecoverySettings
 {
     /// Time without an answer after which another replica is asked.
-    Duration answerTimeout = std::chrono::milliseconds(500);
+    Duration answerTimeout = std::chrono::seconds(1);
     /// Pause before a recovery that follows another one. Doubles with each that follows within
     /// `calmAfter`, up to the maximum: a replica that applies commands in another way than the
     /// others, such as one of another version, needs a new state again and again.
@@ -55,6 +57,8 @@
 
     /// The copy once it is complete, otherwise null.
     [[nodiscard]] const StateCopy *copy() const { return m_isComplete ? &m_copy : nullptr; }
+    /// Time since the copy is complete.
+    [[nodiscard]] Duration copyAge(Instant now) const { return now - m_completeSince; }
     /// Drops a copy that cannot be used. The next one is requested from another replica.
     void rejectCopy(Instant now);
 
@@ -69,6 +73,7 @@
     std::size_t m_asked = 0; ///< Number of times that another replica was chosen.
     bool m_isAnswerDue = false;
     bool m_isComplete = false;
+    Instant m_completeSince;
     StateCopy m_copy;
 };
 
--- a/Guavashift/Fleet/StateSupply.cpp
+++ b/Guavashift/Fleet/StateSupply.cpp
@@ -23,7 +23,8 @@
     const std::size_t size = m_copy->data.size();
     const std::size_t offset =
         continues ? std::min(static_cast<std::size_t>(request.offset), size) : 0;
-    return {m_copy->index, m_copy->term, offset, size, m_copy->data.substr(offset, partBytes)};
+    return {m_copy->index,  m_copy->term,  offset, size, m_copy->data.substr(offset, partBytes),
+            m_copy->digest, m_copy->format};
 }
 
 void StateSupply::removeUnused(Instant now)
--- a/UnitTests/Consensus/StateAgreementTest.cpp
+++ b/UnitTests/Consensus/StateAgreementTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(formatsAreNotCompared);
     CPPUNIT_TEST(namesAnIndexWithoutAQuorum);
     CPPUNIT_TEST(replicaWithoutAStateVotesAndDoesNotLead);
+    CPPUNIT_TEST(replicaWithoutAStatePassesItsLogOn);
     CPPUNIT_TEST(replicaWithoutAStateStoresAndVouchesForNothing);
     CPPUNIT_TEST(leaderWithoutAStateStepsDown);
     CPPUNIT_TEST(readsMessagesOfEarlierVersions);
@@ -99,21 +100,41 @@
     void replicaWithoutAStateVotesAndDoesNotLead()
     {
         m_replica->setStateUsable(at(0), false);
-        for (int now = 0; now <= 5000; now += 100)
+        for (int now = 0; now < 4000; now += 100)
             m_replica->tick(at(now));
         CPPUNIT_ASSERT(sent<VoteRequest>().empty());
-        m_replica->receive(at(5000), {second, first, TimeoutNow{1}});
+        m_replica->receive(at(3900), {second, first, TimeoutNow{1}});
         CPPUNIT_ASSERT(sent<VoteRequest>().empty());
-        m_replica->receive(at(5000), {second, first, VoteRequest{2, 1, 1, false, false}});
+        m_replica->receive(at(3900), {second, first, VoteRequest{2, 1, 1, false, false}});
         const std::vector<VoteReply> votes = sent<VoteReply>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, votes.size());
         CPPUNIT_ASSERT(votes[0].granted);
         // With a state, it may lead again.
-        m_replica->setStateUsable(at(9000), true);
-        m_replica->tick(at(9000));
+        m_replica->setStateUsable(at(3950), true);
+        m_replica->tick(at(5000));
         CPPUNIT_ASSERT(!sent<VoteRequest>().empty());
     }
 
+    /// Guards against voters of which none is ever elected: one whose state must not be used holds
+    /// entries that the others lack.
+    void replicaWithoutAStatePassesItsLogOn()
+    {
+        m_replica->setStateUsable(at(0), false);
+        m_replica->tick(at(4000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent<VoteRequest>().size());
+        m_replica->receive(at(4001), {second, first, VoteReply{2, true, true}});
+        m_replica->receive(at(4002), {second, first, VoteReply{2, false, true}});
+        CPPUNIT_ASSERT(m_replica->isLeader());
+        m_replica->synced(at(4003));
+        m_replica->receive(at(4004), {second, first, AppendReply{2, true, 2, 1}});
+        CPPUNIT_ASSERT_EQUAL(LogIndex{2}, m_replica->commitIndex());
+        (void)m_replica->takeEffects();
+        m_replica->tick(at(4005));
+        CPPUNIT_ASSERT(m_replica->isTransferring());
+        CPPUNIT_ASSERT(!m_replica->hasLease(at(4005)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<TimeoutNow>().size());
+    }
+
     void replicaWithoutAStateStoresAndVouchesForNothing()
     {
         m_replica->updateDigest({1, 5, 1});
--- a/UnitTests/Fleet/StateDivergenceTest.cpp
+++ b/UnitTests/Fleet/StateDivergenceTest.cpp
@@ -1,3 +1,4 @@
+#include <Guavashift/Consensus/DataFolder.h>
 #include <UnitTests/Fleet/FleetScenario.h>
 
 using namespace guavashift;
@@ -49,6 +50,7 @@
     CPPUNIT_TEST(repairsAFollowerWhoseStateDiffers);
     CPPUNIT_TEST(servesWhenNoQuorumHasTheSameState);
     CPPUNIT_TEST(takesPartWithASnapshotThatCannotBeLoaded);
+    CPPUNIT_TEST(usesNoDiscardedStateAfterARestart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +101,33 @@
         assertKnowsJobAsLeader(odd);
     }
 
+    /// Guards against a state that was found to be wrong and is used again, because the process
+    /// ends or its disk fails before a right one is stored.
+    void usesNoDiscardedStateAfterARestart()
+    {
+        submit("job", planOf(1));
+        until([this] { return isInState("job", "completed"); });
+        const std::size_t odd = (leadingCore() + 1) % cores;
+        const std::string folder = settingsOf(static_cast<int>(odd)).dataFolder;
+        m_cores[odd].reset();
+        CPPUNIT_ASSERT(DataFolder::markState(folder, true));
+        m_alterStored[odd] = [](PersistentState &state) { removeSubmission(state, "job"); };
+        const test::LogCapture log;
+        startCore(static_cast<int>(odd), false);
+        CPPUNIT_ASSERT(log.text().find("event=state-discarded ") != std::string::npos);
+        CPPUNIT_ASSERT(
+            runUntil([&] { return log.text().find("event=state-recovered ") != std::string::npos; },
+                     catchUpLimit));
+        CPPUNIT_ASSERT(!DataFolder::isStateWrong(folder));
+        m_cores[(odd + 1) % cores].reset();
+        CPPUNIT_ASSERT(isAccepted("last"));
+        assertKnowsJobAsLeader(odd);
+        // What is stored now leads to the right state.
+        m_cores[odd].reset();
+        startCore(static_cast<int>(odd), false);
+        assertKnowsJobAsLeader(odd);
+    }
+
 private:
     /// Restarts a follower, for which the submission of the job "job" is missing in its log.
     /// Returns its number.
--- a/UnitTests/Fleet/StateRecoveryTest.cpp
+++ b/UnitTests/Fleet/StateRecoveryTest.cpp
@@ -65,10 +65,10 @@
         m_recovery->receive(at(1), {70, 2, 0, 10, "half "});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_recovery->nextRequest(at(1), others)->offset);
         CPPUNIT_ASSERT(!m_recovery->nextRequest(at(2), others));
-        const auto next = m_recovery->nextRequest(at(600), others);
+        const auto next = m_recovery->nextRequest(at(1100), others);
         CPPUNIT_ASSERT_EQUAL(others[1], next->address);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, next->offset);
-        CPPUNIT_ASSERT_EQUAL(others[0], m_recovery->nextRequest(at(1200), others)->address);
+        CPPUNIT_ASSERT_EQUAL(others[0], m_recovery->nextRequest(at(2200), others)->address);
     }
 
     /// Guards against a state that is put together from two copies.
