Let a replica whose folder has lost entries take part under a new name

What callers saw: nothing is recorded. A process whose data folder ended before what it had synced ran on without a replica until it was started again; a second one ends the service. After a new start it went on under its old name if the folder still named it, though it had forgotten votes and entries.

Change: the folder gets a new identity in the running process, and the replica joins as any new one does. What is left in the folder is kept: it is older than what was confirmed, and the new name has confirmed nothing.

Test: staysStoppedOnceItsFolderIsEmpty asserted the lack of a way back. It is replaced by takesPartUnderANewNameOnceItsFolderIsEmpty, which is as strict on the old name (no line of a replica opened or changing its role under it) and also wants the voter back within catch_up_s, with another control process lost then. Open: the mark of the loss is in memory until the new identity is stored; a kill in between restarts the old name.

--- a/Guavashift/Consensus/DataFolder.cpp
+++ b/Guavashift/Consensus/DataFolder.cpp
@@ -31,6 +31,23 @@
     return openWithIncarnation(path, clusterId, vm, hexOf(randomNumber));
 }
 
+Result<DataFolder> DataFolder::renew(const std::filesystem::path &path, std::string_view clusterId,
+                                     std::string_view vm, std::uint64_t randomNumber)
+{
+    return create(path, clusterId, vm, hexOf(randomNumber));
+}
+
+Result<DataFolder> DataFolder::create(const std::filesystem::path &path, std::string_view clusterId,
+                                      std::string_view vm, std::string_view incarnation)
+{
+    std::error_code error;
+    std::filesystem::create_directories(path, error);
+    const Identity identity{std::string(clusterId), std::string(vm), std::string(incarnation)};
+    if (Result<void> stored = replaceFile(path / identityName, Json(identity).dump()); !stored)
+        return tl::unexpected(stored.error());
+    return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
+}
+
 Result<DataFolder> DataFolder::openWithIncarnation(const std::filesystem::path &path,
                                                    std::string_view clusterId, std::string_view vm,
                                                    std::string_view incarnation)
@@ -47,10 +64,7 @@
         if (std::filesystem::exists(path / "log") || std::filesystem::exists(path / "snapshot"))
             return fail(ErrorCode::Io,
                         path.string() + ": holds a log or a snapshot but no file 'identity'");
-        const Identity identity{std::string(clusterId), std::string(vm), std::string(incarnation)};
-        if (Result<void> stored = replaceFile(path / identityName, Json(identity).dump()); !stored)
-            return tl::unexpected(stored.error());
-        return DataFolder(path, ReplicaId{identity.vm + "/" + identity.incarnation});
+        return create(path, clusterId, vm, incarnation);
     }
 
     const Json json = Json::parse(*content, nullptr, false);
--- a/Guavashift/Consensus/DataFolder.h
+++ b/Guavashift/Consensus/DataFolder.h
@@ -22,6 +22,11 @@
                                                   std::string_view clusterId, std::string_view vm,
                                                   std::string_view incarnation);
 
+    /// Gives the folder a new incarnation, which is stored durably before anything else, and keeps
+    /// the rest of its content. For a replica that must not go on under its earlier name.
+    static Result<DataFolder> renew(const std::filesystem::path &path, std::string_view clusterId,
+                                    std::string_view vm, std::uint64_t randomNumber);
+
     /// Records whether the snapshot and the log in the folder lead to a wrong state, durably.
     static Result<void> markState(const std::filesystem::path &path, bool isWrong);
     [[nodiscard]] static bool isStateWrong(const std::filesystem::path &path);
@@ -32,6 +37,10 @@
 private:
     DataFolder(std::filesystem::path path, ReplicaId replica);
 
+    /// Stores an identity, in the place of an earlier one if there is one.
+    static Result<DataFolder> create(const std::filesystem::path &path, std::string_view clusterId,
+                                     std::string_view vm, std::string_view incarnation);
+
     std::filesystem::path m_path;
     ReplicaId m_replica;
 };
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -150,6 +150,8 @@
     [[nodiscard]] Result<PersistentState> loadOrBootstrap();
     /// Opens the store and reads its content.
     [[nodiscard]] Result<PersistentState> openStore();
+    /// Gives the data folder a new identity and opens the store.
+    [[nodiscard]] Result<PersistentState> openAsNewReplica();
     /// Loads the job table and starts the replica with the state.
     void startReplica(PersistentState state);
     /// Starts the replica again with what its disk holds, after storage failed.
@@ -221,6 +223,8 @@
     SyncedState m_synced;
     Instant m_reopenAt; ///< Used only while stopped.
     Duration m_reopenPause = Duration::zero();
+    /// Whether the folder has lost what was synced, so that the replica needs a new name.
+    bool m_hasLostEntries = false;
     StateRecovery m_recovery; ///< Active while the job table must not be used.
     /// Whether the job table is that of a copy, and only has to be stored.
     bool m_isCopyAdopted = false;
--- a/Guavashift/Fleet/ReplicaDriverOpening.cpp
+++ b/Guavashift/Fleet/ReplicaDriverOpening.cpp
@@ -91,6 +91,18 @@
     return state;
 }
 
+Result<PersistentState> ReplicaDriver::openAsNewReplica()
+{
+    const Result<DataFolder> folder =
+        DataFolder::renew(m_fleet.dataFolder, clusterName, m_fleet.ip, m_random());
+    if (!folder)
+        return tl::unexpected(folder.error());
+    // What is left in the folder is older than what was confirmed under the old name, and as good
+    // as what any new replica receives first.
+    m_self.id = folder->replica();
+    return openStore();
+}
+
 Result<void> ReplicaDriver::open()
 {
     Result<PersistentState> state = loadOrBootstrap();
@@ -119,6 +131,7 @@
                                           m_random(), BootClock::now());
     recordSynced();
     m_stopped = false;
+    m_hasLostEntries = false;
     m_isCopyAdopted = false;
     if (!loaded)
         discardState(loaded.error().message, snapshotIndex);
@@ -141,15 +154,20 @@
     m_stateRequests.clear();
     m_supply.clear();
     m_store.reset();
-    Result<PersistentState> state = openStore();
-    // A replica that has forgotten its votes or entries must not take part under its name. With an
-    // empty folder, the process's next start makes it a new one.
-    if (state && (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index)) {
-        m_reopenAt = Instant::max();
-        logEvent(LogLevel::Error, "replica-stopped",
+    Result<PersistentState> state = m_hasLostEntries ? openAsNewReplica() : openStore();
+    // A replica that has forgotten its votes or entries must not take part under its name.
+    if (state && !m_hasLostEntries
+        && (state->hardState.term < m_synced.term || lastIndexOf(*state) < m_synced.index)) {
+        m_hasLostEntries = true;
+        logEvent(LogLevel::Error, "replica-renamed",
                  {{"replica", m_self.id},
-                  {"reason", "the data folder has lost what was synced"}});
-        return;
+                  {"reason", "the data folder has lost what was synced"},
+                  {"term", state->hardState.term},
+                  {"last_index", lastIndexOf(*state)},
+                  {"synced_term", m_synced.term},
+                  {"synced_index", m_synced.index}});
+        m_store.reset();
+        state = openAsNewReplica();
     }
     if (state)
         return startReplica(std::move(*state));
