Keep a leader whose disk is as slow as all others

What callers saw: nobody serves while the disks of all control processes take 100 ms or more for a sync.

Cause: one slow sync of the leader is taken as a reason to hand over, whoever led before and however slow the others' disks are. Each next leader does the same with its first entry.

Change: a leader that took over by a transfer keeps the leadership for 10 s in spite of its disk. disk-slow says so.

Open: with all disks slow, leadership still moves every 10 s.

--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -295,10 +295,19 @@
         if (times.sync == Duration::zero())
             times.sync = took;
     }
-    if (took < m_settings.maxLeaderSync || !leads())
-        return;
-    logEvent(LogLevel::Warning, "disk-slow", {{"sync_ms", toMs(took)}});
-    transferLeadership();
+    if (took >= m_settings.maxLeaderSync && leads())
+        yieldSlowDisk(took);
+}
+
+void ReplicaDriver::yieldSlowDisk(Duration syncTook)
+{
+    // The disk of the leader before was slow as well.
+    const bool keeps = m_leadershipStart.wasTransferred
+        && BootClock::now() - m_leadershipStart.at < m_settings.minTransferredLeadership;
+    logEvent(LogLevel::Warning, "disk-slow",
+             {{"sync_ms", toMs(syncTook)}, {"keeps_leading", keeps}});
+    if (!keeps)
+        transferLeadership();
 }
 
 void ReplicaDriver::sendMessages(const std::vector<Effect> &effects, bool afterSync)
@@ -426,6 +435,12 @@
               {"reason", nameOf(change.reason)},
               {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
                toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
+    if (change.reason == RoleChangeReason::TransferReceived)
+        m_leadershipStart.wasTransferred = true;
+    else if (change.role == ReplicaRole::Leader)
+        m_leadershipStart.at = BootClock::now();
+    else
+        m_leadershipStart.wasTransferred = false;
     // Without a state, it leads only until another replica has its log.
     const bool leadsNow = change.role == ReplicaRole::Leader && !m_recovery.isActive();
     if (leadsNow == m_wasLeader)
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -28,6 +28,9 @@
     /// A leader whose disk takes this long to sync transfers leadership, since it could not keep
     /// its leader lease.
     Duration maxLeaderSync = std::chrono::milliseconds(100);
+    /// Time for which a leader that took over by a transfer keeps the leadership in spite of a slow
+    /// disk. If all disks are slow, nobody would lead otherwise.
+    Duration minTransferredLeadership = std::chrono::seconds(10);
     /// First pause before a replica whose storage failed tries to use it again. Doubles with each
     /// attempt that fails, up to the maximum.
     Duration reopenPause = std::chrono::milliseconds(250);
@@ -107,6 +110,12 @@
     void transferLeadership();
 
 private:
+    /// How a leadership began.
+    struct LeadershipStart
+    {
+        Instant at;
+        bool wasTransferred = false;
+    };
 
     struct Peer
     {
@@ -165,6 +174,8 @@
     /// Stores and sends what the replica asks for. What changes the job table or the role is left
     /// to applyDeferred().
     void storeAndSend();
+    /// Transfers leadership after a sync that took long, unless that would leave no leader.
+    void yieldSlowDisk(Duration syncTook);
     /// Sends to the other replicas what their connections take now.
     void sendQueued();
     void applyDeferred();
@@ -233,6 +244,7 @@
     LogIndex m_disputedIndex = 0; ///< Highest one that was logged.
     Instant m_nextDisputeReport;
     bool m_wasLeader = false;
+    LeadershipStart m_leadershipStart; ///< Of the latest one.
     /// Latest term in which this replica led and had applied everything that earlier leaders had
     /// committed.
     Term m_caughtUpTerm = 0;
--- a/UnitTests/Fleet/FleetFixture.cpp
+++ b/UnitTests/Fleet/FleetFixture.cpp
@@ -107,13 +107,16 @@
 
 LogStoreOpener FleetFixture::openerOfDisk(std::size_t place)
 {
-    return [open = openerOf(m_isDiskFull[place]),
-            &alter = m_alterStored[place]](const std::filesystem::path &folder,
-                                           PersistentState &state) {
+    return [open = openerOf(m_isDiskFull[place]), &delayMs = m_syncDelayMs[place],
+            &alter =
+                m_alterStored[place]](const std::filesystem::path &folder,
+                                      PersistentState &state) -> Result<std::unique_ptr<LogStore>> {
         Result<std::unique_ptr<LogStore>> store = open(folder, state);
-        if (store && alter)
+        if (!store)
+            return store;
+        if (alter)
             alter(state);
-        return store;
+        return std::make_unique<SlowDiskLogStore>(std::move(*store), delayMs);
     };
 }
 
--- a/UnitTests/Fleet/FleetFixture.h
+++ b/UnitTests/Fleet/FleetFixture.h
@@ -3,6 +3,7 @@
 #include <UnitTests/Fleet/FakeWorker.h>
 #include <UnitTests/Fleet/FullDiskLogStore.h>
 #include <UnitTests/Fleet/Hosted.h>
+#include <UnitTests/Fleet/SlowDiskLogStore.h>
 
 #include <cppunit/TestFixture.h>
 
@@ -56,6 +57,8 @@
     FleetMetrics m_metrics; ///< Shared by all nodes.
     /// While one is set, the disk of that control process refuses every write.
     std::array<std::atomic<bool>, cores> m_isDiskFull{};
+    /// Time that each sync of that control process's disk takes longer.
+    std::array<std::atomic<int>, cores> m_syncDelayMs{};
     /// Changes what the disk of that control process returns when its data folder is opened.
     std::array<std::function<void(PersistentState &)>, cores> m_alterStored{};
     std::array<std::unique_ptr<Hosted<CoreNode>>, cores> m_cores;
