Limit the size of a log entry

What callers saw: nothing is recorded. In a trial with three real control processes of, 120 submissions of 200 kB that arrived while a leader was frozen for 0.42 s got 504, as did every call after them, with all processes running, until all were killed and a follower led. With 60 of them all were accepted.

Cause: an entry was limited in commands, not in bytes. One above the largest frame (16 MB) is received by no follower; the leader hears them and keeps its office, and commits nothing again. A belief (I lead) that nothing corrects.

Change: an entry takes no further proposal after 1 MB.

Open: guavashiftd limits its entries by commands only.

--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -8,6 +8,28 @@
 constexpr std::size_t maxCommandsPerEntry = 1024;
 constexpr Duration planInterval = std::chrono::milliseconds(100);
 
+/// About the size of a command in an entry.
+std::size_t bytesOf(const StageCommand &command)
+{
+    constexpr std::size_t otherBytes = 256;
+    return std::visit(
+        Overloaded{[](const ReplaceConfiguration &each) { return each.document.size(); },
+                   [](const AcceptJob &each) {
+                       return each.plan.payload.size() + otherBytes * (1 + each.plan.steps.size());
+                   },
+                   [](const EndRun &each) { return each.checkpoint.size() + otherBytes; },
+                   [](const auto &) { return otherBytes; }},
+        command);
+}
+
+std::size_t bytesOf(const std::vector<StageCommand> &commands)
+{
+    std::size_t bytes = 0;
+    for (const StageCommand &command : commands)
+        bytes += bytesOf(command);
+    return bytes;
+}
+
 } // namespace
 
 ReplicaDriver::ReplicaDriver(EventLoop &loop, const ReplicaDriverSettings &settings,
@@ -139,13 +161,16 @@
         batch.time = wallNow();
         std::vector<Waiter> waiters;
         const Instant oldest = proposals[next].proposedAt;
+        std::size_t bytes = 0;
         do {
             Proposal &proposal = proposals[next++];
+            bytes += bytesOf(proposal.commands);
             waiters.push_back({m_replica->term(), batch.commands.size(), proposal.commands.size(),
                                std::move(proposal.done)});
             std::move(proposal.commands.begin(), proposal.commands.end(),
                       std::back_inserter(batch.commands));
-        } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry);
+        } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry
+                 && bytes < m_settings.maxEntryBytes);
         // Without commands, the proposal is done once everything proposed before it is committed.
         const bool isEmpty = batch.commands.empty();
         // During a transfer it fails, since commands proposed before may have failed too.
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -31,6 +31,9 @@
     /// Time for which a leader that took over by a transfer keeps the leadership in spite of a slow
     /// disk. If all disks are slow, nobody would lead otherwise.
     Duration minTransferredLeadership = std::chrono::seconds(10);
+    /// Size of a log entry, in bytes of its commands, after which it takes no further proposal. Far
+    /// below the largest frame, since an entry that no follower can receive stops all work.
+    std::size_t maxEntryBytes = 1 << 20;
     /// First pause before a replica whose storage failed tries to use it again. Doubles with each
     /// attempt that fails, up to the maximum.
     Duration reopenPause = std::chrono::milliseconds(250);
