--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -8,10 +8,12 @@
 constexpr std::size_t maxCommandsPerEntry = 1024;
 constexpr Duration planInterval = std::chrono::milliseconds(100);
 
+/// About the size of what a command or a step holds beside its long texts.
+constexpr std::size_t otherBytes = 256;
+
 /// About the size of a command in an entry.
 std::size_t bytesOf(const StageCommand &command)
 {
-    constexpr std::size_t otherBytes = 256;
     return std::visit(
         Overloaded{[](const ReplaceConfiguration &each) { return each.document.size(); },
                    [](const AcceptJob &each) {
