Close gaps in the recovery of a state

Cause and change: - A replica that was elected without a state and then got one led without anybody being told, so that it served nothing and kept its office. The copy is rejected. - Whether a leader with a slow disk took over by a transfer was known only after its first sync, so that leadership could move on several times every 10 s. The replica itself knows.

--- a/Guavashift/Consensus/Replica.h
+++ b/Guavashift/Consensus/Replica.h
@@ -100,6 +100,10 @@
     [[nodiscard]] bool isLeader() const { return m_role == ReplicaRole::Leader; }
     /// Whether this leader hands its leadership over and therefore appends nothing.
     [[nodiscard]] bool isTransferring() const { return isLeader() && m_transferDeadline; }
+    /// Whether this leader took over by a transfer, so that the leader before gave up its office.
+    [[nodiscard]] bool tookOver() const { return isLeader() && m_isTransferReceived; }
+    /// When this replica became the leader. Only for the leader.
+    [[nodiscard]] Instant leaderSince() const { return m_leaderSince; }
     [[nodiscard]] Term term() const { return m_hardState.term; }
     [[nodiscard]] const HardState &hardState() const { return m_hardState; }
     [[nodiscard]] const ReplicaId &id() const { return m_self; }
@@ -188,6 +192,7 @@
     LogIndex m_termStartIndex = 0;
     std::uint64_t m_round = 0;
     Instant m_leaderSince;
+    bool m_isTransferReceived = false; ///< Of this replica's latest election.
     Instant m_nextHeartbeat;
     std::optional<Instant> m_transferDeadline;
     StateAgreement m_agreement;
--- a/Guavashift/Consensus/ReplicaElection.cpp
+++ b/Guavashift/Consensus/ReplicaElection.cpp
@@ -66,6 +66,7 @@
 void Replica::startElection(Instant now, RoleChangeReason reason)
 {
     m_role = ReplicaRole::Candidate;
+    m_isTransferReceived = reason == RoleChangeReason::TransferReceived;
     m_leader = {};
     m_hardState = {m_hardState.term + 1, m_self};
     m_votes = {m_self};
--- a/Guavashift/Consensus/ReplicaReplication.cpp
+++ b/Guavashift/Consensus/ReplicaReplication.cpp
@@ -47,21 +47,23 @@
 
 void Replica::sendTo(Instant now, PeerProgress &peer)
 {
-    if (peer.nextIndex < m_log.firstIndex() && !peer.inFlight) {
+    const bool needsSnapshot = peer.nextIndex < m_log.firstIndex();
+    // The snapshot of a replica without a state may be of the state that was discarded.
+    if (needsSnapshot && !peer.inFlight && m_isStateUsable) {
         sendSnapshotChunk(now, peer);
         return;
     }
     AppendRequest request;
     request.term = m_hardState.term;
     // While entries are in flight, a heartbeat refers only to what is known to match.
-    request.prevIndex = peer.inFlight ? peer.matchIndex : peer.nextIndex - 1;
+    request.prevIndex = peer.inFlight || needsSnapshot ? peer.matchIndex : peer.nextIndex - 1;
     if (const std::optional<Term> term = m_log.termAt(request.prevIndex)) {
         request.prevTerm = *term;
     } else {
         request.prevIndex = m_log.firstIndex() - 1;
         request.prevTerm = *m_log.termAt(request.prevIndex);
     }
-    if (!peer.inFlight) {
+    if (!peer.inFlight && !needsSnapshot) {
         peer.snapshotIndex = 0;
         request.entries = m_log.slice(peer.nextIndex, m_settings.maxEntriesPerAppend,
                                       m_settings.maxBytesPerAppend);
--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -329,8 +329,8 @@
 void ReplicaDriver::yieldSlowDisk(Duration syncTook)
 {
     // The disk of the leader before was slow as well.
-    const bool keeps = m_leadershipStart.wasTransferred
-        && BootClock::now() - m_leadershipStart.at < m_settings.minTransferredLeadership;
+    const bool keeps = m_replica->tookOver()
+        && BootClock::now() - m_replica->leaderSince() < m_settings.minTransferredLeadership;
     logEvent(LogLevel::Warning, "disk-slow",
              {{"sync_ms", toMs(syncTook)}, {"keeps_leading", keeps}});
     if (!keeps)
@@ -462,12 +462,6 @@
               {"reason", nameOf(change.reason)},
               {change.quorumContactAge ? "quorum_contact_ms" : "leader_contact_ms",
                toMs(change.quorumContactAge.value_or(change.leaderContactAge))}});
-    if (change.reason == RoleChangeReason::TransferReceived)
-        m_leadershipStart.wasTransferred = true;
-    else if (change.role == ReplicaRole::Leader)
-        m_leadershipStart.at = BootClock::now();
-    else
-        m_leadershipStart.wasTransferred = false;
     // Without a state, it leads only until another replica has its log.
     const bool leadsNow = change.role == ReplicaRole::Leader && !m_recovery.isActive();
     if (leadsNow == m_wasLeader)
--- a/Guavashift/Fleet/ReplicaDriver.h
+++ b/Guavashift/Fleet/ReplicaDriver.h
@@ -113,13 +113,6 @@
     void transferLeadership();
 
 private:
-    /// How a leadership began.
-    struct LeadershipStart
-    {
-        Instant at;
-        bool wasTransferred = false;
-    };
-
     struct Peer
     {
         std::unique_ptr<FrameConnection> connection;
@@ -247,7 +240,6 @@
     LogIndex m_disputedIndex = 0; ///< Highest one that was logged.
     Instant m_nextDisputeReport;
     bool m_wasLeader = false;
-    LeadershipStart m_leadershipStart; ///< Of the latest one.
     /// Latest term in which this replica led and had applied everything that earlier leaders had
     /// committed.
     Term m_caughtUpTerm = 0;
--- a/Guavashift/Fleet/ReplicaDriverState.cpp
+++ b/Guavashift/Fleet/ReplicaDriverState.cpp
@@ -66,13 +66,20 @@
     m_recovery.end(now);
     m_replica->setStateUsable(now, true);
     m_metrics.setStateUsable(true);
+    // It was elected without a state, and nobody was told that it leads.
+    if (m_replica->isLeader())
+        (void)m_replica->transferLeadership(now);
 }
 
 void ReplicaDriver::installSnapshot(const SnapshotPointer &snapshot)
 {
     m_digests.clear();
-    if (const Result<void> loaded = m_jobTable.load(snapshot->data); !loaded)
+    if (const Result<void> loaded = m_jobTable.load(snapshot->data); !loaded) {
+        // A copy that was adopted before lacks the entries that the snapshot covers.
+        if (m_recovery.isActive())
+            return rejectCopy(loaded.error().message);
         return discardState(loaded.error().message, snapshot->lastIndex);
+    }
     logEvent(LogLevel::Info, "snapshot-installed",
              {{"index", snapshot->lastIndex}, {"bytes", snapshot->data.size()}});
     if (m_recovery.isActive())
--- a/UnitTests/Consensus/StateAgreementTest.cpp
+++ b/UnitTests/Consensus/StateAgreementTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(replicaWithoutAStatePassesItsLogOn);
     CPPUNIT_TEST(replicaWithoutAStateStoresAndVouchesForNothing);
     CPPUNIT_TEST(leaderWithoutAStateStepsDown);
+    CPPUNIT_TEST(leaderWithoutAStateSendsNoSnapshot);
     CPPUNIT_TEST(readsMessagesOfEarlierVersions);
     CPPUNIT_TEST(earlierVersionsFindNoDigestToCompare);
     CPPUNIT_TEST_SUITE_END();
@@ -153,6 +154,32 @@
         CPPUNIT_ASSERT_EQUAL(LogIndex{0}, replies[0].state.index);
     }
 
+    /// Guards against a wrong state that spreads with a snapshot.
+    void leaderWithoutAStateSendsNoSnapshot()
+    {
+        PersistentState state = firstState();
+        auto snapshot = std::make_shared<Snapshot>();
+        snapshot->lastIndex = 5;
+        snapshot->lastTerm = 1;
+        snapshot->membership = threeVoters();
+        snapshot->data = "wrong";
+        state.snapshot = std::move(snapshot);
+        state.entries.clear();
+        for (const bool isUsable : {true, false}) {
+            m_replica.emplace(ReplicaSettings{}, first, state, 7U, at(0));
+            m_replica->setStateUsable(at(0), isUsable);
+            m_replica->tick(at(4000));
+            m_replica->receive(at(4001), {second, first, VoteReply{2, true, true}});
+            m_replica->receive(at(4002), {second, first, VoteReply{2, false, true}});
+            CPPUNIT_ASSERT(m_replica->isLeader());
+            m_replica->synced(at(4002));
+            // The other one lacks what the snapshot covers.
+            m_replica->receive(at(4003), {third, first, AppendReply{2, false, 1, 2}});
+            m_replica->tick(at(4500));
+            CPPUNIT_ASSERT_EQUAL(isUsable, !sent<SnapshotChunk>().empty());
+        }
+    }
+
     /// Guards against a leader that goes on with a wrong state because no voter can take over.
     void leaderWithoutAStateStepsDown()
     {
