--- a/Guavashift/Fleet/ReplicaDriver.cpp
+++ b/Guavashift/Fleet/ReplicaDriver.cpp
@@ -51,8 +51,7 @@
 {
 }
 
-// The owners of the Done callbacks are destroyed before the driver, so the callbacks are not
-// called.
+// The owners of the Done callbacks are destroyed first, so the callbacks are not called.
 ReplicaDriver::~ReplicaDriver() = default;
 
 void ReplicaDriver::scheduleTick()
@@ -173,7 +172,6 @@
                       std::back_inserter(batch.commands));
         } while (next < proposals.size() && batch.commands.size() < maxCommandsPerEntry
                  && bytes < m_settings.maxEntryBytes);
-        // Without commands, the proposal is done once everything proposed before it is committed.
         const bool isEmpty = batch.commands.empty();
         // During a transfer it fails, since commands proposed before may have failed too.
         const Result<LogIndex> index = isEmpty && leads() && !m_replica->isTransferring()
@@ -478,8 +476,7 @@
 
 bool ReplicaDriver::takeSnapshot()
 {
-    // The snapshot stores the current membership, so a membership entry after the applied index
-    // must be applied first.
+    // The snapshot stores the current membership, so the entry of that must be applied.
     const LogIndex index = m_replica->appliedIndex();
     if (m_replica->log().membershipIndex() > index || index < m_replica->log().firstIndex())
         return false;
