Show jobs of which nothing runs and why no worker takes their tasks

Cause: nothing above the debug level said that a job with an end waits. The line of tasks that wait covers long-running ones only, step-waits carries no reason, and no metric counts jobs that wait beside free capacity, so the three hypotheses of the postmortem could not be told apart. Change: the leader looks for jobs of which a task is ready, or bound and not listed, and none has been running for a second. job-idle names the four that have been idle for longest, with the workers by the reason for which they are excluded, the capacity left, and how many of the workers excluded for their predicted speed run nothing that could show whether it is right. A gauge counts those with capacity for two of their tasks.

--- a/Guavashift/Core/Log.cpp
+++ b/Guavashift/Core/Log.cpp
@@ -79,6 +79,11 @@
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (level < minimumLevel.load())
         return;
--- a/Guavashift/Core/Log.h
+++ b/Guavashift/Core/Log.h
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,7 @@
 /// are dropped and counted, and a line "event=log-lines-dropped count=..." is written in their
 /// place.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields);
 
 /// Writes the queued lines before the process ends abnormally, as far as the reader accepts them in
 /// time (see LineWriter::flush()).
--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -72,6 +72,10 @@
     double longRunningLossFactor = 10;
     /// Interval at which the reasons why steps wait are logged.
     Duration waitLogInterval = std::chrono::seconds(1);
+    /// A job counts as idle if none of its tasks has been running for this long.
+    Duration idleJobLimit = std::chrono::seconds(1);
+    /// Interval at which idle jobs are searched.
+    Duration idleJobInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
     Duration longRunningWaitLimit = std::chrono::seconds(2);
     /// Interval at which long-running tasks are checked for that.
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -77,6 +77,7 @@
     m_readyByTask.clear();
     m_placed.clear();
     m_lastListed.clear();
+    m_lastRunning.clear();
     m_progress.clear();
     m_overload.reset(m_now);
     m_schedules.clear();
@@ -271,6 +272,7 @@
 void Dispatcher::withdraw(const std::string &id)
 {
     m_progress.ended(id);
+    m_lastRunning.erase(id);
     m_overload.ended(id);
     removeSchedule(id);
     for (auto at = m_lastTrials.lower_bound({id, 0, 0});
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <Guavashift/Dispatch/EarlierAnswers.h>
 #include <Guavashift/Dispatch/EvacuationGuard.h>
 #include <Guavashift/Dispatch/HeldWorkers.h>
+#include <Guavashift/Dispatch/IdleJobs.h>
 #include <Guavashift/Dispatch/JobProgress.h>
 #include <Guavashift/Dispatch/LifetimeProof.h>
 #include <Guavashift/Dispatch/LongRunningWaits.h>
@@ -125,6 +126,8 @@
 
     /// Long-running tasks that are not running, at most once per interval of the settings.
     std::optional<LongRunningWaits> takeLongRunningWaits(Instant now);
+    /// Jobs of which nothing runs, at most once per interval of the settings.
+    std::optional<IdleJobs> takeIdleJobs(Instant now);
 
     /// Times of a run's placement; nothing for runs that another leader placed.
     [[nodiscard]] std::optional<BindingTimes> timesOf(const StartRun &start) const;
@@ -349,6 +352,10 @@
     void withholdEvacuated();
     /// Stops runs in evacuated failure domains that have not begun some time after their order.
     void stopEvacuated();
+    /// Jobs of which tasks with an end are ready or bound and none is listed as running, by id.
+    [[nodiscard]] std::map<std::string, IdleJob> jobsWithoutRuns(Instant now);
+    /// Adds what its service has left for the job.
+    void describe(IdleJob &idle, Instant now) const;
     [[nodiscard]] QueuedState queuedState(const TaskRef &ref, Instant now) const;
     [[nodiscard]] BoundState boundState(const TaskRef &ref, const Lifetime &lifetime,
                                         Instant now) const;
@@ -447,6 +454,8 @@
     /// when it became ready. Entries of ended jobs are removed by the next check.
     std::map<TaskRef, Instant> m_lastListed;
     Instant m_nextLongRunningCheck;
+    std::map<std::string, Instant> m_lastRunning; ///< When a run of an active job was seen last.
+    Instant m_nextIdleCheck;
     Instant m_nextWaitLog;
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -182,6 +182,8 @@
     if (!job->isActive())
         return withdraw(end.task.job);
     noteTasksLeft(*job, end.task);
+    if (end.end != RunEnd::NotStarted)
+        m_lastRunning[end.task.job] = now;
     if (job->occurrencesDone.contains(end.task.occurrence))
         occurrenceEnded(end.task.job, *job);
     const StageTask *task = m_jobTable.find(end.task);
--- /dev/null
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -0,0 +1,124 @@
+#include <Guavashift/Dispatch/Dispatcher.h>
+
+// The part of Dispatcher that finds jobs of which nothing runs.
+
+namespace guavashift {
+
+namespace {
+
+/// More tasks than this are not counted.
+constexpr std::int64_t mostFitting = 99;
+
+/// Number of tasks that need `size` each for which there is room.
+std::int64_t countThatFit(const Resources &room, const Resources &size)
+{
+    std::int64_t count = mostFitting;
+    for (const auto part : {&Resources::milliCores, &Resources::memoryMb, &Resources::accelerators})
+        if (size.*part > 0)
+            count = std::min(count, room.*part / size.*part);
+    return std::max<std::int64_t>(count, 0);
+}
+
+/// Whether the last report of the worker lists the run.
+bool isListed(const PoolWorker &worker, const PlacedRun &run)
+{
+    return run.lastStatusAt != Instant() && run.lastStatusAt == worker.activityAt
+        && !worker.unreachable;
+}
+
+} // namespace
+
+std::map<std::string, IdleJob> Dispatcher::jobsWithoutRuns(Instant now)
+{
+    std::map<std::string, IdleJob> idle;
+    std::set<std::string> running;
+    const auto note = [&](const TaskRef &ref, Instant since, std::uint32_t IdleJob::*count) {
+        IdleJob &job = idle[ref.job];
+        if (job.queued + job.bound == 0 || now - since > job.age) {
+            job.oldest = ref;
+            job.age = now - since;
+        }
+        ++(job.*count);
+    };
+    for (const auto &[ref, ready] : m_readyByTask) {
+        if (!ready.longRunning)
+            note(ref, ready.readyAt, &IdleJob::queued);
+    }
+    for (const auto &[ref, lifetime] : m_placed) {
+        const PoolWorker &worker = m_pool.workers().at(lifetime);
+        const PlacedRun &run = worker.runs.at(ref);
+        if (run.longRunning)
+            continue;
+        if (isListed(worker, run))
+            running.insert(ref.job);
+        else
+            note(ref, run.readyAt == Instant() ? run.boundAt : run.readyAt, &IdleJob::bound);
+    }
+    for (const std::string &job : running) {
+        m_lastRunning[job] = now;
+        idle.erase(job);
+    }
+    for (auto &[id, job] : idle) {
+        if (const auto last = m_lastRunning.find(id); last != m_lastRunning.end())
+            job.age = std::min(job.age, now - last->second);
+    }
+    return idle;
+}
+
+void Dispatcher::describe(IdleJob &idle, Instant now) const
+{
+    const StageJob &job = *m_jobTable.find(idle.oldest.job);
+    const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
+    const StepPlan &step = job.plan.steps[idle.oldest.step];
+    const Resources size = reservationOf(step);
+    std::int64_t fitting = 0;
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.hasFacts || worker.facts.service != queue.service)
+            continue;
+        fitting += countThatFit(worker.available(), size);
+        capacity += worker.facts.capacity.milliCores;
+        reserved += worker.reserved.milliCores;
+        if (worker.bestEffortMilliCores == 0
+            && exclusionOf(worker, queue, step, idle.oldest, now) == Exclusion::Interference) {
+            ++idle.unobserved;
+            idle.bestSpeed = std::max(idle.bestSpeed, predictedSpeed(worker, step));
+        }
+    }
+    idle.fitting = static_cast<std::uint32_t>(std::min(fitting, mostFitting));
+    if (capacity > 0)
+        idle.reservedShare = static_cast<double>(reserved) / static_cast<double>(capacity);
+}
+
+std::optional<IdleJobs> Dispatcher::takeIdleJobs(Instant now)
+{
+    constexpr std::size_t maxNamed = 4;
+    if (now < m_nextIdleCheck)
+        return std::nullopt;
+    m_nextIdleCheck = now + m_settings.idleJobInterval;
+    IdleJobs idle;
+    for (auto &[id, job] : jobsWithoutRuns(now)) {
+        if (job.age < m_settings.idleJobLimit)
+            continue;
+        ++idle.count;
+        describe(job, now);
+        idle.withCapacity += job.fitting >= 2 ? 1 : 0;
+        idle.longest.push_back(std::move(job));
+    }
+    std::stable_sort(
+        idle.longest.begin(), idle.longest.end(),
+        [](const IdleJob &left, const IdleJob &right) { return left.age > right.age; });
+    if (idle.longest.size() > maxNamed)
+        idle.longest.resize(maxNamed);
+    for (IdleJob &job : idle.longest) {
+        const auto placed = m_placed.find(job.oldest);
+        if (placed != m_placed.end())
+            job.state = boundState(job.oldest, placed->second, now);
+        else
+            job.state = queuedState(job.oldest, now);
+    }
+    return idle;
+}
+
+} // namespace guavashift
--- a/Guavashift/Fleet/FleetLeader.cpp
+++ b/Guavashift/Fleet/FleetLeader.cpp
@@ -74,6 +74,7 @@
     m_dispatcher.stop();
     m_proposedConfiguration.reset();
     m_metrics.setLongRunningWaits(0, Duration::zero());
+    m_metrics.setIdleJobs(0);
     m_metrics.setEvacuatedDomains(0);
     m_metrics.setLoad(0);
     // This makes the nodes look for the new leader at once.
@@ -295,6 +296,8 @@
     const Instant now = BootClock::now();
     if (const auto waits = m_dispatcher.takeLongRunningWaits(now))
         reportLongRunningWaits(*waits);
+    if (const auto idle = m_dispatcher.takeIdleJobs(now))
+        reportIdleJobs(*idle);
     if (!m_driver.mayAnswer())
         return;
     propose(m_dispatcher.decide(now, wallNow(), [this] { m_driver.serveReplicasIfDue(); }));
--- a/Guavashift/Fleet/FleetLeader.h
+++ b/Guavashift/Fleet/FleetLeader.h
@@ -68,7 +68,9 @@
     void logCrash(const Session &session, const WorkerCrashed &crashed) const;
     void logBinding(const StartRun &start, const StageOutcome &outcome,
                     const std::optional<BindingTimes> &times, Instant now) const;
+    static void appendState(std::vector<LogField> &fields, const WaitState &state);
     void reportLongRunningWaits(const LongRunningWaits &waits) const;
+    void reportIdleJobs(const IdleJobs &idle) const;
     void reportNearWaits(const std::vector<NearWaitEnd> &ends) const;
     void sendDirectory();
     void sendCallerLimits();
--- a/Guavashift/Fleet/FleetLeaderLog.cpp
+++ b/Guavashift/Fleet/FleetLeaderLog.cpp
@@ -1,5 +1,7 @@
 #include <Guavashift/Fleet/FleetLeader.h>
 
+#include <cmath>
+
 namespace guavashift {
 
 void FleetLeader::logCrash(const Session &session, const WorkerCrashed &crashed) const
@@ -36,58 +38,78 @@
               {"reason", outcome.reason}});
 }
 
-void FleetLeader::reportLongRunningWaits(const LongRunningWaits &waits) const
+void FleetLeader::appendState(std::vector<LogField> &fields, const WaitState &state)
 {
-    m_metrics.setLongRunningWaits(waits.count, waits.age);
-    if (waits.count == 0)
-        return;
-    constexpr std::string_view event = "long-running-waits";
-    const LogField count{"count", waits.count};
-    const LogField task{"task", waits.oldest.text()};
-    const LogField age{"age_ms", toMs(waits.age)};
+    const auto append = [&fields](std::initializer_list<LogField> more) {
+        fields.insert(fields.end(), more.begin(), more.end());
+    };
     std::visit(
         Overloaded{[&](const UntrackedState &) {
-                       logEvent(LogLevel::Info, event, {count, task, age, {"state", "untracked"}});
+                       append({{"state", "untracked"}});
                    },
                    [&](const QueuedState &queued) {
-                       logEvent(LogLevel::Info, event,
-                                {count,
-                                 task,
-                                 age,
-                                 {"state", "queued"},
-                                 {"eligible", queued.eligible},
-                                 {"no_session", queued.excludedBy(Exclusion::NoSession)},
-                                 {"no_lease", queued.excludedBy(Exclusion::NoLease)},
-                                 {"unreachable", queued.excludedBy(Exclusion::Unreachable)},
-                                 {"draining", queued.excludedBy(Exclusion::Draining)},
-                                 {"evacuated", queued.excludedBy(Exclusion::Evacuated)},
-                                 {"suspect", queued.excludedBy(Exclusion::Suspect)},
-                                 {"other_service", queued.excludedBy(Exclusion::OtherService)},
-                                 {"label", queued.excludedBy(Exclusion::Label)},
-                                 {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
-                                 {"cold", queued.excludedBy(Exclusion::Cold)},
-                                 {"crash_suspect", queued.excludedBy(Exclusion::CrashSuspect)},
-                                 {"awaits_trial", queued.awaitsTrial},
-                                 {"capacity", queued.excludedBy(Exclusion::Capacity)},
-                                 {"interference", queued.excludedBy(Exclusion::Interference)}});
+                       append({{"state", "queued"},
+                               {"eligible", queued.eligible},
+                               {"no_session", queued.excludedBy(Exclusion::NoSession)},
+                               {"no_lease", queued.excludedBy(Exclusion::NoLease)},
+                               {"unreachable", queued.excludedBy(Exclusion::Unreachable)},
+                               {"draining", queued.excludedBy(Exclusion::Draining)},
+                               {"evacuated", queued.excludedBy(Exclusion::Evacuated)},
+                               {"suspect", queued.excludedBy(Exclusion::Suspect)},
+                               {"other_service", queued.excludedBy(Exclusion::OtherService)},
+                               {"label", queued.excludedBy(Exclusion::Label)},
+                               {"spread_limit", queued.excludedBy(Exclusion::SpreadLimit)},
+                               {"cold", queued.excludedBy(Exclusion::Cold)},
+                               {"crash_suspect", queued.excludedBy(Exclusion::CrashSuspect)},
+                               {"awaits_trial", queued.awaitsTrial},
+                               {"capacity", queued.excludedBy(Exclusion::Capacity)},
+                               {"interference", queued.excludedBy(Exclusion::Interference)}});
                    },
                    [&](const BoundState &bound) {
                        const std::string reportAge =
                            bound.reportAge ? std::to_string(toMs(*bound.reportAge)) : "unknown";
-                       logEvent(LogLevel::Info, event,
-                                {count,
-                                 task,
-                                 age,
-                                 {"state", "bound"},
-                                 {"run", bound.run},
-                                 {"worker", bound.worker},
-                                 {"committed", bound.committed},
-                                 {"listed", bound.listed},
-                                 {"report_age_ms", reportAge},
-                                 {"stop_requested", bound.stopRequested},
-                                 {"end_proposed", bound.endProposed}});
+                       append({{"state", "bound"},
+                               {"run", bound.run},
+                               {"worker", bound.worker},
+                               {"committed", bound.committed},
+                               {"listed", bound.listed},
+                               {"report_age_ms", reportAge},
+                               {"stop_requested", bound.stopRequested},
+                               {"end_proposed", bound.endProposed}});
                    }},
-        waits.state);
+        state);
+}
+
+void FleetLeader::reportLongRunningWaits(const LongRunningWaits &waits) const
+{
+    m_metrics.setLongRunningWaits(waits.count, waits.age);
+    if (waits.count == 0)
+        return;
+    std::vector<LogField> fields{
+        {"count", waits.count}, {"task", waits.oldest.text()}, {"age_ms", toMs(waits.age)}};
+    appendState(fields, waits.state);
+    logEvent(LogLevel::Info, "long-running-waits", fields);
+}
+
+void FleetLeader::reportIdleJobs(const IdleJobs &idle) const
+{
+    constexpr double percent = 100;
+    m_metrics.setIdleJobs(idle.withCapacity);
+    for (const IdleJob &each : idle.longest) {
+        std::vector<LogField> fields{
+            {"count", idle.count},
+            {"with_capacity", idle.withCapacity},
+            {"task", each.oldest.text()},
+            {"age_ms", toMs(each.age)},
+            {"queued", each.queued},
+            {"bound", each.bound},
+            {"fitting", each.fitting},
+            {"reserved_percent", std::lround(each.reservedShare * percent)},
+            {"unobserved", each.unobserved},
+            {"best_speed_percent", std::lround(each.bestSpeed * percent)}};
+        appendState(fields, each.state);
+        logEvent(LogLevel::Info, "job-idle", fields);
+    }
 }
 
 void FleetLeader::logEvacuation(std::string_view event, std::string_view domain,
--- a/Guavashift/Fleet/FleetMetrics.cpp
+++ b/Guavashift/Fleet/FleetMetrics.cpp
@@ -10,7 +10,7 @@
 // room for few.
 using Buckets = prometheus::Histogram::BucketBoundaries;
 /// Heartbeats are due each 0.1 s, and 0.5 s without one start an election.
-const Buckets roundBuckets{0.01, 0.1, 0.25, 0.5, 1};
+const Buckets roundBuckets{0.01, 0.1, 0.5};
 const Buckets commitBuckets{0.016, 0.064, 0.256, 1};
 /// A leader whose disk syncs for 0.1 s transfers leadership.
 const Buckets syncBuckets{0.008, 0.1};
@@ -48,6 +48,8 @@
                                          "Long-running tasks that are not running"))
     , m_longRunningOldest(m_metrics.gauge("guavashift_fleet_long_running_oldest_seconds",
                                           "Age of the oldest of them"))
+    , m_idleJobs(m_metrics.gauge("guavashift_fleet_idle_jobs",
+                                 "Jobs of which nothing runs although there is capacity"))
     , m_evacuatedDomains(
           m_metrics.gauge("guavashift_fleet_evacuated", "Failure domains that are evacuated"))
     , m_load(m_metrics.gauge("guavashift_fleet_load", "Work due as a part of the room"))
@@ -115,6 +117,11 @@
     m_longRunningOldest.Set(seconds(oldest));
 }
 
+void FleetMetrics::setIdleJobs(std::size_t jobs)
+{
+    m_idleJobs.Set(static_cast<double>(jobs));
+}
+
 void FleetMetrics::setEvacuatedDomains(std::size_t domains)
 {
     m_evacuatedDomains.Set(static_cast<double>(domains));
--- a/Guavashift/Fleet/FleetMetrics.h
+++ b/Guavashift/Fleet/FleetMetrics.h
@@ -43,6 +43,8 @@
     void setSilentVoters(std::size_t voters);
     /// Number of long-running tasks that are not running, and how long the oldest has not been.
     void setLongRunningWaits(std::size_t tasks, Duration oldest);
+    /// Jobs of which nothing has been running for some time although there is capacity.
+    void setIdleJobs(std::size_t jobs);
     /// Number of failure domains that are evacuated; 0 if this process does not lead.
     void setEvacuatedDomains(std::size_t domains);
     /// Counts a call, apart from evacuations.
@@ -85,6 +87,7 @@
     prometheus::Gauge &m_silentVoters;
     prometheus::Gauge &m_longRunningWaits;
     prometheus::Gauge &m_longRunningOldest;
+    prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_evacuatedDomains;
     prometheus::Gauge &m_load;
     prometheus::Histogram &m_endCommit;
--- a/UnitTests/Fleet/FleetMetricsTest.cpp
+++ b/UnitTests/Fleet/FleetMetricsTest.cpp
@@ -94,13 +94,14 @@
                 m_metrics.nearWaitEnded(outcome);
         }
         m_metrics.setLongRunningWaits(123, std::chrono::milliseconds(123'456));
+        m_metrics.setIdleJobs(1234);
         m_metrics.setEvacuatedDomains(123);
         m_metrics.setLoad(12.345);
         const std::string text = read("/metrics", 200);
         for (const std::string_view name :
              {"round_seconds_count", "commit_seconds_count", "sync_seconds_count",
               "ready_to_bound_seconds_count", "commit_commands_count", "leadership_changes_total",
-              "long_running_waits", "evacuated", "load", "log_lines_dropped_total"})
+              "long_running_waits", "idle_jobs", "evacuated", "load", "log_lines_dropped_total"})
             CPPUNIT_ASSERT_MESSAGE(std::string(name),
                                    text.find(fmt::format("\nguavashift_fleet_{} ", name))
                                        != std::string::npos);
