Add failing tests of jobs that are not started beside free capacity

Six tests drive the dispatcher with three workers on which one latency-critical task each reserves an eighth of the processors. All fail on the code as landed: a best-effort job gets no start within the three seconds for which a job may have nothing running, and none in 14 s where twelve come together: because the tails stay at 0.7 or 0.9 of their targets, because an adopted estimate of the interference is too high, because no tail is reported, because a gang needs it, or because runs that are paused take the processors.

--- /dev/null
+++ b/UnitTests/Dispatch/IdleCapacityTest.cpp
@@ -0,0 +1,167 @@
+#include "DispatcherFixture.h"
+
+using namespace guavashift;
+
+namespace {
+
+/// For this long a job may have nothing running while its service has capacity.
+constexpr int longestIdleMs = 3000;
+
+} // namespace
+
+/// Tests of best-effort jobs that wait although most of their service's capacity is free. On each
+/// of three workers runs one latency-critical task.
+class IdleCapacityTest : public DispatcherFixture
+{
+    CPPUNIT_TEST_SUITE(IdleCapacityTest);
+    CPPUNIT_TEST(startsAJobWhileAllTailsStayNearTheirTargets);
+    CPPUNIT_TEST(startsAJobWhoseInterferenceWasOverestimated);
+    CPPUNIT_TEST(startsAJobBesideTasksThatReportNoTail);
+    CPPUNIT_TEST(startsAJobWhoseProcessorsAreTakenByPausedRuns);
+    CPPUNIT_TEST(startsAGangWhileAllTailsStayNearTheirTargets);
+    CPPUNIT_TEST(startsEveryJobOfMany);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        DispatcherFixture::setUp();
+        addWorkers(workers);
+        JobPlan serving = longRunningPlan(workers, 8000);
+        serving.steps[0].tailTargetMs = targetMs;
+        serving.steps[0].maxPerWorker = 1;
+        serving.steps[0].image = "web";
+        accept("serving", serving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{workers}, decideAndCommit(1));
+    }
+
+    /// Guards against a job that no worker takes, since tails stay at 0.7 of their target by
+    /// themselves.
+    void startsAJobWhileAllTailsStayNearTheirTargets()
+    {
+        m_tailMs = 35;
+        run(0, 2000);
+        accept("filling", bestEffort(4));
+        run(2000, 2000 + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
+    /// Guards against an overestimate of the interference that nothing corrects, since it keeps
+    /// away every run that would.
+    void startsAJobWhoseInterferenceWasOverestimated()
+    {
+        m_tailMs = 20;
+        m_dispatcher->interferenceReported(std::vector<InterferenceRow>{{"web", "batch", 25}});
+        run(0, 2000);
+        accept("filling", bestEffort(4));
+        run(2000, 2000 + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
+    /// Guards against tasks without a reported tail that count as tasks without headroom.
+    void startsAJobBesideTasksThatReportNoTail()
+    {
+        m_tailMs = 0;
+        run(0, 2000);
+        accept("filling", bestEffort(4));
+        run(2000, 2000 + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
+    /// Guards against a job that waits for processors which paused runs of another job do not use.
+    void startsAJobWhoseProcessorsAreTakenByPausedRuns()
+    {
+        m_tailMs = 10;
+        m_activity = 0;
+        accept("others", bestEffort(60));
+        run(0, 2000);
+        CPPUNIT_ASSERT(hasStarted("others"));
+        accept("filling", bestEffort(4));
+        run(2000, 2000 + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
+    /// Guards against the same for a job whose tasks start together only.
+    void startsAGangWhileAllTailsStayNearTheirTargets()
+    {
+        m_tailMs = 35;
+        run(0, 2000);
+        JobPlan gang = bestEffort(4);
+        gang.steps[0].gang = true;
+        accept("filling", gang);
+        run(2000, 2000 + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
+    /// Guards against jobs that wait for a place while others of their kind have one that is no
+    /// better. As many as may come together while the service is calm.
+    void startsEveryJobOfMany()
+    {
+        constexpr int jobs = 12;
+        constexpr int limitMs = 14'000;
+        m_tailMs = 45;
+        run(0, 2000);
+        for (int i = 0; i < jobs; ++i)
+            accept(fmt::format("filling{}", i), bestEffort(4));
+        run(2000, 2000 + limitMs);
+        for (int i = 0; i < jobs; ++i)
+            CPPUNIT_ASSERT(hasStarted(fmt::format("filling{}", i)));
+    }
+
+private:
+    static constexpr int workers = 3;
+    static constexpr int targetMs = 50;
+
+    static JobPlan bestEffort(std::uint32_t tasks)
+    {
+        JobPlan filling = plan(tasks, 8000, 2000);
+        filling.steps[0].bestEffort = true;
+        filling.steps[0].checkpoints = true;
+        filling.steps[0].image = "batch";
+        return filling;
+    }
+
+    [[nodiscard]] bool hasStarted(const std::string &job) const
+    {
+        const StageTask *task = m_jobTable->find({job, 0, 0, 0});
+        return task != nullptr && task->run > 0;
+    }
+
+    /// Lets the workers report and the dispatcher decide each 100 ms. No run ends.
+    void run(int from, int until)
+    {
+        constexpr int stepMs = 100;
+        for (int now = from + stepMs; now <= until; now += stepMs) {
+            for (int i = 1; i <= workers; ++i) {
+                (void)m_dispatcher->leaseGranted(fmt::format("n{}", i), at(now));
+                m_dispatcher->runsReported({fmt::format("w{}", i), 1}, rowsOf(i), at(now));
+            }
+            (void)m_dispatcher->takeInterference(at(now));
+            decideAndCommit(now);
+        }
+    }
+
+    [[nodiscard]] std::vector<RunStatus> rowsOf(int number) const
+    {
+        const Lifetime lifetime{fmt::format("w{}", number), 1};
+        std::vector<RunStatus> rows;
+        for (const auto &[id, job] : m_jobTable->jobs()) {
+            const StepPlan &step = job.plan.steps[0];
+            for (std::uint32_t t = 0; t < step.tasks; ++t) {
+                const TaskRef ref{id, 0, 0, t};
+                const StageTask *task = m_jobTable->find(ref);
+                if (task == nullptr || task->stage != TaskStage::Bound
+                    || task->lifetime != lifetime)
+                    continue;
+                const double used = m_activity * static_cast<double>(step.size.milliCores);
+                rows.push_back({ref, task->run, {}, 100, step.bestEffort ? used : m_tailMs});
+            }
+        }
+        return rows;
+    }
+
+    double m_tailMs = 0;   ///< Of all latency-critical tasks.
+    double m_activity = 0; ///< Share at which best-effort tasks work.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IdleCapacityTest);
