Start jobs of which nothing runs where they are predicted to be slow

Cause: a best-effort task is placed only where it would run at 0.8 of its speed by the latest tails and the interference learned, and where processors are left over by an estimate. Both are beliefs that only a run could correct, and while they exclude every worker there is none: nothing ended the wait, neither a wrong estimate nor tails that stay between 0.6 of their target and the limit. Change: a job of which nothing is bound and nothing has run for two seconds gets one task placed on the best worker that it fits on, whatever is predicted, one job of a service each quarter of a second. The agent's throttling keeps tails within their targets, and the run shows whether the prediction was right.

--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -74,6 +74,11 @@
     Duration waitLogInterval = std::chrono::seconds(1);
     /// A job counts as idle if none of its tasks has been running for this long.
     Duration idleJobLimit = std::chrono::seconds(1);
+    /// After this long without a run a job takes any place that a best-effort task of it fits on. A
+    /// job may have nothing running for three seconds.
+    Duration longestIdle = std::chrono::milliseconds(2000);
+    /// Least time between two such placements for one service, so that each shows its effect.
+    Duration idleStartInterval = std::chrono::milliseconds(250);
     /// Interval at which idle jobs are searched.
     Duration idleJobInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -78,6 +78,7 @@
     m_placed.clear();
     m_lastListed.clear();
     m_lastRunning.clear();
+    m_nextIdleStarts.clear();
     m_progress.clear();
     m_overload.reset(m_now);
     m_schedules.clear();
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -323,10 +323,26 @@
     void planOverload(Instant now, WallMs wallNow);
     void placeReady(Instant now, WallMs wallNow, const std::function<void()> &betweenTasks);
     [[nodiscard]] std::vector<ReadyTask> schedulingOrder(WallMs wallNow) const;
-    bool placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held);
-    bool placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held);
+    /// Places of a best-effort task by what it can expect there.
+    enum class AcceptedPlaces : std::uint8_t {
+        Fast, ///< With processors left for it and, as predicted, little interference.
+        Any   ///< All that it fits on.
+    };
+    bool place(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+               AcceptedPlaces accepted);
+    bool placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+                   AcceptedPlaces accepted);
+    bool placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+                   AcceptedPlaces accepted);
+    /// Places a best-effort task of a job of which nothing has run for long wherever it fits: what
+    /// speaks against a worker is a prediction, and without a run nothing shows whether it is
+    /// right.
+    bool placeIdle(const ReadyTask &ready, Instant now, const HeldWorkers &held);
+    /// Share of the service's processors that is reserved.
+    [[nodiscard]] double reservedShareOf(std::string_view service) const;
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
-                                           const HeldWorkers &held);
+                                           const HeldWorkers &held,
+                                           AcceptedPlaces accepted = AcceptedPlaces::Fast);
     /// Whether the task, which could take a far place now, waits for one near its data or group.
     [[nodiscard]] bool waitsForNearPlace(const StageJob &job, const ReadyTask &ready, Instant now,
                                          WallMs wallNow, const HeldWorkers &held);
@@ -340,10 +356,10 @@
     /// whether there is one.
     bool holdWorker(const StageJob &job, const TaskRef &ref, Instant now, HeldWorkers &held) const;
     /// Why the worker may not run the task now, if it may not.
-    [[nodiscard]] std::optional<Exclusion> exclusionOf(const PoolWorker &worker,
-                                                       const QueueSettings &queue,
-                                                       const StepPlan &step, const TaskRef &ref,
-                                                       Instant now) const;
+    [[nodiscard]] std::optional<Exclusion>
+    exclusionOf(const PoolWorker &worker, const QueueSettings &queue, const StepPlan &step,
+                const TaskRef &ref, Instant now,
+                AcceptedPlaces accepted = AcceptedPlaces::Fast) const;
     /// Whether the task, or a member of its gang, is placed in an evacuated failure domain.
     [[nodiscard]] bool isBoundIntoEvacuated(const StageJob &job, const TaskRef &ref) const;
     /// Proposes the end of a committed run whose start was not ordered.
@@ -456,6 +472,7 @@
     Instant m_nextLongRunningCheck;
     std::map<std::string, Instant> m_lastRunning; ///< When a run of an active job was seen last.
     Instant m_nextIdleCheck;
+    std::map<std::string, Instant, std::less<>> m_nextIdleStarts; ///< By service.
     Instant m_nextWaitLog;
     Instant m_nextPlacement;
     std::map<std::string, FailureRecord> m_failureRecords; ///< By node.
--- a/Guavashift/Dispatch/DispatcherIdleJobs.cpp
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -1,6 +1,6 @@
 #include <Guavashift/Dispatch/Dispatcher.h>
 
-// The part of Dispatcher that finds jobs of which nothing runs.
+// The part of Dispatcher that finds and starts jobs of which nothing runs.
 
 namespace guavashift {
 
@@ -72,14 +72,10 @@
     const StepPlan &step = job.plan.steps[idle.oldest.step];
     const Resources size = reservationOf(step);
     std::int64_t fitting = 0;
-    std::int64_t capacity = 0;
-    std::int64_t reserved = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
         if (!worker.hasFacts || worker.facts.service != queue.service)
             continue;
         fitting += countThatFit(worker.available(), size);
-        capacity += worker.facts.capacity.milliCores;
-        reserved += worker.reserved.milliCores;
         if (worker.bestEffortMilliCores == 0
             && exclusionOf(worker, queue, step, idle.oldest, now) == Exclusion::Interference) {
             ++idle.unobserved;
@@ -87,8 +83,72 @@
         }
     }
     idle.fitting = static_cast<std::uint32_t>(std::min(fitting, mostFitting));
-    if (capacity > 0)
-        idle.reservedShare = static_cast<double>(reserved) / static_cast<double>(capacity);
+    idle.reservedShare = reservedShareOf(queue.service);
+}
+
+void Dispatcher::logWaiting(const StageJob &job, const ReadyTask &ready) const
+{
+    const StepPlan &step = job.plan.steps[ready.task.step];
+    std::int64_t mostUnusedMilliCores = 0;
+    Resources mostAvailable;
+    double bestSpeed = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.hasFacts || worker.node.empty())
+            continue;
+        mostUnusedMilliCores = std::max(mostUnusedMilliCores, unusedMilliCores(worker));
+        mostAvailable.milliCores =
+            std::max(mostAvailable.milliCores, worker.available().milliCores);
+        mostAvailable.memoryMb = std::max(mostAvailable.memoryMb, worker.available().memoryMb);
+        bestSpeed = std::max(bestSpeed, predictedSpeed(worker, step));
+    }
+    logEvent(LogLevel::Debug, "step-waits",
+             {{"job", ready.task.job},
+              {"step", ready.task.step},
+              {"image", step.image},
+              {"needs_milli_cores", step.size.milliCores},
+              {"needs_memory_mb", step.size.memoryMb},
+              {"most_left", mostUnusedMilliCores},
+              {"most_milli_cores", mostAvailable.milliCores},
+              {"most_memory_mb", mostAvailable.memoryMb},
+              {"best_speed", bestSpeed}});
+}
+
+double Dispatcher::reservedShareOf(std::string_view service) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[lifetime, worker] : m_pool.workers()) {
+        if (!worker.hasFacts || worker.facts.service != service)
+            continue;
+        capacity += worker.facts.capacity.milliCores;
+        reserved += worker.reserved.milliCores;
+    }
+    return capacity > 0 ? static_cast<double>(reserved) / static_cast<double>(capacity) : 1;
+}
+
+bool Dispatcher::placeIdle(const ReadyTask &ready, Instant now, const HeldWorkers &held)
+{
+    const StageJob &job = *m_jobTable.find(ready.task.job);
+    const std::string &service = m_jobTable.queueSettingsOf(job).service;
+    const auto placed = m_placed.lower_bound({ready.task.job, 0, 0, 0});
+    if (!job.plan.steps[ready.task.step].bestEffort
+        || (placed != m_placed.end() && placed->first.job == ready.task.job))
+        return false;
+    Instant idleSince = ready.readyAt;
+    if (const auto last = m_lastRunning.find(ready.task.job); last != m_lastRunning.end())
+        idleSince = std::max(idleSince, last->second);
+    Instant &next = m_nextIdleStarts[service];
+    if (now - idleSince < m_settings.longestIdle || now < next
+        || !place(ready, now, held, AcceptedPlaces::Any))
+        return false;
+    next = now + m_settings.idleStartInterval;
+    const PoolWorker &worker = m_pool.workers().at(m_placed.at(ready.task));
+    logEvent(LogLevel::Info, "idle-job-started",
+             {{"task", ready.task.text()},
+              {"worker", worker.facts.lifetime.worker},
+              {"idle_ms", toMs(now - idleSince)},
+              {"best_effort_milli_cores", worker.bestEffortMilliCores}});
+    return true;
 }
 
 std::optional<IdleJobs> Dispatcher::takeIdleJobs(Instant now)
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -124,7 +124,7 @@
         if (!mayStart(each.task, trial->second) || waitsForNearPlace(job, each, now, wallNow, held))
             continue;
         if (blocked == blockedShapes.end()) {
-            if (step.gang ? placeGang(each, now, held) : placeTask(each, now, held)) {
+            if (place(each, now, held, AcceptedPlaces::Fast) || placeIdle(each, now, held)) {
                 updateTrial(trial->second, each.task, now);
                 continue;
             }
@@ -145,37 +145,19 @@
                    m_settings.maxPlacementPause);
 }
 
-void Dispatcher::logWaiting(const StageJob &job, const ReadyTask &ready) const
+bool Dispatcher::place(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+                       AcceptedPlaces accepted)
 {
-    const StepPlan &step = job.plan.steps[ready.task.step];
-    std::int64_t mostUnusedMilliCores = 0;
-    Resources mostAvailable;
-    double bestSpeed = 0;
-    for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (!worker.hasFacts || worker.node.empty())
-            continue;
-        mostUnusedMilliCores = std::max(mostUnusedMilliCores, unusedMilliCores(worker));
-        mostAvailable.milliCores =
-            std::max(mostAvailable.milliCores, worker.available().milliCores);
-        mostAvailable.memoryMb = std::max(mostAvailable.memoryMb, worker.available().memoryMb);
-        bestSpeed = std::max(bestSpeed, predictedSpeed(worker, step));
-    }
-    logEvent(LogLevel::Debug, "step-waits",
-             {{"job", ready.task.job},
-              {"step", ready.task.step},
-              {"image", step.image},
-              {"needs_milli_cores", step.size.milliCores},
-              {"needs_memory_mb", step.size.memoryMb},
-              {"most_left", mostUnusedMilliCores},
-              {"most_milli_cores", mostAvailable.milliCores},
-              {"most_memory_mb", mostAvailable.memoryMb},
-              {"best_speed", bestSpeed}});
+    const StageJob &job = *m_jobTable.find(ready.task.job);
+    return job.plan.steps[ready.task.step].gang ? placeGang(ready, now, held, accepted)
+                                                : placeTask(ready, now, held, accepted);
 }
 
-bool Dispatcher::placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held)
+bool Dispatcher::placeTask(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+                           AcceptedPlaces accepted)
 {
     const StageJob &job = *m_jobTable.find(ready.task.job);
-    PoolWorker *worker = chooseWorker(job, ready.task, now, held);
+    PoolWorker *worker = chooseWorker(job, ready.task, now, held, accepted);
     if (worker == nullptr)
         return false;
     const StageTask *task = m_jobTable.find(ready.task);
@@ -184,7 +166,8 @@
     return true;
 }
 
-bool Dispatcher::placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held)
+bool Dispatcher::placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held,
+                           AcceptedPlaces accepted)
 {
     const StageJob &job = *m_jobTable.find(ready.task.job);
     const std::uint32_t members = job.plan.steps[ready.task.step].tasks;
@@ -202,7 +185,7 @@
     }
     const std::size_t commandsBefore = m_commands.size();
     for (const TaskRef &ref : refs) {
-        PoolWorker *worker = chooseWorker(job, ref, now, held);
+        PoolWorker *worker = chooseWorker(job, ref, now, held, accepted);
         if (worker != nullptr) {
             bind(ref, run + 1, *worker, now);
             continue;
@@ -236,7 +219,8 @@
 
 std::optional<Exclusion> Dispatcher::exclusionOf(const PoolWorker &worker,
                                                  const QueueSettings &queue, const StepPlan &step,
-                                                 const TaskRef &ref, Instant now) const
+                                                 const TaskRef &ref, Instant now,
+                                                 AcceptedPlaces accepted) const
 {
     if (!worker.hasFacts || worker.node.empty())
         return Exclusion::NoSession;
@@ -271,7 +255,7 @@
         return Exclusion::CrashSuspect;
     if (worker.runsUnknown || !reservationOf(step).fitsWithin(worker.available()))
         return Exclusion::Capacity;
-    if (!step.bestEffort)
+    if (!step.bestEffort || accepted == AcceptedPlaces::Any)
         return std::nullopt;
     // Under overload, more runs would only make all of them slower. A worker without any still
     // takes one that it has not all the processors for.
@@ -440,7 +424,7 @@
 }
 
 PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
-                                     const HeldWorkers &held)
+                                     const HeldWorkers &held, AcceptedPlaces accepted)
 {
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const StepPlan &step = job.plan.steps[ref.step];
@@ -449,7 +433,7 @@
     PoolWorker *best = nullptr;
     double bestScore = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (!held.allows(worker, step) || exclusionOf(worker, queue, step, ref, now))
+        if (!held.allows(worker, step) || exclusionOf(worker, queue, step, ref, now, accepted))
             continue;
         const bool isApart = !groupRack.empty() && worker.facts.rack() != groupRack;
         const double score = scoreOf(worker, step) - (mayCrash ? lossOf(worker) : 0)
