Start the administration server once the roles have added their calls

Callers: an operator's call that reached a starting guavashiftd was answered with 404, "there is nothing at /admin/v1/bootstrap", which is final for them. Cause: the server listened before the roles started, and they add their calls only then. Change: the roles start first. A port that is taken now ends them again.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -36,9 +36,14 @@
         roles.push_back(RoleRegistry::instance().create(name, context));
 
     Kernel kernel(std::move(roles));
-    Result<void> started = admin.start();
-    if (started)
-        started = kernel.start();
+    // Roles add their calls as they start: before that, operators would be told that there are
+    // none.
+    Result<void> started = kernel.start();
+    if (started) {
+        started = admin.start();
+        if (!started)
+            kernel.shutDown();
+    }
     if (!started) {
         logEvent(LogLevel::Error, "start-failed", {{"reason", started.error().message}});
         return exitFailed;
