--- a/Guavashift/Dispatch/DispatcherIdleJobs.cpp
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -7,17 +7,7 @@
 namespace {
 
 /// More tasks than this are not counted.
-constexpr std::int64_t mostFitting = 99;
-
-/// Number of tasks that need `size` each for which there is room.
-std::int64_t countThatFit(const Resources &room, const Resources &size)
-{
-    std::int64_t count = mostFitting;
-    for (const auto part : {&Resources::milliCores, &Resources::memoryMb, &Resources::accelerators})
-        if (size.*part > 0)
-            count = std::min(count, room.*part / size.*part);
-    return std::max<std::int64_t>(count, 0);
-}
+constexpr std::uint32_t mostFitting = 99;
 
 /// Whether the last report of the worker lists the run.
 bool isListed(const PoolWorker &worker, const PlacedRun &run)
@@ -71,18 +61,18 @@
     const QueueSettings &queue = m_jobTable.queueSettingsOf(job);
     const StepPlan &step = job.plan.steps[idle.oldest.step];
     const Resources size = reservationOf(step);
-    std::int64_t fitting = 0;
+    std::uint32_t fitting = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
         if (!worker.hasFacts || worker.facts.service != queue.service)
             continue;
-        fitting += countThatFit(worker.available(), size);
+        fitting += countThatFit(worker.available(), size, mostFitting);
         if (worker.bestEffortMilliCores == 0
             && exclusionOf(worker, queue, step, idle.oldest, now) == Exclusion::Interference) {
             ++idle.unobserved;
             idle.bestSpeed = std::max(idle.bestSpeed, predictedSpeed(worker, step));
         }
     }
-    idle.fitting = static_cast<std::uint32_t>(std::min(fitting, mostFitting));
+    idle.fitting = std::min(fitting, mostFitting);
     idle.reservedShare = reservedShareOf(queue.service);
 }
 
--- a/Guavashift/Dispatch/DispatcherNearPlaces.cpp
+++ b/Guavashift/Dispatch/DispatcherNearPlaces.cpp
@@ -6,16 +6,6 @@
 
 namespace {
 
-/// Number of tasks that need `size` each for which there is room.
-std::uint32_t countThatFit(const Resources &room, const Resources &size, std::uint32_t most)
-{
-    std::int64_t count = most;
-    for (const auto part : {&Resources::milliCores, &Resources::memoryMb, &Resources::accelerators})
-        if (size.*part > 0)
-            count = std::min(count, room.*part / size.*part);
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
-}
-
 /// The task that stands for all tasks of the step.
 TaskRef groupOf(const TaskRef &ref)
 {
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -25,6 +25,15 @@
     return reservation(step.size, step.bestEffort);
 }
 
+std::uint32_t countThatFit(const Resources &room, const Resources &size, std::uint32_t most)
+{
+    std::int64_t count = most;
+    for (const auto part : {&Resources::milliCores, &Resources::memoryMb, &Resources::accelerators})
+        if (size.*part > 0)
+            count = std::min(count, room.*part / size.*part);
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
+}
+
 double PoolWorker::shareOfProcessors(double milliCores) const
 {
     const auto capacity = static_cast<double>(facts.capacity.milliCores);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -44,6 +44,10 @@
 /// Capacity that a task of the step reserves.
 [[nodiscard]] Resources reservationOf(const StepPlan &step);
 
+/// Number of tasks that need `size` each for which there is room, up to `most`.
+[[nodiscard]] std::uint32_t countThatFit(const Resources &room, const Resources &size,
+                                         std::uint32_t most);
+
 /// Headroom that best-effort tasks may still take from the latency-critical tasks of one image on
 /// one worker.
 struct SpareHeadroom
--- a/UnitTests/Dispatch/IdleCapacityTest.cpp
+++ b/UnitTests/Dispatch/IdleCapacityTest.cpp
@@ -40,10 +40,7 @@
     void startsAJobWhileAllTailsStayNearTheirTargets()
     {
         m_tailMs = 35;
-        run(0, 2000);
-        accept("filling", bestEffort(4));
-        run(2000, 2000 + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("filling"));
+        assertStarts(bestEffort(4));
     }
 
     /// Guards against an overestimate of the interference that nothing corrects, since it keeps
@@ -52,20 +49,14 @@
     {
         m_tailMs = 20;
         m_dispatcher->interferenceReported(std::vector<InterferenceRow>{{"web", "batch", 25}});
-        run(0, 2000);
-        accept("filling", bestEffort(4));
-        run(2000, 2000 + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("filling"));
+        assertStarts(bestEffort(4));
     }
 
     /// Guards against tasks without a reported tail that count as tasks without headroom.
     void startsAJobBesideTasksThatReportNoTail()
     {
         m_tailMs = 0;
-        run(0, 2000);
-        accept("filling", bestEffort(4));
-        run(2000, 2000 + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("filling"));
+        assertStarts(bestEffort(4));
     }
 
     /// Guards against a job that waits for processors which paused runs of another job do not use.
@@ -74,23 +65,17 @@
         m_tailMs = 10;
         m_activity = 0;
         accept("others", bestEffort(60));
-        run(0, 2000);
+        assertStarts(bestEffort(4));
         CPPUNIT_ASSERT(hasStarted("others"));
-        accept("filling", bestEffort(4));
-        run(2000, 2000 + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("filling"));
     }
 
     /// Guards against the same for a job whose tasks start together only.
     void startsAGangWhileAllTailsStayNearTheirTargets()
     {
         m_tailMs = 35;
-        run(0, 2000);
         JobPlan gang = bestEffort(4);
         gang.steps[0].gang = true;
-        accept("filling", gang);
-        run(2000, 2000 + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("filling"));
+        assertStarts(gang);
     }
 
     /// Guards against jobs that wait for a place while others of their kind have one that is no
@@ -121,6 +106,16 @@
         return filling;
     }
 
+    /// Accepts the job after two seconds and expects a start in time.
+    void assertStarts(const JobPlan &filling)
+    {
+        constexpr int acceptedAt = 2000;
+        run(0, acceptedAt);
+        accept("filling", filling);
+        run(acceptedAt, acceptedAt + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("filling"));
+    }
+
     [[nodiscard]] bool hasStarted(const std::string &job) const
     {
         const StageTask *task = m_jobTable->find({job, 0, 0, 0});
