Settle runs of a lost worker by its lease after its agent restarted

Cause: an agent that restarts does not know yet whether connections to its worker stay open, so it says that any start may arrive late. The leader took that for all runs that the new process does not list, and held them for 21 s beyond the lease if worker and agent were lost before the agent knew. It had known when it bound them that their starts reach one lifetime only, and did not remember it. RestartedAgentTest failed. Change: a run remembers that its start reaches its lifetime only. Lists of an agent's next process settle it, and its lease ends it. An order of the same session may be on its way while the agent turns to any connection, so it counts as one that may arrive late. Result: RestartedAgentTest passes, with all others of the folder.

--- a/Guavashift/Dispatch/DispatcherLifetimes.cpp
+++ b/Guavashift/Dispatch/DispatcherLifetimes.cpp
@@ -245,11 +245,18 @@
     notice.namesAll = namesAll;
     for (const TaskRun &each : runs)
         notice.runs.emplace(each.task, each.run);
+    for (auto &[task, run] : worker->runs) {
+        // An order of this session may have reached the agent after it had turned to any
+        // connection.
+        if (run.ordered || notice.runs.contains({task, run.run}))
+            run.reachesOnlyItsLifetime = false;
+    }
 }
 
 bool Dispatcher::mayStartLate(const PoolWorker &worker, const PlacedRun &run)
 {
-    return worker.startsOnAnyConnection && run.committed && !run.listed;
+    return worker.startsOnAnyConnection && run.committed && !run.listed
+        && !run.reachesOnlyItsLifetime;
 }
 
 void Dispatcher::lifetimeDoubted(const Lifetime &lifetime)
--- a/Guavashift/Dispatch/DispatcherLists.cpp
+++ b/Guavashift/Dispatch/DispatcherLists.cpp
@@ -100,7 +100,8 @@
                 orderStop(lifetime, *worker, run);
             continue;
         }
-        const bool mayStart = late && (!late->namesAll || late->runs.contains({task, run.run}));
+        const bool mayStart = late && !run.reachesOnlyItsLifetime
+            && (!late->namesAll || late->runs.contains({task, run.run}));
         if (run.committed && run.boundAt <= boundBefore && !mayStart)
             settleAbsent(lifetime, run, SettleReason::NotInInventory);
     }
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -211,7 +211,9 @@
     m_ready.erase(ready->second);
     m_readyByTask.erase(ready);
     m_placed.emplace(ref, worker.facts.lifetime);
-    m_commands.emplace_back(StartRun{ref, run, worker.facts.lifetime, startPathTo(worker)});
+    const StartPath path = startPathTo(worker);
+    placed.reachesOnlyItsLifetime = path.hasAnswered;
+    m_commands.emplace_back(StartRun{ref, run, worker.facts.lifetime, path});
     if (placed.suspected)
         worker.suspectAloneUntil = now + m_settings.suspectStartPause;
     m_pool.place(worker.facts.lifetime, std::move(placed));
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -22,8 +22,10 @@
     bool stopRequested = false;
     bool startIsOpen = false; ///< The start has no answer, and its lifetime has ended.
     bool ordered = false;     ///< In the present session of its worker's agent.
-    bool listed = false;      ///< As running, in a report on the lifetime that it is bound to.
-    bool suspected = false;   ///< A worker had crashed under the task before.
+    /// Its start can be carried out by the lifetime that it is bound to only.
+    bool reachesOnlyItsLifetime = false;
+    bool listed = false;    ///< As running, in a report on the lifetime that it is bound to.
+    bool suspected = false; ///< A worker had crashed under the task before.
     /// Its duration tells about its worker's speed, see Dispatcher::showsSpeed().
     bool showsSpeed = false;
     bool listedSinceEnd = false; ///< By the latest list, which came after its end was proposed.
