Leave ended jobs out of the list of idle ones

Cause: runs stay placed until their ends are known, also after their job has ended and its plan is discarded. The search for idle jobs then read a step of an empty plan, and the leader crashed. Change: the search skips runs of jobs that are not active. Result: IdleJobTest::namesNoJobThatHasEnded crashes before and passes after.

--- a/Guavashift/Dispatch/DispatcherIdleJobs.cpp
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -37,7 +37,9 @@
     for (const auto &[ref, lifetime] : m_placed) {
         const PoolWorker &worker = m_pool.workers().at(lifetime);
         const PlacedRun &run = worker.runs.at(ref);
-        if (run.longRunning)
+        // Runs outlast their job, and its plan, until their ends are known.
+        const StageJob *job = m_jobTable.find(ref.job);
+        if (run.longRunning || job == nullptr || !job->isActive())
             continue;
         if (isListed(worker, run))
             running.insert(ref.job);
--- a/UnitTests/Dispatch/IdleJobTest.cpp
+++ b/UnitTests/Dispatch/IdleJobTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(countsWhyNoWorkerTakesABestEffortTask);
     CPPUNIT_TEST(namesABoundTaskThatIsNotListed);
     CPPUNIT_TEST(findsNoIdleJobWhileATaskRuns);
+    CPPUNIT_TEST(namesNoJobThatHasEnded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +63,22 @@
         CPPUNIT_ASSERT(bound.committed && !bound.listed);
     }
 
+    /// Guards against a leader that crashes when a member of a gang outlasts its job, which has no
+    /// plan any more.
+    void namesNoJobThatHasEnded()
+    {
+        addWorkers(2);
+        JobPlan gang = plan(2, 40'000);
+        gang.steps[0].gang = true;
+        accept("j", gang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decideAndCommit(1));
+        end({"j", 0, 0, 0}, 1, RunEnd::Done, 100);
+        CPPUNIT_ASSERT(m_jobTable->find("j")->plan.steps.empty());
+        const std::optional<IdleJobs> idle = m_dispatcher->takeIdleJobs(at(2000));
+        CPPUNIT_ASSERT(idle.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, idle->count);
+    }
+
     /// Guards against jobs that count as idle although one of their tasks runs, or has just ended.
     void findsNoIdleJobWhileATaskRuns()
     {
