--- a/UnitTests/Dispatch/IdleJobSimulation.cpp
+++ b/UnitTests/Dispatch/IdleJobSimulation.cpp
@@ -1,4 +1,5 @@
 #include "IdleJobSimulation.h"
+#include "WaitStateText.h"
 
 // The part of IdleJobSimulation that acts as callers and leaders, and that judges.
 
@@ -10,29 +11,6 @@
 const std::vector<std::string> servingImages{"web", "api"};
 const std::vector<std::string> fillingImages{"sort", "train", "scan"};
 
-std::string nameOf(const WaitState &state)
-{
-    return std::visit(
-        Overloaded{
-            [](const UntrackedState &) { return std::string("neither queued nor placed"); },
-            [](const QueuedState &queued) {
-                std::string text = fmt::format("queued, eligible {}, awaits trial {}",
-                                               queued.eligible, queued.awaitsTrial);
-                for (std::size_t i = 0; i < exclusionCount; ++i) {
-                    if (queued.excluded.at(i) > 0)
-                        text += fmt::format(", exclusion {} on {}", i, queued.excluded.at(i));
-                }
-                return text;
-            },
-            [](const BoundState &bound) {
-                return fmt::format("bound to {} as run {}, committed {}, listed {}, stop {}, "
-                                   "end proposed {}",
-                                   bound.worker, bound.run, bound.committed, bound.listed,
-                                   bound.stopRequested, bound.endProposed);
-            }},
-        state);
-}
-
 /// Number of tasks that need `size` each for which there is room.
 std::int64_t countThatFit(const Resources &room, const Resources &size)
 {
@@ -361,7 +339,7 @@
                 "; {} for {} ms, queued {}, bound {}, fitting {}, reserved {:.2f}: "
                 "{}{}",
                 idle.oldest.text(), toMs(idle.age), idle.queued, idle.bound, idle.fitting,
-                idle.reservedShare, nameOf(idle.state),
+                idle.reservedShare, textOf(idle.state),
                 m_table.find(id)->plan.steps[idle.oldest.step].bestEffort ? ", best effort" : "");
     }
     for (const auto &[other, job] : m_table.jobs()) {
