Pause other starts only beside suspected tasks that start

Cause: each round of placement tried the members of a suspected gang one by one, and paused the starts of other tasks on the worker of each before it was known that the last one has no room. While the gang waited, no other task could start on any of these workers, for ever. Ruled out: a suspect that runs there (none does), a trial of the step (gangs have none). Change: the pause begins once the whole gang is placed. The other tests of test-dispatch pass, but for the five known ones of IdleJobCausesTest (214 run).

--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -406,6 +406,8 @@
     [[nodiscard]] bool endsSoonerElsewhere(const PoolWorker &worker, const PlacedRun &run,
                                            Instant now) const;
     void bind(const TaskRef &ref, std::uint32_t run, PoolWorker &worker, Instant now);
+    /// Pauses the starts of other tasks on the worker of a suspected one that was just placed.
+    void pauseOtherStarts(const TaskRef &ref, Instant now);
     void orderStop(const Lifetime &lifetime, PoolWorker &worker, PlacedRun &run);
     /// Reserves the capacity of the listed runs that are not bound to the worker, until a later
     /// list lacks them.
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -162,6 +162,7 @@
         return false;
     const StageTask *task = m_jobTable.find(ready.task);
     bind(ready.task, task == nullptr ? 1 : task->run + 1, *worker, now);
+    pauseOtherStarts(ready.task, now);
     recordNearness(job.plan.steps[ready.task.step], ready.task, now);
     return true;
 }
@@ -196,6 +197,8 @@
         m_commands.resize(commandsBefore);
         return false;
     }
+    for (const TaskRef &ref : refs)
+        pauseOtherStarts(ref, now);
     recordNearness(job.plan.steps[ready.task.step], ready.task, now);
     return true;
 }
@@ -214,11 +217,16 @@
     const StartPath path = startPathTo(worker);
     placed.reachesOnlyItsLifetime = path.hasAnswered;
     m_commands.emplace_back(StartRun{ref, run, worker.facts.lifetime, path});
-    if (placed.suspected)
-        worker.suspectAloneUntil = now + m_settings.suspectStartPause;
     m_pool.place(worker.facts.lifetime, std::move(placed));
 }
 
+void Dispatcher::pauseOtherStarts(const TaskRef &ref, Instant now)
+{
+    PoolWorker &worker = *m_pool.find(m_placed.at(ref));
+    if (worker.runs.at(ref).suspected)
+        worker.suspectAloneUntil = now + m_settings.suspectStartPause;
+}
+
 std::optional<Exclusion> Dispatcher::exclusionOf(const PoolWorker &worker,
                                                  const QueueSettings &queue, const StepPlan &step,
                                                  const TaskRef &ref, Instant now,
