Start idle jobs also on suspect, cold and held workers

Cause, the same as of jobs that no worker takes for their predicted speed: a pause after failures, the share of a cold worker and a place held for a long-running task are guesses about what a run would meet, and while they exclude every worker with room no run corrects them. Besides, idle jobs that became ready together were started a quarter of a second apart, so that the last of a dozen waited for five seconds. In one play suspect stood for all workers with room for nine seconds. Change: a job of which nothing has run for two seconds takes any worker that it fits on, the least suspect first, also for tasks that are not best-effort. The interval between such starts holds only while half of the service's processors or more are reserved. Workers that fail everything still get no other work.

--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -65,6 +65,8 @@
     /// Time in which all such tasks of a step are started in turn, unless the first pause is
     /// longer: a long-running task may wait for six seconds after its last run.
     Duration longestTrialTurn = std::chrono::seconds(5);
+    /// Deduction from the score of a suspect worker for each second of its pause that is left.
+    double suspicionPenalty = 1;
     /// Deduction from the score of a worker for each run on it that a crash would end, in the
     /// placement of a task under which a worker has crashed.
     double lossPenalty = 1;
@@ -74,11 +76,14 @@
     Duration waitLogInterval = std::chrono::seconds(1);
     /// A job counts as idle if none of its tasks has been running for this long.
     Duration idleJobLimit = std::chrono::seconds(1);
-    /// After this long without a run a job takes any place that a best-effort task of it fits on. A
-    /// job may have nothing running for three seconds.
+    /// After this long without a run a job takes any place that a task of it fits on. A job may
+    /// have nothing running for three seconds.
     Duration longestIdle = std::chrono::milliseconds(2000);
-    /// Least time between two such placements for one service, so that each shows its effect.
+    /// Least time between two such placements for a service of which much is reserved, so that each
+    /// shows its effect.
     Duration idleStartInterval = std::chrono::milliseconds(250);
+    /// From this share of the service's processors that counts as much.
+    double manyReserved = 0.5;
     /// Interval at which idle jobs are searched.
     Duration idleJobInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -323,10 +323,13 @@
     void planOverload(Instant now, WallMs wallNow);
     void placeReady(Instant now, WallMs wallNow, const std::function<void()> &betweenTasks);
     [[nodiscard]] std::vector<ReadyTask> schedulingOrder(WallMs wallNow) const;
-    /// Places of a best-effort task by what it can expect there.
+    /// Places of a task by what it can expect there.
     enum class AcceptedPlaces : std::uint8_t {
-        Fast, ///< With processors left for it and, as predicted, little interference.
-        Any   ///< All that it fits on.
+        /// Not on a suspect worker, nor on a cold one beyond its share; a best-effort task only
+        /// with
+        /// processors left for it and, as predicted, little interference.
+        Fast,
+        Any ///< All that it fits on.
     };
     bool place(const ReadyTask &ready, Instant now, const HeldWorkers &held,
                AcceptedPlaces accepted);
@@ -334,10 +337,9 @@
                    AcceptedPlaces accepted);
     bool placeGang(const ReadyTask &ready, Instant now, const HeldWorkers &held,
                    AcceptedPlaces accepted);
-    /// Places a best-effort task of a job of which nothing has run for long wherever it fits: what
-    /// speaks against a worker is a prediction, and without a run nothing shows whether it is
-    /// right.
-    bool placeIdle(const ReadyTask &ready, Instant now, const HeldWorkers &held);
+    /// Places a task of a job of which nothing has run for long wherever it fits: what speaks
+    /// against a worker is a prediction, and without a run nothing shows whether it is right.
+    bool placeIdle(const ReadyTask &ready, Instant now);
     /// Share of the service's processors that is reserved.
     [[nodiscard]] double reservedShareOf(std::string_view service) const;
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
@@ -379,6 +381,8 @@
     void updateLastListed(const PlacedRun &run);
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double colocationScore(const PoolWorker &worker, const StepPlan &step) const;
+    /// Deduction from the score of a worker that is paused after refusals or failures.
+    [[nodiscard]] double suspicionOf(const PoolWorker &worker, Instant now) const;
     /// Deduction from the score for what a crash of the worker would end.
     [[nodiscard]] double lossOf(const PoolWorker &worker) const;
     /// Learns interference from workers that run tasks of the same step.
--- a/Guavashift/Dispatch/DispatcherIdleJobs.cpp
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -118,22 +118,25 @@
     return capacity > 0 ? static_cast<double>(reserved) / static_cast<double>(capacity) : 1;
 }
 
-bool Dispatcher::placeIdle(const ReadyTask &ready, Instant now, const HeldWorkers &held)
+bool Dispatcher::placeIdle(const ReadyTask &ready, Instant now)
 {
     const StageJob &job = *m_jobTable.find(ready.task.job);
     const std::string &service = m_jobTable.queueSettingsOf(job).service;
     const auto placed = m_placed.lower_bound({ready.task.job, 0, 0, 0});
-    if (!job.plan.steps[ready.task.step].bestEffort
-        || (placed != m_placed.end() && placed->first.job == ready.task.job))
+    if (ready.longRunning || (placed != m_placed.end() && placed->first.job == ready.task.job))
         return false;
     Instant idleSince = ready.readyAt;
     if (const auto last = m_lastRunning.find(ready.task.job); last != m_lastRunning.end())
         idleSince = std::max(idleSince, last->second);
+    if (now - idleSince < m_settings.longestIdle)
+        return false;
     Instant &next = m_nextIdleStarts[service];
-    if (now - idleSince < m_settings.longestIdle || now < next
-        || !place(ready, now, held, AcceptedPlaces::Any))
+    // No worker is held from a job that has waited as long as a long-running task may.
+    const HeldWorkers noneHeld(m_pool.workers(), m_settings.maxHeldShare);
+    if (now < next || !place(ready, now, noneHeld, AcceptedPlaces::Any))
         return false;
-    next = now + m_settings.idleStartInterval;
+    if (reservedShareOf(service) >= m_settings.manyReserved)
+        next = now + m_settings.idleStartInterval;
     const PoolWorker &worker = m_pool.workers().at(m_placed.at(ready.task));
     logEvent(LogLevel::Info, "idle-job-started",
              {{"task", ready.task.text()},
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -124,7 +124,7 @@
         if (!mayStart(each.task, trial->second) || waitsForNearPlace(job, each, now, wallNow, held))
             continue;
         if (blocked == blockedShapes.end()) {
-            if (place(each, now, held, AcceptedPlaces::Fast) || placeIdle(each, now, held)) {
+            if (place(each, now, held, AcceptedPlaces::Fast) || placeIdle(each, now)) {
                 updateTrial(trial->second, each.task, now);
                 continue;
             }
@@ -244,7 +244,7 @@
         return Exclusion::Evacuated;
     if (now >= worker.leaseEnd)
         return Exclusion::NoLease;
-    if (now < worker.suspectUntil)
+    if (now < worker.suspectUntil && accepted == AcceptedPlaces::Fast)
         return Exclusion::Suspect;
     if (!step.requiredLabel.empty() && !worker.facts.hasLabel(step.requiredLabel))
         return Exclusion::Label;
@@ -258,7 +258,7 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
-    if (!m_coldWorkers.mayStart(worker))
+    if (accepted == AcceptedPlaces::Fast && !m_coldWorkers.mayStart(worker))
         return Exclusion::Cold;
     // After a crash it must be clear which run was the cause.
     if (crashesOf(ref) > 0 ? hasOtherSuspect(worker, step, ref) : now < worker.suspectAloneUntil)
@@ -433,6 +433,14 @@
     return loss;
 }
 
+double Dispatcher::suspicionOf(const PoolWorker &worker, Instant now) const
+{
+    const Duration left = worker.suspectUntil - now;
+    return left <= Duration::zero()
+        ? 0
+        : m_settings.suspicionPenalty * std::chrono::duration<double>(left).count();
+}
+
 PoolWorker *Dispatcher::chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
                                      const HeldWorkers &held, AcceptedPlaces accepted)
 {
@@ -447,7 +455,7 @@
             continue;
         const bool isApart = !groupRack.empty() && worker.facts.rack() != groupRack;
         const double score = scoreOf(worker, step) - (mayCrash ? lossOf(worker) : 0)
-            - (isApart ? m_settings.remoteFactor : 0);
+            - (isApart ? m_settings.remoteFactor : 0) - suspicionOf(worker, now);
         if (best == nullptr || score > bestScore) {
             best = m_pool.find(lifetime);
             bestScore = score;
--- a/UnitTests/Dispatch/IdleCapacityTest.cpp
+++ b/UnitTests/Dispatch/IdleCapacityTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(startsAJobWhoseProcessorsAreTakenByPausedRuns);
     CPPUNIT_TEST(startsAGangWhileAllTailsStayNearTheirTargets);
     CPPUNIT_TEST(startsEveryJobOfMany);
+    CPPUNIT_TEST(startsAJobWhileAllWorkersArePausedAfterFailures);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,12 +88,42 @@
         m_tailMs = 45;
         run(0, 2000);
         for (int i = 0; i < jobs; ++i)
-            accept(fmt::format("filling{}", i), bestEffort(4));
+            accept(fmt::format("filling{}", i), bestEffort(4), 2000);
         run(2000, 2000 + limitMs);
         for (int i = 0; i < jobs; ++i)
             CPPUNIT_ASSERT(hasStarted(fmt::format("filling{}", i)));
     }
 
+    /// Guards against pauses after failures that leave a job nowhere to run: what failed is gone,
+    /// and only a run would show it.
+    void startsAJobWhileAllWorkersArePausedAfterFailures()
+    {
+        constexpr int failures = 9;
+        m_tailMs = 10;
+        int now = 0;
+        // The second pause takes longer than a job may be idle.
+        for (int round = 0; round < 2; ++round) {
+            for (int i = 0; i < failures; ++i)
+                accept(fmt::format("failing{}-{}", round, i), plan(1, 5000), now);
+            run(now, now + 2500);
+            now += 2500;
+            for (int i = 0; i < failures; ++i)
+                m_dispatcher->endReported(
+                    {{fmt::format("failing{}-{}", round, i), 0, 0, 0}, 1, RunEnd::Failed, {}});
+            commit(m_dispatcher->takeCommands(), now);
+        }
+        // Nothing of the others is left to show that the workers are sound.
+        for (int i = 0; i < 2 * failures; ++i) {
+            const StageCommand cancel =
+                CancelJob{fmt::format("failing{}-{}", i / failures, i % failures)};
+            const StageOutcome outcome = m_jobTable->apply(now, cancel);
+            m_dispatcher->applied(cancel, outcome, at(now));
+        }
+        accept("plain", plan(1, 5000), now);
+        run(now, now + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("plain"));
+    }
+
 private:
     static constexpr int workers = 3;
     static constexpr int targetMs = 50;
@@ -111,7 +142,7 @@
     {
         constexpr int acceptedAt = 2000;
         run(0, acceptedAt);
-        accept("filling", filling);
+        accept("filling", filling, acceptedAt);
         run(acceptedAt, acceptedAt + longestIdleMs);
         CPPUNIT_ASSERT(hasStarted("filling"));
     }
@@ -141,6 +172,9 @@
         const Lifetime lifetime{fmt::format("w{}", number), 1};
         std::vector<RunStatus> rows;
         for (const auto &[id, job] : m_jobTable->jobs()) {
+            // The plan of a job that has ended is discarded.
+            if (job.plan.steps.empty())
+                continue;
             const StepPlan &step = job.plan.steps[0];
             for (std::uint32_t t = 0; t < step.tasks; ++t) {
                 const TaskRef ref{id, 0, 0, t};
--- a/UnitTests/Dispatch/IdleJobSimulation.cpp
+++ b/UnitTests/Dispatch/IdleJobSimulation.cpp
@@ -28,10 +28,8 @@
 
 } // namespace
 
-IdleJobSimulation::IdleJobSimulation(std::uint64_t seed, const DispatchSettings &settings,
-                                     bool traces)
+IdleJobSimulation::IdleJobSimulation(std::uint64_t seed, bool mayStartLate, bool traces)
     : m_random(seed)
-    , m_settings(settings)
     , m_traces(traces)
     , m_table({.maxCrashes = 3}, readAny)
 {
@@ -39,7 +37,7 @@
     m_calmFrom = between(10'000, 20'000);
     m_failurePerMille = chance(500) ? static_cast<int>(between(0, 200)) : 0;
     m_throttles = chance(700);
-    m_startsLate = chance(200);
+    m_startsLate = chance(200) && mayStartLate;
     m_loadSwing = static_cast<double>(between(0, 25)) / 100;
     m_settings.ordersJobsUnderOverload = chance(500);
     m_settings.avoidsSlowWorkers = chance(500);
--- a/UnitTests/Dispatch/IdleJobSimulation.h
+++ b/UnitTests/Dispatch/IdleJobSimulation.h
@@ -22,7 +22,9 @@
 class IdleJobSimulation final
 {
 public:
-    IdleJobSimulation(std::uint64_t seed, const DispatchSettings &settings, bool traces);
+    /// `mayStartLate`: whether starts may go out on any connection, so that the next lifetime of a
+    /// worker may carry them out.
+    IdleJobSimulation(std::uint64_t seed, bool mayStartLate, bool traces);
 
     /// Returns a description of the job that waits; empty if none does.
     std::string run();
