Hold a start that is ordered after its agent turned to any connection

Found by review: the word that a start reaches its lifetime only was fixed when the run was proposed. If the agent turned to any connection before the commit, the order went out on any, and its run was given up with the lease: it could run twice. Change: the word must hold at the commit too, when the order is sent. keepsAStartOrderedAfterTheAgentTurned is new with it.

--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -84,6 +84,7 @@
     PlacedRun &run = worker.runs.at(start.task);
     run.committed = true;
     run.boundAt = now;
+    run.reachesOnlyItsLifetime = run.reachesOnlyItsLifetime && worker.startsReachOnlyIt;
     m_overload.account().runBound(start.task.job, start.task.step, now);
     // The order is sent at the commit or never: no later session of an agent receives it.
     if (worker.node.empty())
--- a/UnitTests/Dispatch/RestartedAgentTest.cpp
+++ b/UnitTests/Dispatch/RestartedAgentTest.cpp
@@ -8,7 +8,8 @@
 class RestartedAgentTest : public DispatchFixture
 {
     CPPUNIT_TEST_SUITE(RestartedAgentTest);
-    CPPUNIT_TEST(settlesRunOfALostWorkerWithItsLease);
+    CPPUNIT_TEST(settlesRunThatItsWorkerDoesNotList);
+    CPPUNIT_TEST(keepsAStartOrderedAfterTheAgentTurned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -23,7 +24,7 @@
     }
 
     /// Guards against a job of which nothing runs for 21 s after the end of a lease.
-    void settlesRunOfALostWorkerWithItsLease()
+    void settlesRunThatItsWorkerDoesNotList()
     {
         commit({AcceptJob{"j", "batch", plan(1, 10'000)}}, 0);
         const std::vector<StageCommand> commands = m_dispatcher->decide(at(1), 1);
@@ -44,11 +45,30 @@
             CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
             decideAndCommit(now);
         }
-        // The longest lease and its margin ended 6.4 s after the inventory.
+        // The inventory was read with a fencing token above that of the start.
         CPPUNIT_ASSERT_EQUAL(2U, task().run);
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), task().lifetime.worker);
     }
 
+    /// Guards against a start that is sent on any connection and given up with the lease.
+    void keepsAStartOrderedAfterTheAgentTurned()
+    {
+        commit({AcceptJob{"j", "batch", plan(1, 10'000)}}, 0);
+        const std::vector<StageCommand> commands = m_dispatcher->decide(at(1), 1);
+        CPPUNIT_ASSERT(std::get<StartRun>(commands.front()).path.hasAnswered);
+        m_dispatcher->startsMayArriveLate({"w1", 1}, {}, true);
+        commit(commands, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_dispatcher->takeOrders().size());
+        m_dispatcher->nodeLost("n1");
+        m_dispatcher->workerReported("n2", worker("w2"), at(100));
+        m_dispatcher->inventoryReported({"w2", 1}, {}, at(100));
+        for (int now = 500; now <= 9000; now += 500) {
+            CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n2", at(now)));
+            decideAndCommit(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(1U, task().run);
+    }
+
 private:
     void beginSession(int milliseconds)
     {
