Pause the next lifetime of a worker for its own failures

Found by review: after the change of the pauses a worker that restarted during one was not paused, and its failures were passed over until the pause of the lifetime before had ended. Change: failures are passed over only while the worker itself is paused. A task that is done ends the pause, as it ended the record before: it is the evidence that was missing. failuresOfTheNextLifetimePauseIt is new with it; the test of longer pauses asks at a time that a pause of the same length would pass.

--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -12,13 +12,17 @@
     FailureRecord &record = m_failureRecords[worker->node];
     if (end.end == RunEnd::Done) {
         record = {};
+        worker->suspectUntil = {};
         return;
     }
     if (end.end != RunEnd::Failed)
         return;
     record.failedJobs.insert(end.task.job);
-    // During a pause only runs from before it end, which tell nothing new.
-    if (record.failedJobs.size() < m_settings.failuresToSuspect || now < record.pausedUntil)
+    if (record.failedJobs.size() < m_settings.failuresToSuspect)
+        return;
+    // Runs that end during a pause mostly began before it, and tell nothing new. The next lifetime
+    // has not been paused yet.
+    if (now < record.pausedUntil && worker->suspectUntil >= record.pausedUntil)
         return;
     constexpr int maxDoublings = 3;
     record.pause = record.pause == Duration::zero()
--- a/UnitTests/Dispatch/FailurePauseTest.cpp
+++ b/UnitTests/Dispatch/FailurePauseTest.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(FailurePauseTest);
     CPPUNIT_TEST(failuresThatArriveTogetherPauseOnce);
     CPPUNIT_TEST(failuresAfterAPausePauseForLonger);
+    CPPUNIT_TEST(failuresOfTheNextLifetimePauseIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,7 +31,20 @@
         CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(pause)));
         failJobs("second", 1, pause + 200);
         CPPUNIT_ASSERT(m_dispatcher->leaseGranted("n1", at(2 * pause)));
-        CPPUNIT_ASSERT(!startsAt(2 * pause + 100));
+        CPPUNIT_ASSERT(!startsAt(2 * pause + 300));
+    }
+
+    /// Guards against a restarted worker on which everything fails and that is not paused.
+    void failuresOfTheNextLifetimePauseIt()
+    {
+        addWorkers(1);
+        failJobs("first", 8, 100);
+        m_dispatcher->lifetimeEnded({"w1", 1}, LifetimeEnd::Left, LifetimeProof::AnsweredByNext,
+                                    {});
+        commit(m_dispatcher->takeCommands(), 150);
+        m_dispatcher->workerReported("n1", worker("w1", 2), at(200));
+        failJobs("second", 1, 400);
+        CPPUNIT_ASSERT(!startsAt(500));
     }
 
 private:
