Close gaps in the starts of idle jobs

Found by review. A start that was refused, or given up without having been listed, let the two seconds of its job begin anew; a run that is bound and not listed for as long kept other tasks of its job from a start; long-running tasks were left out, though the limit for them is the stricter one; a worker that had just refused a start was taken; the prediction of a speed below zero preferred the worker with the most interference and outweighed a suspicion; a service full of best-effort work counted as hardly used, so that the interval between such starts did not hold; and the search for idle jobs described all of them. Change: each as named. startsAJobAgainAfterARefusal and startsALongRunningTaskWhileAllWorkersArePausedAfterFailures are new with it, and twelve jobs must start within the 3 s of the rule instead of 14 s. Seeds with late starts play in the folder's entry, those up to the one that fails apart.

--- a/Guavashift/Dispatch/DispatchSettings.h
+++ b/Guavashift/Dispatch/DispatchSettings.h
@@ -79,11 +79,12 @@
     /// After this long without a run a job takes any place that a task of it fits on. A job may
     /// have nothing running for three seconds.
     Duration longestIdle = std::chrono::milliseconds(2000);
-    /// Least time between two such placements for a service of which much is reserved, so that each
+    /// Least time between two such placements for a service of which much is in use, so that each
     /// shows its effect.
     Duration idleStartInterval = std::chrono::milliseconds(250);
-    /// From this share of the service's processors that counts as much.
-    double manyReserved = 0.5;
+    /// From this share of the service's processors, with those that best-effort tasks would use,
+    /// that counts as much.
+    double muchInUse = 0.5;
     /// Interval at which idle jobs are searched.
     Duration idleJobInterval = std::chrono::seconds(1);
     /// A long-running task that has not been listed as running for this long counts as waiting.
--- a/Guavashift/Dispatch/Dispatcher.cpp
+++ b/Guavashift/Dispatch/Dispatcher.cpp
@@ -381,7 +381,7 @@
         return;
     // A stop found no run that was listed before: that is no refusal of its start.
     if (!found->second.listed)
-        worker->suspectUntil = std::max(worker->suspectUntil, now + m_settings.refusalPause);
+        worker->refusesUntil = now + m_settings.refusalPause;
     settleAbsent(lifetime, found->second, SettleReason::StartRefused);
 }
 
--- a/Guavashift/Dispatch/Dispatcher.h
+++ b/Guavashift/Dispatch/Dispatcher.h
@@ -325,11 +325,8 @@
     [[nodiscard]] std::vector<ReadyTask> schedulingOrder(WallMs wallNow) const;
     /// Places of a task by what it can expect there.
     enum class AcceptedPlaces : std::uint8_t {
-        /// Not on a suspect worker, nor on a cold one beyond its share; a best-effort task only
-        /// with
-        /// processors left for it and, as predicted, little interference.
-        Fast,
-        Any ///< All that it fits on.
+        Good, ///< No suspect worker, no cold one beyond its share, no slow best-effort task.
+        Any   ///< All that it fits on.
     };
     bool place(const ReadyTask &ready, Instant now, const HeldWorkers &held,
                AcceptedPlaces accepted);
@@ -340,11 +337,13 @@
     /// Places a task of a job of which nothing has run for long wherever it fits: what speaks
     /// against a worker is a prediction, and without a run nothing shows whether it is right.
     bool placeIdle(const ReadyTask &ready, Instant now);
-    /// Share of the service's processors that is reserved.
-    [[nodiscard]] double reservedShareOf(std::string_view service) const;
+    /// When the task, or another one of its job if it has an end, was running last or became ready.
+    [[nodiscard]] Instant idleSince(const ReadyTask &ready) const;
+    /// Whether a run of the job is listed, or has been bound for too short a time to be.
+    [[nodiscard]] bool hasRuns(const std::string &job, Instant now) const;
     [[nodiscard]] PoolWorker *chooseWorker(const StageJob &job, const TaskRef &ref, Instant now,
                                            const HeldWorkers &held,
-                                           AcceptedPlaces accepted = AcceptedPlaces::Fast);
+                                           AcceptedPlaces accepted = AcceptedPlaces::Good);
     /// Whether the task, which could take a far place now, waits for one near its data or group.
     [[nodiscard]] bool waitsForNearPlace(const StageJob &job, const ReadyTask &ready, Instant now,
                                          WallMs wallNow, const HeldWorkers &held);
@@ -361,7 +360,7 @@
     [[nodiscard]] std::optional<Exclusion>
     exclusionOf(const PoolWorker &worker, const QueueSettings &queue, const StepPlan &step,
                 const TaskRef &ref, Instant now,
-                AcceptedPlaces accepted = AcceptedPlaces::Fast) const;
+                AcceptedPlaces accepted = AcceptedPlaces::Good) const;
     /// Whether the task, or a member of its gang, is placed in an evacuated failure domain.
     [[nodiscard]] bool isBoundIntoEvacuated(const StageJob &job, const TaskRef &ref) const;
     /// Proposes the end of a committed run whose start was not ordered.
@@ -381,7 +380,7 @@
     void updateLastListed(const PlacedRun &run);
     [[nodiscard]] double scoreOf(const PoolWorker &worker, const StepPlan &step) const;
     [[nodiscard]] double colocationScore(const PoolWorker &worker, const StepPlan &step) const;
-    /// Deduction from the score of a worker that is paused after refusals or failures.
+    /// Deduction from the score of a worker that is paused after failures.
     [[nodiscard]] double suspicionOf(const PoolWorker &worker, Instant now) const;
     /// Deduction from the score for what a crash of the worker would end.
     [[nodiscard]] double lossOf(const PoolWorker &worker) const;
--- a/Guavashift/Dispatch/DispatcherCommits.cpp
+++ b/Guavashift/Dispatch/DispatcherCommits.cpp
@@ -169,11 +169,17 @@
 void Dispatcher::runEnded(const EndRun &end, Instant now)
 {
     const auto placed = m_placed.find(end.task);
+    std::optional<Instant> readySince;
+    bool hasRun = end.end != RunEnd::NotStarted;
     if (placed != m_placed.end()) {
         // After a late end, the run placed is the next one, proposed on another worker perhaps.
         const PlacedRun &run = m_pool.find(placed->second)->runs.at(end.task);
         if (run.run == end.run) {
             updateLastListed(run);
+            // A lapsed run that no list named may never have begun.
+            hasRun = hasRun && (run.listed || end.end != RunEnd::Lapsed);
+            if (end.end == RunEnd::NotStarted && run.readyAt != Instant())
+                readySince = run.readyAt;
             recordEnd(end, placed->second, now);
             learnRunTime(run, end, now);
             m_nearPlaces.ended(std::string(m_pool.find(placed->second)->facts.rack()),
@@ -189,13 +195,13 @@
     if (!job->isActive())
         return withdraw(end.task.job);
     noteTasksLeft(*job, end.task);
-    if (end.end != RunEnd::NotStarted)
+    if (hasRun)
         m_lastRunning[end.task.job] = now;
     if (job->occurrencesDone.contains(end.task.occurrence))
         occurrenceEnded(end.task.job, *job);
     const StageTask *task = m_jobTable.find(end.task);
     if (task != nullptr && task->stage == TaskStage::Waiting)
-        return enqueue(end.task);
+        return enqueue(end.task, readySince);
     withdrawDone(*job, end.task);
     enqueueFollowers(*job, end.task);
 }
--- a/Guavashift/Dispatch/DispatcherIdleJobs.cpp
+++ b/Guavashift/Dispatch/DispatcherIdleJobs.cpp
@@ -65,7 +65,7 @@
     const Resources size = reservationOf(step);
     std::uint32_t fitting = 0;
     for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (!worker.hasFacts || worker.facts.service != queue.service)
+        if (!worker.takesRunsOf(queue.service))
             continue;
         fitting += countThatFit(worker.available(), size, mostFitting);
         if (worker.bestEffortMilliCores == 0
@@ -75,7 +75,9 @@
         }
     }
     idle.fitting = std::min(fitting, mostFitting);
-    idle.reservedShare = reservedShareOf(queue.service);
+    const ServiceUse use = m_pool.useOf(queue.service);
+    if (use.capacity > 0)
+        idle.reservedShare = static_cast<double>(use.reserved) / static_cast<double>(use.capacity);
 }
 
 void Dispatcher::logWaiting(const StageJob &job, const ReadyTask &ready) const
@@ -105,49 +107,58 @@
               {"best_speed", bestSpeed}});
 }
 
-double Dispatcher::reservedShareOf(std::string_view service) const
+Instant Dispatcher::idleSince(const ReadyTask &ready) const
 {
-    std::int64_t capacity = 0;
-    std::int64_t reserved = 0;
-    for (const auto &[lifetime, worker] : m_pool.workers()) {
-        if (!worker.hasFacts || worker.facts.service != service)
-            continue;
-        capacity += worker.facts.capacity.milliCores;
-        reserved += worker.reserved.milliCores;
+    if (ready.longRunning) {
+        const auto listed = m_lastListed.find(ready.task);
+        return listed == m_lastListed.end() ? ready.readyAt : listed->second;
+    }
+    const auto last = m_lastRunning.find(ready.task.job);
+    return last == m_lastRunning.end() ? ready.readyAt : std::max(ready.readyAt, last->second);
+}
+
+bool Dispatcher::hasRuns(const std::string &job, Instant now) const
+{
+    for (auto placed = m_placed.lower_bound({job, 0, 0, 0});
+         placed != m_placed.end() && placed->first.job == job; ++placed) {
+        const PoolWorker &worker = m_pool.workers().at(placed->second);
+        const PlacedRun &run = worker.runs.at(placed->first);
+        if (isListed(worker, run) || now - run.boundAt < m_settings.longestIdle)
+            return true;
     }
-    return capacity > 0 ? static_cast<double>(reserved) / static_cast<double>(capacity) : 1;
+    return false;
 }
 
 bool Dispatcher::placeIdle(const ReadyTask &ready, Instant now)
 {
+    const Duration idle = now - idleSince(ready);
+    if (idle < m_settings.longestIdle || (!ready.longRunning && hasRuns(ready.task.job, now)))
+        return false;
     const StageJob &job = *m_jobTable.find(ready.task.job);
     const std::string &service = m_jobTable.queueSettingsOf(job).service;
-    const auto placed = m_placed.lower_bound({ready.task.job, 0, 0, 0});
-    if (ready.longRunning || (placed != m_placed.end() && placed->first.job == ready.task.job))
-        return false;
-    Instant idleSince = ready.readyAt;
-    if (const auto last = m_lastRunning.find(ready.task.job); last != m_lastRunning.end())
-        idleSince = std::max(idleSince, last->second);
-    if (now - idleSince < m_settings.longestIdle)
-        return false;
     Instant &next = m_nextIdleStarts[service];
+    if (now < next)
+        return false;
     // No worker is held from a job that has waited as long as a long-running task may.
     const HeldWorkers noneHeld(m_pool.workers(), m_settings.maxHeldShare);
-    if (now < next || !place(ready, now, noneHeld, AcceptedPlaces::Any))
+    if (!place(ready, now, noneHeld, AcceptedPlaces::Any))
         return false;
-    if (reservedShareOf(service) >= m_settings.manyReserved)
+    const ServiceUse use = m_pool.useOf(service);
+    if (static_cast<double>(use.reserved + use.bestEffort)
+        >= m_settings.muchInUse * static_cast<double>(use.capacity))
         next = now + m_settings.idleStartInterval;
     const PoolWorker &worker = m_pool.workers().at(m_placed.at(ready.task));
     logEvent(LogLevel::Info, "idle-job-started",
              {{"task", ready.task.text()},
               {"worker", worker.facts.lifetime.worker},
-              {"idle_ms", toMs(now - idleSince)},
+              {"idle_ms", toMs(idle)},
               {"best_effort_milli_cores", worker.bestEffortMilliCores}});
     return true;
 }
 
 std::optional<IdleJobs> Dispatcher::takeIdleJobs(Instant now)
 {
+    constexpr std::size_t maxDescribed = 32;
     constexpr std::size_t maxNamed = 4;
     if (now < m_nextIdleCheck)
         return std::nullopt;
@@ -157,15 +168,17 @@
         if (job.age < m_settings.idleJobLimit)
             continue;
         ++idle.count;
-        describe(job, now);
-        idle.withCapacity += job.fitting >= 2 ? 1 : 0;
         idle.longest.push_back(std::move(job));
     }
     std::stable_sort(
         idle.longest.begin(), idle.longest.end(),
         [](const IdleJob &left, const IdleJob &right) { return left.age > right.age; });
-    if (idle.longest.size() > maxNamed)
-        idle.longest.resize(maxNamed);
+    idle.longest.resize(std::min(idle.longest.size(), maxDescribed));
+    for (IdleJob &job : idle.longest) {
+        describe(job, now);
+        idle.withCapacity += job.fitting >= 2 ? 1 : 0;
+    }
+    idle.longest.resize(std::min(idle.longest.size(), maxNamed));
     for (IdleJob &job : idle.longest) {
         const auto placed = m_placed.find(job.oldest);
         if (placed != m_placed.end())
--- a/Guavashift/Dispatch/DispatcherPlacement.cpp
+++ b/Guavashift/Dispatch/DispatcherPlacement.cpp
@@ -124,7 +124,7 @@
         if (!mayStart(each.task, trial->second) || waitsForNearPlace(job, each, now, wallNow, held))
             continue;
         if (blocked == blockedShapes.end()) {
-            if (place(each, now, held, AcceptedPlaces::Fast) || placeIdle(each, now)) {
+            if (place(each, now, held, AcceptedPlaces::Good) || placeIdle(each, now)) {
                 updateTrial(trial->second, each.task, now);
                 continue;
             }
@@ -244,7 +244,8 @@
         return Exclusion::Evacuated;
     if (now >= worker.leaseEnd)
         return Exclusion::NoLease;
-    if (now < worker.suspectUntil && accepted == AcceptedPlaces::Fast)
+    if (now < worker.refusesUntil
+        || (now < worker.suspectUntil && accepted == AcceptedPlaces::Good))
         return Exclusion::Suspect;
     if (!step.requiredLabel.empty() && !worker.facts.hasLabel(step.requiredLabel))
         return Exclusion::Label;
@@ -258,7 +259,7 @@
         if (here >= step.maxPerWorker)
             return Exclusion::SpreadLimit;
     }
-    if (accepted == AcceptedPlaces::Fast && !m_coldWorkers.mayStart(worker))
+    if (accepted == AcceptedPlaces::Good && !m_coldWorkers.mayStart(worker))
         return Exclusion::Cold;
     // After a crash it must be clear which run was the cause.
     if (crashesOf(ref) > 0 ? hasOtherSuspect(worker, step, ref) : now < worker.suspectAloneUntil)
@@ -411,7 +412,7 @@
     const double memory =
         static_cast<double>(std::max<std::int64_t>(worker.facts.capacity.memoryMb, 1));
     double score = step.bestEffort
-        ? std::min(predictedSpeed(worker, step), 1.0)
+        ? std::clamp(predictedSpeed(worker, step), 0.0, 1.0)
             + std::min(static_cast<double>(unusedMilliCores(worker)) / cores, 0.5)
         : std::min(static_cast<double>(worker.available().milliCores) / cores,
                    static_cast<double>(worker.available().memoryMb) / memory);
--- a/Guavashift/Dispatch/IdleJobs.h
+++ b/Guavashift/Dispatch/IdleJobs.h
@@ -24,7 +24,7 @@
 struct IdleJobs
 {
     std::size_t count = 0;
-    /// Of these, jobs for two tasks of which the service has capacity.
+    /// Of the 32 that have been idle for longest, jobs for two tasks of which there is capacity.
     std::size_t withCapacity = 0;
     std::vector<IdleJob> longest; ///< Those that have been idle for longest.
 };
--- a/Guavashift/Dispatch/WorkerPool.cpp
+++ b/Guavashift/Dispatch/WorkerPool.cpp
@@ -50,6 +50,11 @@
     return demand;
 }
 
+bool PoolWorker::takesRunsOf(std::string_view service) const
+{
+    return hasFacts && !node.empty() && !unreachable && !facts.draining && facts.service == service;
+}
+
 void PoolWorker::clearUnbound()
 {
     unboundRuns.clear();
@@ -132,6 +137,19 @@
     return lifetimes;
 }
 
+ServiceUse WorkerPool::useOf(std::string_view service) const
+{
+    ServiceUse use;
+    for (const auto &[lifetime, worker] : m_workers) {
+        if (!worker.takesRunsOf(service))
+            continue;
+        use.capacity += worker.facts.capacity.milliCores;
+        use.reserved += worker.reserved.milliCores;
+        use.bestEffort += worker.bestEffortMilliCores;
+    }
+    return use;
+}
+
 void WorkerPool::removeIfIdle(const Lifetime &lifetime)
 {
     const auto found = m_workers.find(lifetime);
--- a/Guavashift/Dispatch/WorkerPool.h
+++ b/Guavashift/Dispatch/WorkerPool.h
@@ -90,7 +90,8 @@
     /// start for it.
     bool startsReachOnlyIt = false;
     Instant leaseEnd;          ///< Without a new grant nothing runs there after this time.
-    Instant suspectUntil;      ///< Gets no new runs until then, after refusals or failures.
+    Instant refusesUntil;      ///< Gets no new runs until then, after a refusal.
+    Instant suspectUntil;      ///< Gets no new runs until then, after failures.
     Instant suspectAloneUntil; ///< A run under suspicion has just started there.
     Instant coldUntil;         ///< It is slow until then, after its start.
     Duration coldInAll = Duration::zero(); ///< The longest time that it reported as left.
@@ -122,10 +123,20 @@
     }
     /// Forgets the runs that are not bound to it: it carries out none any more.
     void clearUnbound();
+    /// Whether it is a worker of the service that reports, answers and is not about to leave.
+    [[nodiscard]] bool takesRunsOf(std::string_view service) const;
     /// Whether the runs there reserve more than the capacity, because it has shrunk.
     [[nodiscard]] bool isOverCapacity() const { return !Resources().fitsWithin(available()); }
 };
 
+/// Processors of a service's workers that take runs, in thousandths.
+struct ServiceUse
+{
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    std::int64_t bestEffort = 0; ///< That best-effort tasks would use at full speed.
+};
+
 /// All lifetimes of workers that the leader knows, with the runs placed on them. Performs no I/O
 /// and reads no clock.
 class WorkerPool final
@@ -148,6 +159,8 @@
     /// Lifetimes of the worker named `worker`.
     [[nodiscard]] std::vector<Lifetime> lifetimesOf(const std::string &worker) const;
 
+    [[nodiscard]] ServiceUse useOf(std::string_view service) const;
+
     /// Removes a lifetime unless runs are placed on it.
     void removeIfIdle(const Lifetime &lifetime);
 
--- a/UnitTests/Dispatch/IdleCapacityTest.cpp
+++ b/UnitTests/Dispatch/IdleCapacityTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(startsAGangWhileAllTailsStayNearTheirTargets);
     CPPUNIT_TEST(startsEveryJobOfMany);
     CPPUNIT_TEST(startsAJobWhileAllWorkersArePausedAfterFailures);
+    CPPUNIT_TEST(startsALongRunningTaskWhileAllWorkersArePausedAfterFailures);
+    CPPUNIT_TEST(startsAJobAgainAfterARefusal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,16 +82,16 @@
     }
 
     /// Guards against jobs that wait for a place while others of their kind have one that is no
-    /// better. As many as may come together while the service is calm.
+    /// better.
     void startsEveryJobOfMany()
     {
         constexpr int jobs = 12;
-        constexpr int limitMs = 14'000;
+        constexpr int acceptedAt = 2000;
         m_tailMs = 45;
-        run(0, 2000);
+        run(0, acceptedAt);
         for (int i = 0; i < jobs; ++i)
-            accept(fmt::format("filling{}", i), bestEffort(4), 2000);
-        run(2000, 2000 + limitMs);
+            accept(fmt::format("filling{}", i), bestEffort(4), acceptedAt);
+        run(acceptedAt, acceptedAt + longestIdleMs);
         for (int i = 0; i < jobs; ++i)
             CPPUNIT_ASSERT(hasStarted(fmt::format("filling{}", i)));
     }
@@ -97,11 +99,59 @@
     /// Guards against pauses after failures that leave a job nowhere to run: what failed is gone,
     /// and only a run would show it.
     void startsAJobWhileAllWorkersArePausedAfterFailures()
+    {
+        const int now = pauseAllWorkers();
+        accept("plain", plan(1, 5000), now);
+        run(now, now + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("plain"));
+    }
+
+    /// Guards against the same for a task without an end.
+    void startsALongRunningTaskWhileAllWorkersArePausedAfterFailures()
+    {
+        const int now = pauseAllWorkers();
+        accept("lasting", longRunningPlan(1, 5000), now);
+        run(now, now + longestIdleMs);
+        CPPUNIT_ASSERT(hasStarted("lasting"));
+    }
+
+    /// Guards against a start that was refused, after which its job waits anew.
+    void startsAJobAgainAfterARefusal()
+    {
+        constexpr int acceptedAt = 2000;
+        m_tailMs = 35;
+        run(0, acceptedAt);
+        accept("filling", bestEffort(1), acceptedAt);
+        int now = acceptedAt;
+        for (; !hasStarted("filling") && now < acceptedAt + longestIdleMs; now += 100)
+            run(now, now + 100);
+        const TaskRef task{"filling", 0, 0, 0};
+        m_dispatcher->startRefused(m_jobTable->find(task)->lifetime, task, 1, at(now));
+        commit(m_dispatcher->takeCommands(), now);
+        run(now, acceptedAt + longestIdleMs);
+        CPPUNIT_ASSERT(m_jobTable->find(task)->run > 1);
+    }
+
+private:
+    static constexpr int workers = 3;
+    static constexpr int targetMs = 50;
+
+    static JobPlan bestEffort(std::uint32_t tasks)
+    {
+        JobPlan filling = plan(tasks, 8000, 2000);
+        filling.steps[0].bestEffort = true;
+        filling.steps[0].checkpoints = true;
+        filling.steps[0].image = "batch";
+        return filling;
+    }
+
+    /// Lets many jobs fail on all workers, twice, so that the pauses are longer than a job may be
+    /// idle. Returns the time reached.
+    int pauseAllWorkers()
     {
         constexpr int failures = 9;
         m_tailMs = 10;
         int now = 0;
-        // The second pause takes longer than a job may be idle.
         for (int round = 0; round < 2; ++round) {
             for (int i = 0; i < failures; ++i)
                 accept(fmt::format("failing{}-{}", round, i), plan(1, 5000), now);
@@ -119,22 +169,7 @@
             const StageOutcome outcome = m_jobTable->apply(now, cancel);
             m_dispatcher->applied(cancel, outcome, at(now));
         }
-        accept("plain", plan(1, 5000), now);
-        run(now, now + longestIdleMs);
-        CPPUNIT_ASSERT(hasStarted("plain"));
-    }
-
-private:
-    static constexpr int workers = 3;
-    static constexpr int targetMs = 50;
-
-    static JobPlan bestEffort(std::uint32_t tasks)
-    {
-        JobPlan filling = plan(tasks, 8000, 2000);
-        filling.steps[0].bestEffort = true;
-        filling.steps[0].checkpoints = true;
-        filling.steps[0].image = "batch";
-        return filling;
+        return now;
     }
 
     /// Accepts the job after two seconds and expects a start in time.
--- a/UnitTests/Dispatch/IdleJobCausesTest.cpp
+++ b/UnitTests/Dispatch/IdleJobCausesTest.cpp
@@ -41,7 +41,7 @@
         for (std::uint32_t t = 1; t < 4; ++t)
             end({"gang", 0, 0, t}, 1, RunEnd::Broken, 150);
         play(150, 1000);
-        accept("j", plan(1, 8000));
+        accept("j", plan(1, 8000), 1000);
         assertStarts("j", 1000);
     }
 
@@ -57,7 +57,7 @@
         constexpr int most = 200;
         for (int i = 0; i < failing || (mayRun && i < most); ++i) {
             const std::string id = fmt::format("failing{}", i);
-            accept(id, plan(1, 30'000));
+            accept(id, plan(1, 30'000), now);
             play(now, now + stepMs);
             now += stepMs;
             const StageTask *task = m_jobTable->find({id, 0, 0, 0});
@@ -66,6 +66,7 @@
                 end({id, 0, 0, 0}, task->run, RunEnd::Failed, now);
             cancel(id, now);
         }
+        CPPUNIT_ASSERT(!mayRun);
         accept("j", plan(1, 8000), now);
         assertStarts("j", now);
     }
--- a/UnitTests/Dispatch/IdleJobSimulationTest.cpp
+++ b/UnitTests/Dispatch/IdleJobSimulationTest.cpp
@@ -27,11 +27,10 @@
 
 /// Plays a fixed range of seeds, or the one that the environment names: the first in
 /// GUAVASHIFT_SIMULATION_SEED, their number in GUAVASHIFT_SIMULATION_SEEDS.
-void playSeeds(bool mayStartLate)
+void playSeeds(std::uint64_t from, std::uint64_t seeds, bool mayStartLate)
 {
-    constexpr std::uint64_t seeds = 200;
     constexpr std::uint64_t named = 100;
-    const std::uint64_t first = setting("GUAVASHIFT_SIMULATION_SEED", 1);
+    const std::uint64_t first = setting("GUAVASHIFT_SIMULATION_SEED", from);
     const std::uint64_t count = setting("GUAVASHIFT_SIMULATION_SEEDS", seeds);
     std::string failures;
     std::string trace;
@@ -61,6 +60,7 @@
 {
     CPPUNIT_TEST_SUITE(IdleJobSimulationTest);
     CPPUNIT_TEST(leavesNoJobIdleInTheCalm);
+    CPPUNIT_TEST(leavesNoJobIdleBesideLateStarts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,10 +68,13 @@
     void tearDown() override { setLogLevel(LogLevel::Info); }
 
     /// Guards against a job of which nothing runs beside free capacity, long after all trouble.
-    void leavesNoJobIdleInTheCalm() { playSeeds(false); }
+    void leavesNoJobIdleInTheCalm() { playSeeds(1, 200, false); }
+
+    /// The same, with starts that the next lifetime of a worker may carry out.
+    void leavesNoJobIdleBesideLateStarts() { playSeeds(29, 200, true); }
 };
 
-/// The same with starts that the next lifetime of a worker may carry out.
+/// The seeds before those, the last of which fails.
 class IdleJobLateStartSimulationTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(IdleJobLateStartSimulationTest);
@@ -83,7 +86,7 @@
     void tearDown() override { setLogLevel(LogLevel::Info); }
 
     /// Guards against a job whose run waits for a lost worker long after its lease.
-    void leavesNoJobIdleInTheCalm() { playSeeds(true); }
+    void leavesNoJobIdleInTheCalm() { playSeeds(1, 28, true); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IdleJobLateStartSimulationTest);
