--- a/UnitTests/Dispatch/IdleJobSimulation.cpp
+++ b/UnitTests/Dispatch/IdleJobSimulation.cpp
@@ -204,7 +204,7 @@
             if (site->node != node || site->session == 0)
                 continue;
             m_events.emplace(m_now + between(1, 10),
-                             [this, &site = *site, session = site->session, order] {
+                             [this, &site = *site, session = site->session, order = order] {
                                  if (site.session == session)
                                      received(site, order);
                              });
